--- /dev/null
+++ b/crates/coltsfoot-wire/src/lib.rs
@@ -0,0 +1,1 @@
+//! placeholder
--- /dev/null
+++ b/crates/coltsfootroute/src/admission.rs
@@ -0,0 +1,1 @@
+//! Admission by importance within an adaptive limit on concurrency.
--- /dev/null
+++ b/crates/coltsfootroute/src/deadline.rs
@@ -0,0 +1,1 @@
+//! Deadlines along the call chain.
--- /dev/null
+++ b/crates/coltsfootroute/src/drain.rs
@@ -0,0 +1,1 @@
+//! Leaving: no new work, nothing in flight interrupted.
--- /dev/null
+++ b/crates/coltsfootroute/src/id.rs
@@ -0,0 +1,9 @@
+//! Identities that the system hands out itself.
+
+mod incarnation;
+mod node_id;
+mod request_id;
+
+pub use incarnation::Incarnation;
+pub use node_id::NodeId;
+pub use request_id::RequestId;
--- /dev/null
+++ b/crates/coltsfootroute/src/id/node_id.rs
@@ -0,0 +1,18 @@
+//! Identity of a node.
+
+use std::net::SocketAddr;
+
+value_type! {
+    /// A node, identified by its peer address: TCP for calls between nodes, UDP for gossip, same port.
+    ///
+    /// Two lives of a process at one address differ by [`Incarnation`](super::Incarnation).
+    #[derive(serde::Serialize, serde::Deserialize)]
+    #[serde(transparent)]
+    pub struct NodeId(pub SocketAddr);
+}
+
+impl std::fmt::Display for NodeId {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        self.0.fmt(f)
+    }
+}
--- /dev/null
+++ b/crates/coltsfootroute/src/importance.rs
@@ -0,0 +1,75 @@
+//! Importance of a client request.
+
+use std::{fmt, str::FromStr};
+
+value_type! {
+    /// How important a client request is. Set from the schema where the request enters and carried
+    /// with every call it causes; ordered from least to most important.
+    #[derive(Default, serde::Serialize, serde::Deserialize, schemars::JsonSchema)]
+    #[serde(rename_all = "lowercase")]
+    pub enum Importance {
+        /// Refused first; also the importance of calls without a valid context.
+        #[default]
+        Background,
+        /// Below ordinary work.
+        Low,
+        /// Ordinary work.
+        Normal,
+        /// Above ordinary work.
+        High,
+        /// Refused last.
+        Critical,
+    }
+}
+
+impl Importance {
+    /// Number of levels.
+    pub const COUNT: usize = 5;
+
+    /// All levels, least important first.
+    pub const ALL: [Self; Self::COUNT] =
+        [Self::Background, Self::Low, Self::Normal, Self::High, Self::Critical];
+
+    /// Position in [`Importance::ALL`].
+    pub fn index(self) -> usize {
+        self as usize
+    }
+
+    /// The level at `index`, if there is one.
+    pub fn from_index(index: usize) -> Option<Self> {
+        Self::ALL.get(index).copied()
+    }
+
+    /// The level's name in the schema.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Background => "background",
+            Self::Low => "low",
+            Self::Normal => "normal",
+            Self::High => "high",
+            Self::Critical => "critical",
+        }
+    }
+}
+
+impl fmt::Display for Importance {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
+    }
+}
+
+impl FromStr for Importance {
+    type Err = UnknownImportance;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        Self::ALL
+            .into_iter()
+            .find(|importance| importance.as_str() == text)
+            .ok_or_else(|| UnknownImportance(text.to_owned()))
+    }
+}
+
+/// The text names no level of importance.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("unknown importance `{0}`: expected background, low, normal, high or critical")]
+pub struct UnknownImportance(pub String);
--- /dev/null
+++ b/crates/coltsfootroute/src/membership.rs
@@ -0,0 +1,1 @@
+//! Which upstreams there are, learnt by gossip.
--- /dev/null
+++ b/crates/coltsfootroute/src/outcome/call_outcome.rs
@@ -0,0 +1,51 @@
+//! Outcome of a call.
+
+use std::{fmt, str::FromStr};
+
+value_type! {
+    /// Whether the request that a caller sent has run. It speaks of that request only: a nested
+    /// call's [`CallOutcome::NotRun`] does not make its parent's.
+    #[derive(serde::Serialize, serde::Deserialize)]
+    #[serde(rename_all = "kebab-case")]
+    pub enum CallOutcome {
+        /// The request ran and its complete answer is here.
+        Completed,
+        /// No part of the request ran on any upstream.
+        NotRun,
+        /// The request may have run, wholly or in part.
+        Unknown,
+    }
+}
+
+impl CallOutcome {
+    /// The outcome's value in the `coltsfoot-outcome` header.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Completed => "completed",
+            Self::NotRun => "not-run",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
+impl fmt::Display for CallOutcome {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
+    }
+}
+
+impl FromStr for CallOutcome {
+    type Err = UnknownOutcome;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        [Self::Completed, Self::NotRun, Self::Unknown]
+            .into_iter()
+            .find(|outcome| outcome.as_str() == text)
+            .ok_or_else(|| UnknownOutcome(text.to_owned()))
+    }
+}
+
+/// The text names no outcome.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("unknown outcome `{0}`: expected completed, not-run or unknown")]
+pub struct UnknownOutcome(pub String);
--- /dev/null
+++ b/crates/coltsfootroute/src/outcome/refusal_reason.rs
@@ -0,0 +1,73 @@
+//! Why a call was refused or given up.
+
+use std::fmt;
+
+value_type! {
+    /// The reason in the body of a refusal. The reason does not decide the outcome: a deadline can
+    /// pass before or after the call was dispatched.
+    #[derive(serde::Serialize, serde::Deserialize)]
+    #[serde(rename_all = "kebab-case")]
+    pub enum RefusalReason {
+        /// The service has no room for work of this importance.
+        Overload,
+        /// The node or upstream is leaving.
+        Leaving,
+        /// No upstream of the service is known or reachable.
+        NoUpstream,
+        /// The deadline has passed or cannot be met.
+        Deadline,
+        /// The idempotency key stands with another body.
+        KeyConflict,
+        /// The idempotency key is older than the retention of its record.
+        KeyExpired,
+        /// An earlier request with this key is still running, or was interrupted.
+        KeyInProgress,
+        /// The table service cannot take the claim.
+        StoreUnavailable,
+        /// The upstream's answer was cut off or its connection failed.
+        UpstreamFailed,
+        /// The node has no configuration in force yet.
+        NoConfiguration,
+        /// The schema declares no such service or operation.
+        UnknownOperation,
+        /// The request is malformed: a header is missing, wrong or oversized.
+        BadRequest,
+    }
+}
+
+impl RefusalReason {
+    /// The reason's name in a refusal's body, in logs and in metric labels.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Overload => "overload",
+            Self::Leaving => "leaving",
+            Self::NoUpstream => "no-upstream",
+            Self::Deadline => "deadline",
+            Self::KeyConflict => "key-conflict",
+            Self::KeyExpired => "key-expired",
+            Self::KeyInProgress => "key-in-progress",
+            Self::StoreUnavailable => "store-unavailable",
+            Self::UpstreamFailed => "upstream-failed",
+            Self::NoConfiguration => "no-configuration",
+            Self::UnknownOperation => "unknown-operation",
+            Self::BadRequest => "bad-request",
+        }
+    }
+
+    /// The HTTP status that carries the reason.
+    pub fn status(self) -> u16 {
+        match self {
+            Self::Deadline => 504,
+            Self::KeyConflict | Self::KeyExpired => 409,
+            Self::UnknownOperation => 404,
+            Self::BadRequest => 400,
+            _ => 503,
+        }
+    }
+}
+
+impl fmt::Display for RefusalReason {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
+    }
+}
--- /dev/null
+++ b/crates/coltsfootroute/src/retry.rs
@@ -0,0 +1,1 @@
+//! Retry accounts: the bound on retries of one client request.
--- /dev/null
+++ b/crates/coltsfootroute/src/revision.rs
@@ -0,0 +1,1 @@
+//! Configuration revisions: submission, history, spread.
--- /dev/null
+++ b/crates/coltsfootroute/src/routing.rs
@@ -0,0 +1,1 @@
+//! Choice of the upstream for a call.
--- /dev/null
+++ b/crates/coltsfootroute/src/schema/client_entry.rs
@@ -0,0 +1,17 @@
+//! How clients may call an operation.
+
+use crate::importance::Importance;
+
+record_type! {
+    /// Present where clients may call the operation; sets what the whole client request gets.
+    #[derive(serde::Serialize, serde::Deserialize, schemars::JsonSchema)]
+    #[serde(deny_unknown_fields)]
+    pub struct ClientEntry {
+        /// Importance of every call the request causes.
+        pub importance: Importance,
+        /// Deadline where the client states none, and the most it may state; milliseconds.
+        pub deadline_ms: u64,
+        /// Retries granted to the whole request, over all its calls and however deep.
+        pub retry_budget: u32,
+    }
+}
--- /dev/null
+++ b/crates/coltsfootroute/src/schema/operation_entry.rs
@@ -0,0 +1,28 @@
+//! An operation as declared.
+
+use super::{CallEdge, ClientEntry};
+use crate::name::OperationName;
+
+record_type! {
+    /// One operation of a service.
+    #[derive(serde::Serialize, serde::Deserialize, schemars::JsonSchema)]
+    #[serde(deny_unknown_fields)]
+    pub struct OperationEntry {
+        /// Name, unique within the service.
+        #[schemars(with = "String")]
+        pub name: OperationName,
+        /// Whether a run may be repeated. A non-repeatable operation needs an idempotency key.
+        #[serde(default = "yes")]
+        pub repeatable: bool,
+        /// How clients may call it; absent where only other services do.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        pub client: Option<ClientEntry>,
+        /// Nested calls that one run makes.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        pub calls: Vec<CallEdge>,
+    }
+}
+
+fn yes() -> bool {
+    true
+}
--- /dev/null
+++ b/crates/coltsfootroute/src/table/table_request.rs
@@ -0,0 +1,24 @@
+//! Requests to the table service.
+
+use super::{RowKey, RowWrite};
+
+record_type! {
+    /// A request to the table service.
+    #[derive(serde::Serialize, serde::Deserialize)]
+    #[serde(rename_all = "kebab-case")]
+    pub enum TableRequest {
+        /// Reads one row, linearizably.
+        Read(RowKey),
+        /// Reads up to `limit` rows whose keys start with `prefix` and sort after `after`.
+        Scan {
+            /// Common start of the keys.
+            prefix: String,
+            /// Last key of the page before; empty for the first page.
+            after: String,
+            /// Most rows to return.
+            limit: usize,
+        },
+        /// Carries out all writes, or none if a condition does not hold.
+        Transact(Vec<RowWrite>),
+    }
+}
