Peer protocol: Cap'n Proto schema, generated code, conversions

Cause: nodes need a typed way to hand calls, retry tokens, configuration deltas and claim states to each other. Change: schema/peer.capnp with committed code and domain types. Conclusion: the seam between nodes.

--- /dev/null
+++ b/crates/coltsfoot-wire/schema/peer.capnp
@@ -0,0 +1,61 @@
+@0xde0e3243162d7e8a;
+# Calls between nodes, over one TCP connection a pair.
+
+struct Address {
+  octets @0 :Data;    # 4 octets for IPv4, 16 for IPv6, network order
+  port @1 :UInt16;
+}
+
+struct CallRequest {
+  requestHigh @0 :UInt64;     # upper half of the client request's identity
+  requestLow @1 :UInt64;
+  service @2 :Text;
+  operation @3 :Text;
+  importance @4 :UInt8;       # index, least important first
+  remainingMicros @5 :UInt64; # until the deadline
+  account @6 :Address;        # node that keeps the retry account; absent: no retry
+  client @7 :UInt64;          # hash of the client, for fairness
+  underWay @8 :Bool;          # nested below work that runs already
+  key @9 :Text;               # idempotency key; empty: none
+  contentType @10 :Text;
+  body @11 :Data;
+  revision @12 :UInt64;       # configuration in force at the caller
+}
+
+enum Outcome { completed @0; notRun @1; unknown @2; }
+
+struct LevelNote {
+  service @0 :Text;
+  guard @1 :Address;
+  border @2 :UInt8;           # least importance still admitted, as an index
+  fraction @3 :Float32;       # share of the border level that is admitted
+}
+
+struct CallReply {
+  union {
+    answer :group {
+      status @0 :UInt16;
+      contentType @1 :Text;
+      body @2 :Data;
+      replayed @3 :Bool;
+    }
+    refusal :group {
+      reason @4 :Text;
+      retryAfterSeconds @5 :UInt32;
+    }
+  }
+  outcome @6 :Outcome;
+  levels @7 :List(LevelNote);
+  upstreamMicros @8 :UInt64;  # time the upstream took
+}
+
+enum TakeAnswer { granted @0; denied @1; noAccount @2; }
+
+enum ClaimState { notMine @0; neverDispatched @1; running @2; finished @3; }
+
+interface Peer {
+  call @0 (request :CallRequest) -> (reply :CallReply);
+  takeRetry @1 (requestHigh :UInt64, requestLow :UInt64, takeId :UInt64) -> (answer :TakeAnswer);
+  configSince @2 (revision :UInt64) -> (delta :Data);  # JSON of a configuration delta
+  claimState @3 (claimHigh :UInt64, claimLow :UInt64) -> (state :ClaimState);
+}
--- /dev/null
+++ b/crates/coltsfoot-wire/src/peer.rs
@@ -0,0 +1,31 @@
+//! Messages of the calls between nodes, as domain types.
+
+mod call_reply;
+mod call_request;
+mod claim_state;
+mod level_note;
+mod take_answer;
+
+pub use call_reply::{CallReply, ReplyBody};
+pub use call_request::CallRequest;
+pub use claim_state::{ClaimState, read_claim_state, write_claim_state};
+pub use level_note::LevelNote;
+pub use take_answer::{TakeAnswer, read_take_answer, write_take_answer};
+
+use coltsfootroute::{id::RequestId, importance::Importance};
+
+use crate::wire_error::WireError;
+
+/// Upper and lower half of a 128-bit identity.
+pub fn split_id(id: RequestId) -> (u64, u64) {
+    ((id.0 >> 64) as u64, id.0 as u64)
+}
+
+/// Joins the halves of a 128-bit identity.
+pub fn join_id(high: u64, low: u64) -> RequestId {
+    RequestId((u128::from(high) << 64) | u128::from(low))
+}
+
+fn read_importance(index: u8) -> Result<Importance, WireError> {
+    Importance::from_index(usize::from(index)).ok_or(WireError::OutOfRange { field: "importance" })
+}
--- /dev/null
+++ b/crates/coltsfoot-wire/src/peer/call_reply.rs
@@ -0,0 +1,133 @@
+//! What a guard answers to a call.
+
+use std::time::Duration;
+
+use coltsfootroute::outcome::{CallOutcome, RefusalReason};
+
+use super::LevelNote;
+use crate::{
+    peer_capnp::{Outcome, call_reply},
+    wire_error::WireError,
+};
+
+/// What a guard answers to a call.
+#[derive(Clone, Debug, PartialEq)]
+pub struct CallReply {
+    /// The upstream's answer, or the refusal.
+    pub body: ReplyBody,
+    /// Whether this call has run.
+    pub outcome: CallOutcome,
+    /// Admission levels of the called service and of the services below it.
+    pub levels: Vec<LevelNote>,
+    /// Time the upstream took, zero if it was not called.
+    pub upstream_time: Duration,
+}
+
+/// The upstream's answer, or the refusal.
+#[derive(Clone, Debug, PartialEq)]
+pub enum ReplyBody {
+    /// The upstream's complete answer.
+    Answer {
+        /// HTTP status.
+        status: u16,
+        /// Media type; empty if the upstream stated none.
+        content_type: String,
+        /// Body.
+        body: Vec<u8>,
+        /// Whether the answer is the stored one of an earlier run under the same key.
+        replayed: bool,
+    },
+    /// There is no answer.
+    Refusal {
+        /// Why.
+        reason: RefusalReason,
+        /// When the caller may come back, in whole seconds.
+        retry_after_s: u32,
+    },
+}
+
+impl CallReply {
+    /// A refusal without levels.
+    pub fn refusal(reason: RefusalReason, outcome: CallOutcome, retry_after_s: u32) -> Self {
+        Self {
+            body: ReplyBody::Refusal { reason, retry_after_s },
+            outcome,
+            levels: Vec::new(),
+            upstream_time: Duration::ZERO,
+        }
+    }
+
+    /// The refusal's reason, if it is one.
+    pub fn reason(&self) -> Option<RefusalReason> {
+        match self.body {
+            ReplyBody::Refusal { reason, .. } => Some(reason),
+            ReplyBody::Answer { .. } => None,
+        }
+    }
+
+    /// Writes the reply into `builder`.
+    pub fn write(&self, mut builder: call_reply::Builder<'_>) {
+        match &self.body {
+            ReplyBody::Answer { status, content_type, body, replayed } => {
+                let mut answer = builder.reborrow().init_answer();
+                answer.set_status(*status);
+                answer.set_content_type(content_type.as_str());
+                answer.set_body(body);
+                answer.set_replayed(*replayed);
+            }
+            ReplyBody::Refusal { reason, retry_after_s } => {
+                let mut refusal = builder.reborrow().init_refusal();
+                refusal.set_reason(reason.as_str());
+                refusal.set_retry_after_seconds(*retry_after_s);
+            }
+        }
+        builder.set_outcome(match self.outcome {
+            CallOutcome::Completed => Outcome::Completed,
+            CallOutcome::NotRun => Outcome::NotRun,
+            CallOutcome::Unknown => Outcome::Unknown,
+        });
+        builder
+            .set_upstream_micros(u64::try_from(self.upstream_time.as_micros()).unwrap_or(u64::MAX));
+        let count = u32::try_from(self.levels.len()).unwrap_or(u32::MAX);
+        let mut list = builder.init_levels(count);
+        for (index, note) in (0..count).zip(&self.levels) {
+            note.write(list.reborrow().get(index));
+        }
+    }
+
+    /// Reads a reply.
+    ///
+    /// # Errors
+    ///
+    /// [`WireError`] if a field is malformed or out of range.
+    pub fn read(reader: call_reply::Reader<'_>) -> Result<Self, WireError> {
+        let body = match reader.which()? {
+            call_reply::Which::Answer(answer) => ReplyBody::Answer {
+                status: answer.get_status(),
+                content_type: answer.get_content_type()?.to_str()?.to_owned(),
+                body: answer.get_body()?.to_vec(),
+                replayed: answer.get_replayed(),
+            },
+            call_reply::Which::Refusal(refusal) => ReplyBody::Refusal {
+                reason: read_reason(refusal.get_reason()?.to_str()?)?,
+                retry_after_s: refusal.get_retry_after_seconds(),
+            },
+        };
+        let outcome = match reader.get_outcome()? {
+            Outcome::Completed => CallOutcome::Completed,
+            Outcome::NotRun => CallOutcome::NotRun,
+            Outcome::Unknown => CallOutcome::Unknown,
+        };
+        let levels =
+            reader.get_levels()?.iter().map(LevelNote::read).collect::<Result<Vec<_>, _>>()?;
+        let upstream_time = Duration::from_micros(reader.get_upstream_micros());
+        Ok(Self { body, outcome, levels, upstream_time })
+    }
+}
+
+fn read_reason(text: &str) -> Result<RefusalReason, WireError> {
+    RefusalReason::ALL
+        .into_iter()
+        .find(|reason| reason.as_str() == text)
+        .ok_or(WireError::OutOfRange { field: "reason" })
+}
--- /dev/null
+++ b/crates/coltsfoot-wire/src/peer/call_request.rs
@@ -0,0 +1,94 @@
+//! A call handed to the guard of the chosen upstream.
+
+use std::time::Duration;
+
+use coltsfootroute::{
+    id::{NodeId, RequestId},
+    importance::Importance,
+    name::{OperationName, ServiceName},
+};
+
+use super::{join_id, read_importance, split_id};
+use crate::{
+    address::{read_address, write_address},
+    peer_capnp::call_request,
+    wire_error::WireError,
+};
+
+/// A call handed to the guard of the chosen upstream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CallRequest {
+    /// Client request that the call belongs to.
+    pub request: RequestId,
+    /// Service called.
+    pub service: ServiceName,
+    /// Operation called.
+    pub operation: OperationName,
+    /// Importance of the client request.
+    pub importance: Importance,
+    /// Time left until the deadline when the message was written, in whole microseconds.
+    pub remaining: Duration,
+    /// Node that keeps the retry account; `None` means no retry.
+    pub account: Option<NodeId>,
+    /// Hash of the client, for fairness within one importance.
+    pub client: u64,
+    /// Whether the call is nested below work that runs already.
+    pub under_way: bool,
+    /// Idempotency key.
+    pub key: Option<String>,
+    /// Media type of the body; empty if the caller stated none.
+    pub content_type: String,
+    /// Body of the call, at most [`MAX_BODY_BYTES`](coltsfootroute::constants::MAX_BODY_BYTES).
+    pub body: Vec<u8>,
+    /// Configuration revision in force at the calling node.
+    pub revision: u64,
+}
+
+impl CallRequest {
+    /// Writes the call into `builder`.
+    pub fn write(&self, mut builder: call_request::Builder<'_>) {
+        let (high, low) = split_id(self.request);
+        builder.set_request_high(high);
+        builder.set_request_low(low);
+        builder.set_service(self.service.as_str());
+        builder.set_operation(self.operation.as_str());
+        builder.set_importance(self.importance.index() as u8);
+        builder.set_remaining_micros(u64::try_from(self.remaining.as_micros()).unwrap_or(u64::MAX));
+        if let Some(node) = self.account {
+            write_address(node.0, builder.reborrow().init_account());
+        }
+        builder.set_client(self.client);
+        builder.set_under_way(self.under_way);
+        builder.set_key(self.key.as_deref().unwrap_or_default());
+        builder.set_content_type(self.content_type.as_str());
+        builder.set_body(&self.body);
+        builder.set_revision(self.revision);
+    }
+
+    /// Reads a call.
+    ///
+    /// # Errors
+    ///
+    /// [`WireError`] if a field is malformed or out of range.
+    pub fn read(reader: call_request::Reader<'_>) -> Result<Self, WireError> {
+        let account = match reader.has_account() {
+            true => Some(NodeId(read_address(reader.get_account()?)?)),
+            false => None,
+        };
+        let key = reader.get_key()?.to_str()?;
+        Ok(Self {
+            request: join_id(reader.get_request_high(), reader.get_request_low()),
+            service: ServiceName::new(reader.get_service()?.to_str()?),
+            operation: OperationName::new(reader.get_operation()?.to_str()?),
+            importance: read_importance(reader.get_importance())?,
+            remaining: Duration::from_micros(reader.get_remaining_micros()),
+            account,
+            client: reader.get_client(),
+            under_way: reader.get_under_way(),
+            key: (!key.is_empty()).then(|| key.to_owned()),
+            content_type: reader.get_content_type()?.to_str()?.to_owned(),
+            body: reader.get_body()?.to_vec(),
+            revision: reader.get_revision(),
+        })
+    }
+}
--- a/crates/coltsfootroute/src/outcome/refusal_reason.rs
+++ b/crates/coltsfootroute/src/outcome/refusal_reason.rs
@@ -36,6 +36,22 @@
 }
 
 impl RefusalReason {
+    /// All reasons.
+    pub const ALL: [Self; 12] = [
+        Self::Overload,
+        Self::Leaving,
+        Self::NoUpstream,
+        Self::Deadline,
+        Self::KeyConflict,
+        Self::KeyExpired,
+        Self::KeyInProgress,
+        Self::StoreUnavailable,
+        Self::UpstreamFailed,
+        Self::NoConfiguration,
+        Self::UnknownOperation,
+        Self::BadRequest,
+    ];
+
     /// The reason's name in a refusal's body, in logs and in metric labels.
     pub fn as_str(self) -> &'static str {
         match self {
