--- /dev/null
+++ b/crates/coltsfoot-node/src/dispatch.rs
@@ -0,0 +1,25 @@
+//! The dispatch duty: one thread that takes calls in, routes them, guards the upstream beside the node
+//! and talks to the other nodes.
+
+mod calls_in_flight;
+mod client_request;
+mod dispatch_command;
+mod dispatch_handle;
+mod dispatch_thread;
+mod dispatcher;
+mod guard;
+mod incoming_call;
+mod local_upstream;
+mod nested_request;
+mod peer_links;
+mod peer_server;
+mod retry_tokens;
+mod routed_call;
+mod run_permit;
+mod upstream_client;
+
+pub use dispatch_command::DispatchCommand;
+pub use dispatch_handle::DispatchHandle;
+pub use dispatch_thread::{DispatchParts, DispatchThread};
+pub use incoming_call::{CallOrigin, IncomingCall};
+pub use local_upstream::UpstreamAnnouncement;
--- /dev/null
+++ b/crates/coltsfoot-node/src/dispatch/calls_in_flight.rs
@@ -0,0 +1,103 @@
+//! The calls that the upstream beside the node works on, found by the context it was given.
+
+use std::cell::{Cell, RefCell};
+
+use coltsfoot_wire::peer::LevelNote;
+use coltsfootroute::{
+    id::{NodeId, RequestId},
+    importance::Importance,
+    time::MonotonicTime,
+};
+use indexmap::IndexMap;
+use rand::Rng;
+
+/// Admission levels kept for one call at most; the highest borders stay.
+const MAX_LEVELS: usize = 16;
+
+/// What nested calls inherit from the call that the upstream works on.
+pub struct CallSpan {
+    /// Client request.
+    pub request: RequestId,
+    /// Importance of the client request.
+    pub importance: Importance,
+    /// Deadline of the call, on this node's clock.
+    pub deadline: MonotonicTime,
+    /// Node that keeps the retry account.
+    pub account: Option<NodeId>,
+    /// Hash of the client.
+    pub client: u64,
+    /// Whether a nested call may have reached an upstream; then the call itself has run in part.
+    pub nested_ran: Cell<bool>,
+    /// Levels of the services below, to travel back with the reply. At most [`MAX_LEVELS`].
+    levels: RefCell<Vec<LevelNote>>,
+}
+
+impl CallSpan {
+    /// A span without nested calls.
+    pub fn new(
+        request: RequestId,
+        importance: Importance,
+        deadline: MonotonicTime,
+        account: Option<NodeId>,
+        client: u64,
+    ) -> Self {
+        Self {
+            request,
+            importance,
+            deadline,
+            account,
+            client,
+            nested_ran: Cell::new(false),
+            levels: RefCell::new(Vec::new()),
+        }
+    }
+
+    /// Keeps `notes`, each in place of an older note of the same guard.
+    pub fn note_levels(&self, notes: &[LevelNote]) {
+        let mut levels = self.levels.borrow_mut();
+        for note in notes {
+            levels.retain(|kept| kept.guard != note.guard || kept.service != note.service);
+            levels.push(note.clone());
+        }
+        levels.sort_by(|a, b| b.border.cmp(&a.border));
+        levels.truncate(MAX_LEVELS);
+    }
+
+    /// The levels noted so far.
+    pub fn levels(&self) -> Vec<LevelNote> {
+        self.levels.borrow().clone()
+    }
+}
+
+/// The calls that the upstream works on, by their context.
+///
+/// A context is random, so that it cannot be guessed, and known only while its call is in flight.
+#[derive(Default)]
+pub struct CallsInFlight {
+    spans: RefCell<IndexMap<u128, std::rc::Rc<CallSpan>>>,
+}
+
+impl CallsInFlight {
+    /// Enters a call and returns its context.
+    pub fn enter(&self, rng: &mut impl Rng, span: std::rc::Rc<CallSpan>) -> u128 {
+        let context = rng.random::<u128>();
+        self.spans.borrow_mut().insert(context, span);
+        context
+    }
+
+    /// The call of a context as the upstream sent it back.
+    pub fn find(&self, context: &str) -> Option<std::rc::Rc<CallSpan>> {
+        let context = u128::from_str_radix(context, 16).ok()?;
+        self.spans.borrow().get(&context).cloned()
+    }
+
+    /// Forgets a call that has ended.
+    pub fn leave(&self, context: u128) {
+        self.spans.borrow_mut().swap_remove(&context);
+    }
+}
+
+/// The context's form in the header.
+pub fn context_text(context: u128) -> String {
+    format!("{context:032x}")
+}
--- /dev/null
+++ b/crates/coltsfoot-node/src/dispatch/dispatch_handle.rs
@@ -0,0 +1,87 @@
+//! The way to the dispatch duty for the other threads.
+
+use coltsfootroute::{
+    id::RequestId,
+    outcome::{CallOutcome, RefusalReason},
+};
+use http::StatusCode;
+use tokio::sync::{mpsc, oneshot};
+
+use super::{DispatchCommand, IncomingCall, UpstreamAnnouncement};
+use crate::http::HttpReply;
+
+/// Seconds after which a caller may come back when the ring is full or the node stops.
+const RETRY_AFTER_S: u32 = 1;
+
+/// Sends commands to the dispatch duty over a bounded ring.
+#[derive(Clone)]
+pub struct DispatchHandle {
+    commands: mpsc::Sender<DispatchCommand>,
+}
+
+impl DispatchHandle {
+    /// A handle that sends to `commands`.
+    pub fn new(commands: mpsc::Sender<DispatchCommand>) -> Self {
+        Self { commands }
+    }
+
+    /// Serves a call. A full ring refuses it at once, so that callers are not held back.
+    pub async fn call(&self, call: IncomingCall) -> HttpReply {
+        let (sender, receiver) = oneshot::channel();
+        let command = DispatchCommand::Call(Box::new(call), sender);
+        if let Err(err) = self.commands.try_send(command) {
+            return refused_by_ring(&err);
+        }
+        receiver.await.unwrap_or_else(|_| {
+            HttpReply::refusal(
+                RequestId(0),
+                RefusalReason::Leaving,
+                CallOutcome::Unknown,
+                RETRY_AFTER_S,
+            )
+        })
+    }
+
+    /// Passes on an announcement of the upstream beside the node.
+    pub async fn announce(&self, announcement: UpstreamAnnouncement) -> HttpReply {
+        self.ask(|reply| DispatchCommand::Announce(announcement, reply)).await
+    }
+
+    /// Passes on that the upstream beside the node leaves.
+    pub async fn withdraw(&self) -> HttpReply {
+        self.ask(DispatchCommand::Withdraw).await
+    }
+
+    /// The state of the node.
+    pub async fn status(&self) -> HttpReply {
+        self.ask(DispatchCommand::Status).await
+    }
+
+    /// Sends a command that needs no reply; waits while the ring is full.
+    pub async fn tell(&self, command: DispatchCommand) {
+        // A closed ring means that the process stops.
+        let _ = self.commands.send(command).await;
+    }
+
+    async fn ask(
+        &self,
+        command: impl FnOnce(oneshot::Sender<HttpReply>) -> DispatchCommand,
+    ) -> HttpReply {
+        let (sender, receiver) = oneshot::channel();
+        self.tell(command(sender)).await;
+        receiver.await.unwrap_or_else(|_| stopping())
+    }
+}
+
+fn refused_by_ring(err: &mpsc::error::TrySendError<DispatchCommand>) -> HttpReply {
+    let reason = match err {
+        mpsc::error::TrySendError::Full(_) => RefusalReason::Overload,
+        mpsc::error::TrySendError::Closed(_) => RefusalReason::Leaving,
+    };
+    HttpReply::refusal(RequestId(0), reason, CallOutcome::NotRun, RETRY_AFTER_S)
+}
+
+fn stopping() -> HttpReply {
+    let body = serde_json::json!({ "message": "the node is stopping" });
+    HttpReply::json(StatusCode::SERVICE_UNAVAILABLE, &body)
+}
--- /dev/null
+++ b/crates/coltsfoot-node/src/dispatch/incoming_call.rs
@@ -0,0 +1,45 @@
+//! A call as a listener received it.
+
+use std::{net::IpAddr, time::Duration};
+
+use bytes::Bytes;
+use coltsfootroute::{
+    name::{OperationName, ServiceName},
+    time::MonotonicTime,
+};
+
+/// Where a call came in.
+#[derive(Clone, Debug)]
+pub enum CallOrigin {
+    /// On the listener for clients.
+    Client {
+        /// Address of the client, for fairness between clients.
+        address: IpAddr,
+    },
+    /// On the host's own address, from the upstream beside the node.
+    Upstream {
+        /// Context of the client request that the upstream works on, if it sent one.
+        context: Option<String>,
+    },
+}
+
+/// A call as a listener received it.
+#[derive(Clone, Debug)]
+pub struct IncomingCall {
+    /// Where it came in.
+    pub origin: CallOrigin,
+    /// Service called.
+    pub service: ServiceName,
+    /// Operation called.
+    pub operation: OperationName,
+    /// Idempotency key.
+    pub key: Option<String>,
+    /// Remaining time that the caller states.
+    pub remaining: Option<Duration>,
+    /// Media type of the body.
+    pub content_type: String,
+    /// Body.
+    pub body: Bytes,
+    /// When the head of the request had been read.
+    pub received: MonotonicTime,
+}
--- /dev/null
+++ b/crates/coltsfoot-node/src/dispatch/peer_server.rs
@@ -0,0 +1,90 @@
+//! What other nodes may ask of this one.
+
+use std::rc::Rc;
+
+use capnp::Error;
+use capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side, twoparty::VatNetwork};
+use coltsfoot_wire::{
+    peer::{CallRequest, join_id, write_claim_state, write_take_answer},
+    peer_capnp::peer,
+};
+use futures_util::AsyncReadExt as _;
+use tokio::net::{TcpListener, TcpStream};
+use tokio_util::compat::TokioAsyncReadCompatExt as _;
+
+use super::dispatcher::Dispatcher;
+
+/// The interface as other nodes see it.
+struct PeerServer {
+    dispatcher: Rc<Dispatcher>,
+}
+
+impl peer::Server for PeerServer {
+    async fn call(
+        self: Rc<Self>,
+        params: peer::CallParams,
+        mut results: peer::CallResults,
+    ) -> Result<(), Error> {
+        let call = CallRequest::read(params.get()?.get_request()?)?;
+        let reply = self.dispatcher.guard_call(call).await;
+        reply.write(results.get().init_reply());
+        Ok(())
+    }
+
+    async fn take_retry(
+        self: Rc<Self>,
+        params: peer::TakeRetryParams,
+        mut results: peer::TakeRetryResults,
+    ) -> Result<(), Error> {
+        let params = params.get()?;
+        let request = join_id(params.get_request_high(), params.get_request_low());
+        let answer = self.dispatcher.take_own_token(request, params.get_take_id());
+        results.get().set_answer(write_take_answer(answer));
+        Ok(())
+    }
+
+    async fn config_since(
+        self: Rc<Self>,
+        params: peer::ConfigSinceParams,
+        mut results: peer::ConfigSinceResults,
+    ) -> Result<(), Error> {
+        let delta = self.dispatcher.config_since(params.get()?.get_revision())?;
+        results.get().set_delta(&delta);
+        Ok(())
+    }
+
+    async fn claim_state(
+        self: Rc<Self>,
+        params: peer::ClaimStateParams,
+        mut results: peer::ClaimStateResults,
+    ) -> Result<(), Error> {
+        let params = params.get()?;
+        let claim = join_id(params.get_claim_high(), params.get_claim_low());
+        results.get().set_state(write_claim_state(self.dispatcher.claim_state(claim)));
+        Ok(())
+    }
+}
+
+/// Accepts connections of other nodes for as long as the process runs.
+pub async fn accept_peers(listener: TcpListener, dispatcher: Rc<Dispatcher>) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => serve_peer(stream, dispatcher.clone()),
+            // Out of descriptors: closing connections frees some, so try again a little later.
+            Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
+        }
+    }
+}
+
+/// Pause after a failed accept.
+const ACCEPT_PAUSE: std::time::Duration = std::time::Duration::from_millis(20);
+
+fn serve_peer(stream: TcpStream, dispatcher: Rc<Dispatcher>) {
+    // Without it answers wait for the peer's delayed acknowledgement; a failure only costs time.
+    let _ = stream.set_nodelay(true);
+    let (reader, writer) = stream.compat().split();
+    let network = VatNetwork::new(reader, writer, Side::Server, Default::default());
+    let server: peer::Client = capnp_rpc::new_client(PeerServer { dispatcher });
+    let system = RpcSystem::new(Box::new(network), Some(server.client));
+    tokio::task::spawn_local(system);
+}
--- /dev/null
+++ b/crates/coltsfoot-node/src/http.rs
@@ -0,0 +1,13 @@
+//! The two HTTP listeners: one for clients, one on the host's own address.
+
+mod call_path;
+mod client_listener;
+mod host_listener;
+mod http_reply;
+mod listener_state;
+mod request_parts;
+mod serve;
+
+pub use http_reply::HttpReply;
+pub use listener_state::{ClientState, HostState};
+pub use serve::{HttpListener, ListenerError};
--- /dev/null
+++ b/crates/coltsfoot-node/src/http/client_listener.rs
@@ -0,0 +1,65 @@
+//! Handler of the listener for clients: calls, and nothing else.
+
+use coltsfootroute::{
+    id::RequestId,
+    outcome::{CallOutcome, RefusalReason},
+};
+use http::{Method, StatusCode};
+use xitca_web::{WebContext, http::WebResponse};
+
+use super::{
+    call_path::CallPath,
+    http_reply::{HttpReply, TEXT},
+    listener_state::ClientState,
+    request_parts::{CallHeaders, RequestError, read_body},
+};
+use crate::dispatch::{CallOrigin, IncomingCall};
+
+/// Serves one request of a client.
+pub async fn handle(ctx: &WebContext<'_, ClientState>) -> WebResponse {
+    let reply = match CallPath::parse(ctx.req().uri().path()) {
+        Some(_) if ctx.req().method() != Method::POST => {
+            HttpReply::new(StatusCode::METHOD_NOT_ALLOWED, TEXT, "calls are POST requests\n")
+        }
+        Some(path) => call(ctx, path).await,
+        None => HttpReply::new(StatusCode::NOT_FOUND, TEXT, "no such path\n"),
+    };
+    reply.into_response()
+}
+
+async fn call(ctx: &WebContext<'_, ClientState>, path: CallPath) -> HttpReply {
+    let state = ctx.state();
+    let received = state.clock.now();
+    let read = async {
+        let headers = CallHeaders::read(ctx.req().headers())?;
+        let body = std::mem::take(&mut *ctx.body_borrow_mut());
+        Ok::<_, RequestError>((headers, read_body(body, state.body_limit).await?))
+    };
+    let (headers, body) = match read.await {
+        Ok(parts) => parts,
+        Err(err) => return malformed(&err),
+    };
+    // The context of a client is never read: a client cannot forge importance.
+    let call = IncomingCall {
+        origin: CallOrigin::Client { address: ctx.req().body().socket_addr().ip() },
+        service: path.service,
+        operation: path.operation,
+        key: headers.key,
+        remaining: headers.remaining,
+        content_type: headers.content_type,
+        body,
+        received,
+    };
+    state.dispatch.call(call).await
+}
+
+/// The reply to a call that cannot be read; it ran nowhere.
+pub fn malformed(err: &RequestError) -> HttpReply {
+    let reply =
+        HttpReply::refusal(RequestId(0), RefusalReason::BadRequest, CallOutcome::NotRun, 0);
+    match err {
+        RequestError::Header(_) => reply,
+        // The rest of the body was not read, so the connection cannot carry another request.
+        RequestError::BodyTooLarge(_) | RequestError::BodyCutOff => reply.with_close(),
+    }
+}
--- /dev/null
+++ b/crates/coltsfoot-node/src/http/host_listener.rs
@@ -0,0 +1,139 @@
+//! Handler of the listener on the host's own address: nested calls and announcements of the upstream
+//! beside the node, and the operators' calls.
+
+use coltsfootroute::constants::IDEMPOTENCY_KEY_HEADER;
+use http::{Method, StatusCode};
+use xitca_web::{WebContext, http::WebResponse};
+
+use super::{
+    call_path::CallPath,
+    client_listener::malformed,
+    http_reply::{HttpReply, JSON, TEXT},
+    listener_state::HostState,
+    request_parts::{CallHeaders, RequestError, read_body, text},
+};
+use crate::{
+    config::SubmitRequest,
+    dispatch::{CallOrigin, IncomingCall, UpstreamAnnouncement},
+};
+
+/// Request header: the revision that a submission builds on.
+const IF_MATCH_HEADER: &str = "if-match";
+/// Request header: the operator who submits.
+const OPERATOR_HEADER: &str = "coltsfoot-operator";
+/// Events in one page of `GET /events`.
+const EVENTS_PAGE: usize = 10_000;
+
+/// Serves one request on the host's own address.
+pub async fn handle(ctx: &WebContext<'_, HostState>) -> WebResponse {
+    let path = ctx.req().uri().path().to_owned();
+    let reply = match (ctx.req().method().clone(), path.as_str()) {
+        (Method::PUT, "/upstream") => announce(ctx).await,
+        (Method::DELETE, "/upstream") => withdraw(ctx).await,
+        (Method::PUT, "/schema") => submit(ctx).await,
+        (Method::GET, "/schema") => ctx.state().config.show().await,
+        (Method::GET, "/schema/history") => ctx.state().config.history().await,
+        (Method::GET, "/status") => status(ctx).await,
+        (Method::GET, "/events") => events(ctx),
+        (Method::GET, "/metrics") => {
+            HttpReply::new(StatusCode::OK, TEXT, ctx.state().metrics.render())
+        }
+        (Method::POST, "/drain") => drain(ctx),
+        (Method::POST, path) => match CallPath::parse(path) {
+            Some(path) => nested_call(ctx, path).await,
+            None => not_found(),
+        },
+        _ => not_found(),
+    };
+    reply.into_response()
+}
+
+fn not_found() -> HttpReply {
+    HttpReply::new(StatusCode::NOT_FOUND, TEXT, "no such path\n")
+}
+
+fn bad_request(message: impl std::fmt::Display) -> HttpReply {
+    HttpReply::json(StatusCode::BAD_REQUEST, &serde_json::json!({ "message": message.to_string() }))
+}
+
+async fn body_of(ctx: &WebContext<'_, HostState>) -> Result<bytes::Bytes, RequestError> {
+    let body = std::mem::take(&mut *ctx.body_borrow_mut());
+    read_body(body, ctx.state().body_limit).await
+}
+
+async fn nested_call(ctx: &WebContext<'_, HostState>, path: CallPath) -> HttpReply {
+    let received = ctx.state().clock.now();
+    let headers = match CallHeaders::read(ctx.req().headers()) {
+        Ok(headers) => headers,
+        Err(err) => return malformed(&err),
+    };
+    let body = match body_of(ctx).await {
+        Ok(body) => body,
+        Err(err) => return malformed(&err),
+    };
+    let call = IncomingCall {
+        origin: CallOrigin::Upstream { context: headers.context },
+        service: path.service,
+        operation: path.operation,
+        key: headers.key,
+        remaining: headers.remaining,
+        content_type: headers.content_type,
+        body,
+        received,
+    };
+    ctx.state().dispatch.call(call).await
+}
+
+async fn announce(ctx: &WebContext<'_, HostState>) -> HttpReply {
+    let body = match body_of(ctx).await {
+        Ok(body) => body,
+        Err(err) => return bad_request(err),
+    };
+    match serde_json::from_slice::<UpstreamAnnouncement>(&body) {
+        Ok(announcement) => ctx.state().dispatch.announce(announcement).await,
+        Err(err) => bad_request(err),
+    }
+}
+
+async fn withdraw(ctx: &WebContext<'_, HostState>) -> HttpReply {
+    ctx.state().dispatch.withdraw().await
+}
+
+async fn submit(ctx: &WebContext<'_, HostState>) -> HttpReply {
+    let headers = ctx.req().headers();
+    let request = match SubmitRequest::read(
+        text(headers, IF_MATCH_HEADER),
+        text(headers, IDEMPOTENCY_KEY_HEADER),
+        text(headers, OPERATOR_HEADER),
+    ) {
+        Ok(request) => request,
+        Err(err) => return bad_request(err),
+    };
+    match body_of(ctx).await {
+        Ok(body) => ctx.state().config.submit(request, body).await,
+        Err(err) => bad_request(err),
+    }
+}
+
+async fn status(ctx: &WebContext<'_, HostState>) -> HttpReply {
+    ctx.state().dispatch.status().await
+}
+
+fn events(ctx: &WebContext<'_, HostState>) -> HttpReply {
+    let query = ctx.req().uri().query().unwrap_or_default();
+    let since = match query.strip_prefix("since=").map(str::parse).transpose() {
+        Ok(since) => since.unwrap_or(0),
+        Err(_) => return bad_request("`since` is a sequence number"),
+    };
+    let mut lines = String::new();
+    for record in ctx.state().journal.read_since(since, EVENTS_PAGE) {
+        lines.push_str(&record.to_json_line());
+        lines.push('\n');
+    }
+    HttpReply::new(StatusCode::OK, JSON, lines)
+}
+
+fn drain(ctx: &WebContext<'_, HostState>) -> HttpReply {
+    ctx.state().drain.begin();
+    HttpReply::json(StatusCode::ACCEPTED, &serde_json::json!({ "draining": true }))
+}
--- /dev/null
+++ b/crates/coltsfoot-node/src/http/http_reply.rs
@@ -0,0 +1,111 @@
+//! Replies of both listeners.
+
+use bytes::Bytes;
+use coltsfoot_wire::peer::{CallReply, ReplyBody};
+use coltsfootroute::{
+    constants::{OUTCOME_HEADER, RETRY_AFTER_HEADER},
+    id::RequestId,
+    outcome::{CallOutcome, RefusalReason},
+};
+use http::{
+    HeaderName, HeaderValue, StatusCode,
+    header::{CONNECTION, CONTENT_TYPE},
+};
+use xitca_web::{body::ResponseBody, http::WebResponse};
+
+/// Media type of bodies that the node writes itself.
+pub const JSON: &str = "application/json";
+/// Media type of plain text.
+pub const TEXT: &str = "text/plain; charset=utf-8";
+
+/// A reply, before it takes the server's form.
+#[derive(Clone, Debug)]
+pub struct HttpReply {
+    status: StatusCode,
+    headers: Vec<(HeaderName, HeaderValue)>,
+    body: Bytes,
+}
+
+#[derive(serde::Serialize)]
+struct RefusalBody<'a> {
+    reason: &'a str,
+    outcome: &'a str,
+    request: String,
+}
+
+impl HttpReply {
+    /// A reply with a body of media type `content_type`.
+    pub fn new(status: StatusCode, content_type: &str, body: impl Into<Bytes>) -> Self {
+        let reply = Self { status, headers: Vec::new(), body: body.into() };
+        match HeaderValue::from_str(content_type) {
+            Ok(value) if !content_type.is_empty() => reply.with_header(CONTENT_TYPE, value),
+            _ => reply,
+        }
+    }
+
+    /// A reply whose body is `value` as JSON.
+    pub fn json(status: StatusCode, value: &impl serde::Serialize) -> Self {
+        match serde_json::to_vec(value) {
+            Ok(body) => Self::new(status, JSON, body),
+            Err(err) => Self::new(StatusCode::INTERNAL_SERVER_ERROR, TEXT, err.to_string()),
+        }
+    }
+
+    /// A refusal of a call, in the form callers rely on.
+    pub fn refusal(
+        request: RequestId,
+        reason: RefusalReason,
+        outcome: CallOutcome,
+        retry_after_s: u32,
+    ) -> Self {
+        let status = StatusCode::from_u16(reason.status()).unwrap_or(StatusCode::SERVICE_UNAVAILABLE);
+        let body = RefusalBody {
+            reason: reason.as_str(),
+            outcome: outcome.as_str(),
+            request: request.to_string(),
+        };
+        Self::json(status, &body)
+            .with_outcome(outcome)
+            .with_header(HeaderName::from_static(RETRY_AFTER_HEADER), HeaderValue::from(retry_after_s))
+    }
+
+    /// The reply to a call.
+    pub fn from_call(request: RequestId, reply: CallReply) -> Self {
+        match reply.body {
+            ReplyBody::Answer { status, content_type, body, .. } => {
+                let status = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
+                Self::new(status, &content_type, body).with_outcome(reply.outcome)
+            }
+            ReplyBody::Refusal { reason, retry_after_s } => {
+                Self::refusal(request, reason, reply.outcome, retry_after_s)
+            }
+        }
+    }
+
+    /// Adds a header.
+    pub fn with_header(mut self, name: HeaderName, value: HeaderValue) -> Self {
+        self.headers.push((name, value));
+        self
+    }
+
+    /// Adds the outcome.
+    pub fn with_outcome(self, outcome: CallOutcome) -> Self {
+        let value = HeaderValue::from_static(outcome.as_str());
+        self.with_header(HeaderName::from_static(OUTCOME_HEADER), value)
+    }
+
+    /// Asks the caller to open its next connection elsewhere.
+    pub fn with_close(self) -> Self {
+        self.with_header(CONNECTION, HeaderValue::from_static("close"))
+    }
+
+    /// The server's form of the reply.
+    pub fn into_response(self) -> WebResponse {
+        let mut response = WebResponse::new(ResponseBody::from(self.body));
+        *response.status_mut() = self.status;
+        for (name, value) in self.headers {
+            response.headers_mut().append(name, value);
+        }
+        response
+    }
+}
--- /dev/null
+++ b/crates/coltsfoot-node/src/http/request_parts.rs
@@ -0,0 +1,91 @@
+//! Reading a request: headers with bounds, then the whole body.
+
+use std::{pin::pin, time::Duration};
+
+use bytes::{Bytes, BytesMut};
+use coltsfootroute::constants::{
+    CONTEXT_HEADER, DEADLINE_HEADER, IDEMPOTENCY_KEY_HEADER, MAX_KEY_BYTES,
+};
+use http::{HeaderMap, header::CONTENT_TYPE};
+use xitca_web::{
+    body::{BodyExt, RequestBody},
+};
+
+/// A request that cannot be read.
+#[derive(Debug, thiserror::Error)]
+pub enum RequestError {
+    /// A header has a value that is not text, not a number where one is needed, or too long.
+    #[error("header `{0}` is malformed or too long")]
+    Header(&'static str),
+    /// The body is larger than the settings allow.
+    #[error("body is larger than {0} bytes")]
+    BodyTooLarge(usize),
+    /// The connection failed before the body was complete.
+    #[error("body was cut off")]
+    BodyCutOff,
+}
+
+/// The headers of a call that the node reads.
+#[derive(Clone, Debug, Default)]
+pub struct CallHeaders {
+    /// Idempotency key.
+    pub key: Option<String>,
+    /// Remaining time that the caller states.
+    pub remaining: Option<Duration>,
+    /// Context of the client request; only from the upstream beside the node.
+    pub context: Option<String>,
+    /// Media type of the body, empty if absent.
+    pub content_type: String,
+}
+
+impl CallHeaders {
+    /// Reads the headers of a call.
+    ///
+    /// # Errors
+    ///
+    /// [`RequestError::Header`] names the first malformed header.
+    pub fn read(headers: &HeaderMap) -> Result<Self, RequestError> {
+        let key = text(headers, IDEMPOTENCY_KEY_HEADER)?.map(str::to_owned);
+        if key.as_ref().is_some_and(|key| key.is_empty() || key.len() > MAX_KEY_BYTES) {
+            return Err(RequestError::Header(IDEMPOTENCY_KEY_HEADER));
+        }
+        let remaining = text(headers, DEADLINE_HEADER)?
+            .map(|value| value.trim().parse().map(Duration::from_millis))
+            .transpose()
+            .map_err(|_| RequestError::Header(DEADLINE_HEADER))?;
+        let context = text(headers, CONTEXT_HEADER)?.map(str::to_owned);
+        let content_type = text(headers, CONTENT_TYPE.as_str())?.unwrap_or_default().to_owned();
+        Ok(Self { key, remaining, context, content_type })
+    }
+}
+
+/// The value of header `name` as text; a repeated header is malformed.
+pub fn text<'a>(
+    headers: &'a HeaderMap,
+    name: &'static str,
+) -> Result<Option<&'a str>, RequestError> {
+    let mut values = headers.get_all(name).iter();
+    let Some(value) = values.next() else { return Ok(None) };
+    if values.next().is_some() {
+        return Err(RequestError::Header(name));
+    }
+    value.to_str().map(Some).map_err(|_| RequestError::Header(name))
+}
+
+/// Reads a whole body of at most `limit` bytes.
+///
+/// # Errors
+///
+/// [`RequestError::BodyTooLarge`] or [`RequestError::BodyCutOff`].
+pub async fn read_body(body: RequestBody, limit: usize) -> Result<Bytes, RequestError> {
+    let mut body = pin!(body);
+    let mut buffer = BytesMut::new();
+    while let Some(chunk) = body.as_mut().data().await {
+        let chunk = chunk.map_err(|_| RequestError::BodyCutOff)?;
+        if buffer.len() + chunk.len() > limit {
+            return Err(RequestError::BodyTooLarge(limit));
+        }
+        buffer.extend_from_slice(&chunk);
+    }
+    Ok(buffer.freeze())
+}
