Routing, retry accounts, deadlines and leaving: a working API

Change: UpstreamPool, AccountLedger, RetryPolicy, ServiceThrottle, ServiceTimes, DeadlineCheck, DrainState.

--- /dev/null
+++ b/crates/coltsfootroute/src/deadline/time_estimate.rs
@@ -0,0 +1,96 @@
+//! Estimate of the time that one operation takes.
+
+use std::time::Duration;
+
+use crate::time::MonotonicTime;
+
+/// Decaying histogram of times with logarithmic buckets of a fixed number, 4 bytes each.
+///
+/// Counts are halved once per half-life. Where nothing is recorded for a while, as when every call is
+/// refused for its deadline, the estimate fades to unknown and calls are admitted again: an estimate
+/// can not keep itself up.
+#[derive(Clone, Debug)]
+pub struct TimeEstimate {
+    counts: [u32; BUCKETS],
+    total: u64,
+    decayed_at: MonotonicTime,
+}
+
+/// Buckets: each is a quarter wider than the one before, from 50 microseconds to about a minute.
+const BUCKETS: usize = 64;
+/// Upper end of the first bucket, in microseconds.
+const FIRST_MICROS: f64 = 50.0;
+/// Ratio of a bucket's upper end to that of the one before.
+const GROWTH: f64 = 1.25;
+/// Count that one sample adds: fractions survive the halving.
+const SAMPLE: u32 = 256;
+/// Least samples, decay counted, for an estimate.
+const LEAST_SAMPLES: u64 = 8;
+/// Time in which a sample loses half its weight.
+const HALF_LIFE: Duration = Duration::from_secs(1);
+/// After as many halvings nothing is left.
+const MAX_HALVINGS: u64 = 32;
+
+impl TimeEstimate {
+    /// An estimate without samples.
+    pub fn new(now: MonotonicTime) -> Self {
+        Self { counts: [0; BUCKETS], total: 0, decayed_at: now }
+    }
+
+    /// Takes in the time of a call that ended at `now`.
+    pub fn record(&mut self, now: MonotonicTime, time: Duration) {
+        self.decay(now);
+        let count = &mut self.counts[bucket_of(time)];
+        *count = count.saturating_add(SAMPLE);
+        self.total += u64::from(SAMPLE);
+    }
+
+    /// The time that `percent` of the calls stay below; `None` where too little is known.
+    pub fn quantile(&mut self, now: MonotonicTime, percent: u32) -> Option<Duration> {
+        self.decay(now);
+        if self.total < LEAST_SAMPLES * u64::from(SAMPLE) {
+            return None;
+        }
+        let wanted = self.total * u64::from(percent.min(100)) / 100;
+        let mut below = 0;
+        for (bucket, &count) in self.counts.iter().enumerate() {
+            below += u64::from(count);
+            if count > 0 && below >= wanted {
+                return Some(lower_end(bucket));
+            }
+        }
+        None
+    }
+
+    fn decay(&mut self, now: MonotonicTime) {
+        let half_life = HALF_LIFE.as_micros() as u64;
+        let halvings = now.0.saturating_sub(self.decayed_at.0) / half_life;
+        if halvings == 0 {
+            return;
+        }
+        self.decayed_at.0 += halvings * half_life;
+        let shift = halvings.min(MAX_HALVINGS) as u32;
+        for count in &mut self.counts {
+            *count = count.checked_shr(shift).unwrap_or(0);
+        }
+        self.total = self.counts.iter().map(|&count| u64::from(count)).sum();
+    }
+}
+
+fn bucket_of(time: Duration) -> usize {
+    let micros = time.as_micros() as f64;
+    if micros <= FIRST_MICROS {
+        return 0;
+    }
+    let bucket = (micros / FIRST_MICROS).log(GROWTH).ceil() as usize;
+    bucket.min(BUCKETS - 1)
+}
+
+/// Lower end of a bucket: what is refused for lack of time must really take longer.
+fn lower_end(bucket: usize) -> Duration {
+    if bucket == 0 {
+        return Duration::ZERO;
+    }
+    let micros = FIRST_MICROS * GROWTH.powi(bucket as i32 - 1);
+    Duration::from_micros(micros as u64)
+}
--- a/crates/coltsfootroute/src/drain.rs
+++ b/crates/coltsfootroute/src/drain.rs
@@ -1,1 +1,15 @@
 //! Leaving: no new work, nothing in flight interrupted.
+
+mod drain_phase;
+mod drain_report;
+mod drain_settings;
+mod drain_state;
+mod listener_kind;
+mod start_answer;
+
+pub use drain_phase::DrainPhase;
+pub use drain_report::DrainReport;
+pub use drain_settings::DrainSettings;
+pub use drain_state::DrainState;
+pub use listener_kind::ListenerKind;
+pub use start_answer::StartAnswer;
--- /dev/null
+++ b/crates/coltsfootroute/src/drain/drain_phase.rs
@@ -0,0 +1,32 @@
+//! Phase of a leave.
+
+use std::fmt;
+
+value_type! {
+    /// Phase of a node or an upstream; only ever moves forward.
+    pub enum DrainPhase {
+        /// Takes work.
+        Serving,
+        /// Takes no new work; what is in flight goes on.
+        Leaving,
+        /// Nothing is in flight and callers have had time to learn of it: the process may exit.
+        Drained,
+    }
+}
+
+impl DrainPhase {
+    /// The phase's name in logs and metric labels.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Serving => "serving",
+            Self::Leaving => "leaving",
+            Self::Drained => "drained",
+        }
+    }
+}
+
+impl fmt::Display for DrainPhase {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
+    }
+}
--- a/crates/coltsfootroute/src/retry.rs
+++ b/crates/coltsfootroute/src/retry.rs
@@ -1,1 +1,32 @@
 //! Retry accounts: the bound on retries of one client request.
+//!
+//! The node that takes a client request in opens its account in an [`AccountLedger`]. Whoever wants to
+//! retry a call of that request, however deep, asks [`RetryPolicy`] whether that is safe and useful,
+//! [`ServiceThrottle`] whether the service bears it, and then takes one token from the account.
+
+mod account_ledger;
+mod failed_attempt;
+mod give_up_cause;
+mod ledger_settings;
+mod open_answer;
+mod retry_account;
+mod retry_decision;
+mod retry_policy;
+mod retry_settings;
+mod service_throttle;
+mod take_answer;
+mod take_denial;
+mod throttle_settings;
+
+pub use account_ledger::AccountLedger;
+pub use failed_attempt::FailedAttempt;
+pub use give_up_cause::GiveUpCause;
+pub use ledger_settings::LedgerSettings;
+pub use open_answer::OpenAnswer;
+pub use retry_decision::RetryDecision;
+pub use retry_policy::RetryPolicy;
+pub use retry_settings::RetrySettings;
+pub use service_throttle::ServiceThrottle;
+pub use take_answer::TakeAnswer;
+pub use take_denial::TakeDenial;
+pub use throttle_settings::ThrottleSettings;
--- /dev/null
+++ b/crates/coltsfootroute/src/retry/retry_account.rs
@@ -0,0 +1,41 @@
+//! Account of one client request.
+
+use super::{TakeAnswer, TakeDenial};
+use crate::time::MonotonicTime;
+
+/// Tokens of one client request.
+///
+/// Invariant: `granted` holds different ids, at most `budget` of them, and only grows.
+#[derive(Clone, Debug)]
+pub(super) struct RetryAccount {
+    budget: u32,
+    deadline: MonotonicTime,
+    /// The ids that were granted: a repeated message finds its own answer here. Denied ids need no
+    /// record, because a spent budget never comes back.
+    granted: Vec<u64>,
+}
+
+impl RetryAccount {
+    pub(super) fn new(budget: u32, deadline: MonotonicTime) -> Self {
+        Self { budget, deadline, granted: Vec::new() }
+    }
+
+    pub(super) fn take(&mut self, now: MonotonicTime, take_id: u64) -> TakeAnswer {
+        if self.granted.contains(&take_id) {
+            return TakeAnswer::Granted;
+        }
+        if self.deadline <= now {
+            return TakeAnswer::Denied(TakeDenial::DeadlinePassed);
+        }
+        if self.granted_count() >= self.budget {
+            return TakeAnswer::Denied(TakeDenial::BudgetSpent);
+        }
+        self.granted.push(take_id);
+        TakeAnswer::Granted
+    }
+
+    pub(super) fn granted_count(&self) -> u32 {
+        // Bounded by `budget`, which is a `u32`.
+        self.granted.len() as u32
+    }
+}
--- /dev/null
+++ b/crates/coltsfootroute/src/retry/retry_policy.rs
@@ -0,0 +1,94 @@
+//! Whether to retry a failed attempt.
+
+use std::time::Duration;
+
+use rand::{Rng, RngExt};
+
+use super::{FailedAttempt, GiveUpCause, RetryDecision, RetrySettings};
+use crate::{
+    outcome::{CallOutcome, RefusalReason},
+    time::MonotonicTime,
+};
+
+/// Decides whether a retry is safe and useful; the account then decides whether it may happen.
+#[derive(Clone, Debug, Default)]
+pub struct RetryPolicy {
+    settings: RetrySettings,
+}
+
+impl RetryPolicy {
+    /// A policy with `settings`.
+    pub fn new(settings: RetrySettings) -> Self {
+        Self { settings }
+    }
+
+    /// Decides on `attempt`. A retry goes to another upstream than the attempts before it.
+    pub fn decide(
+        &self,
+        now: MonotonicTime,
+        rng: &mut impl Rng,
+        attempt: &FailedAttempt,
+    ) -> RetryDecision {
+        if let Some(cause) = self.obstacle(attempt) {
+            return RetryDecision::GiveUp(cause);
+        }
+        let backoff = self.backoff(rng, attempt);
+        let expected = attempt.expected.unwrap_or_default();
+        if attempt.deadline <= now + backoff + expected {
+            return RetryDecision::GiveUp(GiveUpCause::TooLate);
+        }
+        RetryDecision::Ask { backoff }
+    }
+
+    fn obstacle(&self, attempt: &FailedAttempt) -> Option<GiveUpCause> {
+        if attempt.outcome == CallOutcome::Completed {
+            return Some(GiveUpCause::Completed);
+        }
+        if attempt.outcome == CallOutcome::Unknown && !attempt.repeatable {
+            return Some(GiveUpCause::NotRepeatable);
+        }
+        if attempt.reason.is_some_and(is_final) {
+            return Some(GiveUpCause::Final);
+        }
+        if attempt.reason == Some(RefusalReason::Deadline) {
+            return Some(GiveUpCause::TooLate);
+        }
+        if attempt.shedding {
+            return Some(GiveUpCause::Shedding);
+        }
+        (attempt.attempts >= self.settings.most_attempts).then_some(GiveUpCause::AttemptsSpent)
+    }
+
+    fn backoff(&self, rng: &mut impl Rng, attempt: &FailedAttempt) -> Duration {
+        // A leave says nothing of load: another upstream can take the call at once.
+        if attempt.reason == Some(RefusalReason::Leaving) {
+            return Duration::ZERO;
+        }
+        let doublings = attempt.attempts.saturating_sub(1).min(MAX_DOUBLINGS);
+        let longest = self.settings.first_backoff.saturating_mul(1 << doublings);
+        let longest = longest.min(self.settings.longest_backoff);
+        let micros = u64::try_from(longest.as_micros()).unwrap_or(u64::MAX);
+        Duration::from_micros(rng.random_range(0..=micros))
+    }
+}
+
+/// Keeps the factor of a backoff within 32 bits.
+const MAX_DOUBLINGS: u32 = 16;
+
+/// Whether every upstream would refuse the call for the same reason.
+fn is_final(reason: RefusalReason) -> bool {
+    match reason {
+        RefusalReason::KeyConflict
+        | RefusalReason::KeyExpired
+        | RefusalReason::KeyInProgress
+        | RefusalReason::StoreUnavailable
+        | RefusalReason::UnknownOperation
+        | RefusalReason::BadRequest => true,
+        RefusalReason::Overload
+        | RefusalReason::Leaving
+        | RefusalReason::NoUpstream
+        | RefusalReason::Deadline
+        | RefusalReason::UpstreamFailed
+        | RefusalReason::NoConfiguration => false,
+    }
+}
--- /dev/null
+++ b/crates/coltsfootroute/src/retry/service_throttle.rs
@@ -0,0 +1,69 @@
+//! Bound on the retries into one service.
+
+use super::ThrottleSettings;
+use crate::time::MonotonicTime;
+
+/// Token bucket that bounds the retries of this node into one service to a share of its calls,
+/// whichever client requests they belong to.
+///
+/// Invariant: `saved` never exceeds the burst.
+#[derive(Clone, Debug)]
+pub struct ServiceThrottle {
+    settings: ThrottleSettings,
+    /// Thousandths of a retry.
+    saved: u64,
+    earned_at: MonotonicTime,
+}
+
+/// Thousandths of a retry in a retry.
+const WHOLE: u64 = 1_000;
+/// Microseconds in a second.
+const SECOND_MICROS: u64 = 1_000_000;
+
+impl ServiceThrottle {
+    /// A throttle with its burst saved up.
+    pub fn new(now: MonotonicTime, settings: ThrottleSettings) -> Self {
+        let saved = settings.burst * WHOLE;
+        Self { settings, saved, earned_at: now }
+    }
+
+    /// Counts a first attempt into the service.
+    pub fn call(&mut self) {
+        self.earn(self.settings.per_call_thousandths);
+    }
+
+    /// Whether the service bears one more retry now; if so, it is counted.
+    pub fn try_retry(&mut self, now: MonotonicTime) -> bool {
+        self.earn_by_time(now);
+        if self.saved < WHOLE {
+            return false;
+        }
+        self.saved -= WHOLE;
+        true
+    }
+
+    /// Gives back a retry that did not happen, because the account denied it.
+    pub fn give_back(&mut self) {
+        self.earn(WHOLE);
+    }
+
+    fn earn(&mut self, thousandths: u64) {
+        let most = self.settings.burst * WHOLE;
+        self.saved = self.saved.saturating_add(thousandths).min(most);
+    }
+
+    fn earn_by_time(&mut self, now: MonotonicTime) {
+        let rate = self.settings.per_second_thousandths;
+        if rate == 0 {
+            return;
+        }
+        let elapsed = now.0.saturating_sub(self.earned_at.0);
+        let thousandths = elapsed.saturating_mul(rate) / SECOND_MICROS;
+        if thousandths == 0 {
+            return;
+        }
+        // The part that earned nothing yet counts towards the next time.
+        self.earned_at.0 += thousandths.saturating_mul(SECOND_MICROS) / rate;
+        self.earn(thousandths);
+    }
+}
--- /dev/null
+++ b/crates/coltsfootroute/src/retry/throttle_settings.rs
@@ -0,0 +1,20 @@
+//! Settings of a throttle.
+
+record_type! {
+    /// Settings of a [`ServiceThrottle`](super::ServiceThrottle).
+    pub struct ThrottleSettings {
+        /// Retries earned by calls, in thousandths of a retry for each call.
+        pub per_call_thousandths: u64,
+        /// Retries earned by time, in thousandths of a retry for each second, so that a service with
+        /// little traffic is not left without any.
+        pub per_second_thousandths: u64,
+        /// Most retries saved up.
+        pub burst: u64,
+    }
+}
+
+impl Default for ThrottleSettings {
+    fn default() -> Self {
+        Self { per_call_thousandths: 100, per_second_thousandths: 1_000, burst: 20 }
+    }
+}
--- a/crates/coltsfootroute/src/routing.rs
+++ b/crates/coltsfootroute/src/routing.rs
@@ -1,1 +1,25 @@
 //! Choice of the upstream for a call.
+//!
+//! One [`UpstreamPool`] per called service. A caller decides by what it sees itself: its calls in
+//! flight, their latency and their results. Load is neither gossiped nor probed for.
+
+mod in_flight_share;
+mod latency_average;
+mod pool_status;
+mod route_result;
+mod routing_settings;
+mod upstream_health;
+mod upstream_info;
+mod upstream_phase;
+mod upstream_pool;
+mod upstream_record;
+mod upstream_tier;
+
+pub use in_flight_share::InFlightShare;
+pub use pool_status::{PoolStatus, UpstreamStatus};
+pub use route_result::RouteResult;
+pub use routing_settings::RoutingSettings;
+pub use upstream_info::UpstreamInfo;
+pub use upstream_phase::UpstreamPhase;
+pub use upstream_pool::UpstreamPool;
+pub use upstream_tier::UpstreamTier;
--- /dev/null
+++ b/crates/coltsfootroute/src/routing/upstream_pool.rs
@@ -0,0 +1,299 @@
+//! The upstreams of one called service.
+
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use rand::{Rng, RngExt};
+
+use super::{
+    PoolStatus, RouteResult, RoutingSettings, UpstreamInfo, UpstreamStatus, UpstreamTier,
+    upstream_record::UpstreamRecord,
+};
+use crate::{
+    id::NodeId,
+    name::{DomainName, RegionName},
+    time::MonotonicTime,
+};
+
+/// The upstreams of one called service, as one caller sees them.
+///
+/// Invariants: an upstream that is leaving is never chosen again in that life; no upstream has more
+/// calls in flight than its share, as long as each choice is followed by [`UpstreamPool::started`];
+/// at most [`RoutingSettings::most_ejected`] upstreams are ejected at a time.
+#[derive(Clone, Debug)]
+pub struct UpstreamPool {
+    own_domain: DomainName,
+    own_region: RegionName,
+    settings: RoutingSettings,
+    records: IndexMap<NodeId, UpstreamRecord>,
+    /// Positions in `records` of the upstreams that are not leaving, by tier.
+    tiers: [Vec<usize>; UpstreamTier::COUNT],
+    /// Average latency over all upstreams, microseconds; what an unknown upstream is taken to have.
+    baseline: f64,
+    chosen_near: u64,
+    chosen_far: u64,
+    ejections: u64,
+}
+
+impl UpstreamPool {
+    /// An empty pool for a caller in `own_domain` of `own_region`.
+    pub fn new(own_domain: DomainName, own_region: RegionName, settings: RoutingSettings) -> Self {
+        Self {
+            own_domain,
+            own_region,
+            settings,
+            records: IndexMap::new(),
+            tiers: Default::default(),
+            baseline: INITIAL_BASELINE_MICROS,
+            chosen_near: 0,
+            chosen_far: 0,
+            ejections: 0,
+        }
+    }
+
+    /// Replaces the set of upstreams by what membership knows now. Upstreams that are no longer
+    /// named are dropped.
+    pub fn update(
+        &mut self,
+        now: MonotonicTime,
+        upstreams: impl IntoIterator<Item = UpstreamInfo>,
+    ) {
+        let mut before = std::mem::take(&mut self.records);
+        for info in upstreams {
+            let tier = self.tier_of(&info);
+            let node = info.node;
+            let record = match before.swap_remove(&node) {
+                Some(mut record) => {
+                    record.update(now, info, tier, &self.settings);
+                    record
+                }
+                None => UpstreamRecord::new(now, info, tier, &self.settings),
+            };
+            self.records.insert(node, record);
+        }
+        self.rebuild_tiers();
+    }
+
+    /// Sets the number of nodes that call the service, which divides its connections.
+    pub fn set_callers(&mut self, callers: u32) {
+        self.settings.callers = callers.max(1);
+        for record in self.records.values_mut() {
+            record.divide_connections(&self.settings);
+        }
+    }
+
+    /// Chooses an upstream that is not in `exclude`; `None` where none takes a call now.
+    ///
+    /// Pass the upstreams that earlier attempts of this call went to as `exclude`.
+    pub fn choose(
+        &mut self,
+        now: MonotonicTime,
+        rng: &mut impl Rng,
+        exclude: &[NodeId],
+    ) -> Option<NodeId> {
+        let trusted = self.choose_where(now, rng, exclude, |record| !record.info.suspect);
+        let position = trusted
+            .or_else(|| self.choose_where(now, rng, exclude, |record| record.info.suspect))?;
+        let (node, record) = self.records.get_index(position)?;
+        match record.tier {
+            UpstreamTier::OwnDomain => self.chosen_near += 1,
+            UpstreamTier::OwnRegion | UpstreamTier::OtherRegion => self.chosen_far += 1,
+        }
+        Some(*node)
+    }
+
+    /// Counts a call that starts.
+    pub fn started(&mut self, now: MonotonicTime, node: NodeId) {
+        if let Some(record) = self.records.get_mut(&node) {
+            record.started(now);
+        }
+    }
+
+    /// Counts a call that ended after `latency`; call it once for each [`UpstreamPool::started`].
+    pub fn finished(
+        &mut self,
+        now: MonotonicTime,
+        node: NodeId,
+        latency: Duration,
+        result: RouteResult,
+    ) {
+        let Some(record) = self.records.get_mut(&node) else { return };
+        let was_leaving = record.info.leaving;
+        record.finished(now, latency, result, &self.settings);
+        if record.info.leaving != was_leaving {
+            self.rebuild_tiers();
+        }
+        match result {
+            RouteResult::Succeeded => {
+                self.learn_baseline(latency);
+                self.eject_if_slow(now, node);
+            }
+            RouteResult::Failed | RouteResult::Unreachable => self.eject_if_failing(now, node),
+            RouteResult::Refused | RouteResult::Leaving | RouteResult::Cancelled => {}
+        }
+    }
+
+    /// Whether every upstream is unknown or leaving.
+    pub fn is_empty(&self) -> bool {
+        self.tiers.iter().all(Vec::is_empty)
+    }
+
+    /// Status for operators.
+    pub fn status(&self, now: MonotonicTime) -> PoolStatus {
+        let mut upstreams: Vec<_> =
+            self.records.values().map(|record| self.status_of(now, record)).collect();
+        upstreams.sort_by_key(|status| status.node);
+        PoolStatus {
+            upstreams,
+            chosen_near: self.chosen_near,
+            chosen_far: self.chosen_far,
+            ejections: self.ejections,
+        }
+    }
+
+    fn status_of(&self, now: MonotonicTime, record: &UpstreamRecord) -> UpstreamStatus {
+        UpstreamStatus {
+            node: record.info.node,
+            incarnation: record.info.incarnation,
+            tier: record.tier,
+            phase: record.phase(now, &self.settings),
+            in_flight: record.in_flight,
+            share: record.share,
+            latency: record.latency.observed().map(|micros| Duration::from_micros(micros as u64)),
+            weight_percent: (record.weight(now, &self.settings) * 100.0) as u32,
+        }
+    }
+
+    fn tier_of(&self, info: &UpstreamInfo) -> UpstreamTier {
+        if info.domain == self.own_domain {
+            UpstreamTier::OwnDomain
+        } else if info.region == self.own_region {
+            UpstreamTier::OwnRegion
+        } else {
+            UpstreamTier::OtherRegion
+        }
+    }
+
+    fn rebuild_tiers(&mut self) {
+        for tier in &mut self.tiers {
+            tier.clear();
+        }
+        for (position, record) in self.records.values().enumerate() {
+            if !record.info.leaving {
+                self.tiers[record.tier.index()].push(position);
+            }
+        }
+    }
+
+    /// The best of two upstreams of each tier, nearer tiers preferred.
+    fn choose_where(
+        &self,
+        now: MonotonicTime,
+        rng: &mut impl Rng,
+        exclude: &[NodeId],
+        accept: impl Fn(&UpstreamRecord) -> bool,
+    ) -> Option<usize> {
+        let mut best: Option<(usize, f64)> = None;
+        for (index, tier) in self.tiers.iter().enumerate() {
+            let takes = |record: &UpstreamRecord| {
+                record.takes_calls(now) && !exclude.contains(&record.info.node) && accept(record)
+            };
+            for position in self.two_of(tier, rng, takes).into_iter().flatten() {
+                let record = &self.records[position];
+                // A first attempt can still be retried, so it is the one to try an ejected upstream.
+                if exclude.is_empty() && record.health.wants_trial(now) {
+                    return Some(position);
+                }
+                let cost = record.cost(now, self.baseline, &self.settings) * self.reluctance(index);
+                if best.is_none_or(|(_, least)| cost < least) {
+                    best = Some((position, cost));
+                }
+            }
+        }
+        best.map(|(position, _)| position)
+    }
+
+    /// Up to two different upstreams of `tier` that take a call, drawn at random.
+    fn two_of(
+        &self,
+        tier: &[usize],
+        rng: &mut impl Rng,
+        takes: impl Fn(&UpstreamRecord) -> bool,
+    ) -> [Option<usize>; 2] {
+        let first = self.draw(tier, rng, |record| takes(record));
+        let Some(position) = first else { return [None, None] };
+        let second = self.draw(tier, rng, |record| {
+            record.info.node != self.records[position].info.node && takes(record)
+        });
+        [first, second]
+    }
+
+    /// The first upstream from a random place of `tier` onwards that `takes` a call.
+    fn draw(
+        &self,
+        tier: &[usize],
+        rng: &mut impl Rng,
+        takes: impl Fn(&UpstreamRecord) -> bool,
+    ) -> Option<usize> {
+        if tier.is_empty() {
+            return None;
+        }
+        let start = rng.random_range(0..tier.len());
+        let order = tier[start..].iter().chain(&tier[..start]);
+        order.copied().find(|&position| takes(&self.records[position]))
+    }
+
+    /// Factor on the cost of an upstream of the tier at `index`.
+    fn reluctance(&self, index: usize) -> f64 {
+        let domain = f64::from(self.settings.domain_preference_percent) / 100.0;
+        let region = f64::from(self.settings.region_preference_percent) / 100.0;
+        match index {
+            0 => 1.0,
+            1 => domain,
+            _ => domain * region,
+        }
+    }
+
+    fn learn_baseline(&mut self, latency: Duration) {
+        let sample = latency.as_micros() as f64;
+        self.baseline += (sample - self.baseline) * BASELINE_GAIN;
+    }
+
+    fn eject_if_failing(&mut self, now: MonotonicTime, node: NodeId) {
+        let failing = self.records.get(&node).is_some_and(|record| {
+            record.health.failures_in_row() >= self.settings.failures_to_eject
+        });
+        if failing {
+            self.eject(now, node);
+        }
+    }
+
+    fn eject_if_slow(&mut self, now: MonotonicTime, node: NodeId) {
+        let Some(record) = self.records.get(&node) else { return };
+        if record.latency.samples() < self.settings.samples_to_eject {
+            return;
+        }
+        let limit = self.baseline * f64::from(self.settings.slow_factor);
+        if record.latency.observed().is_some_and(|micros| micros > limit) {
+            self.eject(now, node);
+        }
+    }
+
+    fn eject(&mut self, now: MonotonicTime, node: NodeId) {
+        let live = self.records.values().filter(|record| !record.info.leaving);
+        let (members, ejected) = live.fold((0, 0), |(members, ejected), record| {
+            (members + 1, ejected + usize::from(record.health.is_ejected()))
+        });
+        let Some(record) = self.records.get_mut(&node) else { return };
+        if record.health.is_ejected() || ejected >= self.settings.most_ejected(members) {
+            return;
+        }
+        record.health.eject(now, &self.settings);
+        self.ejections += 1;
+    }
+}
+
+/// Latency that the first upstream of a pool is taken to have: 10 ms.
+const INITIAL_BASELINE_MICROS: f64 = 10_000.0;
+/// Weight of one call in the pool's average latency.
+const BASELINE_GAIN: f64 = 0.02;
--- /dev/null
+++ b/crates/coltsfootroute/src/routing/upstream_record.rs
@@ -0,0 +1,193 @@
+//! What a pool keeps of one upstream.
+
+use super::{
+    InFlightShare, RouteResult, RoutingSettings, UpstreamInfo, UpstreamPhase, UpstreamTier,
+    latency_average::LatencyAverage, upstream_health::UpstreamHealth,
+};
+use crate::{id::Incarnation, time::MonotonicTime};
+
+/// State of one upstream in a pool.
+#[derive(Clone, Debug)]
+pub(super) struct UpstreamRecord {
+    pub(super) info: UpstreamInfo,
+    pub(super) tier: UpstreamTier,
+    pub(super) share: InFlightShare,
+    pub(super) latency: LatencyAverage,
+    pub(super) health: UpstreamHealth,
+    /// Calls started and not finished, to this life and earlier ones.
+    pub(super) in_flight: u32,
+    /// Calls of `in_flight` that were started in an earlier life; their results say nothing of this one.
+    stale_in_flight: u32,
+    /// Share of refusals among recent results, 0 to 1.
+    refused_share: f64,
+    refused_at: MonotonicTime,
+    warming_since: MonotonicTime,
+}
+
+impl UpstreamRecord {
+    pub(super) fn new(
+        now: MonotonicTime,
+        info: UpstreamInfo,
+        tier: UpstreamTier,
+        settings: &RoutingSettings,
+    ) -> Self {
+        let share = InFlightShare::new(info.connections, settings.callers, settings.least_share);
+        Self {
+            info,
+            tier,
+            share,
+            latency: LatencyAverage::default(),
+            health: UpstreamHealth::default(),
+            in_flight: 0,
+            stale_in_flight: 0,
+            refused_share: 0.0,
+            refused_at: now,
+            warming_since: now,
+        }
+    }
+
+    /// Takes in newer knowledge from membership; older knowledge is ignored.
+    pub(super) fn update(
+        &mut self,
+        now: MonotonicTime,
+        info: UpstreamInfo,
+        tier: UpstreamTier,
+        settings: &RoutingSettings,
+    ) {
+        if info.incarnation < self.info.incarnation {
+            return;
+        }
+        if is_new_life(self.info.incarnation, info.incarnation) {
+            let in_flight = self.in_flight;
+            *self = Self::new(now, info, tier, settings);
+            self.in_flight = in_flight;
+            self.stale_in_flight = in_flight;
+            return;
+        }
+        let left = self.info.leaving;
+        self.info = info;
+        self.info.leaving |= left;
+        self.tier = tier;
+        self.divide_connections(settings);
+    }
+
+    /// Works out this caller's share anew.
+    pub(super) fn divide_connections(&mut self, settings: &RoutingSettings) {
+        let connections = self.info.connections;
+        self.share = InFlightShare::new(connections, settings.callers, settings.least_share);
+    }
+
+    /// Whether a call may be sent, suspicion aside.
+    pub(super) fn takes_calls(&self, now: MonotonicTime) -> bool {
+        !self.info.leaving
+            && self.in_flight < self.share.0
+            && (!self.health.is_ejected() || self.health.wants_trial(now))
+    }
+
+    /// How bad a choice the upstream is: expected wait per slot, in microseconds.
+    pub(super) fn cost(
+        &self,
+        now: MonotonicTime,
+        baseline: f64,
+        settings: &RoutingSettings,
+    ) -> f64 {
+        let latency = self.latency.micros(now, settings.latency_window, baseline).max(1.0);
+        let waiting = f64::from(self.in_flight) + 1.0;
+        let room = f64::from(self.info.slots.max(1)) * self.weight(now, settings);
+        let refusals = self.recent_refusals(now, settings);
+        latency * waiting / room * (1.0 + REFUSAL_PENALTY * refusals)
+    }
+
+    /// Weight from just above 0 to 1.
+    pub(super) fn weight(&self, now: MonotonicTime, settings: &RoutingSettings) -> f64 {
+        let elapsed = now.since(self.warming_since);
+        if elapsed >= settings.slow_start {
+            return 1.0;
+        }
+        let start = f64::from(settings.slow_start_percent) / 100.0;
+        let progress = elapsed.as_secs_f64() / settings.slow_start.as_secs_f64();
+        start + (1.0 - start) * progress
+    }
+
+    pub(super) fn phase(&self, now: MonotonicTime, settings: &RoutingSettings) -> UpstreamPhase {
+        if self.info.leaving {
+            UpstreamPhase::Leaving
+        } else if self.health.is_on_trial(now) {
+            UpstreamPhase::Trial
+        } else if self.health.is_ejected() {
+            UpstreamPhase::Ejected
+        } else if self.info.suspect {
+            UpstreamPhase::Suspect
+        } else if self.weight(now, settings) < 1.0 {
+            UpstreamPhase::Warming
+        } else {
+            UpstreamPhase::Serving
+        }
+    }
+
+    pub(super) fn started(&mut self, now: MonotonicTime) {
+        self.in_flight += 1;
+        self.health.started(now);
+    }
+
+    /// Takes in a call's result; ejection is left to the pool, which knows the cap.
+    pub(super) fn finished(
+        &mut self,
+        now: MonotonicTime,
+        latency: std::time::Duration,
+        result: RouteResult,
+        settings: &RoutingSettings,
+    ) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+        if self.stale_in_flight > 0 {
+            self.stale_in_flight -= 1;
+            return;
+        }
+        let window = settings.latency_window;
+        match result {
+            RouteResult::Succeeded => {
+                self.latency.record(now, latency, window);
+                self.count_refusal(now, 0.0, settings);
+                if self.health.succeeded(now, settings) {
+                    self.warming_since = now;
+                }
+            }
+            RouteResult::Failed => {
+                self.latency.record_failure(now, latency, window);
+                self.health.failed(now, settings);
+            }
+            RouteResult::Unreachable => self.health.failed(now, settings),
+            RouteResult::Refused => {
+                self.count_refusal(now, 1.0, settings);
+                self.health.cancelled();
+            }
+            RouteResult::Leaving => self.info.leaving = true,
+            RouteResult::Cancelled => self.health.cancelled(),
+        }
+    }
+
+    fn recent_refusals(&self, now: MonotonicTime, settings: &RoutingSettings) -> f64 {
+        let elapsed = now.since(self.refused_at);
+        self.refused_share * (-elapsed.as_secs_f64() / settings.latency_window.as_secs_f64()).exp()
+    }
+
+    fn count_refusal(&mut self, now: MonotonicTime, refused: f64, settings: &RoutingSettings) {
+        let recent = self.recent_refusals(now, settings);
+        self.refused_share = recent + (refused - recent) * REFUSAL_GAIN;
+        self.refused_at = now;
+    }
+}
+
+/// How much an upstream that refuses everything costs above one that refuses nothing.
+const REFUSAL_PENALTY: f64 = 10.0;
+/// Weight of one result in the share of refusals.
+const REFUSAL_GAIN: f64 = 0.05;
+
+/// Whether `new` belongs to another life than `old`: a life starts at the wall clock's milliseconds,
+/// while a refuted suspicion raises the incarnation by one.
+fn is_new_life(old: Incarnation, new: Incarnation) -> bool {
+    new.0.saturating_sub(old.0) >= LEAST_LIFE_MS
+}
+
+/// No process starts, joins and starts again within this many milliseconds.
+const LEAST_LIFE_MS: u64 = 100;
