--- a/crates/coltsfoot-node/src/lib.rs
+++ b/crates/coltsfoot-node/src/lib.rs
@@ -1,1 +1,4 @@
-//! placeholder
+//! The daemon of an upstream host.
+
+pub mod args;
+pub mod settings;
--- /dev/null
+++ b/crates/coltsfoot-node/tests/integration/journal.rs
@@ -0,0 +1,1 @@
+//! The journal.
--- /dev/null
+++ b/crates/coltsfoot-node/tests/integration/main.rs
@@ -0,0 +1,6 @@
+//! Integration tests of the node.
+
+mod args;
+mod journal;
+mod metrics;
+mod settings;
--- /dev/null
+++ b/crates/coltsfoot-node/tests/integration/metrics.rs
@@ -0,0 +1,1 @@
+//! Metrics.
