Table stand-in, and breaker, budget and backoff of its clients

Cause: the node and its tests need the platform's table service and object store, with faults on command. Change: TableServer (HTTP by xitca-web, rows and objects in memory, faults down, slow and ack-lost, rate limits, counts), binary coltsfoot-table; in the library the pure decisions of a client: CircuitBreaker, RateBudget, StoreBackoff. Conclusion: the store client can be built on it; tests follow with the client.

--- /dev/null
+++ b/crates/coltsfoot-standin/src/objects.rs
@@ -0,0 +1,5 @@
+//! Stand-in for the platform's object store.
+
+mod object_store;
+
+pub use object_store::ObjectStore;
--- a/crates/coltsfootroute/src/table.rs
+++ b/crates/coltsfootroute/src/table.rs
@@ -3,18 +3,28 @@
 //! State machines emit [`TableRequest`]s and take [`TableReply`]s; the embedding process carries them
 //! to the service. Keys are flat text; a row's version rises with every write of that row.
 
+mod circuit_breaker;
+mod rate_budget;
 mod row_condition;
 mod row_key;
 mod row_version;
 mod row_write;
+mod store_backoff;
+mod store_use;
 mod stored_row;
 mod table_reply;
 mod table_request;
+mod token_bucket;
 
+pub use circuit_breaker::{BreakerSettings, BreakerState, CircuitBreaker};
+pub use rate_budget::{RateBudget, RateShare};
 pub use row_condition::RowCondition;
 pub use row_key::RowKey;
 pub use row_version::RowVersion;
 pub use row_write::RowWrite;
+pub use store_backoff::StoreBackoff;
+pub use store_use::StoreUse;
 pub use stored_row::StoredRow;
 pub use table_reply::TableReply;
 pub use table_request::TableRequest;
+pub use token_bucket::TokenBucket;
--- /dev/null
+++ b/crates/coltsfootroute/src/table/rate_budget.rs
@@ -0,0 +1,76 @@
+//! A node's share of the table service's rates.
+
+use std::time::Duration;
+
+use super::{StoreUse, TableRequest, TokenBucket};
+use crate::time::MonotonicTime;
+
+/// Rates that all nodes together may use, and the number of nodes that share them.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RateShare {
+    /// Writes a second of all nodes together; above 0.
+    pub writes_per_s: f64,
+    /// Reads a second of all nodes together; above 0.
+    pub reads_per_s: f64,
+    /// Nodes expected to share the rates; at least 1.
+    pub nodes: u32,
+    /// Seconds of its own share that an idle node may save up.
+    pub burst_s: f64,
+}
+
+impl Default for RateShare {
+    fn default() -> Self {
+        Self { writes_per_s: 200.0, reads_per_s: 1_000.0, nodes: 12, burst_s: 2.0 }
+    }
+}
+
+/// One node's budget: an equal share of each rate. Requests without a waiting caller leave a reserve
+/// for claims.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RateBudget {
+    writes: TokenBucket,
+    reads: TokenBucket,
+    /// Write tokens that only claims may use.
+    write_reserve: f64,
+    /// Read tokens that only claims may use.
+    read_reserve: f64,
+}
+
+/// Part of the burst that is kept for claims.
+const CLAIM_RESERVE: f64 = 0.5;
+
+impl RateBudget {
+    /// The budget of one of the nodes that share `share`.
+    pub fn new(share: &RateShare) -> Self {
+        let nodes = f64::from(share.nodes.max(1));
+        let (writes, write_reserve) = bucket(share.writes_per_s / nodes, share.burst_s);
+        let (reads, read_reserve) = bucket(share.reads_per_s / nodes, share.burst_s);
+        Self { writes, reads, write_reserve, read_reserve }
+    }
+
+    /// Takes one request from the budget. Gives the time to wait before it may be sent, or `None`,
+    /// taking nothing, where that is longer than `longest_wait`.
+    pub fn take(
+        &mut self,
+        now: MonotonicTime,
+        request: &TableRequest,
+        store_use: StoreUse,
+        longest_wait: Duration,
+    ) -> Option<Duration> {
+        let is_write = request.is_write();
+        let (bucket, reserve) = if is_write {
+            (&mut self.writes, self.write_reserve)
+        } else {
+            (&mut self.reads, self.read_reserve)
+        };
+        let reserve = if store_use.is_urgent() { 0.0 } else { reserve };
+        bucket.take(now, reserve, longest_wait)
+    }
+}
+
+fn bucket(rate: f64, burst_s: f64) -> (TokenBucket, f64) {
+    let burst = (rate * burst_s).max(1.0);
+    // A burst of one token leaves nothing to reserve: the rest would never be served.
+    let reserve = ((burst - 1.0) * CLAIM_RESERVE).max(0.0);
+    (TokenBucket::new(rate, burst), reserve)
+}
--- a/crates/coltsfootroute/src/table/table_request.rs
+++ b/crates/coltsfootroute/src/table/table_request.rs
@@ -22,3 +22,10 @@
         Transact(Vec<RowWrite>),
     }
 }
+
+impl TableRequest {
+    /// Whether the request may change rows.
+    pub fn is_write(&self) -> bool {
+        matches!(self, Self::Transact(_))
+    }
+}
--- /dev/null
+++ b/crates/coltsfootroute/src/table/token_bucket.rs
@@ -0,0 +1,73 @@
+//! A token bucket that lends against future refill.
+
+use std::time::Duration;
+
+use crate::time::MonotonicTime;
+
+record_type! {
+    /// Tokens refilled at a steady rate up to a burst. A taker may be told to wait: its token is then
+    /// already taken from future refill, so takers are served in the order in which they asked.
+    pub struct TokenBucket {
+        /// Tokens a second; above 0.
+        rate: RateMilli,
+        /// Most tokens kept, in thousandths.
+        burst: i64,
+        /// Tokens at hand in thousandths; negative while tokens are lent.
+        level: i64,
+        /// When `level` held.
+        refilled: MonotonicTime,
+    }
+}
+
+value_type! {
+    /// A rate in thousandths of a token a second.
+    struct RateMilli(i64);
+}
+
+/// Thousandths in one token.
+const MILLI: i64 = 1_000;
+const MICROS_PER_SECOND: i64 = 1_000_000;
+
+impl TokenBucket {
+    /// A full bucket. `rate` is in tokens a second; `burst` is at least one token.
+    pub fn new(rate: f64, burst: f64) -> Self {
+        let burst = ((burst * MILLI as f64) as i64).max(MILLI);
+        let rate = RateMilli(((rate * MILLI as f64) as i64).max(1));
+        Self { rate, burst, level: burst, refilled: MonotonicTime::ZERO }
+    }
+
+    /// Takes a token and leaves at least `reserve` tokens. Gives the time to wait before the token may
+    /// be used, or `None`, taking nothing, where that is longer than `longest_wait`.
+    pub fn take(
+        &mut self,
+        now: MonotonicTime,
+        reserve: f64,
+        longest_wait: Duration,
+    ) -> Option<Duration> {
+        self.refill(now);
+        let reserve = (reserve * MILLI as f64) as i64;
+        let missing = (MILLI + reserve - self.level).max(0);
+        let wait = self.time_to_refill(missing);
+        if wait > longest_wait {
+            return None;
+        }
+        self.level -= MILLI;
+        Some(wait)
+    }
+
+    fn refill(&mut self, now: MonotonicTime) {
+        let elapsed = i64::try_from(now.since(self.refilled).as_micros()).unwrap_or(i64::MAX);
+        let gained = elapsed.saturating_mul(self.rate.0) / MICROS_PER_SECOND;
+        if gained == 0 {
+            // Too short a time for a thousandth: keep the old time, so that the fraction isn't lost.
+            return;
+        }
+        self.level = self.level.saturating_add(gained).min(self.burst);
+        self.refilled = now;
+    }
+
+    fn time_to_refill(&self, missing: i64) -> Duration {
+        let micros = missing.saturating_mul(MICROS_PER_SECOND) / self.rate.0;
+        Duration::from_micros(micros.unsigned_abs())
+    }
+}
