--- /dev/null
+++ b/crates/coltsfoot-node/src/dispatch/client_request.rs
@@ -0,0 +1,159 @@
+//! Taking a client request in: checks, retry account, routing, final answer.
+
+use std::{net::IpAddr, rc::Rc, time::Duration};
+
+use coltsfoot_wire::peer::CallReply;
+use coltsfootroute::{
+    deadline::DeadlineVerdict,
+    id::RequestId,
+    importance::Importance,
+    outcome::{CallOutcome, RefusalReason},
+    retry::OpenAnswer,
+    schema::{ClientEntry, OperationEntry},
+    time::MonotonicTime,
+};
+use rand::RngExt;
+
+use super::{dispatcher::Dispatcher, incoming_call::IncomingCall, routed_call::RoutedCall};
+use crate::http::HttpReply;
+
+/// A client request that passed the checks of its form.
+struct EntryCheck {
+    importance: Importance,
+    deadline: MonotonicTime,
+    budget: u32,
+    repeatable: bool,
+}
+
+/// Closes the retry account of a request when its final answer stands, or its client is gone.
+struct OpenAccount<'a> {
+    dispatcher: &'a Dispatcher,
+    request: RequestId,
+}
+
+impl Drop for OpenAccount<'_> {
+    fn drop(&mut self) {
+        let mut accounts = self.dispatcher.accounts.borrow_mut();
+        if let Some(granted) = accounts.granted(self.request) {
+            self.dispatcher.metrics.request_retries(granted);
+        }
+        accounts.close(self.request);
+    }
+}
+
+impl Dispatcher {
+    /// Serves one request of a client.
+    pub(super) async fn serve_client(
+        self: &Rc<Self>,
+        call: IncomingCall,
+        client: IpAddr,
+    ) -> HttpReply {
+        let request = RequestId(self.rng.borrow_mut().random());
+        let reply = self.serve_entry(request, call, client).await;
+        let reply = HttpReply::from_call(request, reply);
+        if self.drain.borrow().closes_connections() { reply.with_close() } else { reply }
+    }
+
+    async fn serve_entry(
+        self: &Rc<Self>,
+        request: RequestId,
+        call: IncomingCall,
+        client: IpAddr,
+    ) -> CallReply {
+        let Some(_permit) = self.start_call(false) else {
+            return self.refuse(Importance::Background, RefusalReason::Leaving);
+        };
+        let check = match self.check_entry(&call) {
+            Ok(check) => check,
+            Err(reason) => return self.refuse(Importance::Background, reason),
+        };
+        if let Some(retry_after_s) = self.shed_at_root(&call, check.importance) {
+            self.metrics.refused(RefusalReason::Overload, check.importance);
+            return CallReply::refusal(
+                RefusalReason::Overload,
+                CallOutcome::NotRun,
+                retry_after_s,
+            );
+        }
+        let opened = self.accounts.borrow_mut().open(
+            self.clock.now(),
+            request,
+            check.budget,
+            check.deadline,
+        );
+        let _account = OpenAccount { dispatcher: self, request };
+        let routed = RoutedCall {
+            request,
+            service: call.service,
+            operation: call.operation,
+            importance: check.importance,
+            deadline: check.deadline,
+            account: (opened == OpenAnswer::Opened).then_some(self.identity.node),
+            client: client_hash(client),
+            under_way: false,
+            repeatable: check.repeatable,
+            key: call.key,
+            content_type: call.content_type,
+            body: call.body,
+        };
+        let reply = self.route(&routed).await;
+        self.record_end(&routed, &reply, call.received);
+        reply
+    }
+
+    fn check_entry(&self, call: &IncomingCall) -> Result<EntryCheck, RefusalReason> {
+        let config = self.config.load().ok_or(RefusalReason::NoConfiguration)?;
+        let operation = config
+            .operation(&call.service, &call.operation)
+            .ok_or(RefusalReason::UnknownOperation)?;
+        let entry = operation.client.as_ref().ok_or(RefusalReason::UnknownOperation)?;
+        check_key(operation, call)?;
+        let deadline = entry_deadline(entry, call);
+        self.check_deadline(call, deadline)?;
+        Ok(EntryCheck {
+            importance: entry.importance,
+            deadline,
+            budget: entry.retry_budget,
+            repeatable: operation.repeatable,
+        })
+    }
+
+    /// Refuses work that cannot end in time, by the time such calls have taken of late.
+    pub(super) fn check_deadline(
+        &self,
+        call: &IncomingCall,
+        deadline: MonotonicTime,
+    ) -> Result<(), RefusalReason> {
+        let now = self.clock.now();
+        let needed = match self.control.is_on() {
+            true => self.times.borrow_mut().needed(now, &call.service, &call.operation),
+            false => None,
+        };
+        match self.deadlines.admit(now, deadline, needed) {
+            DeadlineVerdict::Admitted => Ok(()),
+            DeadlineVerdict::Passed | DeadlineVerdict::TooShort { .. } => {
+                Err(RefusalReason::Deadline)
+            }
+        }
+    }
+}
+
+/// A non-repeatable operation needs an idempotency key.
+pub(super) fn check_key(
+    operation: &OperationEntry,
+    call: &IncomingCall,
+) -> Result<(), RefusalReason> {
+    if operation.repeatable || call.key.is_some() { Ok(()) } else { Err(RefusalReason::BadRequest) }
+}
+
+fn entry_deadline(entry: &ClientEntry, call: &IncomingCall) -> MonotonicTime {
+    let most = Duration::from_millis(entry.deadline_ms);
+    call.received + call.remaining.map_or(most, |remaining| remaining.min(most))
+}
+
+fn client_hash(client: IpAddr) -> u64 {
+    use std::hash::{Hash, Hasher};
+    let mut hasher = twox_hash::XxHash64::with_seed(0);
+    client.hash(&mut hasher);
+    hasher.finish()
+}
--- /dev/null
+++ b/crates/coltsfoot-node/src/dispatch/nested_request.rs
@@ -0,0 +1,125 @@
+//! Nested calls of the upstream beside the node.
+
+use std::{rc::Rc, time::Duration};
+
+use coltsfoot_wire::peer::{CallReply, ReplyBody};
+use coltsfootroute::{
+    id::RequestId,
+    importance::Importance,
+    outcome::{CallOutcome, RefusalReason},
+    time::MonotonicTime,
+};
+use rand::RngExt;
+
+use super::{
+    calls_in_flight::CallSpan, client_request::check_key, dispatcher::Dispatcher,
+    incoming_call::IncomingCall, routed_call::RoutedCall,
+};
+use crate::http::HttpReply;
+
+/// Deadline of a nested call that carries neither a context nor a deadline.
+const ORPHAN_DEADLINE: Duration = Duration::from_millis(1_000);
+
+impl Dispatcher {
+    /// Serves one nested call.
+    pub(super) async fn serve_nested(
+        self: &Rc<Self>,
+        call: IncomingCall,
+        context: Option<String>,
+    ) -> HttpReply {
+        let span = context.and_then(|context| self.spans.find(&context));
+        let request = match &span {
+            Some(span) => span.request,
+            None => RequestId(self.rng.borrow_mut().random()),
+        };
+        let reply = self.serve_in_span(request, call, span.as_deref()).await;
+        if let Some(span) = span {
+            span.note_levels(&reply.levels);
+            let ran = reply.outcome != CallOutcome::NotRun;
+            span.nested_ran.set(span.nested_ran.get() || ran);
+        }
+        HttpReply::from_call(request, reply)
+    }
+
+    async fn serve_in_span(
+        self: &Rc<Self>,
+        request: RequestId,
+        call: IncomingCall,
+        span: Option<&CallSpan>,
+    ) -> CallReply {
+        let importance = span.map_or(Importance::Background, |span| span.importance);
+        // Work under way may go on calling while the node leaves.
+        let Some(_permit) = self.start_call(span.is_some()) else {
+            return self.refuse(importance, RefusalReason::Leaving);
+        };
+        let deadline = nested_deadline(&call, span);
+        let repeatable = match self.check_nested(&call, deadline) {
+            Ok(repeatable) => repeatable,
+            Err(reason) => return self.refuse(importance, reason),
+        };
+        let routed = RoutedCall {
+            request,
+            service: call.service,
+            operation: call.operation,
+            importance,
+            deadline,
+            account: span.and_then(|span| span.account),
+            client: span.map_or(0, |span| span.client),
+            under_way: span.is_some(),
+            repeatable,
+            key: call.key,
+            content_type: call.content_type,
+            body: call.body,
+        };
+        let reply = self.route(&routed).await;
+        self.record_end(&routed, &reply, call.received);
+        reply
+    }
+
+    fn check_nested(
+        &self,
+        call: &IncomingCall,
+        deadline: MonotonicTime,
+    ) -> Result<bool, RefusalReason> {
+        let config = self.config.load().ok_or(RefusalReason::NoConfiguration)?;
+        let operation = config
+            .operation(&call.service, &call.operation)
+            .ok_or(RefusalReason::UnknownOperation)?;
+        check_key(operation, call)?;
+        self.check_deadline(call, deadline)?;
+        Ok(operation.repeatable)
+    }
+
+    /// Takes note of how a routed call ended.
+    pub(super) fn record_end(
+        &self,
+        call: &RoutedCall,
+        reply: &CallReply,
+        received: MonotonicTime,
+    ) {
+        let now = self.clock.now();
+        let taken = now.since(received);
+        match &reply.body {
+            ReplyBody::Answer { .. } => {
+                if reply.outcome == CallOutcome::Completed {
+                    let mut times = self.times.borrow_mut();
+                    times.record(now, &call.service, &call.operation, taken);
+                }
+                self.metrics.answered(call.importance, reply.outcome);
+                self.metrics.added_latency(taken.saturating_sub(reply.upstream_time));
+            }
+            ReplyBody::Refusal { reason, .. } => self.metrics.refused(*reason, call.importance),
+        }
+    }
+}
+
+/// Never later than the deadline of the call above.
+fn nested_deadline(call: &IncomingCall, span: Option<&CallSpan>) -> MonotonicTime {
+    let asked = call.remaining.map(|remaining| call.received + remaining);
+    match (span, asked) {
+        (Some(span), Some(asked)) => span.deadline.min(asked),
+        (Some(span), None) => span.deadline,
+        (None, Some(asked)) => asked,
+        (None, None) => call.received + ORPHAN_DEADLINE,
+    }
+}
--- /dev/null
+++ b/crates/coltsfoot-node/src/dispatch/routed_call.rs
@@ -0,0 +1,235 @@
+//! Sending a call to an upstream of its service: choice, attempts, retries.
+
+use std::{rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use coltsfoot_wire::peer::{CallReply, CallRequest, ReplyBody};
+use coltsfootroute::{
+    deadline::Remaining,
+    id::{NodeId, RequestId},
+    importance::Importance,
+    name::{OperationName, ServiceName},
+    outcome::{CallOutcome, RefusalReason},
+    retry::{FailedAttempt, RetryDecision},
+    routing::RouteResult,
+    time::MonotonicTime,
+};
+use tokio::time::{sleep, timeout_at};
+
+use super::{dispatcher::Dispatcher, peer_links::PeerLink};
+
+/// Taken off the remaining time at each hop, so that a refusal from further down arrives in time.
+const HOP_MARGIN: Duration = Duration::from_millis(2);
+/// Longest wait for the first members of a service that this node has not called before.
+const FIRST_MEMBERS_WAIT: Duration = Duration::from_millis(1_500);
+
+/// A call on its way to an upstream, with what the client request brings along.
+#[derive(Clone, Debug)]
+pub struct RoutedCall {
+    /// Client request.
+    pub request: RequestId,
+    /// Service called.
+    pub service: ServiceName,
+    /// Operation called.
+    pub operation: OperationName,
+    /// Importance of the client request.
+    pub importance: Importance,
+    /// Deadline on this node's clock.
+    pub deadline: MonotonicTime,
+    /// Node that keeps the retry account; `None` means no retry.
+    pub account: Option<NodeId>,
+    /// Hash of the client.
+    pub client: u64,
+    /// Whether the call is nested below work that runs already.
+    pub under_way: bool,
+    /// Whether the operation may run again.
+    pub repeatable: bool,
+    /// Idempotency key.
+    pub key: Option<String>,
+    /// Media type of the body.
+    pub content_type: String,
+    /// Body.
+    pub body: Bytes,
+}
+
+impl RoutedCall {
+    fn to_request(&self, now: MonotonicTime, revision: u64) -> CallRequest {
+        CallRequest {
+            request: self.request,
+            service: self.service.clone(),
+            operation: self.operation.clone(),
+            importance: self.importance,
+            remaining: self.deadline.since(now).saturating_sub(HOP_MARGIN),
+            account: self.account,
+            client: self.client,
+            under_way: self.under_way,
+            key: self.key.clone(),
+            content_type: self.content_type.clone(),
+            body: self.body.to_vec(),
+            revision,
+        }
+    }
+}
+
+/// Counts an attempt in its pool from start to end, also when its future is dropped.
+struct AttemptCount<'a> {
+    dispatcher: &'a Dispatcher,
+    service: &'a ServiceName,
+    node: NodeId,
+    started: MonotonicTime,
+    result: RouteResult,
+}
+
+impl<'a> AttemptCount<'a> {
+    fn start(dispatcher: &'a Dispatcher, service: &'a ServiceName, node: NodeId) -> Self {
+        let started = dispatcher.clock.now();
+        dispatcher.with_pool(service, |pool| pool.started(started, node));
+        Self { dispatcher, service, node, started, result: RouteResult::Cancelled }
+    }
+}
+
+impl Drop for AttemptCount<'_> {
+    fn drop(&mut self) {
+        let now = self.dispatcher.clock.now();
+        let latency = now.since(self.started);
+        let (node, result) = (self.node, self.result);
+        self.dispatcher.with_pool(self.service, |pool| pool.finished(now, node, latency, result));
+    }
+}
+
+impl Dispatcher {
+    /// Sends a call to upstreams of its service until one answers, the retries end or the deadline
+    /// passes. The outcome speaks of all attempts together.
+    pub async fn route(self: &Rc<Self>, call: &RoutedCall) -> CallReply {
+        self.count_first_attempt(&call.service);
+        self.await_first_members(call).await;
+        let mut tried = Vec::new();
+        let mut may_have_run = false;
+        loop {
+            let mut reply = self.attempt(call, &mut tried).await;
+            self.learn_levels(&reply.levels);
+            may_have_run |= reply.outcome == CallOutcome::Unknown;
+            if reply.outcome == CallOutcome::Completed {
+                return reply;
+            }
+            if !self.retry_after_failure(call, &reply, tried.len()).await {
+                if may_have_run {
+                    reply.outcome = CallOutcome::Unknown;
+                }
+                return reply;
+            }
+        }
+    }
+
+    async fn await_first_members(&self, call: &RoutedCall) {
+        if !self.watch(&call.service).await {
+            return;
+        }
+        let until = call.deadline.min(self.clock.now() + FIRST_MEMBERS_WAIT);
+        let until = self.clock.instant_at(until).into();
+        while self.with_pool(&call.service, |pool| pool.is_empty()).unwrap_or(false) {
+            if timeout_at(until, self.members_changed.notified()).await.is_err() {
+                return;
+            }
+        }
+    }
+
+    async fn attempt(self: &Rc<Self>, call: &RoutedCall, tried: &mut Vec<NodeId>) -> CallReply {
+        let Some(node) = self.choose(&call.service, tried) else {
+            return self.refusal(RefusalReason::NoUpstream, CallOutcome::NotRun);
+        };
+        tried.push(node);
+        let mut count = AttemptCount::start(self, &call.service, node);
+        let until = self.clock.instant_at(call.deadline).into();
+        let reply = match timeout_at(until, self.send(node, call)).await {
+            Ok(reply) => reply,
+            Err(_) => self.refusal(RefusalReason::Deadline, CallOutcome::Unknown),
+        };
+        count.result = route_result(&reply);
+        reply
+    }
+
+    /// An upstream not tried yet; where all have been, any.
+    fn choose(&self, service: &ServiceName, tried: &[NodeId]) -> Option<NodeId> {
+        let now = self.clock.now();
+        let mut rng = self.rng.borrow_mut();
+        self.with_pool(service, |pool| {
+            let fresh = pool.choose(now, &mut *rng, tried);
+            fresh.or_else(|| pool.choose(now, &mut *rng, &[]))
+        })
+        .flatten()
+    }
+
+    async fn send(self: &Rc<Self>, node: NodeId, call: &RoutedCall) -> CallReply {
+        if node == self.identity.node {
+            let request = call.to_request(self.clock.now(), self.revision());
+            return self.guard_call(request).await;
+        }
+        let Ok(link) = self.links.get(node).await else {
+            return self.refusal(RefusalReason::NoUpstream, CallOutcome::NotRun);
+        };
+        match self.send_over(&link, call).await {
+            Ok(reply) => reply,
+            Err(_) => {
+                self.links.failed(node, &link);
+                self.refusal(RefusalReason::UpstreamFailed, CallOutcome::Unknown)
+            }
+        }
+    }
+
+    async fn send_over(
+        &self,
+        link: &PeerLink,
+        call: &RoutedCall,
+    ) -> Result<CallReply, capnp::Error> {
+        let mut request = link.client().call_request();
+        let body = call.to_request(self.clock.now(), self.revision());
+        body.write(request.get().init_request());
+        let response = request.send().promise.await?;
+        Ok(CallReply::read(response.get()?.get_reply()?)?)
+    }
+
+    /// Whether the call is tried again; waits for the backoff and takes a token before it says so.
+    async fn retry_after_failure(
+        &self,
+        call: &RoutedCall,
+        reply: &CallReply,
+        attempts: usize,
+    ) -> bool {
+        let now = self.clock.now();
+        let failed = FailedAttempt {
+            outcome: reply.outcome,
+            reason: reply.reason(),
+            repeatable: call.repeatable,
+            deadline: call.deadline,
+            attempts: u32::try_from(attempts).unwrap_or(u32::MAX),
+            shedding: self.is_shed(&call.service, call.importance),
+            expected: self.times.borrow_mut().needed(now, &call.service, &call.operation),
+        };
+        let decision = self.policy.decide(now, &mut *self.rng.borrow_mut(), &failed);
+        let RetryDecision::Ask { backoff } = decision else { return false };
+        if !self.take_token(call).await {
+            return false;
+        }
+        sleep(backoff).await;
+        true
+    }
+
+    /// Time left for an upstream, as its header tells it.
+    pub(super) fn remaining_ms(&self, deadline: MonotonicTime) -> u64 {
+        Remaining::until(self.clock.now(), deadline).0
+    }
+}
+
+fn route_result(reply: &CallReply) -> RouteResult {
+    match (&reply.body, reply.outcome) {
+        (ReplyBody::Answer { .. }, CallOutcome::Completed) => RouteResult::Succeeded,
+        (ReplyBody::Answer { .. }, _) => RouteResult::Failed,
+        (ReplyBody::Refusal { reason: RefusalReason::Leaving, .. }, _) => RouteResult::Leaving,
+        (ReplyBody::Refusal { reason: RefusalReason::NoUpstream, .. }, _) => {
+            RouteResult::Unreachable
+        }
+        (ReplyBody::Refusal { .. }, CallOutcome::NotRun) => RouteResult::Refused,
+        (ReplyBody::Refusal { .. }, _) => RouteResult::Failed,
+    }
+}
