Admission gate, shed levels and limits

Cause: the node needs the admission API to be built on. Change: AdmissionGate with queue by importance, four ConcurrencyLimit implementations, ShedLevel and its controller, ServiceLevels at callers, BreachCounter, RetryAfter. Conclusion: the API stands; defaults are provisional.

--- a/crates/coltsfootroute/src/admission.rs
+++ b/crates/coltsfootroute/src/admission.rs
@@ -1,1 +1,43 @@
 //! Admission by importance within an adaptive limit on concurrency.
+//!
+//! An [`AdmissionGate`] stands in front of one upstream and decides which calls run, wait or are
+//! refused. Its [`ShedLevel`] travels back in answers; callers gather the levels in
+//! [`ServiceLevels`] and refuse at the root what would be refused deeper down.
+
+mod admission_decision;
+mod admission_gate;
+mod admission_settings;
+mod admission_verdict;
+mod breach_counter;
+mod call_finish;
+mod call_queue;
+mod client_lane;
+mod concurrency_limit;
+mod finish_sample;
+mod guard_level;
+mod limit;
+mod queue_order;
+mod queued_call;
+mod retry_after;
+mod service_levels;
+mod service_time;
+mod shed_control;
+mod shed_level;
+mod shed_refusal;
+mod waiting_call;
+
+pub use admission_decision::AdmissionDecision;
+pub use admission_gate::{AdmissionGate, DefaultLimit};
+pub use admission_settings::AdmissionSettings;
+pub use admission_verdict::AdmissionVerdict;
+pub use breach_counter::BreachCounter;
+pub use call_finish::CallFinish;
+pub use concurrency_limit::ConcurrencyLimit;
+pub use finish_sample::FinishSample;
+pub use limit::{AimdLimit, DelayLimit, FixedLimit, GradientLimit};
+pub use queue_order::QueueOrder;
+pub use retry_after::RetryAfter;
+pub use service_levels::ServiceLevels;
+pub use shed_level::ShedLevel;
+pub use shed_refusal::ShedRefusal;
+pub use waiting_call::WaitingCall;
--- /dev/null
+++ b/crates/coltsfootroute/src/admission/admission_gate.rs
@@ -0,0 +1,304 @@
+//! The guard's gate in front of one upstream.
+
+use std::time::Duration;
+
+use indexmap::IndexMap;
+
+use super::{
+    AdmissionDecision, AdmissionSettings, AdmissionVerdict, AimdLimit, CallFinish,
+    ConcurrencyLimit, FinishSample, QueueOrder, ShedLevel, WaitingCall, call_queue::CallQueue,
+    queued_call::QueuedCall, service_time::ServiceTime, shed_control::ShedControl,
+};
+use crate::{importance::Importance, outcome::RefusalReason, time::MonotonicTime};
+
+/// The limit of a gate unless another is chosen.
+pub type DefaultLimit = AimdLimit;
+
+/// Decides which calls to one upstream run, wait or are refused.
+///
+/// Every offered call gets exactly one verdict, at once or from a later method, unless it is
+/// cancelled while it waits. Each method returns the verdicts that became due, for any call. The
+/// owner carries them out, reports the end of each call that ran with [`AdmissionGate::finish`], and
+/// calls [`AdmissionGate::tick`] at [`AdmissionGate::next_wakeup`].
+///
+/// Invariants: no more calls start than the limit allows, and the limit is at most the slots; a call
+/// is refused for overload only when none of lower rank waits; none starts past its deadline.
+#[derive(Clone, Debug)]
+pub struct AdmissionGate<L: ConcurrencyLimit = DefaultLimit> {
+    settings: AdmissionSettings,
+    limit: L,
+    running: IndexMap<u64, RunningCall>,
+    queue: CallQueue,
+    /// Since when the queue has not been empty.
+    standing_since: Option<MonotonicTime>,
+    service_times: [ServiceTime; Importance::COUNT],
+    shed: ShedControl,
+    draining: bool,
+}
+
+/// A call in flight to the upstream.
+#[derive(Clone, Copy, Debug)]
+struct RunningCall {
+    importance: Importance,
+    started: MonotonicTime,
+}
+
+impl AdmissionGate {
+    /// Creates a gate with the default limit.
+    pub fn new(settings: AdmissionSettings) -> Self {
+        Self::with_limit(settings, AimdLimit::new(settings.slots))
+    }
+}
+
+impl<L: ConcurrencyLimit> AdmissionGate<L> {
+    /// Creates a gate with the given limit, whose ceiling becomes the slots of the settings.
+    pub fn with_limit(settings: AdmissionSettings, mut limit: L) -> Self {
+        limit.set_ceiling(settings.slots);
+        Self {
+            settings,
+            limit,
+            running: IndexMap::new(),
+            queue: CallQueue::default(),
+            standing_since: None,
+            service_times: [ServiceTime::default(); Importance::COUNT],
+            shed: ShedControl::new(),
+            draining: false,
+        }
+    }
+
+    /// Offers a call.
+    pub fn offer(&mut self, now: MonotonicTime, call: WaitingCall) -> Vec<AdmissionVerdict> {
+        let mut verdicts = self.advanced(now);
+        self.shed.on_offer();
+        if self.draining {
+            verdicts.push(refusal(call.id, RefusalReason::Leaving));
+        } else if self.is_doomed(now, &call) {
+            verdicts.push(refusal(call.id, RefusalReason::Deadline));
+        } else if self.has_room() {
+            self.start(now, &call, &mut verdicts);
+        } else {
+            self.enqueue(now, call, &mut verdicts);
+        }
+        verdicts
+    }
+
+    /// Reports the end of a call that ran; unknown calls are ignored.
+    pub fn finish(
+        &mut self,
+        now: MonotonicTime,
+        id: u64,
+        finish: CallFinish,
+    ) -> Vec<AdmissionVerdict> {
+        let mut verdicts = self.advanced(now);
+        let in_flight = self.in_flight();
+        let Some(call) = self.running.swap_remove(&id) else { return verdicts };
+        let service_time = now.since(call.started);
+        if matches!(finish, CallFinish::Succeeded | CallFinish::TimedOut) {
+            self.service_times[call.importance.index()].record(now, service_time);
+        }
+        self.limit.on_finish(now, &FinishSample { finish, service_time, in_flight });
+        self.start_waiting(now, &mut verdicts);
+        verdicts
+    }
+
+    /// Withdraws a call that waits; it gets no verdict. A call in flight keeps its slot until
+    /// [`AdmissionGate::finish`] reports that the upstream has let go of it.
+    pub fn cancel(&mut self, now: MonotonicTime, id: u64) -> Vec<AdmissionVerdict> {
+        let verdicts = self.advanced(now);
+        self.queue.remove(id);
+        self.note_queue(now);
+        verdicts
+    }
+
+    /// Refuses the waiting calls whose time is up.
+    pub fn tick(&mut self, now: MonotonicTime) -> Vec<AdmissionVerdict> {
+        self.advanced(now)
+    }
+
+    /// When [`AdmissionGate::tick`] has something to do next.
+    pub fn next_wakeup(&self) -> Option<MonotonicTime> {
+        self.queue.next_expiry()
+    }
+
+    /// Refuses every call offered from now on as leaving; calls that wait or run go on.
+    pub fn drain(&mut self, _now: MonotonicTime) {
+        self.draining = true;
+    }
+
+    /// Whether the gate drains and holds no call any more.
+    pub fn is_drained(&self) -> bool {
+        self.draining && self.running.is_empty() && self.queue.is_empty()
+    }
+
+    /// What the guard tells callers about the work it sheds.
+    pub fn shed_level(&self, now: MonotonicTime) -> ShedLevel {
+        self.shed.level(now)
+    }
+
+    /// Calls in flight to the upstream.
+    pub fn in_flight(&self) -> u32 {
+        self.running.len() as u32
+    }
+
+    /// Calls that wait.
+    pub fn queued(&self) -> u32 {
+        self.queue.len() as u32
+    }
+
+    /// Calls that may be in flight now.
+    pub fn limit(&self) -> u32 {
+        self.limit.limit()
+    }
+
+    /// The observed median time from dispatch to answer, zero before the first answer.
+    pub fn service_time(&self, now: MonotonicTime, importance: Importance) -> Duration {
+        self.service_times[importance.index()].estimate(now)
+    }
+
+    /// Takes in a change of the upstream's slots, at least 1.
+    pub fn set_slots(&mut self, now: MonotonicTime, slots: u32) -> Vec<AdmissionVerdict> {
+        let mut verdicts = self.advanced(now);
+        self.settings.slots = slots.max(1);
+        self.limit.set_ceiling(self.settings.slots);
+        self.start_waiting(now, &mut verdicts);
+        verdicts
+    }
+
+    /// Brings the gate up to `now`: closes windows, gives up calls whose time is up.
+    fn advanced(&mut self, now: MonotonicTime) -> Vec<AdmissionVerdict> {
+        let mut verdicts = Vec::new();
+        self.shed.advance(now, !self.has_room());
+        while let Some(queued) = self.queue.pop_expired(now) {
+            match queued.expiry_reason {
+                RefusalReason::Overload => self.refuse_for_overload(&queued.call, &mut verdicts),
+                reason => verdicts.push(refusal(queued.call.id, reason)),
+            }
+        }
+        self.note_queue(now);
+        verdicts
+    }
+
+    fn has_room(&self) -> bool {
+        self.in_flight() < self.limit.limit()
+    }
+
+    /// Whether the call can't be expected to finish in time even if it started now.
+    fn is_doomed(&self, now: MonotonicTime, call: &WaitingCall) -> bool {
+        now >= call.deadline || now + self.service_time(now, call.importance) > call.deadline
+    }
+
+    fn is_overloaded(&self, now: MonotonicTime) -> bool {
+        self.standing_since.is_some_and(|since| now.since(since) >= self.settings.overload_interval)
+    }
+
+    fn serves_newest(&self, now: MonotonicTime) -> bool {
+        match self.settings.queue_order {
+            QueueOrder::OldestFirst => false,
+            QueueOrder::NewestFirstUnderOverload => self.is_overloaded(now),
+        }
+    }
+
+    fn start(
+        &mut self,
+        now: MonotonicTime,
+        call: &WaitingCall,
+        verdicts: &mut Vec<AdmissionVerdict>,
+    ) {
+        let running = RunningCall { importance: call.importance, started: now };
+        self.running.insert(call.id, running);
+        verdicts.push(AdmissionVerdict { id: call.id, decision: AdmissionDecision::Run });
+    }
+
+    fn start_waiting(&mut self, now: MonotonicTime, verdicts: &mut Vec<AdmissionVerdict>) {
+        let newest = self.serves_newest(now);
+        while self.has_room() {
+            let Some(queued) = self.queue.pop(newest) else { break };
+            if self.is_doomed(now, &queued.call) {
+                verdicts.push(refusal(queued.call.id, RefusalReason::Deadline));
+            } else {
+                self.start(now, &queued.call, verdicts);
+            }
+        }
+        self.note_queue(now);
+    }
+
+    fn enqueue(
+        &mut self,
+        now: MonotonicTime,
+        call: WaitingCall,
+        verdicts: &mut Vec<AdmissionVerdict>,
+    ) {
+        if self.queued() >= self.settings.queue_length && !self.make_room(now, &call, verdicts) {
+            self.refuse_for_overload(&call, verdicts);
+            return;
+        }
+        let queued = self.queued_call(now, call);
+        self.queue.push(queued);
+        self.note_queue(now);
+    }
+
+    /// Evicts a waiting call in favour of `call`; `false` if all that wait go before it.
+    fn make_room(
+        &mut self,
+        now: MonotonicTime,
+        call: &WaitingCall,
+        verdicts: &mut Vec<AdmissionVerdict>,
+    ) -> bool {
+        let Some(rank) = self.queue.lowest_rank() else { return false };
+        let newest_first = self.serves_newest(now);
+        if rank > call.rank() || (rank == call.rank() && !self.beats_peers(newest_first, call)) {
+            return false;
+        }
+        let Some(victim) = self.queue.evict(rank, newest_first) else { return false };
+        self.refuse_for_overload(&victim.call, verdicts);
+        true
+    }
+
+    /// Whether `call` goes before a waiting call of its own rank: its client has fewer waiting, or
+    /// the newest go first.
+    fn beats_peers(&self, newest_first: bool, call: &WaitingCall) -> bool {
+        let lane = self.queue.lane(call.rank());
+        let own = lane.count_of(call.client);
+        own + 1 < lane.longest() || (newest_first && own <= lane.longest())
+    }
+
+    fn queued_call(&self, now: MonotonicTime, call: WaitingCall) -> QueuedCall {
+        let settings = &self.settings;
+        let overloaded = self.is_overloaded(now);
+        let delay =
+            if overloaded { settings.overload_queue_delay } else { settings.max_queue_delay };
+        let given_up = now + delay;
+        let last_start = call.deadline - self.service_time(now, call.importance);
+        if last_start < given_up {
+            let expiry_reason = RefusalReason::Deadline;
+            QueuedCall { call, expiry: last_start, expiry_reason }
+        } else {
+            let expiry_reason = RefusalReason::Overload;
+            QueuedCall { call, expiry: given_up, expiry_reason }
+        }
+    }
+
+    /// Refuses `call`, and before it whatever waits with a lower rank: no slot came free for `call`,
+    /// so none would for those.
+    fn refuse_for_overload(&mut self, call: &WaitingCall, verdicts: &mut Vec<AdmissionVerdict>) {
+        while let Some(rank) = self.queue.lowest_rank().filter(|rank| *rank < call.rank()) {
+            let Some(victim) = self.queue.evict(rank, true) else { break };
+            self.shed.on_refusal(victim.call.importance);
+            verdicts.push(refusal(victim.call.id, RefusalReason::Overload));
+        }
+        self.shed.on_refusal(call.importance);
+        verdicts.push(refusal(call.id, RefusalReason::Overload));
+    }
+
+    fn note_queue(&mut self, now: MonotonicTime) {
+        if self.queue.is_empty() {
+            self.standing_since = None;
+        } else {
+            self.standing_since.get_or_insert(now);
+        }
+    }
+}
+
+fn refusal(id: u64, reason: RefusalReason) -> AdmissionVerdict {
+    AdmissionVerdict { id, decision: AdmissionDecision::Refuse(reason) }
+}
--- /dev/null
+++ b/crates/coltsfootroute/src/admission/breach_counter.rs
@@ -0,0 +1,77 @@
+//! Count of breaches of the order of importance.
+
+use std::time::Duration;
+
+use indexmap::IndexMap;
+
+use crate::{importance::Importance, name::ServiceName, time::MonotonicTime};
+
+/// Default window.
+const WINDOW: Duration = Duration::from_millis(50);
+
+/// Counts refusals that came out of order, as one observer (a guard or a caller) knows it.
+///
+/// A breach is a refusal for overload of work of importance *i* for service *S* at time *t*, where
+/// the observer itself admitted work for *S* of lower importance, or learned of its admission, in
+/// the window before *t*. Admissions in the same instant as the refusal count. The count is an upper
+/// bound: a surge that fills the upstream within one window is counted too.
+#[derive(Clone, Debug)]
+pub struct BreachCounter {
+    window: Duration,
+    /// Last admission, by importance.
+    admissions: IndexMap<ServiceName, [Option<MonotonicTime>; Importance::COUNT]>,
+    breaches: u64,
+}
+
+impl Default for BreachCounter {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl BreachCounter {
+    /// Creates a counter with a window of 50 ms.
+    pub fn new() -> Self {
+        Self { window: WINDOW, admissions: IndexMap::new(), breaches: 0 }
+    }
+
+    /// Sets the window.
+    pub fn with_window(self, window: Duration) -> Self {
+        Self { window, ..self }
+    }
+
+    /// Notes that work of `importance` was admitted for `service`.
+    pub fn on_admission(
+        &mut self,
+        now: MonotonicTime,
+        service: &ServiceName,
+        importance: Importance,
+    ) {
+        if !self.admissions.contains_key(service) {
+            self.admissions.insert(service.clone(), [None; Importance::COUNT]);
+        }
+        if let Some(times) = self.admissions.get_mut(service) {
+            times[importance.index()] = Some(now);
+        }
+    }
+
+    /// Notes that work of `importance` was refused for overload; returns whether that is a breach.
+    pub fn on_refusal(
+        &mut self,
+        now: MonotonicTime,
+        service: &ServiceName,
+        importance: Importance,
+    ) -> bool {
+        let Some(times) = self.admissions.get(service) else { return false };
+        let in_window = |time: &MonotonicTime| now.since(*time) <= self.window;
+        let lower = &times[..importance.index()];
+        let is_breach = lower.iter().flatten().any(in_window);
+        self.breaches += u64::from(is_breach);
+        is_breach
+    }
+
+    /// Breaches counted so far.
+    pub fn breaches(&self) -> u64 {
+        self.breaches
+    }
+}
--- /dev/null
+++ b/crates/coltsfootroute/src/admission/limit.rs
@@ -0,0 +1,24 @@
+//! Implementations of [`ConcurrencyLimit`](super::ConcurrencyLimit).
+
+mod aimd_limit;
+mod delay_limit;
+mod fixed_limit;
+mod gradient_limit;
+
+pub use aimd_limit::AimdLimit;
+pub use delay_limit::DelayLimit;
+pub use fixed_limit::FixedLimit;
+pub use gradient_limit::GradientLimit;
+
+/// Lowest limit as a share of the slots: a slow phase never shuts an upstream down.
+const FLOOR_SHARE: f64 = 0.25;
+
+/// The lowest limit for a ceiling.
+fn floor_of(ceiling: u32) -> f64 {
+    (f64::from(ceiling) * FLOOR_SHARE).max(1.0)
+}
+
+/// A limit in whole calls, between 1 and the ceiling.
+fn whole(limit: f64, ceiling: u32) -> u32 {
+    (limit as u32).clamp(1, ceiling)
+}
--- /dev/null
+++ b/crates/coltsfootroute/src/admission/limit/aimd_limit.rs
@@ -0,0 +1,99 @@
+//! Additive increase, multiplicative decrease.
+
+use std::time::Duration;
+
+use super::{floor_of, whole};
+use crate::{
+    admission::{CallFinish, ConcurrencyLimit, FinishSample},
+    time::MonotonicTime,
+};
+
+/// Factor of one decrease.
+const DECREASE: f64 = 0.8;
+/// Least time between two decreases: the calls of one burst of refusals count once.
+const DECREASE_INTERVAL: Duration = Duration::from_millis(100);
+/// Time in which the limit grows from zero to the ceiling at full speed.
+const REOPEN_TIME: Duration = Duration::from_secs(1);
+/// Time after a decrease until growth is at full speed.
+const RAMP_TIME: Duration = Duration::from_millis(500);
+/// Longest time that the growth of one step stands for.
+const MAX_STEP: Duration = Duration::from_millis(100);
+
+/// Lowers the limit when the upstream sheds and grows it again while calls succeed.
+///
+/// Latency plays no part: a service that is slow for other reasons than our load keeps its slots.
+/// Growth starts slowly after a decrease, so that the limit dwells near the upstream's capacity, and
+/// reaches the ceiling within about 1.3 s once the upstream has stopped shedding.
+#[derive(Clone, Debug)]
+pub struct AimdLimit {
+    ceiling: u32,
+    /// Between the floor and the ceiling.
+    limit: f64,
+    last_decrease: Option<MonotonicTime>,
+    last_growth: MonotonicTime,
+    timeouts_count: bool,
+}
+
+impl AimdLimit {
+    /// Creates a limit that starts at `slots`, at least 1.
+    pub fn new(slots: u32) -> Self {
+        let ceiling = slots.max(1);
+        Self {
+            ceiling,
+            limit: f64::from(ceiling),
+            last_decrease: None,
+            last_growth: MonotonicTime::ZERO,
+            timeouts_count: false,
+        }
+    }
+
+    /// Also lowers the limit when a call times out.
+    pub fn with_timeouts(self, timeouts_count: bool) -> Self {
+        Self { timeouts_count, ..self }
+    }
+
+    fn decrease(&mut self, now: MonotonicTime, in_flight: u32) {
+        let too_soon = |last| now.since(last) < DECREASE_INTERVAL;
+        if self.last_decrease.is_some_and(too_soon) {
+            return;
+        }
+        let in_use = self.limit.min(f64::from(in_flight));
+        self.limit = (in_use * DECREASE).max(floor_of(self.ceiling));
+        self.last_decrease = Some(now);
+        self.last_growth = now;
+    }
+
+    fn grow(&mut self, now: MonotonicTime) {
+        let step = now.since(self.last_growth).min(MAX_STEP);
+        self.last_growth = now;
+        let ramp = match self.last_decrease {
+            Some(last) => now.since(last).div_duration_f64(RAMP_TIME).min(1.0),
+            None => 1.0,
+        };
+        let ceiling = f64::from(self.ceiling);
+        let growth = ceiling * step.div_duration_f64(REOPEN_TIME) * ramp;
+        self.limit = (self.limit + growth).min(ceiling);
+    }
+}
+
+impl ConcurrencyLimit for AimdLimit {
+    fn limit(&self) -> u32 {
+        whole(self.limit, self.ceiling)
+    }
+
+    fn on_finish(&mut self, now: MonotonicTime, sample: &FinishSample) {
+        match sample.finish {
+            CallFinish::ShedByUpstream => self.decrease(now, sample.in_flight),
+            CallFinish::TimedOut if self.timeouts_count => self.decrease(now, sample.in_flight),
+            CallFinish::Succeeded => self.grow(now),
+            CallFinish::TimedOut | CallFinish::Failed | CallFinish::Cancelled => (),
+        }
+    }
+
+    fn set_ceiling(&mut self, slots: u32) {
+        let ceiling = slots.max(1);
+        let was_open = self.limit >= f64::from(self.ceiling);
+        self.ceiling = ceiling;
+        self.limit = if was_open { f64::from(ceiling) } else { self.limit.min(f64::from(ceiling)) };
+    }
+}
--- /dev/null
+++ b/crates/coltsfootroute/src/admission/queue_order.rs
@@ -0,0 +1,14 @@
+//! Order of service within one importance.
+
+value_type! {
+    /// Which waiting call of one client goes first within one importance.
+    #[derive(Default)]
+    pub enum QueueOrder {
+        /// The oldest.
+        OldestFirst,
+        /// The oldest, but the newest while a queue has stood for the overload interval: then the
+        /// oldest are the least likely to finish in time.
+        #[default]
+        NewestFirstUnderOverload,
+    }
+}
--- /dev/null
+++ b/crates/coltsfootroute/src/admission/service_time.rs
@@ -0,0 +1,52 @@
+//! Estimate of an upstream's service time.
+
+use std::time::Duration;
+
+use crate::time::MonotonicTime;
+
+/// Step of the estimate for one sample, relative to the estimate.
+const STEP: f64 = 0.1;
+/// Without a sample for this long, and for twice the estimate, the estimate starts to halve.
+const STALE_AFTER: Duration = Duration::from_millis(500);
+
+/// Running estimate of the median service time.
+///
+/// Moves by a fixed ratio towards each sample, which settles where half of the samples lie on
+/// either side, and halves again and again while no samples come: an estimate that refuses every
+/// call would otherwise never be corrected.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct ServiceTime {
+    median_micros: f64,
+    last_sample: Option<MonotonicTime>,
+}
+
+impl ServiceTime {
+    /// Takes in the service time of a finished call.
+    pub fn record(&mut self, now: MonotonicTime, service_time: Duration) {
+        let sample = service_time.as_micros() as f64;
+        let median = self.estimate_micros(now);
+        self.median_micros = if self.last_sample.is_none() || median < 1.0 {
+            sample
+        } else if sample > median {
+            (median * (1.0 + STEP)).min(sample)
+        } else {
+            (median * (1.0 - STEP)).max(sample)
+        };
+        self.last_sample = Some(now);
+    }
+
+    /// The estimate; zero before the first sample.
+    pub fn estimate(&self, now: MonotonicTime) -> Duration {
+        Duration::from_micros(self.estimate_micros(now) as u64)
+    }
+
+    fn estimate_micros(&self, now: MonotonicTime) -> f64 {
+        let Some(last) = self.last_sample else { return 0.0 };
+        let age = now.since(last).as_micros() as f64;
+        let patience = (2.0 * self.median_micros).max(STALE_AFTER.as_micros() as f64);
+        if age <= patience {
+            return self.median_micros;
+        }
+        self.median_micros * (1.0 - age / patience).exp2()
+    }
+}
