--- /dev/null
+++ b/crates/coltsfoot-node/src/config.rs
@@ -0,0 +1,17 @@
+//! The configuration duty: submissions, the revision in force, its spread.
+
+mod config_cell;
+mod config_command;
+mod config_error;
+mod config_handle;
+mod config_in_force;
+mod config_thread;
+mod submit_request;
+
+pub use config_cell::ConfigCell;
+pub use config_command::ConfigCommand;
+pub use config_error::SubmitHeaderError;
+pub use config_handle::ConfigHandle;
+pub use config_in_force::ConfigInForce;
+pub use config_thread::{ConfigParts, ConfigThread};
+pub use submit_request::SubmitRequest;
--- /dev/null
+++ b/crates/coltsfoot-node/src/config/config_command.rs
@@ -0,0 +1,25 @@
+//! What the other duties ask of the configuration duty.
+
+use bytes::Bytes;
+use coltsfootroute::id::NodeId;
+use tokio::sync::oneshot;
+
+use super::SubmitRequest;
+use crate::http::HttpReply;
+
+/// What the other duties ask of the configuration duty.
+pub enum ConfigCommand {
+    /// An operator submits a schema.
+    Submit(SubmitRequest, Bytes, oneshot::Sender<HttpReply>),
+    /// An operator asks for the schema in force.
+    Show(oneshot::Sender<HttpReply>),
+    /// An operator asks who changed what, and when.
+    History(oneshot::Sender<HttpReply>),
+    /// A peer has a higher revision in force.
+    Behind {
+        /// The peer.
+        peer: NodeId,
+        /// Its revision.
+        revision: u64,
+    },
+}
--- /dev/null
+++ b/crates/coltsfoot-node/src/config/config_handle.rs
@@ -0,0 +1,57 @@
+//! The way to the configuration duty for the other threads.
+
+use bytes::Bytes;
+use http::StatusCode;
+use tokio::sync::{mpsc, oneshot};
+
+use super::{ConfigCommand, SubmitRequest};
+use crate::http::HttpReply;
+
+/// Sends commands to the configuration duty over a bounded ring.
+#[derive(Clone)]
+pub struct ConfigHandle {
+    commands: mpsc::Sender<ConfigCommand>,
+}
+
+impl ConfigHandle {
+    /// A handle that sends to `commands`.
+    pub fn new(commands: mpsc::Sender<ConfigCommand>) -> Self {
+        Self { commands }
+    }
+
+    /// Submits a schema.
+    pub async fn submit(&self, request: SubmitRequest, body: Bytes) -> HttpReply {
+        self.ask(|reply| ConfigCommand::Submit(request, body, reply)).await
+    }
+
+    /// The schema in force.
+    pub async fn show(&self) -> HttpReply {
+        self.ask(ConfigCommand::Show).await
+    }
+
+    /// Who changed what, and when.
+    pub async fn history(&self) -> HttpReply {
+        self.ask(ConfigCommand::History).await
+    }
+
+    /// Tells the duty that a peer is ahead. Dropped when the ring is full: the peer will say it again.
+    pub fn behind(&self, command: ConfigCommand) {
+        let _ = self.commands.try_send(command);
+    }
+
+    async fn ask(
+        &self,
+        command: impl FnOnce(oneshot::Sender<HttpReply>) -> ConfigCommand,
+    ) -> HttpReply {
+        let (sender, receiver) = oneshot::channel();
+        if self.commands.send(command(sender)).await.is_err() {
+            return stopping();
+        }
+        receiver.await.unwrap_or_else(|_| stopping())
+    }
+}
+
+fn stopping() -> HttpReply {
+    let body = serde_json::json!({ "message": "the node is stopping" });
+    HttpReply::json(StatusCode::SERVICE_UNAVAILABLE, &body)
+}
--- a/crates/coltsfoot-node/src/dispatch.rs
+++ b/crates/coltsfoot-node/src/dispatch.rs
@@ -11,15 +11,18 @@
 mod incoming_call;
 mod local_upstream;
 mod nested_request;
+mod node_state;
 mod peer_links;
 mod peer_server;
 mod retry_tokens;
 mod routed_call;
 mod run_permit;
+mod service_pool;
 mod upstream_client;
 
 pub use dispatch_command::DispatchCommand;
 pub use dispatch_handle::DispatchHandle;
 pub use dispatch_thread::{DispatchParts, DispatchThread};
+pub use dispatcher::NodeIdentity;
 pub use incoming_call::{CallOrigin, IncomingCall};
 pub use local_upstream::UpstreamAnnouncement;
--- a/crates/coltsfoot-node/src/dispatch/calls_in_flight.rs
+++ b/crates/coltsfoot-node/src/dispatch/calls_in_flight.rs
@@ -11,7 +11,7 @@
 use indexmap::IndexMap;
 use rand::Rng;
 
-/// Admission levels kept for one call at most; the highest borders stay.
+/// Admission levels kept for one call at most; the most severe stay.
 const MAX_LEVELS: usize = 16;
 
 /// What nested calls inherit from the call that the upstream works on.
@@ -59,7 +59,7 @@
             levels.retain(|kept| kept.guard != note.guard || kept.service != note.service);
             levels.push(note.clone());
         }
-        levels.sort_by(|a, b| b.border.cmp(&a.border));
+        levels.sort_by(|a, b| b.level.cmp(&a.level));
         levels.truncate(MAX_LEVELS);
     }
 
--- /dev/null
+++ b/crates/coltsfoot-node/src/dispatch/dispatch_thread.rs
@@ -0,0 +1,169 @@
+//! The thread of the dispatch duty.
+
+use std::{io, net::TcpListener, rc::Rc, thread, time::Duration};
+
+use coltsfootroute::time::MonotonicTime;
+use tokio::{
+    runtime,
+    sync::{mpsc, oneshot},
+    task::{LocalSet, spawn_local},
+    time::{interval, sleep},
+};
+
+use super::{
+    DispatchCommand, DispatchHandle,
+    dispatcher::{Dispatcher, NodeIdentity},
+    incoming_call::{CallOrigin, IncomingCall},
+    peer_server::accept_peers,
+};
+use crate::{
+    clock::MonotonicClock, config::ConfigCell, gossip::GossipCommand, http::HttpReply,
+    journal::EventSender, metrics::NodeMetrics, once::OnceDesk, settings::ControlMode,
+};
+
+/// Commands that wait for the dispatch duty at most; beyond them calls are refused.
+const COMMAND_RING: usize = 4_096;
+/// How often idle links are closed and silence of the upstream is noticed.
+const UPKEEP_PERIOD: Duration = Duration::from_secs(1);
+/// How often a leaving node looks whether it is done.
+const DRAIN_POLL: Duration = Duration::from_millis(20);
+
+/// What the dispatch duty is made of.
+pub struct DispatchParts {
+    /// Clock of the process.
+    pub clock: MonotonicClock,
+    /// The node.
+    pub identity: NodeIdentity,
+    /// Whether load is controlled.
+    pub control: ControlMode,
+    /// Configuration in force, written by the configuration duty.
+    pub config: ConfigCell,
+    /// Most bytes of a body.
+    pub body_limit: usize,
+    /// How long a leaving node waits for callers to learn of it.
+    pub drain_notice: Duration,
+    /// At-most-once runs.
+    pub once: OnceDesk,
+    /// Commands to the gossip duty.
+    pub gossip: mpsc::Sender<GossipCommand>,
+    /// Metrics of the node.
+    pub metrics: NodeMetrics,
+    /// Events of the node.
+    pub events: EventSender,
+    /// Seed of the random generator.
+    pub seed: u64,
+}
+
+/// The thread of the dispatch duty.
+pub struct DispatchThread;
+
+impl DispatchThread {
+    /// The ring to the duty, made before the thread so that the other duties can be given the handle.
+    pub fn ring() -> (DispatchHandle, mpsc::Receiver<DispatchCommand>) {
+        let (sender, receiver) = mpsc::channel(COMMAND_RING);
+        (DispatchHandle::new(sender), receiver)
+    }
+
+    /// Starts the thread; it accepts peers on `listener` and ends with the process.
+    ///
+    /// # Errors
+    ///
+    /// If the runtime or the thread cannot be created.
+    pub fn start(
+        parts: impl FnOnce() -> DispatchParts + Send + 'static,
+        listener: TcpListener,
+        commands: mpsc::Receiver<DispatchCommand>,
+    ) -> io::Result<()> {
+        listener.set_nonblocking(true)?;
+        let runtime = runtime::Builder::new_current_thread().enable_all().build()?;
+        thread::Builder::new().name("dispatch".to_owned()).spawn(move || {
+            let local = LocalSet::new();
+            local.block_on(&runtime, run(parts(), listener, commands));
+        })?;
+        Ok(())
+    }
+}
+
+async fn run(
+    parts: DispatchParts,
+    listener: TcpListener,
+    mut commands: mpsc::Receiver<DispatchCommand>,
+) {
+    let dispatcher = Rc::new(Dispatcher::new(parts));
+    // The listener is a bound socket in non-blocking mode, which is all the conversion asks for.
+    let Ok(listener) = tokio::net::TcpListener::from_std(listener) else { return };
+    spawn_local(accept_peers(listener, dispatcher.clone()));
+    spawn_local(dispatcher.clone().tick_gate());
+    spawn_local(dispatcher.clone().upkeep());
+    while let Some(command) = commands.recv().await {
+        // Each command is a task of its own: none may hold up the ring.
+        spawn_local(dispatcher.clone().obey(command));
+    }
+}
+
+impl Dispatcher {
+    async fn obey(self: Rc<Self>, command: DispatchCommand) {
+        match command {
+            DispatchCommand::Call(call, reply) => self.serve(*call, reply).await,
+            DispatchCommand::Announce(announcement, reply) => {
+                // The listener may have stopped waiting; nothing is owed to it then.
+                let _ = reply.send(self.announce_upstream(announcement).await);
+            }
+            DispatchCommand::Withdraw(reply) => {
+                let _ = reply.send(self.withdraw_upstream().await);
+            }
+            DispatchCommand::Configure(config) => self.configure(&config).await,
+            DispatchCommand::Members(service, members) => self.update_members(&service, &members),
+            DispatchCommand::PullConfig { peer, since, reply } => {
+                let _ = reply.send(self.pull_config(peer, since).await);
+            }
+            DispatchCommand::Status(reply) => {
+                let _ = reply.send(self.status());
+            }
+            DispatchCommand::Drain(done) => self.leave(done).await,
+        }
+    }
+
+    /// Serves a call, unless its caller goes away first.
+    async fn serve(self: Rc<Self>, call: IncomingCall, mut reply: oneshot::Sender<HttpReply>) {
+        let answer = tokio::select! {
+            answer = self.serve_origin(call) => answer,
+            () = reply.closed() => return,
+        };
+        let _ = reply.send(answer);
+    }
+
+    async fn serve_origin(self: &Rc<Self>, mut call: IncomingCall) -> HttpReply {
+        match &mut call.origin {
+            CallOrigin::Client { address } => {
+                let address = *address;
+                self.serve_client(call, address).await
+            }
+            CallOrigin::Upstream { context } => {
+                let context = context.take();
+                self.serve_nested(call, context).await
+            }
+        }
+    }
+
+    async fn upkeep(self: Rc<Self>) {
+        let mut period = interval(UPKEEP_PERIOD);
+        loop {
+            period.tick().await;
+            self.links.close_idle();
+            self.notice_silence().await;
+            self.report_gauges();
+        }
+    }
+
+    /// A planned stop: refuse new work, tell everyone, end when nothing is in flight.
+    async fn leave(self: Rc<Self>, done: oneshot::Sender<()>) {
+        let begun: MonotonicTime = self.clock.now();
+        self.drain.borrow_mut().begin(begun);
+        self.withdraw_upstream().await;
+        while !self.is_drained() {
+            sleep(DRAIN_POLL).await;
+        }
+        let _ = done.send(());
+    }
+}
--- a/crates/coltsfoot-node/src/dispatch/dispatcher.rs
+++ b/crates/coltsfoot-node/src/dispatch/dispatcher.rs
@@ -3,42 +3,33 @@
 use std::{
     cell::{Cell, RefCell},
     rc::Rc,
-    sync::Arc,
     time::Duration,
 };
 
-use coltsfoot_wire::peer::{CallReply, ClaimState, LevelNote, TakeAnswer};
+use coltsfoot_wire::peer::{CallReply, LevelNote};
 use coltsfootroute::{
-    admission::{RetryAfter, ServiceLevels},
+    admission::{BreachCounter, RetryAfter, ServiceLevels, ShedLevel},
     deadline::{DeadlineCheck, ServiceTimes},
-    drain::{DrainPhase, DrainState},
-    id::{Incarnation, NodeId, RequestId},
-    membership::{MemberRecord, MemberState},
+    drain::{DrainSettings, DrainState, StartAnswer},
+    id::{Incarnation, NodeId},
+    importance::Importance,
     name::{DomainName, RegionName, ServiceName},
     outcome::{CallOutcome, RefusalReason},
-    retry::{self, AccountLedger, RetryPolicy, ServiceThrottle},
-    routing::{RoutingSettings, UpstreamInfo, UpstreamPool},
-    time::MonotonicTime,
+    retry::{AccountLedger, LedgerSettings, RetryPolicy, ServiceThrottle},
 };
 use indexmap::IndexMap;
-use rand::{RngExt, SeedableRng};
+use rand::SeedableRng;
 use rand_pcg::Pcg64;
 use tokio::sync::{Notify, mpsc};
 
 use super::{
-    calls_in_flight::CallsInFlight,
-    guard::GuardState,
-    peer_links::PeerLinks,
+    calls_in_flight::CallsInFlight, dispatch_thread::DispatchParts, guard::GuardState,
+    incoming_call::IncomingCall, peer_links::PeerLinks, service_pool::ServicePool,
     upstream_client::UpstreamClient,
 };
 use crate::{
-    clock::MonotonicClock,
-    config::{ConfigCell, ConfigInForce},
-    gossip::GossipCommand,
-    journal::EventSender,
-    metrics::NodeMetrics,
-    once::OnceDesk,
-    settings::ControlMode,
+    clock::MonotonicClock, config::ConfigCell, gossip::GossipCommand, journal::EventSender,
+    metrics::NodeMetrics, once::OnceDesk, settings::ControlMode,
 };
 
 /// What the dispatch duty knows of its own node; immutable.
@@ -60,13 +51,15 @@
     pub(super) identity: NodeIdentity,
     pub(super) control: ControlMode,
     pub(super) config: ConfigCell,
-    pub(super) pools: RefCell<IndexMap<ServiceName, UpstreamPool>>,
+    pub(super) pools: RefCell<IndexMap<ServiceName, ServicePool>>,
     /// Woken whenever the members of some service changed.
     pub(super) members_changed: Notify,
     pub(super) accounts: RefCell<AccountLedger>,
     pub(super) policy: RetryPolicy,
     pub(super) throttles: RefCell<IndexMap<ServiceName, ServiceThrottle>>,
     pub(super) levels: RefCell<ServiceLevels>,
+    /// Importance order of what this node refuses at the root.
+    pub(super) root_breaches: RefCell<BreachCounter>,
     pub(super) times: RefCell<ServiceTimes>,
     pub(super) deadlines: DeadlineCheck,
     pub(super) spans: CallsInFlight,
@@ -74,10 +67,134 @@
     pub(super) guard: GuardState,
     pub(super) upstream_client: UpstreamClient,
     pub(super) drain: RefCell<DrainState>,
+    /// Woken when a call has ended while the node leaves.
+    pub(super) call_ended: Notify,
     pub(super) once: OnceDesk,
     pub(super) gossip: mpsc::Sender<GossipCommand>,
     pub(super) metrics: NodeMetrics,
     pub(super) events: EventSender,
     pub(super) rng: RefCell<Pcg64>,
-    pub(super) next_call: Cell<u64>,
+    next_call: Cell<u64>,
+}
+
+/// A call that counts as in flight until it is dropped.
+pub struct StartedCall {
+    dispatcher: Rc<Dispatcher>,
+}
+
+impl Drop for StartedCall {
+    fn drop(&mut self) {
+        self.dispatcher.drain.borrow_mut().finished();
+        self.dispatcher.call_ended.notify_one();
+    }
+}
+
+impl Dispatcher {
+    /// The state of a node that has just started.
+    pub fn new(parts: DispatchParts) -> Self {
+        let drain = DrainSettings::default().with_notice(parts.drain_notice);
+        Self {
+            clock: parts.clock,
+            identity: parts.identity,
+            control: parts.control,
+            config: parts.config,
+            pools: RefCell::default(),
+            members_changed: Notify::new(),
+            accounts: RefCell::new(AccountLedger::new(LedgerSettings::default())),
+            policy: RetryPolicy::default(),
+            throttles: RefCell::default(),
+            levels: RefCell::new(ServiceLevels::new()),
+            root_breaches: RefCell::new(BreachCounter::new()),
+            times: RefCell::new(ServiceTimes::default()),
+            deadlines: DeadlineCheck::new(Duration::ZERO),
+            spans: CallsInFlight::default(),
+            links: PeerLinks::new(parts.clock),
+            guard: GuardState::default(),
+            upstream_client: UpstreamClient::new(parts.body_limit),
+            drain: RefCell::new(DrainState::new(drain)),
+            call_ended: Notify::new(),
+            once: parts.once,
+            gossip: parts.gossip,
+            metrics: parts.metrics,
+            events: parts.events,
+            rng: RefCell::new(Pcg64::seed_from_u64(parts.seed)),
+            next_call: Cell::new(0),
+        }
+    }
+
+    /// Identity for the next call at the gate, unique in this life of the node.
+    pub(super) fn next_id(&self) -> u64 {
+        let id = self.next_call.get();
+        self.next_call.set(id + 1);
+        id
+    }
+
+    /// Revision in force, 0 before the first.
+    pub(super) fn revision(&self) -> u64 {
+        self.config.load().map_or(0, |config| config.revision())
+    }
+
+    /// Counts a call as in flight; `None` while the node leaves. Calls nested below work under way are
+    /// taken until the last of that work has ended.
+    pub(super) fn start_call(self: &Rc<Self>, under_way: bool) -> Option<StartedCall> {
+        let mut drain = self.drain.borrow_mut();
+        let answer = if under_way { drain.nested_started() } else { drain.started() };
+        (answer == StartAnswer::Started).then(|| StartedCall { dispatcher: self.clone() })
+    }
+
+    /// A refusal of a call that ran nowhere, counted.
+    pub(super) fn refuse(&self, importance: Importance, reason: RefusalReason) -> CallReply {
+        self.metrics.refused(reason, importance);
+        self.refusal(reason, CallOutcome::NotRun)
+    }
+
+    /// A refusal with a jittered time to come back.
+    pub(super) fn refusal(&self, reason: RefusalReason, outcome: CallOutcome) -> CallReply {
+        let mut rng = self.rng.borrow_mut();
+        let level = self.guard.level(self.clock.now());
+        let after = RetryAfter::draw(Importance::Normal, level, 1.0, &mut *rng);
+        CallReply::refusal(reason, outcome, after.0)
+    }
+
+    /// Takes in the levels that came with a reply.
+    pub(super) fn learn_levels(&self, notes: &[LevelNote]) {
+        let now = self.clock.now();
+        let mut levels = self.levels.borrow_mut();
+        for note in notes {
+            levels.observe(now, &note.service, note.guard, note.level);
+        }
+    }
+
+    /// Whether `service` sheds work of this importance, wholly or in part.
+    pub(super) fn is_shed(&self, service: &ServiceName, importance: Importance) -> bool {
+        let level: ShedLevel = self.levels.borrow().level(self.clock.now(), service);
+        level.admitted_fraction(importance) < 1.0
+    }
+
+    /// Seconds to come back after, if work that would be refused deeper down is refused here.
+    pub(super) fn shed_at_root(&self, call: &IncomingCall, importance: Importance) -> Option<u32> {
+        if !self.control.is_on() {
+            return None;
+        }
+        let config = self.config.load()?;
+        let services = config.reachable(&call.service, &call.operation);
+        let now = self.clock.now();
+        let mut rng = self.rng.borrow_mut();
+        let result = self.levels.borrow().admit(now, &services, importance, &mut *rng);
+        let mut breaches = self.root_breaches.borrow_mut();
+        match result {
+            Ok(()) => {
+                for service in services.iter() {
+                    breaches.on_admission(now, service, importance);
+                }
+                None
+            }
+            Err(refusal) => {
+                if breaches.on_refusal(now, &refusal.service, importance) {
+                    self.metrics.importance_breach();
+                }
+                Some(refusal.retry_after.0)
+            }
+        }
+    }
 }
--- a/crates/coltsfoot-node/src/dispatch/local_upstream.rs
+++ b/crates/coltsfoot-node/src/dispatch/local_upstream.rs
@@ -1,8 +1,15 @@
-//! The upstream beside the node.
+//! The upstream beside the node: announcements, leave, silence.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 
 use coltsfootroute::name::ServiceName;
+use http::StatusCode;
+
+use super::{dispatcher::Dispatcher, guard::GuardedUpstream};
+use crate::{gossip::GossipCommand, http::HttpReply};
+
+/// An upstream that has not repeated its announcement for so long is taken as gone.
+const SILENCE_LIMIT: Duration = Duration::from_secs(5);
 
 /// What the upstream beside the node says of itself in `PUT /upstream`.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Deserialize)]
@@ -17,3 +24,79 @@
     /// Connections it takes; at least 1.
     pub connections: u32,
 }
+
+impl Dispatcher {
+    /// Takes in an announcement, the first or a heartbeat.
+    pub(super) async fn announce_upstream(&self, announcement: UpstreamAnnouncement) -> HttpReply {
+        if announcement.slots == 0 || announcement.connections == 0 {
+            let body = serde_json::json!({ "message": "`slots` and `connections` are at least 1" });
+            return HttpReply::json(StatusCode::BAD_REQUEST, &body);
+        }
+        if self.drain.borrow().closes_connections() {
+            let body = serde_json::json!({ "message": "the node is leaving" });
+            return HttpReply::json(StatusCode::SERVICE_UNAVAILABLE, &body);
+        }
+        if self.take_in(&announcement) {
+            self.fit_gate(announcement.slots);
+            let command = GossipCommand::Announce {
+                service: announcement.service.clone(),
+                slots: announcement.slots,
+                connections: announcement.connections,
+            };
+            // A closed ring means that the process stops.
+            let _ = self.gossip.send(command).await;
+            self.watch_callees(&announcement.service).await;
+        }
+        HttpReply::json(StatusCode::OK, &serde_json::json!({ "revision": self.revision() }))
+    }
+
+    /// Whether the announcement says anything new.
+    fn take_in(&self, announcement: &UpstreamAnnouncement) -> bool {
+        let heard = self.clock.now();
+        let mut upstream = self.guard.upstream.borrow_mut();
+        let same = upstream
+            .as_ref()
+            .is_some_and(|known| known.announcement == *announcement && !known.leaving);
+        *upstream = Some(GuardedUpstream {
+            announcement: announcement.clone(),
+            heard,
+            leaving: false,
+        });
+        !same
+    }
+
+    /// The upstream leaves: no new work from now on.
+    pub(super) async fn withdraw_upstream(&self) -> HttpReply {
+        let was_there = match &mut *self.guard.upstream.borrow_mut() {
+            Some(upstream) => !std::mem::replace(&mut upstream.leaving, true),
+            None => false,
+        };
+        if was_there {
+            // A closed ring means that the process stops.
+            let _ = self.gossip.send(GossipCommand::Leave).await;
+        }
+        HttpReply::json(StatusCode::OK, &serde_json::json!({ "leaving": true }))
+    }
+
+    /// Takes an upstream that has fallen silent as gone.
+    pub(super) async fn notice_silence(&self) {
+        let now = self.clock.now();
+        let silent = self
+            .guard
+            .upstream
+            .borrow()
+            .as_ref()
+            .is_some_and(|known| !known.leaving && now.since(known.heard) > SILENCE_LIMIT);
+        if silent {
+            self.withdraw_upstream().await;
+        }
+    }
+
+    /// Watches what the upstream's operations call, so that members are known before the first call.
+    async fn watch_callees(&self, service: &ServiceName) {
+        let Some(config) = self.config.load() else { return };
+        for callee in config.callees(service) {
+            self.watch(&callee).await;
+        }
+    }
+}
--- a/crates/coltsfoot-node/src/dispatch/routed_call.rs
+++ b/crates/coltsfoot-node/src/dispatch/routed_call.rs
@@ -121,14 +121,15 @@
         }
     }
 
+    /// Waits for the members of a service that has only been watched for a moment.
     async fn await_first_members(&self, call: &RoutedCall) {
-        if !self.watch(&call.service).await {
-            return;
-        }
-        let until = call.deadline.min(self.clock.now() + FIRST_MEMBERS_WAIT);
+        let watched_since = self.watch(&call.service).await;
+        let until = call.deadline.min(watched_since + FIRST_MEMBERS_WAIT);
         let until = self.clock.instant_at(until).into();
-        while self.with_pool(&call.service, |pool| pool.is_empty()).unwrap_or(false) {
-            if timeout_at(until, self.members_changed.notified()).await.is_err() {
+        loop {
+            let changed = self.members_changed.notified();
+            let is_empty = self.with_pool(&call.service, |pool| pool.is_empty()).unwrap_or(false);
+            if !is_empty || timeout_at(until, changed).await.is_err() {
                 return;
             }
         }
--- a/crates/coltsfoot-node/src/http.rs
+++ b/crates/coltsfoot-node/src/http.rs
@@ -10,4 +10,5 @@
 
 pub use http_reply::HttpReply;
 pub use listener_state::{ClientState, HostState};
+pub use request_parts::RequestError;
 pub use serve::{HttpListener, ListenerError};
--- a/crates/coltsfoot-node/src/lib.rs
+++ b/crates/coltsfoot-node/src/lib.rs
@@ -1,4 +1,19 @@
-//! The daemon of an upstream host.
+//! The daemon of an upstream host: takes calls in, routes them, guards the upstream beside it, and
+//! keeps membership and configuration together with the other nodes.
 
 pub mod args;
+pub mod clock;
+pub mod config;
+pub mod dispatch;
+pub mod gossip;
+pub mod http;
+pub mod journal;
+pub mod metrics;
+pub mod once;
+pub mod process;
 pub mod settings;
+pub mod store;
+
+mod run;
+
+pub use run::run;
--- /dev/null
+++ b/crates/coltsfoot-node/src/main.rs
@@ -0,0 +1,7 @@
+//! The daemon of an upstream host.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    coltsfoot_node::run()
+}
--- /dev/null
+++ b/crates/coltsfoot-node/src/process/node_error.rs
@@ -0,0 +1,29 @@
+//! Why a node cannot start.
+
+use std::{io, net::SocketAddr};
+
+use crate::{http::ListenerError, store::StoreError};
+
+/// Why a node cannot start.
+#[derive(Debug, thiserror::Error)]
+pub enum NodeError {
+    /// An address of the settings cannot be listened on.
+    #[error("cannot listen on {address} for `listen.{name}`: {source}")]
+    Listen {
+        /// Name of the setting.
+        name: &'static str,
+        /// The address.
+        address: SocketAddr,
+        /// Why.
+        source: io::Error,
+    },
+    /// A listener cannot start.
+    #[error(transparent)]
+    Http(#[from] ListenerError),
+    /// The store's client cannot start.
+    #[error(transparent)]
+    Store(#[from] StoreError),
+    /// A thread cannot start.
+    #[error("cannot start a thread: {0}")]
+    Thread(#[from] io::Error),
+}
--- a/crates/coltsfoot-standin/src/table/table_rows.rs
+++ b/crates/coltsfoot-standin/src/table/table_rows.rs
@@ -55,7 +55,9 @@
             let mut keys: Vec<&RowKey> = failed.iter().map(|write| &write.key).collect();
             keys.sort();
             keys.dedup();
-            return TableReply::Conflict(keys.into_iter().filter_map(|key| self.row(key)).collect());
+            return TableReply::Conflict(
+                keys.into_iter().filter_map(|key| self.row(key)).collect(),
+            );
         }
         for write in writes {
             self.write(write);
--- a/crates/coltsfoot-wire/schema/peer.capnp
+++ b/crates/coltsfoot-wire/schema/peer.capnp
@@ -27,8 +27,7 @@
 struct LevelNote {
   service @0 :Text;
   guard @1 :Address;
-  border @2 :UInt8;           # least importance still admitted, as an index
-  fraction @3 :Float32;       # share of the border level that is admitted
+  severity @2 :UInt16;        # thousandths of an importance level that are shed
 }
 
 struct CallReply {
--- a/crates/coltsfoot-wire/src/peer/call_reply.rs
+++ b/crates/coltsfoot-wire/src/peer/call_reply.rs
@@ -11,7 +11,7 @@
 };
 
 /// What a guard answers to a call.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct CallReply {
     /// The upstream's answer, or the refusal.
     pub body: ReplyBody,
@@ -24,7 +24,7 @@
 }
 
 /// The upstream's answer, or the refusal.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub enum ReplyBody {
     /// The upstream's complete answer.
     Answer {
