Gossip engine: groups, failure detection, pulling, leaves

Cause: 18,000 nodes can't heartbeat into the table service. Change: membership module without I/O: merge order, group views with digests, SWIM in the own group, watching by digest, eager leaves, byte budget.

--- a/crates/coltsfootroute/src/membership.rs
+++ b/crates/coltsfootroute/src/membership.rs
@@ -1,1 +1,43 @@
 //! Which upstreams there are, learnt by gossip.
+//!
+//! A node probes the members of its own upstream's service (SWIM: ping, indirect ping, suspicion) and
+//! *watches* the services that it calls, by pulling what differs from one of their members. The
+//! [`GossipEngine`] decides; the embedding process sends the datagrams.
+
+mod bandwidth_budget;
+mod gossip_counters;
+mod gossip_effect;
+mod gossip_engine;
+mod gossip_kind;
+mod gossip_message;
+mod gossip_payload;
+mod gossip_settings;
+mod group_view;
+mod member_record;
+mod member_state;
+mod member_update;
+mod membership_status;
+mod puller_table;
+mod seed_table;
+mod send_priority;
+mod update_queue;
+mod upstream_offer;
+
+pub use bandwidth_budget::BandwidthBudget;
+pub use gossip_counters::GossipCounters;
+pub use gossip_effect::GossipEffect;
+pub use gossip_engine::GossipEngine;
+pub use gossip_kind::GossipKind;
+pub use gossip_message::{DATAGRAM_OVERHEAD_BYTES, GossipMessage, MAX_DATAGRAM_BYTES};
+pub use gossip_payload::GossipPayload;
+pub use gossip_settings::GossipSettings;
+pub use group_view::{GroupView, MAX_BUCKETS, MergeOutcome};
+pub use member_record::MemberRecord;
+pub use member_state::MemberState;
+pub use member_update::MemberUpdate;
+pub use membership_status::MembershipStatus;
+pub use puller_table::PullerTable;
+pub use seed_table::SeedTable;
+pub use send_priority::SendPriority;
+pub use update_queue::UpdateQueue;
+pub use upstream_offer::UpstreamOffer;
--- /dev/null
+++ b/crates/coltsfootroute/src/membership/gossip_engine.rs
@@ -0,0 +1,219 @@
+//! The gossip of one node.
+
+mod absorbing;
+mod announcing;
+mod answering;
+mod joining;
+mod pending_ping;
+mod probe_round;
+mod probing;
+mod pulling;
+mod spreading;
+mod watch_state;
+
+use std::collections::VecDeque;
+
+use indexmap::{IndexMap, IndexSet};
+use rand::Rng;
+
+use self::{pending_ping::PendingPing, probe_round::ProbeRound, watch_state::WatchState};
+use super::{
+    BandwidthBudget, GossipCounters, GossipEffect, GossipMessage, GossipSettings, GroupView,
+    MemberRecord, MembershipStatus, PullerTable, SeedTable, UpdateQueue,
+};
+use crate::{
+    id::{Incarnation, NodeId},
+    name::ServiceName,
+    time::MonotonicTime,
+};
+
+/// Time between two runs of the pruning.
+const PRUNE_INTERVAL: std::time::Duration = std::time::Duration::from_secs(1);
+
+/// Failure detector and member lists of one node.
+///
+/// Call [`tick`](Self::tick) about ten times a second and [`receive`](Self::receive) for each datagram;
+/// carry out the effects of every call. Cost per tick does not depend on the number of nodes; it does
+/// on the size of the own group once per round of probes.
+#[derive(Clone, Debug)]
+pub struct GossipEngine {
+    settings: GossipSettings,
+    /// What this node says of itself. Invariant: its incarnation never falls.
+    me: MemberRecord,
+    /// The own group and the watched ones. Invariant: the own group holds `me`.
+    groups: IndexMap<ServiceName, GroupView>,
+    /// One for each group.
+    watches: IndexMap<ServiceName, WatchState>,
+    seeds: SeedTable,
+    contacts: IndexSet<NodeId>,
+    pullers: PullerTable,
+    updates: UpdateQueue,
+    pings: IndexMap<u64, PendingPing>,
+    sequence: u64,
+    round: Option<ProbeRound>,
+    probe_order: Vec<NodeId>,
+    probe_due: MonotonicTime,
+    dead_probe_due: MonotonicTime,
+    cross_due: MonotonicTime,
+    prune_due: MonotonicTime,
+    /// Suspected members of the own group, with the life that is suspected and the time of the verdict.
+    suspicions: IndexMap<NodeId, (Incarnation, MonotonicTime)>,
+    /// Probes failed lately, less those answered: a node that hears nobody doubts itself first.
+    doubt: u32,
+    leave_repeats: u32,
+    leave_due: MonotonicTime,
+    budget: BandwidthBudget,
+    counters: GossipCounters,
+    outbox: VecDeque<(NodeId, GossipMessage)>,
+    revision: u64,
+    behind_noted: Option<(u64, MonotonicTime)>,
+    joined: bool,
+    last_tick: MonotonicTime,
+    effects: Vec<GossipEffect>,
+}
+
+impl GossipEngine {
+    /// A node that knows the peers of its settings; `me` says who it is, without an upstream as yet.
+    pub fn new(settings: GossipSettings, me: MemberRecord, now: MonotonicTime) -> Self {
+        let budget = BandwidthBudget::new(settings.bytes_per_second, settings.burst_bytes, now);
+        let seeds = SeedTable::new(
+            settings.seeds_per_service,
+            settings.max_seed_services,
+            settings.seed_max_age,
+        );
+        let contacts = settings.peers.iter().copied().filter(|peer| *peer != me.node).collect();
+        Self {
+            pullers: PullerTable::new(settings.max_pullers),
+            settings,
+            me,
+            groups: IndexMap::new(),
+            watches: IndexMap::new(),
+            seeds,
+            contacts,
+            updates: UpdateQueue::new(),
+            pings: IndexMap::new(),
+            sequence: 0,
+            round: None,
+            probe_order: Vec::new(),
+            probe_due: now,
+            dead_probe_due: now,
+            cross_due: now,
+            prune_due: now,
+            suspicions: IndexMap::new(),
+            doubt: 0,
+            leave_repeats: 0,
+            leave_due: now,
+            budget,
+            counters: GossipCounters::default(),
+            outbox: VecDeque::new(),
+            revision: 0,
+            behind_noted: None,
+            joined: false,
+            last_tick: now,
+            effects: Vec::new(),
+        }
+    }
+
+    /// Does what is due.
+    pub fn tick(&mut self, now: MonotonicTime, rng: &mut impl Rng) -> Vec<GossipEffect> {
+        self.notice_pause(now, rng);
+        self.drain_outbox(now);
+        self.expire_pings(now);
+        self.join(now, rng);
+        self.advance_probe(now, rng);
+        self.probe_dead(now, rng);
+        self.expire_suspicions(now, rng);
+        self.pull_watched(now, rng);
+        self.ping_across(now, rng);
+        self.repeat_leave(now, rng);
+        self.prune(now);
+        self.last_tick = now;
+        std::mem::take(&mut self.effects)
+    }
+
+    /// Takes in a datagram that came from the address `from`.
+    pub fn receive(
+        &mut self,
+        now: MonotonicTime,
+        rng: &mut impl Rng,
+        from: NodeId,
+        message: GossipMessage,
+    ) -> Vec<GossipEffect> {
+        if from != self.me.node {
+            self.note_revision(now, from, message.revision);
+            self.absorb_all(now, rng, from, &message);
+            self.answer(now, rng, from, message);
+        }
+        std::mem::take(&mut self.effects)
+    }
+
+    /// Sets the revision of the configuration in force, carried on every message.
+    pub fn set_revision(&mut self, revision: u64) {
+        self.revision = self.revision.max(revision);
+    }
+
+    /// Live members of a watched service, or of the own one: alive or suspected.
+    pub fn members(&self, service: &str) -> impl Iterator<Item = &MemberRecord> {
+        self.groups.get(service).into_iter().flat_map(GroupView::live)
+    }
+
+    /// All that is known of a service, departed and dead members included.
+    pub fn records(&self, service: &str) -> impl Iterator<Item = &MemberRecord> {
+        self.groups.get(service).into_iter().flat_map(GroupView::records)
+    }
+
+    /// Rises whenever the records of the service change; 0 while it is not held in detail.
+    pub fn version(&self, service: &str) -> u64 {
+        self.groups.get(service).map_or(0, GroupView::version)
+    }
+
+    /// What this node says of itself.
+    pub fn own_record(&self) -> &MemberRecord {
+        &self.me
+    }
+
+    /// Summary for operators.
+    pub fn status(&self) -> MembershipStatus {
+        let mut status = MembershipStatus {
+            joined: self.joined,
+            incarnation: self.me.incarnation,
+            groups: self.groups.len(),
+            alive: 0,
+            suspect: 0,
+            dead: 0,
+            left: 0,
+            seeds: self.seeds.len(),
+            counters: self.counters.clone(),
+        };
+        for record in self.groups.values().flat_map(GroupView::records) {
+            status.count(record.state);
+        }
+        status
+    }
+
+    /// The group that this node is of, if its upstream has announced itself.
+    fn own_group(&self) -> Option<&GroupView> {
+        self.groups.get(self.me.service.as_ref()?)
+    }
+
+    /// Whether this node is a present member of `service`.
+    fn is_member_of(&self, service: &ServiceName) -> bool {
+        self.me.state.is_live() && self.me.service.as_ref() == Some(service)
+    }
+
+    /// Whether this node probes its group.
+    fn is_member(&self) -> bool {
+        self.me.state.is_live() && self.me.service.is_some()
+    }
+
+    fn prune(&mut self, now: MonotonicTime) {
+        if now < self.prune_due {
+            return;
+        }
+        self.prune_due = now + PRUNE_INTERVAL;
+        for group in self.groups.values_mut() {
+            group.prune(now, self.settings.max_tombstones);
+        }
+        self.seeds.prune(now);
+    }
+}
--- /dev/null
+++ b/crates/coltsfootroute/src/membership/gossip_engine/absorbing.rs
@@ -0,0 +1,197 @@
+//! Taking in what others say of members.
+
+use rand::Rng;
+
+use super::GossipEngine;
+use crate::{
+    id::{Incarnation, NodeId},
+    membership::{
+        GossipEffect, GossipMessage, GossipPayload, MemberRecord, MemberState, MemberUpdate,
+        MergeOutcome, SendPriority,
+    },
+    name::ServiceName,
+    time::MonotonicTime,
+};
+
+impl GossipEngine {
+    /// Takes in all records of a message; tells the sender what it got wrong.
+    pub(super) fn absorb_all(
+        &mut self,
+        now: MonotonicTime,
+        rng: &mut impl Rng,
+        from: NodeId,
+        message: &GossipMessage,
+    ) {
+        let corrects =
+            matches!(message.payload, GossipPayload::Records { .. } | GossipPayload::Push);
+        let mut corrections = Vec::new();
+        for update in &message.updates {
+            let stale = self.absorb(now, rng, update.clone());
+            if stale && (corrects || update.record.node == from) {
+                corrections.extend(self.known_update(now, &update.record));
+            }
+        }
+        self.correct(now, from, corrections);
+    }
+
+    /// Takes in one record; returns whether a newer one is known here.
+    pub(super) fn absorb(
+        &mut self,
+        now: MonotonicTime,
+        rng: &mut impl Rng,
+        update: MemberUpdate,
+    ) -> bool {
+        if update.record.node == self.me.node {
+            self.absorb_self(now, &update.record);
+            return false;
+        }
+        self.end_membership_elsewhere(now, rng, &update.record);
+        let Some(service) = update.record.service.clone() else { return false };
+        let Some(group) = self.groups.get_mut(&service) else {
+            self.seeds.offer(now, rng, update);
+            return false;
+        };
+        let record = update.record.clone();
+        match group.merge(now, update) {
+            MergeOutcome::Changed(before) => {
+                self.note_change(now, rng, &service, before, &record);
+                false
+            }
+            MergeOutcome::Stale => true,
+            MergeOutcome::Same | MergeOutcome::Full => false,
+        }
+    }
+
+    /// Sends records that the receiver lacks or has older.
+    pub(super) fn correct(&mut self, now: MonotonicTime, to: NodeId, updates: Vec<MemberUpdate>) {
+        if updates.is_empty() {
+            return;
+        }
+        let mut message = GossipMessage::new(self.revision, GossipPayload::Push);
+        message.fill(updates);
+        self.send(now, SendPriority::Normal, to, message);
+    }
+
+    /// Rises above `incarnation` and says so.
+    pub(super) fn reincarnate(&mut self, now: MonotonicTime, incarnation: Incarnation) {
+        self.me.incarnation = self.me.incarnation.max(incarnation).next();
+        self.effects.push(GossipEffect::Reincarnated { incarnation: self.me.incarnation });
+        self.publish_self(now);
+    }
+
+    /// Puts the own record into the own group and spreads it.
+    pub(super) fn publish_self(&mut self, now: MonotonicTime) {
+        let Some(service) = self.me.service.clone() else { return };
+        let Some(group) = self.groups.get_mut(&service) else { return };
+        group.merge(now, MemberUpdate::new(self.me.clone()));
+        self.updates.push(self.me.node);
+        self.effects.push(GossipEffect::Changed { service });
+    }
+
+    /// Refutes what is said of this node, if it would stand against what the node says itself.
+    fn absorb_self(&mut self, now: MonotonicTime, said: &MemberRecord) {
+        let same_life = said.incarnation == self.me.incarnation;
+        let same_content = said.service == self.me.service && said.state <= self.me.state;
+        let harmless = said.incarnation < self.me.incarnation || (same_life && same_content);
+        if !harmless {
+            self.reincarnate(now, said.incarnation);
+        }
+    }
+
+    /// A later life in another group, or in none, ends the membership of the earlier one.
+    fn end_membership_elsewhere(
+        &mut self,
+        now: MonotonicTime,
+        rng: &mut impl Rng,
+        record: &MemberRecord,
+    ) {
+        let mut ended = Vec::new();
+        for (service, group) in &self.groups {
+            let Some(known) = group.get(record.node) else { continue };
+            let elsewhere = record.service.as_ref() != Some(service);
+            if elsewhere && known.state.is_live() && known.incarnation < record.incarnation {
+                ended.push((service.clone(), known.with_state(MemberState::Left)));
+            }
+        }
+        for (service, left) in ended {
+            let before = self.groups[&service].get(left.node).map(|known| known.state);
+            self.groups[&service].merge(now, MemberUpdate::new(left.clone()));
+            self.note_change(now, rng, &service, before, &left);
+        }
+    }
+
+    /// What is known here of the member that `record` speaks of.
+    fn known_update(&self, now: MonotonicTime, record: &MemberRecord) -> Option<MemberUpdate> {
+        let service = record.service.as_ref()?;
+        self.groups.get(service)?.update(now, record.node)
+    }
+
+    /// Follows up a change of a member: events, news, timers.
+    fn note_change(
+        &mut self,
+        now: MonotonicTime,
+        rng: &mut impl Rng,
+        service: &ServiceName,
+        before: Option<MemberState>,
+        record: &MemberRecord,
+    ) {
+        self.effects.push(GossipEffect::Changed { service: service.clone() });
+        self.effects.extend(change_event(service, before, record));
+        if self.me.service.as_ref() != Some(service) {
+            return;
+        }
+        if before.is_none() && !record.state.is_live() {
+            // An old tombstone new to this node is no news to the group.
+            return;
+        }
+        self.updates.push(record.node);
+        self.time_suspicion(now, record);
+        let left_now =
+            record.state == MemberState::Left && before.is_some_and(MemberState::is_live);
+        if left_now {
+            self.push_eagerly(now, rng, record.node, self.settings.eager_fanout, true);
+        }
+        self.sync_with_first(now, record);
+    }
+
+    fn time_suspicion(&mut self, now: MonotonicTime, record: &MemberRecord) {
+        if record.state == MemberState::Suspect {
+            let deadline = now + self.suspicion_timeout();
+            self.suspicions.insert(record.node, (record.incarnation, deadline));
+        } else {
+            self.suspicions.swap_remove(&record.node);
+        }
+    }
+
+    /// Compares at once with the first other member found.
+    fn sync_with_first(&mut self, now: MonotonicTime, record: &MemberRecord) {
+        let found_first = self.own_group().is_some_and(|group| group.live_count() == 2);
+        if !found_first || !record.state.is_live() {
+            return;
+        }
+        let service = self.me.service.as_ref();
+        if let Some(watch) = service.and_then(|service| self.watches.get_mut(service)) {
+            watch.due = now;
+        }
+    }
+}
+
+fn change_event(
+    service: &ServiceName,
+    before: Option<MemberState>,
+    record: &MemberRecord,
+) -> Option<GossipEffect> {
+    let was_alive = before == Some(MemberState::Alive);
+    let was_live = before.is_some_and(MemberState::is_live);
+    let (service, node) = (service.clone(), record.node);
+    match record.state {
+        MemberState::Alive if !was_alive => {
+            Some(GossipEffect::MemberUp { service, node, incarnation: record.incarnation })
+        }
+        MemberState::Left if was_live => Some(GossipEffect::MemberLeft { service, node }),
+        state @ (MemberState::Suspect | MemberState::Dead) if was_live => {
+            Some(GossipEffect::MemberDown { service, node, state })
+        }
+        _ => None,
+    }
+}
--- /dev/null
+++ b/crates/coltsfootroute/src/membership/gossip_engine/announcing.rs
@@ -0,0 +1,133 @@
+//! What the node says of its own upstream.
+
+use indexmap::IndexSet;
+use rand::Rng;
+
+use super::{GossipEngine, watch_state::WatchState};
+use crate::{
+    membership::{GossipEffect, GroupView, MemberState, UpstreamOffer},
+    name::ServiceName,
+    time::MonotonicTime,
+};
+
+/// The departing node itself tells this many times more members than those who pass it on.
+const OWN_LEAVE_FACTOR: usize = 2;
+
+impl GossipEngine {
+    /// The upstream announced itself: the node is a member of its group from now on. Repeating the
+    /// same offer changes nothing; after a leave it begins a new life.
+    pub fn announce(
+        &mut self,
+        now: MonotonicTime,
+        rng: &mut impl Rng,
+        offer: UpstreamOffer,
+    ) -> Vec<GossipEffect> {
+        if self.offers(&offer) {
+            return Vec::new();
+        }
+        if self.me.service.as_ref() != Some(&offer.service) {
+            self.end_own_membership(now, rng);
+            self.hold(now, rng, offer.service.clone());
+        }
+        self.leave_repeats = 0;
+        self.me.service = Some(offer.service);
+        self.me.slots = offer.slots;
+        self.me.connections = offer.connections;
+        self.me.state = MemberState::Alive;
+        self.reincarnate(now, self.me.incarnation);
+        self.push_eagerly(now, rng, self.me.node, self.settings.eager_fanout, false);
+        std::mem::take(&mut self.effects)
+    }
+
+    /// The upstream takes no new work: told at once to several members and the recent watchers, and
+    /// repeated a few times. The node goes on as a watcher.
+    pub fn leave(&mut self, now: MonotonicTime, rng: &mut impl Rng) -> Vec<GossipEffect> {
+        self.end_own_membership(now, rng);
+        std::mem::take(&mut self.effects)
+    }
+
+    /// Holds the members of these services in detail, and of no others but the own one.
+    pub fn watch(
+        &mut self,
+        now: MonotonicTime,
+        rng: &mut impl Rng,
+        services: impl IntoIterator<Item = ServiceName>,
+    ) {
+        let wanted: IndexSet<ServiceName> = services.into_iter().collect();
+        let own = self.me.service.clone();
+        let dropped = self
+            .groups
+            .keys()
+            .filter(|service| !wanted.contains(*service) && own.as_ref() != Some(*service));
+        for service in dropped.cloned().collect::<Vec<_>>() {
+            self.release(now, rng, &service);
+        }
+        for service in wanted {
+            self.hold(now, rng, service);
+        }
+    }
+
+    /// Notes that a watched service is being called; a cold one is pulled at once.
+    pub fn touch(&mut self, now: MonotonicTime, service: &str) {
+        let Some(watch) = self.watches.get_mut(service) else { return };
+        if now.since(watch.used) >= self.settings.cold_after {
+            watch.due = now;
+        }
+        watch.used = now;
+    }
+
+    /// Repeats the leave, since datagrams get lost.
+    pub(super) fn repeat_leave(&mut self, now: MonotonicTime, rng: &mut impl Rng) {
+        if self.leave_repeats == 0 || now < self.leave_due {
+            return;
+        }
+        self.leave_repeats -= 1;
+        self.leave_due = now + self.settings.leave_interval;
+        let fanout = self.settings.eager_fanout * OWN_LEAVE_FACTOR;
+        self.push_eagerly(now, rng, self.me.node, fanout, false);
+    }
+
+    fn offers(&self, offer: &UpstreamOffer) -> bool {
+        let me = &self.me;
+        let same_size = me.slots == offer.slots && me.connections == offer.connections;
+        self.is_member_of(&offer.service) && same_size
+    }
+
+    fn end_own_membership(&mut self, now: MonotonicTime, rng: &mut impl Rng) {
+        if !self.is_member() {
+            return;
+        }
+        self.me.state = MemberState::Left;
+        self.round = None;
+        self.suspicions.clear();
+        self.publish_self(now);
+        let fanout = self.settings.eager_fanout * OWN_LEAVE_FACTOR;
+        self.push_eagerly(now, rng, self.me.node, fanout, true);
+        self.leave_repeats = self.settings.leave_rounds;
+        self.leave_due = now + self.settings.leave_interval;
+    }
+
+    /// Begins to hold a group in detail, from its entry points.
+    fn hold(&mut self, now: MonotonicTime, rng: &mut impl Rng, service: ServiceName) {
+        if self.groups.contains_key(&service) {
+            return;
+        }
+        let settings = &self.settings;
+        let group = GroupView::new(settings.max_members, settings.tombstone_retention);
+        self.groups.insert(service.clone(), group);
+        self.watches.insert(service.clone(), WatchState::new(now));
+        for seed in self.seeds.take(now, &service) {
+            self.absorb(now, rng, seed);
+        }
+    }
+
+    /// Stops holding a group, but for some entry points.
+    fn release(&mut self, now: MonotonicTime, rng: &mut impl Rng, service: &ServiceName) {
+        let seeds = self.seeds_of(now, rng, service);
+        self.groups.swap_remove(service);
+        self.watches.swap_remove(service);
+        for seed in seeds {
+            self.seeds.offer(now, rng, seed);
+        }
+    }
+}
--- /dev/null
+++ b/crates/coltsfootroute/src/membership/gossip_engine/joining.rs
@@ -0,0 +1,93 @@
+//! Finding the other nodes, and staying in touch beyond the own group.
+
+use std::time::Duration;
+
+use rand::{Rng, RngExt, seq::IteratorRandom};
+
+use super::{GossipEngine, pending_ping::PingPurpose};
+use crate::{
+    id::NodeId,
+    membership::{GossipEffect, SendPriority},
+    time::MonotonicTime,
+};
+
+/// Nodes asked at once while none has answered.
+const JOIN_FANOUT: usize = 3;
+/// Most addresses kept from settings and introductions.
+const MAX_CONTACTS: usize = 64;
+/// One in this many pings beyond the group goes to an address from settings or an introduction.
+const CONTACT_SHARE: u32 = 4;
+/// Shortest time between two reports of the same higher revision.
+const BEHIND_INTERVAL: Duration = Duration::from_millis(500);
+
+impl GossipEngine {
+    /// Adds addresses of nodes, read from elsewhere, to ask.
+    pub fn introduce(&mut self, now: MonotonicTime, nodes: impl IntoIterator<Item = NodeId>) {
+        for node in nodes.into_iter().filter(|node| *node != self.me.node) {
+            self.contacts.shift_remove(&node);
+            if self.contacts.len() >= MAX_CONTACTS {
+                self.contacts.shift_remove_index(0);
+            }
+            self.contacts.insert(node);
+        }
+        self.cross_due = now;
+    }
+
+    /// Asks several contacts at once until one has answered.
+    pub(super) fn join(&mut self, now: MonotonicTime, rng: &mut impl Rng) {
+        if self.joined || now < self.cross_due {
+            return;
+        }
+        self.cross_due = now + self.settings.probe_interval;
+        for contact in self.contacts.iter().copied().sample(rng, JOIN_FANOUT) {
+            self.ping(now, rng, contact, PingPurpose::Join, SendPriority::High);
+        }
+    }
+
+    /// Notes that another node answered.
+    pub(super) fn note_joined(&mut self) {
+        if !self.joined {
+            self.joined = true;
+            self.effects.push(GossipEffect::Joined);
+        }
+    }
+
+    /// Pings a random node outside the own group: carries entry points and the revision.
+    pub(super) fn ping_across(&mut self, now: MonotonicTime, rng: &mut impl Rng) {
+        if now < self.cross_due {
+            return;
+        }
+        let Some(target) = self.cross_target(now, rng) else { return };
+        if self.ping(now, rng, target, PingPurpose::Cross, SendPriority::Low) {
+            self.cross_due = now + jittered(rng, self.settings.cross_interval);
+        }
+    }
+
+    /// Reports a peer that has a higher revision in force.
+    pub(super) fn note_revision(&mut self, now: MonotonicTime, peer: NodeId, revision: u64) {
+        if revision <= self.revision {
+            return;
+        }
+        let noted = self
+            .behind_noted
+            .is_some_and(|(noted, at)| noted >= revision && now.since(at) < BEHIND_INTERVAL);
+        if !noted {
+            self.behind_noted = Some((revision, now));
+            self.effects.push(GossipEffect::RevisionBehind { peer, revision });
+        }
+    }
+
+    /// A node outside the own group; also the last resort of a pull.
+    pub(super) fn cross_target(&self, now: MonotonicTime, rng: &mut impl Rng) -> Option<NodeId> {
+        let seed = self.seeds.sample(now, rng, 1).pop().map(|update| update.record.node);
+        let contact = self.contacts.iter().copied().choose(rng);
+        let from_contacts = rng.random_range(0..CONTACT_SHARE) == 0;
+        let target = if from_contacts { contact.or(seed) } else { seed.or(contact) };
+        target.filter(|node| *node != self.me.node)
+    }
+}
+
+/// `interval`, up to a fifth shorter or longer.
+pub(super) fn jittered(rng: &mut impl Rng, interval: Duration) -> Duration {
+    interval.mul_f64(rng.random_range(0.8..1.2))
+}
--- /dev/null
+++ b/crates/coltsfootroute/src/membership/gossip_engine/pulling.rs
@@ -0,0 +1,227 @@
+//! Keeping watched groups, and the own one, equal to what their members know.
+
+use std::time::Duration;
+
+use indexmap::IndexSet;
+use rand::{Rng, RngExt, seq::IteratorRandom};
+
+use super::{GossipEngine, joining::jittered, watch_state::WatchState};
+use crate::{
+    id::NodeId,
+    membership::{
+        GossipEffect, GossipMessage, GossipPayload, GroupView, MAX_BUCKETS, MemberState,
+        MemberUpdate, SendPriority,
+    },
+    name::ServiceName,
+    time::MonotonicTime,
+};
+
+/// Buckets asked of one member at once; the next ones are asked of another.
+const MAX_WANTED_BUCKETS: usize = 8;
+/// A pull that brought nothing, or not all, is followed by the next after this part of the interval.
+const EAGER_PULL_DIVISOR: u32 = 4;
+/// Wait before a pull is tried again for which there were no bytes.
+const DEFERRED_PULL_DELAY: Duration = Duration::from_millis(200);
+/// Most members remembered after they were forgotten for silence.
+const MAX_LOST: usize = 32;
+
+impl GossipEngine {
+    /// Pulls the groups that are due.
+    pub(super) fn pull_watched(&mut self, now: MonotonicTime, rng: &mut impl Rng) {
+        let due = self.watches.iter().filter(|(_, watch)| watch.due <= now);
+        for service in due.map(|(service, _)| service.clone()).collect::<Vec<_>>() {
+            self.pull(now, rng, &service);
+        }
+    }
+
+    /// A member answered that its records are the same.
+    pub(super) fn take_match(&mut self, now: MonotonicTime, service: &ServiceName) {
+        if let Some(watch) = self.watches.get_mut(service) {
+            watch.note_answer(now);
+        }
+    }
+
+    /// A member answered with the digests of its buckets: asks for those that differ.
+    pub(super) fn take_buckets(
+        &mut self,
+        now: MonotonicTime,
+        rng: &mut impl Rng,
+        from: NodeId,
+        service: ServiceName,
+        digests: &[u32],
+    ) {
+        self.take_match(now, &service);
+        let Some(group) = self.groups.get(&service) else { return };
+        if !is_bucket_count(digests.len()) {
+            return;
+        }
+        let own = group.bucket_digests(digests.len());
+        let differing = (0..digests.len()).filter(|bucket| own[*bucket] != digests[*bucket]);
+        let differing: Vec<_> = differing.map(|bucket| bucket as u16).collect();
+        if differing.len() > MAX_WANTED_BUCKETS {
+            self.pull_again_soon(now, &service);
+        }
+        let wanted = differing.into_iter().sample(rng, MAX_WANTED_BUCKETS);
+        if wanted.is_empty() {
+            return;
+        }
+        let bucket_count = digests.len() as u16;
+        let payload = GossipPayload::PullRecords { service, bucket_count, wanted };
+        self.send(now, SendPriority::Normal, from, GossipMessage::new(self.revision, payload));
+    }
+
+    /// A member sent the records of some buckets: tells it of live ones that it does not have, for its
+    /// group to check.
+    pub(super) fn take_records(
+        &mut self,
+        now: MonotonicTime,
+        from: NodeId,
+        service: &ServiceName,
+        bucket_count: u16,
+        complete: &[u16],
+        updates: &[MemberUpdate],
+    ) {
+        let Some(group) = self.groups.get(service) else { return };
+        let count = usize::from(bucket_count);
+        if !is_bucket_count(count) {
+            return;
+        }
+        let complete: IndexSet<u16> = complete.iter().copied().collect();
+        let named: IndexSet<NodeId> = updates.iter().map(|update| update.record.node).collect();
+        let own = group.bucket_updates(now, count, &complete).into_values().flatten();
+        let lacking = own
+            .filter(|update| update.record.state.is_live() && !named.contains(&update.record.node));
+        let lacking: Vec<_> = lacking.collect();
+        self.correct(now, from, lacking);
+    }
+
+    /// A node outside the group answered with the members that it knows.
+    pub(super) fn take_seeds(&mut self, now: MonotonicTime, service: &ServiceName, any: bool) {
+        let Some(watch) = self.watches.get_mut(service) else { return };
+        watch.waiting = None;
+        if any {
+            self.pull_again_soon(now, service);
+        }
+    }
+
+    fn pull(&mut self, now: MonotonicTime, rng: &mut impl Rng, service: &ServiceName) {
+        self.note_silence(now, service);
+        let interval = self.pull_interval(now, service);
+        let target = self.pull_target(now, rng, service);
+        let priority = self.pull_priority(now, service);
+        let Some(digest) = self.groups.get(service).map(GroupView::digest) else { return };
+        let mut wait = jittered(rng, interval);
+        if let Some(target) = target {
+            let payload = GossipPayload::Pull { service: service.clone(), digest };
+            let message = GossipMessage::new(self.revision, payload);
+            if !self.send(now, priority, target, message) {
+                wait = DEFERRED_PULL_DELAY;
+            } else if let Some(watch) = self.watches.get_mut(service) {
+                watch.waiting = Some(target);
+            }
+        }
+        if let Some(watch) = self.watches.get_mut(service) {
+            watch.due = now + wait;
+        }
+    }
+
+    /// The node asked last has not answered: it is asked less, and a group of which nobody answers
+    /// for long is forgotten.
+    fn note_silence(&mut self, now: MonotonicTime, service: &ServiceName) {
+        let Some(watch) = self.watches.get_mut(service) else { return };
+        let Some(target) = watch.waiting.take() else { return };
+        watch.silent.insert(target);
+        let long = now.since(watch.answered) >= self.settings.forget_after;
+        if !long || self.is_member_of(service) {
+            return;
+        }
+        let Some(group) = self.groups.get(service) else { return };
+        let watch = &self.watches[service];
+        let all_silent = group.live().all(|record| watch.silent.contains(&record.node));
+        if all_silent {
+            self.forget_group(service);
+        }
+    }
+
+    /// Drops the live members of a group that does not answer. Nothing is said to others about them:
+    /// this node's own link may be what is down.
+    fn forget_group(&mut self, service: &ServiceName) {
+        let (Some(group), Some(watch)) =
+            (self.groups.get_mut(service), self.watches.get_mut(service))
+        else {
+            return;
+        };
+        let nodes: Vec<_> = group.live().map(|record| record.node).collect();
+        if nodes.is_empty() {
+            return;
+        }
+        for node in nodes {
+            group.forget(node);
+            if watch.lost.len() < MAX_LOST {
+                watch.lost.insert(node);
+            }
+            let state = MemberState::Dead;
+            self.effects.push(GossipEffect::MemberDown { service: service.clone(), node, state });
+        }
+        watch.silent.clear();
+        self.effects.push(GossipEffect::Changed { service: service.clone() });
+    }
+
+    /// A random live member that has not been silent; then any; then those lost; then anyone who may
+    /// know.
+    fn pull_target(
+        &self,
+        now: MonotonicTime,
+        rng: &mut impl Rng,
+        service: &ServiceName,
+    ) -> Option<NodeId> {
+        let group = self.groups.get(service)?;
+        let watch = self.watches.get(service)?;
+        let others = || group.live().map(|record| record.node).filter(|node| *node != self.me.node);
+        let answering = others().filter(|node| !watch.silent.contains(node)).choose(rng);
+        // When all are silent, every second pull asks elsewhere.
+        let elsewhere = rng.random_bool(0.5);
+        let members = if elsewhere { None } else { others().choose(rng) };
+        answering
+            .or(members)
+            .or_else(|| watch.lost.iter().copied().filter(|_| !elsewhere).choose(rng))
+            .or_else(|| self.cross_target(now, rng))
+            .or_else(|| others().choose(rng))
+            .or_else(|| watch.lost.iter().copied().choose(rng))
+    }
+
+    fn pull_interval(&self, now: MonotonicTime, service: &ServiceName) -> Duration {
+        let Some(watch) = self.watches.get(service) else { return self.settings.pull_interval };
+        let empty = self.groups.get(service).is_none_or(|group| group.live_count() <= 1);
+        let interval = if self.is_member_of(service) {
+            if empty { self.settings.cross_interval } else { self.settings.sync_interval }
+        } else if self.is_cold(now, watch) {
+            self.settings.cold_pull_interval
+        } else {
+            self.settings.pull_interval
+        };
+        let unanswered = !watch.silent.is_empty();
+        if unanswered { interval / EAGER_PULL_DIVISOR } else { interval }
+    }
+
+    fn pull_priority(&self, now: MonotonicTime, service: &ServiceName) -> SendPriority {
+        let cold = self.watches.get(service).is_some_and(|watch| self.is_cold(now, watch));
+        if cold { SendPriority::Low } else { SendPriority::Normal }
+    }
+
+    fn is_cold(&self, now: MonotonicTime, watch: &WatchState) -> bool {
+        now.since(watch.used) >= self.settings.cold_after
+    }
+
+    fn pull_again_soon(&mut self, now: MonotonicTime, service: &ServiceName) {
+        let wait = self.settings.pull_interval / EAGER_PULL_DIVISOR;
+        if let Some(watch) = self.watches.get_mut(service) {
+            watch.due = watch.due.min(now + wait);
+        }
+    }
+}
+
+/// Whether `count` buckets can be compared.
+pub(super) fn is_bucket_count(count: usize) -> bool {
+    count.is_power_of_two() && count <= MAX_BUCKETS
+}
--- /dev/null
+++ b/crates/coltsfootroute/src/membership/gossip_engine/spreading.rs
@@ -0,0 +1,186 @@
+//! Sending: what travels along, what goes first, what waits.
+
+use rand::{Rng, seq::IteratorRandom};
+
+use super::GossipEngine;
+use crate::{
+    id::NodeId,
+    membership::{
+        DATAGRAM_OVERHEAD_BYTES, GossipEffect, GossipMessage, GossipPayload, GroupView,
+        MemberState, MemberUpdate, SendPriority,
+    },
+    name::ServiceName,
+    time::MonotonicTime,
+};
+
+/// Most news that travels on one ping or acknowledgement.
+const MAX_PIGGYBACK: usize = 8;
+/// Members of a service named to a node that asks for it.
+pub(super) const SEEDS_PER_ANSWER: usize = 3;
+
+impl GossipEngine {
+    /// Sends if the budget has the bytes; returns whether it did.
+    pub(super) fn send(
+        &mut self,
+        now: MonotonicTime,
+        priority: SendPriority,
+        to: NodeId,
+        message: GossipMessage,
+    ) -> bool {
+        let bytes = (message.wire_bytes() + DATAGRAM_OVERHEAD_BYTES) as u64;
+        if !self.budget.try_take(now, priority, bytes) {
+            self.counters.deferred += 1;
+            return false;
+        }
+        self.counters.count(message.payload.kind(), bytes);
+        self.effects.push(GossipEffect::Send { to, message });
+        true
+    }
+
+    /// Sends, or keeps the message until there are bytes for it.
+    pub(super) fn send_or_queue(
+        &mut self,
+        now: MonotonicTime,
+        priority: SendPriority,
+        to: NodeId,
+        message: GossipMessage,
+    ) {
+        if self.send(now, priority, to, message.clone()) {
+            return;
+        }
+        if self.outbox.len() >= self.settings.max_outbox {
+            self.counters.dropped += 1;
+            return;
+        }
+        self.outbox.push_back((to, message));
+    }
+
+    /// Sends what waited, in its order, as far as the bytes reach.
+    pub(super) fn drain_outbox(&mut self, now: MonotonicTime) {
+        while let Some((to, message)) = self.outbox.pop_front() {
+            if !self.send(now, SendPriority::Normal, to, message.clone()) {
+                self.outbox.push_front((to, message));
+                return;
+            }
+        }
+    }
+
+    /// A ping or acknowledgement for `to`: with it travel the own record, what is wrongly believed of
+    /// the receiver, and news of the group or entry points elsewhere.
+    pub(super) fn message_to(
+        &mut self,
+        now: MonotonicTime,
+        rng: &mut impl Rng,
+        to: NodeId,
+        payload: GossipPayload,
+    ) -> GossipMessage {
+        let mut message = GossipMessage::new(self.revision, payload);
+        message.fill([MemberUpdate::new(self.me.clone())]);
+        message.fill(self.accusation(now, to));
+        if self.own_group().is_some_and(|group| group.get(to).is_some()) {
+            self.add_news(now, to, &mut message);
+        } else {
+            message.fill(self.sample_seeds(now, rng));
+        }
+        message
+    }
+
+    /// Tells some random members of the own group and its recent watchers about `node`, at once.
+    pub(super) fn push_eagerly(
+        &mut self,
+        now: MonotonicTime,
+        rng: &mut impl Rng,
+        node: NodeId,
+        fanout: usize,
+        to_pullers: bool,
+    ) {
+        let Some(update) = self.own_group().and_then(|group| group.update(now, node)) else {
+            return;
+        };
+        let mut receivers = self.random_members(rng, fanout);
+        if to_pullers {
+            let memory = self.settings.cold_pull_interval + self.settings.pull_interval * 2;
+            receivers.extend(self.pullers.since(now - memory));
+        }
+        receivers.sort_unstable();
+        receivers.dedup();
+        for to in receivers.into_iter().filter(|to| *to != node) {
+            let mut message = GossipMessage::new(self.revision, GossipPayload::Push);
+            message.fill([update.clone()]);
+            self.send_or_queue(now, SendPriority::High, to, message);
+        }
+    }
+
+    /// Random live members of the own group, without this node.
+    pub(super) fn random_members(&self, rng: &mut impl Rng, count: usize) -> Vec<NodeId> {
+        let Some(group) = self.own_group() else { return Vec::new() };
+        let others = group.live().map(|record| record.node).filter(|node| *node != self.me.node);
+        others.sample(rng, count)
+    }
+
+    /// Some live members of `service`, from what is known of it.
+    pub(super) fn seeds_of(
+        &self,
+        now: MonotonicTime,
+        rng: &mut impl Rng,
+        service: &ServiceName,
+    ) -> Vec<MemberUpdate> {
+        match self.groups.get(service) {
+            Some(group) => self.sample_group(rng, service, group, SEEDS_PER_ANSWER),
+            None => self.seeds.of(now, service),
+        }
+    }
+
+    /// Times that news of the own group is passed on.
+    pub(super) fn transmit_limit(&self) -> u32 {
+        let members = self.own_group().map_or(1, GroupView::live_count) as u32;
+        self.settings.retransmit_factor * (members + 1).next_power_of_two().ilog2().max(1)
+    }
+
+    /// What stands in the own group against the receiver, so that it can refute.
+    fn accusation(&self, now: MonotonicTime, to: NodeId) -> Option<MemberUpdate> {
+        let group = self.own_group()?;
+        let accused = group.get(to)?.state != MemberState::Alive;
+        if accused { group.update(now, to) } else { None }
+    }
+
+    fn add_news(&mut self, now: MonotonicTime, to: NodeId, message: &mut GossipMessage) {
+        let Some(group) = self.own_group() else { return };
+        let news =
+            self.updates.pending().into_iter().filter(|node| *node != to && *node != self.me.node);
+        let news: Vec<_> =
+            news.filter_map(|node| group.update(now, node)).take(MAX_PIGGYBACK).collect();
+        let nodes: Vec<_> = news.iter().map(|update| update.record.node).collect();
+        let added = message.fill(news);
+        let limit = self.transmit_limit();
+        // The own record is on every ping anyway.
+        for node in nodes.into_iter().take(added).chain([self.me.node]) {
+            self.updates.note_sent(node, limit);
+        }
+    }
+
+    /// Entry points to hand to a node of another group: mostly of third services, one of each own.
+    fn sample_seeds(&self, now: MonotonicTime, rng: &mut impl Rng) -> Vec<MemberUpdate> {
+        let mut seeds = self.seeds.sample(now, rng, self.settings.seeds_per_ping);
+        if let Some((service, group)) = self.groups.iter().choose(rng) {
+            seeds.extend(self.sample_group(rng, service, group, 1));
+        }
+        seeds
+    }
+
+    /// Random live members of a group, if what is known of it is fresh.
+    fn sample_group(
+        &self,
+        rng: &mut impl Rng,
+        service: &ServiceName,
+        group: &GroupView,
+        count: usize,
+    ) -> Vec<MemberUpdate> {
+        let stale = self.watches.get(service).is_some_and(|watch| !watch.silent.is_empty());
+        if stale && !self.is_member_of(service) {
+            return Vec::new();
+        }
+        let alive = group.live().filter(|record| record.state == MemberState::Alive);
+        alive.sample(rng, count).into_iter().cloned().map(MemberUpdate::new).collect()
+    }
+}
--- /dev/null
+++ b/crates/coltsfootroute/src/membership/gossip_message.rs
@@ -0,0 +1,73 @@
+//! One gossip datagram.
+
+use indexmap::IndexSet;
+
+use super::{GossipPayload, MemberUpdate};
+
+/// Largest datagram, in bytes of payload: passes every usual path unfragmented.
+pub const MAX_DATAGRAM_BYTES: usize = 1_200;
+/// Bytes of the IP and UDP headers, counted with each datagram.
+pub const DATAGRAM_OVERHEAD_BYTES: usize = 28;
+
+/// Bytes of the frame: segment table, root, revision, list pointers.
+const FRAME_BYTES: usize = 48;
+/// Bytes that a name costs beside its text: pointer and padding.
+const NAME_OVERHEAD_BYTES: usize = 12;
+
+record_type! {
+    /// One datagram between two nodes.
+    pub struct GossipMessage {
+        /// Revision of the configuration that the sender has in force.
+        pub revision: u64,
+        /// What the message asks or answers.
+        pub payload: GossipPayload,
+        /// Records that travel along.
+        pub updates: Vec<MemberUpdate>,
+    }
+}
+
+impl GossipMessage {
+    /// A message without updates.
+    pub fn new(revision: u64, payload: GossipPayload) -> Self {
+        Self { revision, payload, updates: Vec::new() }
+    }
+
+    /// Upper bound of the encoded size, in bytes, headers of IP and UDP not included.
+    pub fn wire_bytes(&self) -> usize {
+        let mut names = IndexSet::new();
+        if let Some(service) = self.payload.service() {
+            names.insert(service.as_str());
+        }
+        for update in &self.updates {
+            names.extend(names_of(update));
+        }
+        let names: usize = names.iter().map(|name| name_bytes(name)).sum();
+        let updates: usize = self.updates.iter().map(MemberUpdate::wire_bytes).sum();
+        FRAME_BYTES + self.payload.wire_bytes() + names + updates
+    }
+
+    /// Adds updates, in their order, as long as the datagram stays within its bound; returns how many
+    /// fitted.
+    pub fn fill(&mut self, updates: impl IntoIterator<Item = MemberUpdate>) -> usize {
+        let mut added = 0;
+        for update in updates {
+            self.updates.push(update);
+            if self.wire_bytes() > MAX_DATAGRAM_BYTES {
+                self.updates.pop();
+                break;
+            }
+            added += 1;
+        }
+        added
+    }
+}
+
+fn names_of(update: &MemberUpdate) -> impl Iterator<Item = &str> {
+    let record = &update.record;
+    let service = record.service.as_ref().map(|service| service.as_str());
+    service.into_iter().chain([record.domain.as_str(), record.region.as_str()])
+}
+
+fn name_bytes(name: &str) -> usize {
+    NAME_OVERHEAD_BYTES + name.len() + name.len().div_ceil(8)
+}
--- /dev/null
+++ b/crates/coltsfootroute/src/membership/puller_table.rs
@@ -0,0 +1,34 @@
+//! Nodes that lately pulled the own group.
+
+use indexmap::IndexMap;
+
+use crate::{id::NodeId, time::MonotonicTime};
+
+/// The watchers that are told of a leave at once. Bounded: the one that pulled longest ago goes first.
+#[derive(Clone, Debug)]
+pub struct PullerTable {
+    /// Invariant: ordered by the time of the last pull, at most `limit` entries.
+    pullers: IndexMap<NodeId, MonotonicTime>,
+    limit: usize,
+}
+
+impl PullerTable {
+    /// An empty table of at most `limit` nodes.
+    pub fn new(limit: usize) -> Self {
+        Self { pullers: IndexMap::new(), limit }
+    }
+
+    /// Notes a pull.
+    pub fn note(&mut self, now: MonotonicTime, node: NodeId) {
+        self.pullers.shift_remove(&node);
+        if self.pullers.len() >= self.limit {
+            self.pullers.shift_remove_index(0);
+        }
+        self.pullers.insert(node, now);
+    }
+
+    /// Nodes that pulled at `since` or later, the longest ago first.
+    pub fn since(&self, since: MonotonicTime) -> impl Iterator<Item = NodeId> {
+        self.pullers.iter().filter(move |(_, at)| **at >= since).map(|(node, _)| *node)
+    }
+}
--- /dev/null
+++ b/crates/coltsfootroute/src/membership/seed_table.rs
@@ -0,0 +1,142 @@
+//! Entry points to the services whose members are not held in detail.
+
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use rand::{Rng, RngExt, seq::IteratorRandom};
+
+use super::{MemberRecord, MemberState, MemberUpdate};
+use crate::{id::NodeId, name::ServiceName, time::MonotonicTime};
+
+/// One entry point.
+#[derive(Clone, Debug)]
+struct SeedEntry {
+    record: MemberRecord,
+    /// When the seed is dropped unless the member is confirmed again, by its group or itself.
+    expires: MonotonicTime,
+}
+
+/// A few random members for each service, about 120 bytes each. A seed is a hint: it may be stale, and
+/// what it leads to decides.
+#[derive(Clone, Debug)]
+pub struct SeedTable {
+    /// Invariant: at most `max_services` services of at most `per_service` live members each.
+    services: IndexMap<ServiceName, Vec<SeedEntry>>,
+    per_service: usize,
+    max_services: usize,
+    max_age: Duration,
+}
+
+impl SeedTable {
+    /// An empty table.
+    pub fn new(per_service: usize, max_services: usize, max_age: Duration) -> Self {
+        Self { services: IndexMap::new(), per_service, max_services, max_age }
+    }
+
+    /// Takes a member in, replaces it or removes it, by the merge order; a full service changes one
+    /// at random now and then, so that all members serve as seeds somewhere.
+    pub fn offer(&mut self, now: MonotonicTime, rng: &mut impl Rng, update: MemberUpdate) {
+        let Some(service) = update.record.service.clone() else { return };
+        if update.record.state != MemberState::Alive {
+            self.withdraw(&update.record);
+            return;
+        }
+        if update.age >= self.max_age || self.lacks_room(&service) {
+            return;
+        }
+        let seed = SeedEntry { record: update.record, expires: now + (self.max_age - update.age) };
+        let seeds = self.services.entry(service).or_default();
+        place_seed(seeds, seed, self.per_service, rng);
+    }
+
+    /// Drops a node that did not answer.
+    pub fn remove(&mut self, node: NodeId) {
+        for seeds in self.services.values_mut() {
+            seeds.retain(|seed| seed.record.node != node);
+        }
+        self.drop_empty();
+    }
+
+    /// Drops a service, because it is held in detail now; returns its seeds.
+    pub fn take(&mut self, now: MonotonicTime, service: &ServiceName) -> Vec<MemberUpdate> {
+        let seeds = self.services.swap_remove(service).unwrap_or_default();
+        seeds.iter().map(|seed| self.seed_update(now, seed)).collect()
+    }
+
+    /// The seeds of one service.
+    pub fn of(&self, now: MonotonicTime, service: &ServiceName) -> Vec<MemberUpdate> {
+        let seeds = self.services.get(service).map_or(&[][..], Vec::as_slice);
+        seeds.iter().map(|seed| self.seed_update(now, seed)).collect()
+    }
+
+    /// At most `count` seeds of random services.
+    pub fn sample(
+        &self,
+        now: MonotonicTime,
+        rng: &mut impl Rng,
+        count: usize,
+    ) -> Vec<MemberUpdate> {
+        let services = self.services.values().sample(rng, count);
+        let seeds = services.into_iter().filter_map(|seeds| seeds.iter().choose(rng));
+        seeds.map(|seed| self.seed_update(now, seed)).collect()
+    }
+
+    /// Drops what is too old.
+    pub fn prune(&mut self, now: MonotonicTime) {
+        for seeds in self.services.values_mut() {
+            seeds.retain(|seed| seed.expires > now);
+        }
+        self.drop_empty();
+    }
+
+    /// Number of seeds.
+    pub fn len(&self) -> usize {
+        self.services.values().map(Vec::len).sum()
+    }
+
+    /// Whether there are none.
+    pub fn is_empty(&self) -> bool {
+        self.services.is_empty()
+    }
+
+    fn seed_update(&self, now: MonotonicTime, seed: &SeedEntry) -> MemberUpdate {
+        let age = self.max_age.saturating_sub(seed.expires.since(now));
+        MemberUpdate::new(seed.record.clone()).with_age(age)
+    }
+
+    fn lacks_room(&self, service: &ServiceName) -> bool {
+        self.services.len() >= self.max_services && !self.services.contains_key(service)
+    }
+
+    fn withdraw(&mut self, record: &MemberRecord) {
+        let Some(service) = &record.service else { return };
+        let Some(seeds) = self.services.get_mut(service) else { return };
+        seeds.retain(|seed| {
+            seed.record.node != record.node || seed.record.incarnation > record.incarnation
+        });
+        self.drop_empty();
+    }
+
+    fn drop_empty(&mut self) {
+        self.services.retain(|_, seeds| !seeds.is_empty());
+    }
+}
+
+fn place_seed(seeds: &mut Vec<SeedEntry>, seed: SeedEntry, limit: usize, rng: &mut impl Rng) {
+    if let Some(known) = seeds.iter_mut().find(|known| known.record.node == seed.record.node) {
+        let newer =
+            (seed.record.incarnation, seed.expires) > (known.record.incarnation, known.expires);
+        if newer {
+            *known = seed;
+        }
+        return;
+    }
+    if seeds.len() < limit {
+        seeds.push(seed);
+        return;
+    }
+    let place = rng.random_range(0..limit * 2);
+    if place < limit {
+        seeds[place] = seed;
+    }
+}
