Store thread: client of the platform's services

Cause: the request path needs claims, and configuration needs transactions, without waiting for anything else of the store. Change: StoreThread and StoreHandle; deadlines, budget, breaker, retry only of what is safe; a write without an answer stays uncertain.

--- a/crates/coltsfoot-node/src/lib.rs
+++ b/crates/coltsfoot-node/src/lib.rs
@@ -1,1 +1,3 @@
-//! placeholder
+//! The daemon of an upstream host.
+
+pub mod store;
--- /dev/null
+++ b/crates/coltsfoot-node/src/store.rs
@@ -0,0 +1,17 @@
+//! Client of the platform's table service and object store, in a thread of its own.
+//!
+//! Nothing here decides what a reply means: the library's state machines do. A write without an answer
+//! is reported as `Uncertain` and never sent again from here.
+
+mod http_client;
+mod store_command;
+mod store_error;
+mod store_handle;
+mod store_settings;
+mod store_thread;
+mod store_worker;
+
+pub use store_error::StoreError;
+pub use store_handle::StoreHandle;
+pub use store_settings::StoreSettings;
+pub use store_thread::StoreThread;
--- /dev/null
+++ b/crates/coltsfoot-node/src/store/store_command.rs
@@ -0,0 +1,26 @@
+//! Commands to the store thread.
+
+use bytes::Bytes;
+use coltsfootroute::table::{ObjectReply, StoreUse, TableReply, TableRequest};
+use tokio::{sync::oneshot, time::Instant};
+
+/// One request to the platform, with the place for its reply.
+#[derive(Debug)]
+pub(super) enum StoreCommand {
+    /// A request to the table service.
+    Table {
+        request: TableRequest,
+        store_use: StoreUse,
+        deadline: Instant,
+        reply: oneshot::Sender<TableReply>,
+    },
+    /// Stores or reads an object.
+    Object { action: ObjectAction, deadline: Instant, reply: oneshot::Sender<ObjectReply> },
+}
+
+/// What to do with an object. Each is idempotent: an object is written once under its name.
+#[derive(Clone, Debug)]
+pub(super) enum ObjectAction {
+    Put { name: String, body: Bytes },
+    Get { name: String },
+}
--- /dev/null
+++ b/crates/coltsfoot-node/src/store/store_handle.rs
@@ -0,0 +1,64 @@
+//! Handle of the store thread.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use coltsfootroute::table::{ObjectReply, StoreUse, TableReply, TableRequest};
+use tokio::{
+    sync::{mpsc, oneshot},
+    time::Instant,
+};
+
+use super::store_command::{ObjectAction, StoreCommand};
+
+/// Sends requests to the store thread; cheap to clone. The thread ends after the last handle is gone and
+/// the requests under way are done.
+#[derive(Clone, Debug)]
+pub struct StoreHandle {
+    commands: mpsc::Sender<StoreCommand>,
+}
+
+impl StoreHandle {
+    pub(super) fn new(commands: mpsc::Sender<StoreCommand>) -> Self {
+        Self { commands }
+    }
+
+    /// Carries out `request` within `deadline` from now.
+    ///
+    /// `Unavailable` means that it provably took no effect: not sent, or refused by the service.
+    /// `Uncertain` means that a write may have taken effect, or may still take effect later.
+    pub async fn request(
+        &self,
+        request: TableRequest,
+        deadline: Duration,
+        store_use: StoreUse,
+    ) -> TableReply {
+        let (reply, received) = oneshot::channel();
+        let deadline = Instant::now() + deadline;
+        let command = StoreCommand::Table { request, store_use, deadline, reply };
+        if self.commands.try_send(command).is_err() {
+            return TableReply::Unavailable;
+        }
+        received.await.unwrap_or(TableReply::Uncertain)
+    }
+
+    /// Stores `body` under `name` within `deadline` from now. Safe to repeat with the same body.
+    pub async fn put_object(&self, name: &str, body: Bytes, deadline: Duration) -> ObjectReply {
+        self.object(ObjectAction::Put { name: name.to_owned(), body }, deadline).await
+    }
+
+    /// Reads the object called `name` within `deadline` from now.
+    pub async fn get_object(&self, name: &str, deadline: Duration) -> ObjectReply {
+        self.object(ObjectAction::Get { name: name.to_owned() }, deadline).await
+    }
+
+    async fn object(&self, action: ObjectAction, deadline: Duration) -> ObjectReply {
+        let (reply, received) = oneshot::channel();
+        let deadline = Instant::now() + deadline;
+        let command = StoreCommand::Object { action, deadline, reply };
+        if self.commands.try_send(command).is_err() {
+            return ObjectReply::Unavailable;
+        }
+        received.await.unwrap_or(ObjectReply::Uncertain)
+    }
+}
--- /dev/null
+++ b/crates/coltsfoot-node/src/store/store_worker.rs
@@ -0,0 +1,196 @@
+//! One request at a time through budget, breaker, client and retry.
+
+use std::{cell::RefCell, future::Future};
+
+use coltsfootroute::{
+    table::{
+        CircuitBreaker, ObjectReply, RateBudget, StoreBackoff, StoreHealth, StoreUse, TableReply,
+        TableRequest,
+    },
+    time::MonotonicTime,
+};
+use rand::SeedableRng;
+use rand_pcg::Pcg64;
+use tokio::time::{Instant, sleep, timeout_at};
+
+use super::{
+    StoreSettings,
+    http_client::{HttpClient, HttpReply},
+    store_command::{ObjectAction, StoreCommand},
+};
+
+/// What the requests of the store thread share.
+#[derive(Debug)]
+pub(super) struct StoreWorker {
+    client: HttpClient,
+    backoff: StoreBackoff,
+    started: Instant,
+    policy: RefCell<StorePolicy>,
+}
+
+#[derive(Debug)]
+struct StorePolicy {
+    budget: RateBudget,
+    table_breaker: CircuitBreaker,
+    object_breaker: CircuitBreaker,
+    rng: Pcg64,
+}
+
+/// The two services fail apart from one another.
+#[derive(Clone, Copy, Debug)]
+enum StoreService {
+    Table,
+    Objects,
+}
+
+/// Nothing was sent.
+#[derive(Debug)]
+struct NotSent;
+
+impl StoreWorker {
+    pub(super) fn new(settings: StoreSettings) -> Self {
+        let policy = StorePolicy {
+            budget: RateBudget::new(&settings.share),
+            table_breaker: CircuitBreaker::new(settings.breaker.clone()),
+            object_breaker: CircuitBreaker::new(settings.breaker.clone()),
+            rng: Pcg64::seed_from_u64(settings.seed),
+        };
+        let client = HttpClient::new(&settings);
+        let backoff = settings.backoff;
+        Self { client, backoff, started: Instant::now(), policy: RefCell::new(policy) }
+    }
+
+    pub(super) async fn carry_out(&self, command: StoreCommand) {
+        // A caller that has gone needs no reply.
+        match command {
+            StoreCommand::Table { request, store_use, deadline, reply } => {
+                let _ = reply.send(self.table(&request, store_use, deadline).await);
+            }
+            StoreCommand::Object { action, deadline, reply } => {
+                let _ = reply.send(self.object(&action, deadline).await);
+            }
+        }
+    }
+
+    async fn table(
+        &self,
+        request: &TableRequest,
+        store_use: StoreUse,
+        deadline: Instant,
+    ) -> TableReply {
+        let mut attempt = 1;
+        loop {
+            let Ok(reply) = self.attempt_table(request, store_use, deadline).await else {
+                return TableReply::Unavailable;
+            };
+            let pause = {
+                let rng = &mut self.policy.borrow_mut().rng;
+                self.backoff.pause(request, &reply, attempt, rng)
+            };
+            let Some(pause) = pause.filter(|pause| Instant::now() + *pause < deadline) else {
+                return reply;
+            };
+            sleep(pause).await;
+            attempt += 1;
+        }
+    }
+
+    async fn attempt_table(
+        &self,
+        request: &TableRequest,
+        store_use: StoreUse,
+        deadline: Instant,
+    ) -> Result<TableReply, NotSent> {
+        self.check_breaker(StoreService::Table)?;
+        self.wait_for_budget(request, store_use, deadline).await?;
+        let sent = self.guarded(StoreService::Table, deadline, self.client.table(request)).await?;
+        Ok(match sent {
+            HttpReply::Answer(reply) => reply,
+            HttpReply::RateLimited | HttpReply::Refused => TableReply::Unavailable,
+            HttpReply::Lost => TableReply::Uncertain,
+        })
+    }
+
+    async fn object(&self, action: &ObjectAction, deadline: Instant) -> ObjectReply {
+        let sent = match action {
+            ObjectAction::Put { name, body } => {
+                let put = self.client.put_object(name, body.clone());
+                self.guarded(StoreService::Objects, deadline, put).await
+            }
+            ObjectAction::Get { name } => {
+                let get = self.client.get_object(name);
+                self.guarded(StoreService::Objects, deadline, get).await
+            }
+        };
+        match sent {
+            Ok(HttpReply::Answer(reply)) => reply,
+            Ok(HttpReply::Lost) => ObjectReply::Uncertain,
+            Ok(HttpReply::RateLimited | HttpReply::Refused) | Err(NotSent) => {
+                ObjectReply::Unavailable
+            }
+        }
+    }
+
+    fn check_breaker(&self, service: StoreService) -> Result<(), NotSent> {
+        let now = self.now();
+        if self.policy.borrow_mut().breaker(service).would_admit(now) {
+            Ok(())
+        } else {
+            Err(NotSent)
+        }
+    }
+
+    async fn wait_for_budget(
+        &self,
+        request: &TableRequest,
+        store_use: StoreUse,
+        deadline: Instant,
+    ) -> Result<(), NotSent> {
+        let left = deadline.saturating_duration_since(Instant::now());
+        let now = self.now();
+        let wait = self.policy.borrow_mut().budget.take(now, request, store_use, left);
+        sleep(wait.ok_or(NotSent)?).await;
+        Ok(())
+    }
+
+    /// Sends within the deadline if the breaker admits it, and tells the breaker what came of it.
+    async fn guarded<T>(
+        &self,
+        service: StoreService,
+        deadline: Instant,
+        sending: impl Future<Output = HttpReply<T>>,
+    ) -> Result<HttpReply<T>, NotSent> {
+        if Instant::now() >= deadline {
+            return Err(NotSent);
+        }
+        let now = self.now();
+        if !self.policy.borrow_mut().breaker(service).admit(now) {
+            return Err(NotSent);
+        }
+        let reply = timeout_at(deadline, sending).await.unwrap_or(HttpReply::Lost);
+        let now = self.now();
+        self.policy.borrow_mut().record(service, now, reply.health());
+        Ok(reply)
+    }
+
+    fn now(&self) -> MonotonicTime {
+        MonotonicTime::ZERO + self.started.elapsed()
+    }
+}
+
+impl StorePolicy {
+    fn breaker(&mut self, service: StoreService) -> &mut CircuitBreaker {
+        match service {
+            StoreService::Table => &mut self.table_breaker,
+            StoreService::Objects => &mut self.object_breaker,
+        }
+    }
+
+    fn record(&mut self, service: StoreService, now: MonotonicTime, health: StoreHealth) {
+        let breaker = match service {
+            StoreService::Table => &mut self.table_breaker,
+            StoreService::Objects => &mut self.object_breaker,
+        };
+        breaker.record(now, health, &mut self.rng);
+    }
+}
--- a/crates/coltsfootroute/src/table.rs
+++ b/crates/coltsfootroute/src/table.rs
@@ -4,12 +4,14 @@
 //! to the service. Keys are flat text; a row's version rises with every write of that row.
 
 mod circuit_breaker;
+mod object_reply;
 mod rate_budget;
 mod row_condition;
 mod row_key;
 mod row_version;
 mod row_write;
 mod store_backoff;
+mod store_health;
 mod store_use;
 mod stored_row;
 mod table_reply;
@@ -17,12 +19,14 @@
 mod token_bucket;
 
 pub use circuit_breaker::{BreakerSettings, BreakerState, CircuitBreaker};
+pub use object_reply::ObjectReply;
 pub use rate_budget::{RateBudget, RateShare};
 pub use row_condition::RowCondition;
 pub use row_key::RowKey;
 pub use row_version::RowVersion;
 pub use row_write::RowWrite;
 pub use store_backoff::StoreBackoff;
+pub use store_health::StoreHealth;
 pub use store_use::StoreUse;
 pub use stored_row::StoredRow;
 pub use table_reply::TableReply;
--- a/crates/coltsfootroute/src/table/circuit_breaker.rs
+++ b/crates/coltsfootroute/src/table/circuit_breaker.rs
@@ -4,7 +4,7 @@
 
 use rand::{Rng, RngExt};
 
-use super::TableReply;
+use super::StoreHealth;
 use crate::time::MonotonicTime;
 
 record_type! {
@@ -68,20 +68,27 @@
 
     /// Whether a request may be sent at `now`. Where it may, [`CircuitBreaker::record`] must follow.
     pub fn admit(&mut self, now: MonotonicTime) -> bool {
+        if !self.would_admit(now) {
+            return false;
+        }
+        if !matches!(self.state, BreakerState::Closed(_)) {
+            self.state = BreakerState::HalfOpen(now);
+        }
+        true
+    }
+
+    /// What [`CircuitBreaker::admit`] would say, without starting a probe.
+    pub fn would_admit(&self, now: MonotonicTime) -> bool {
         match self.state {
             BreakerState::Closed(_) => true,
-            BreakerState::Open(until) if now < until => false,
-            BreakerState::HalfOpen(since) if now < since + self.settings.probe_timeout => false,
-            BreakerState::Open(_) | BreakerState::HalfOpen(_) => {
-                self.state = BreakerState::HalfOpen(now);
-                true
-            }
+            BreakerState::Open(until) => now >= until,
+            BreakerState::HalfOpen(since) => now >= since + self.settings.probe_timeout,
         }
     }
 
-    /// Takes the reply to an admitted request.
-    pub fn record(&mut self, now: MonotonicTime, reply: &TableReply, rng: &mut impl Rng) {
-        if reply.is_answer() {
+    /// Takes what an admitted request showed.
+    pub fn record(&mut self, now: MonotonicTime, health: StoreHealth, rng: &mut impl Rng) {
+        if health == StoreHealth::Answering {
             self.state = BreakerState::Closed(0);
             self.next_open = self.settings.shortest_open;
             return;
--- a/crates/coltsfootroute/src/table/table_reply.rs
+++ b/crates/coltsfootroute/src/table/table_reply.rs
@@ -19,10 +19,3 @@
         Uncertain,
     }
 }
-
-impl TableReply {
-    /// Whether the service answered, be it with a conflict.
-    pub fn is_answer(&self) -> bool {
-        matches!(self, Self::Rows(_) | Self::Committed | Self::Conflict(_))
-    }
-}
