Gossip datagrams: encode and decode with bounds

Cause: the engine's messages travel as single datagrams of at most 1,200 bytes from peers that may be slow, old or hostile.

--- a/crates/coltsfoot-wire/src/lib.rs
+++ b/crates/coltsfoot-wire/src/lib.rs
@@ -4,8 +4,14 @@
 mod address;
 mod wire_error;
 
+pub mod gossip;
 pub mod peer;
 
+/// Generated from `schema/gossip.capnp`.
+#[allow(missing_docs, unsafe_code, unused_qualifications, clippy::all)]
+#[path = "generated/gossip_capnp.rs"]
+pub mod gossip_capnp;
+
 /// Generated from `schema/peer.capnp`.
 #[allow(missing_docs, unsafe_code, unused_qualifications, clippy::all)]
 #[path = "generated/peer_capnp.rs"]
