Library events: typed kinds, hybrid logical clock, one-line forms

Change: event_kinds! declares name, level and typed fields of each kind once; EventRecord in key=value and JSON form; HybridClock with a bound on drift; EventRing keeps the latest records and shows gaps by sequence numbers.

--- a/crates/coltsfootroute/src/event.rs
+++ b/crates/coltsfootroute/src/event.rs
@@ -1,1 +1,32 @@
 //! Typed events and the logical clock that orders them over all processes.
+//!
+//! Every process keeps a [`HybridClock`] and stamps its events with it. Messages between processes carry
+//! the sender's latest stamp, so an event that another one caused always has the higher stamp, also
+//! where wall clocks disagree; see [`HybridClock`] for why.
+
+#[macro_use]
+mod event_macro;
+
+mod claim_outcome;
+mod clock_drift;
+mod denial_reason;
+mod event_kind;
+mod event_level;
+mod event_record;
+mod event_ring;
+mod event_text;
+mod hybrid_clock;
+mod hybrid_stamp;
+mod incarnation_form;
+mod key_values;
+mod request_text;
+
+pub use claim_outcome::ClaimOutcome;
+pub use clock_drift::ClockDrift;
+pub use denial_reason::DenialReason;
+pub use event_kind::EventKind;
+pub use event_level::EventLevel;
+pub use event_record::{EventLineError, EventRecord};
+pub use event_ring::EventRing;
+pub use hybrid_clock::HybridClock;
+pub use hybrid_stamp::HybridStamp;
--- /dev/null
+++ b/crates/coltsfootroute/src/event/denial_reason.rs
@@ -0,0 +1,57 @@
+//! Why a retry was denied.
+
+use std::fmt;
+
+value_type! {
+    /// Why a retry was denied.
+    #[derive(serde::Serialize, serde::Deserialize)]
+    #[serde(rename_all = "kebab-case")]
+    pub enum DenialReason {
+        /// The account of the client request has no token left.
+        Exhausted,
+        /// The node that holds the account did not answer.
+        Unreachable,
+        /// The operation must not be repeated.
+        NonRepeatable,
+        /// The deadline leaves no time for another attempt.
+        Deadline,
+        /// The service sheds; a retry would add to the load.
+        Shedding,
+        /// The limit on retries into the service is used up.
+        Throttled,
+        /// The call carries no valid context, so no account is known.
+        NoAccount,
+    }
+}
+
+impl DenialReason {
+    /// All reasons.
+    pub const ALL: [Self; 7] = [
+        Self::Exhausted,
+        Self::Unreachable,
+        Self::NonRepeatable,
+        Self::Deadline,
+        Self::Shedding,
+        Self::Throttled,
+        Self::NoAccount,
+    ];
+
+    /// The reason's name in logs and metric labels.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Exhausted => "exhausted",
+            Self::Unreachable => "unreachable",
+            Self::NonRepeatable => "non-repeatable",
+            Self::Deadline => "deadline",
+            Self::Shedding => "shedding",
+            Self::Throttled => "throttled",
+            Self::NoAccount => "no-account",
+        }
+    }
+}
+
+impl fmt::Display for DenialReason {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
+    }
+}
--- /dev/null
+++ b/crates/coltsfootroute/src/event/event_kind.rs
@@ -0,0 +1,305 @@
+//! Kinds of events.
+
+use std::net::SocketAddr;
+
+use super::{
+    ClaimOutcome, DenialReason, EventLevel, incarnation_form::IncarnationForm,
+    key_values::KeyValues, request_text,
+};
+use crate::{
+    id::{Incarnation, NodeId, RequestId},
+    importance::Importance,
+    name::{DomainName, OperationName, OperatorName, RegionName, ServiceName},
+    outcome::{CallOutcome, RefusalReason},
+};
+
+event_kinds! {
+    /// The process has started.
+    Started("started", Info) {
+        /// Its incarnation.
+        #[serde(with = "IncarnationForm")]
+        incarnation: Incarnation,
+        /// Its region.
+        region: RegionName,
+        /// Its failure domain.
+        domain: DomainName,
+    }
+    /// The listeners are open.
+    Listening("listening", Info) {
+        /// Clients' listener.
+        client: SocketAddr,
+        /// Host listener.
+        host: SocketAddr,
+        /// Peers' listener.
+        peer: SocketAddr,
+    }
+    /// The process stops.
+    Stopped("stopped", Info) {
+        /// Requests still in flight, cut off by the stop.
+        interrupted: u32,
+    }
+    /// A request was admitted in front of the upstream.
+    RequestAdmitted("request-admitted", Debug) {
+        /// The client request.
+        #[serde(with = "request_text")]
+        request: RequestId,
+        /// Service called.
+        service: ServiceName,
+        /// Operation called.
+        operation: OperationName,
+        /// Its importance.
+        importance: Importance,
+        /// Calls in flight with this one.
+        in_flight: u32,
+        /// Limit on calls in flight.
+        limit: u32,
+    }
+    /// A request was refused.
+    RequestRefused("request-refused", Debug) {
+        /// The client request.
+        #[serde(with = "request_text")]
+        request: RequestId,
+        /// Service called.
+        service: ServiceName,
+        /// Operation called.
+        operation: OperationName,
+        /// Its importance.
+        importance: Importance,
+        /// Why.
+        reason: RefusalReason,
+        /// What the caller was told.
+        outcome: CallOutcome,
+    }
+    /// A request has its complete answer.
+    RequestCompleted("request-completed", Debug) {
+        /// The client request.
+        #[serde(with = "request_text")]
+        request: RequestId,
+        /// Service called.
+        service: ServiceName,
+        /// Operation called.
+        operation: OperationName,
+        /// HTTP status of the answer.
+        status: u16,
+        /// Time from arrival to answer.
+        elapsed_us: u64,
+    }
+    /// A request ended without an answer that tells whether it ran.
+    RequestUnknown("request-unknown", Info) {
+        /// The client request.
+        #[serde(with = "request_text")]
+        request: RequestId,
+        /// Service called.
+        service: ServiceName,
+        /// Operation called.
+        operation: OperationName,
+        /// Why.
+        reason: RefusalReason,
+    }
+    /// An attempt of a call was sent.
+    AttemptStarted("attempt-started", Debug) {
+        /// The client request.
+        #[serde(with = "request_text")]
+        request: RequestId,
+        /// Service called.
+        service: ServiceName,
+        /// Node beside the chosen upstream.
+        guard: NodeId,
+        /// 1 for the first attempt.
+        attempt: u32,
+    }
+    /// An attempt of a call ended.
+    AttemptFinished("attempt-finished", Debug) {
+        /// The client request.
+        #[serde(with = "request_text")]
+        request: RequestId,
+        /// Service called.
+        service: ServiceName,
+        /// Node beside the chosen upstream.
+        guard: NodeId,
+        /// 1 for the first attempt.
+        attempt: u32,
+        /// How it ended.
+        outcome: CallOutcome,
+        /// Time from sending to the end.
+        elapsed_us: u64,
+    }
+    /// A retry took a token of the request's account.
+    RetryGranted("retry-granted", Debug) {
+        /// The client request.
+        #[serde(with = "request_text")]
+        request: RequestId,
+        /// Service to be called again.
+        service: ServiceName,
+        /// Tokens left in the account.
+        remaining: u32,
+    }
+    /// A retry was denied.
+    RetryDenied("retry-denied", Debug) {
+        /// The client request.
+        #[serde(with = "request_text")]
+        request: RequestId,
+        /// Service that is not called again.
+        service: ServiceName,
+        /// Why.
+        reason: DenialReason,
+    }
+    /// A claim on an idempotency key was decided.
+    ClaimDecided("claim-decided", Debug) {
+        /// The client request.
+        #[serde(with = "request_text")]
+        request: RequestId,
+        /// Service called.
+        service: ServiceName,
+        /// Operation called.
+        operation: OperationName,
+        /// How.
+        outcome: ClaimOutcome,
+    }
+    /// A request was refused for overload while less important work was admitted.
+    ImportanceBreached("importance-breached", Error) {
+        /// The client request refused.
+        #[serde(with = "request_text")]
+        request: RequestId,
+        /// Service called.
+        service: ServiceName,
+        /// Importance refused.
+        refused: Importance,
+        /// Lower importance admitted meanwhile.
+        admitted: Importance,
+    }
+    /// A submitted configuration was accepted.
+    RevisionAccepted("revision-accepted", Info) {
+        /// Its revision.
+        revision: u64,
+        /// Who submitted it.
+        operator: OperatorName,
+        /// Digest of the schema, hexadecimal.
+        digest: String,
+    }
+    /// A configuration came into force at this node.
+    RevisionInForce("revision-in-force", Info) {
+        /// Its revision.
+        revision: u64,
+        /// The revision in force before, if any.
+        previous: Option<u64>,
+    }
+    /// A member was found up.
+    MemberUp("member-up", Info) {
+        /// The member.
+        member: NodeId,
+        /// Its incarnation.
+        #[serde(with = "IncarnationForm")]
+        incarnation: Incarnation,
+    }
+    /// A member does not answer and is suspected.
+    MemberSuspect("member-suspect", Info) {
+        /// The member.
+        member: NodeId,
+        /// The incarnation suspected.
+        #[serde(with = "IncarnationForm")]
+        incarnation: Incarnation,
+    }
+    /// A member is held to be down.
+    MemberDown("member-down", Warn) {
+        /// The member.
+        member: NodeId,
+        /// The incarnation that is down.
+        #[serde(with = "IncarnationForm")]
+        incarnation: Incarnation,
+    }
+    /// A member left as planned.
+    MemberLeft("member-left", Info) {
+        /// The member.
+        member: NodeId,
+        /// The incarnation that left.
+        #[serde(with = "IncarnationForm")]
+        incarnation: Incarnation,
+    }
+    /// The upstream beside the node announced itself.
+    UpstreamAnnounced("upstream-announced", Info) {
+        /// Its service.
+        service: ServiceName,
+        /// Its address.
+        upstream: SocketAddr,
+        /// Requests it runs at once.
+        slots: u32,
+        /// Connections it takes.
+        connections: u32,
+    }
+    /// The upstream beside the node left, or its heartbeat stopped.
+    UpstreamLeft("upstream-left", Info) {
+        /// Its service.
+        service: ServiceName,
+        /// Its address.
+        upstream: SocketAddr,
+    }
+    /// A graceful shutdown has begun; new work is refused from here on.
+    DrainBegun("drain-begun", Info) {
+        /// Requests in flight.
+        in_flight: u32,
+    }
+    /// Nothing is in flight any more.
+    Drained("drained", Info) {
+        /// Time since the drain began.
+        elapsed_ms: u64,
+    }
+    /// The platform's store answers again.
+    StoreUp("store-up", Info) {
+        /// How long it did not answer.
+        down_ms: u64,
+    }
+    /// The platform's store does not answer.
+    StoreDown("store-down", Warn) {
+        /// The error of the last try.
+        error: String,
+    }
+    /// The limit on calls in flight to the upstream changed.
+    LimitChanged("limit-changed", Debug) {
+        /// Service of the upstream.
+        service: ServiceName,
+        /// The limit before.
+        previous: u32,
+        /// The limit now.
+        limit: u32,
+    }
+}
+
+impl EventKind {
+    /// The client request that the event belongs to, if any.
+    pub fn request(&self) -> Option<RequestId> {
+        match self {
+            Self::RequestAdmitted { request, .. }
+            | Self::RequestRefused { request, .. }
+            | Self::RequestCompleted { request, .. }
+            | Self::RequestUnknown { request, .. }
+            | Self::AttemptStarted { request, .. }
+            | Self::AttemptFinished { request, .. }
+            | Self::RetryGranted { request, .. }
+            | Self::RetryDenied { request, .. }
+            | Self::ClaimDecided { request, .. }
+            | Self::ImportanceBreached { request, .. } => Some(*request),
+            _ => None,
+        }
+    }
+
+    /// The service that the event speaks of, if any.
+    pub fn service(&self) -> Option<&ServiceName> {
+        match self {
+            Self::RequestAdmitted { service, .. }
+            | Self::RequestRefused { service, .. }
+            | Self::RequestCompleted { service, .. }
+            | Self::RequestUnknown { service, .. }
+            | Self::AttemptStarted { service, .. }
+            | Self::AttemptFinished { service, .. }
+            | Self::RetryGranted { service, .. }
+            | Self::RetryDenied { service, .. }
+            | Self::ClaimDecided { service, .. }
+            | Self::ImportanceBreached { service, .. }
+            | Self::UpstreamAnnounced { service, .. }
+            | Self::UpstreamLeft { service, .. }
+            | Self::LimitChanged { service, .. } => Some(service),
+            _ => None,
+        }
+    }
+}
