--- a/crates/coltsfoot-node/src/config/config_in_force.rs
+++ b/crates/coltsfoot-node/src/config/config_in_force.rs
@@ -49,12 +49,12 @@
 
     /// Services that the operations of `service` call.
     pub fn callees(&self, service: &ServiceName) -> Vec<ServiceName> {
-        self.document.callees(service)
+        self.document.called_by(service).into_iter().collect()
     }
 
     /// Services that a run of the operation reaches, itself included.
     pub fn reachable(&self, service: &ServiceName, operation: &OperationName) -> Vec<ServiceName> {
-        self.document.reachable(service, operation)
+        self.document.reachable(service, operation).into_iter().collect()
     }
 
     /// What changed since `revision`, for a peer that is behind; empty if nothing did.
--- a/crates/coltsfoot-node/src/config/config_thread.rs
+++ b/crates/coltsfoot-node/src/config/config_thread.rs
@@ -6,7 +6,7 @@
 use coltsfootroute::{
     id::NodeId,
     schema::SchemaDocument,
-    table::{RowCondition, RowKey, RowWrite, StoredRow, TableReply, TableRequest},
+    table::{RowCondition, RowKey, RowWrite, StoreUse, StoredRow, TableReply, TableRequest},
 };
 use http::StatusCode;
 use serde_json::json;
@@ -21,7 +21,7 @@
     dispatch::{DispatchCommand, DispatchHandle},
     gossip::GossipCommand,
     http::HttpReply,
-    store::{StoreHandle, StoreUse},
+    store::StoreHandle,
 };
 
 /// Commands that wait at most.
--- a/crates/coltsfoot-node/src/dispatch/calls_in_flight.rs
+++ b/crates/coltsfoot-node/src/dispatch/calls_in_flight.rs
@@ -9,7 +9,7 @@
     time::MonotonicTime,
 };
 use indexmap::IndexMap;
-use rand::Rng;
+use rand::{Rng, RngExt};
 
 /// Admission levels kept for one call at most; the most severe stay.
 const MAX_LEVELS: usize = 16;
--- a/crates/coltsfoot-node/src/dispatch/client_request.rs
+++ b/crates/coltsfoot-node/src/dispatch/client_request.rs
@@ -34,9 +34,6 @@
 impl Drop for OpenAccount<'_> {
     fn drop(&mut self) {
         let mut accounts = self.dispatcher.accounts.borrow_mut();
-        if let Some(granted) = accounts.granted(self.request) {
-            self.dispatcher.metrics.request_retries(granted);
-        }
         accounts.close(self.request);
     }
 }
--- a/crates/coltsfoot-node/src/dispatch/dispatch_thread.rs
+++ b/crates/coltsfoot-node/src/dispatch/dispatch_thread.rs
@@ -70,7 +70,7 @@
     ///
     /// If the runtime or the thread cannot be created.
     pub fn start(
-        parts: impl FnOnce() -> DispatchParts + Send + 'static,
+        parts: DispatchParts,
         listener: TcpListener,
         commands: mpsc::Receiver<DispatchCommand>,
     ) -> io::Result<()> {
@@ -78,7 +78,7 @@
         let runtime = runtime::Builder::new_current_thread().enable_all().build()?;
         thread::Builder::new().name("dispatch".to_owned()).spawn(move || {
             let local = LocalSet::new();
-            local.block_on(&runtime, run(parts(), listener, commands));
+            local.block_on(&runtime, run(parts, listener, commands));
         })?;
         Ok(())
     }
--- a/crates/coltsfoot-node/src/dispatch/dispatcher.rs
+++ b/crates/coltsfoot-node/src/dispatch/dispatcher.rs
@@ -191,7 +191,7 @@
             }
             Err(refusal) => {
                 if breaches.on_refusal(now, &refusal.service, importance) {
-                    self.metrics.importance_breach();
+                    self.metrics.importance_breached();
                 }
                 Some(refusal.retry_after.0)
             }
--- a/crates/coltsfoot-node/src/dispatch/guard.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard.rs
@@ -172,7 +172,7 @@
         self.guard.with_gate(|gate| gate.offer(now, waiting));
         self.guard.queue_changed.notify_one();
         let decision = receiver.await;
-        self.count_decision(call, decision);
+        self.count_decision(call, decision.as_ref().ok().copied());
         match decision {
             Ok(AdmissionDecision::Run) => Ok(wait.into_run()),
             Ok(AdmissionDecision::Refuse(reason)) => Err(reason),
@@ -183,18 +183,18 @@
     fn count_decision(
         &self,
         call: &CallRequest,
-        decision: Result<AdmissionDecision, oneshot::error::RecvError>,
+        decision: Option<AdmissionDecision>,
     ) {
         let now = self.clock.now();
         let mut breaches = self.guard.breaches.borrow_mut();
         match decision {
-            Ok(AdmissionDecision::Run) => {
+            Some(AdmissionDecision::Run) => {
                 breaches.on_admission(now, &call.service, call.importance);
                 self.metrics.admitted(call.importance);
             }
-            Ok(AdmissionDecision::Refuse(RefusalReason::Overload)) => {
+            Some(AdmissionDecision::Refuse(RefusalReason::Overload)) => {
                 if breaches.on_refusal(now, &call.service, call.importance) {
-                    self.metrics.importance_breach();
+                    self.metrics.importance_breached();
                 }
             }
             _ => {}
--- a/crates/coltsfoot-node/src/dispatch/local_upstream.rs
+++ b/crates/coltsfoot-node/src/dispatch/local_upstream.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use coltsfootroute::name::ServiceName;
+use coltsfootroute::{membership::UpstreamOffer, name::ServiceName};
 use http::StatusCode;
 
 use super::{dispatcher::Dispatcher, guard::GuardedUpstream};
@@ -38,11 +38,11 @@
         }
         if self.take_in(&announcement) {
             self.fit_gate(announcement.slots);
-            let command = GossipCommand::Announce {
+            let command = GossipCommand::Announce(UpstreamOffer {
                 service: announcement.service.clone(),
                 slots: announcement.slots,
                 connections: announcement.connections,
-            };
+            });
             // A closed ring means that the process stops.
             let _ = self.gossip.send(command).await;
             self.watch_callees(&announcement.service).await;
--- a/crates/coltsfoot-node/src/dispatch/nested_request.rs
+++ b/crates/coltsfoot-node/src/dispatch/nested_request.rs
@@ -105,7 +105,8 @@
                     let mut times = self.times.borrow_mut();
                     times.record(now, &call.service, &call.operation, taken);
                 }
-                self.metrics.answered(call.importance, reply.outcome);
+                self.metrics.answered(reply.outcome);
+                self.metrics.upstream_latency(reply.upstream_time);
                 self.metrics.added_latency(taken.saturating_sub(reply.upstream_time));
             }
             ReplyBody::Refusal { reason, .. } => self.metrics.refused(*reason, call.importance),
--- a/crates/coltsfoot-node/src/dispatch/retry_tokens.rs
+++ b/crates/coltsfoot-node/src/dispatch/retry_tokens.rs
@@ -4,6 +4,7 @@
 
 use coltsfoot_wire::peer::{TakeAnswer, read_take_answer, split_id};
 use coltsfootroute::{
+    event::DenialReason,
     id::{NodeId, RequestId},
     name::ServiceName,
     retry::{ServiceThrottle, TakeAnswer as LedgerAnswer, TakeDenial, ThrottleSettings},
@@ -13,17 +14,33 @@
 
 use super::{dispatcher::Dispatcher, routed_call::RoutedCall};
 
+fn denial_reason(denial: TakeDenial) -> DenialReason {
+    match denial {
+        TakeDenial::UnknownAccount => DenialReason::NoAccount,
+        TakeDenial::BudgetSpent => DenialReason::Exhausted,
+        TakeDenial::DeadlinePassed => DenialReason::Deadline,
+    }
+}
+
 /// Longest wait for the account's node; after it there is no retry.
 const TAKE_TIMEOUT: Duration = Duration::from_millis(250);
 
 impl Dispatcher {
     /// Takes a token from a retry account kept at this node.
     pub(super) fn take_own_token(&self, request: RequestId, take_id: u64) -> TakeAnswer {
-        let answer = self.accounts.borrow_mut().take(self.clock.now(), request, take_id);
-        match answer {
-            LedgerAnswer::Granted => TakeAnswer::Granted,
-            LedgerAnswer::Denied(TakeDenial::UnknownAccount) => TakeAnswer::NoAccount,
-            LedgerAnswer::Denied(_) => TakeAnswer::Denied,
+        let mut accounts = self.accounts.borrow_mut();
+        match accounts.take(self.clock.now(), request, take_id) {
+            LedgerAnswer::Granted => {
+                self.metrics.retry_granted(accounts.granted(request).unwrap_or_default());
+                TakeAnswer::Granted
+            }
+            LedgerAnswer::Denied(denial) => {
+                self.metrics.retry_denied(denial_reason(denial));
+                match denial {
+                    TakeDenial::UnknownAccount => TakeAnswer::NoAccount,
+                    _ => TakeAnswer::Denied,
+                }
+            }
         }
     }
 
@@ -36,14 +53,11 @@
         let Some(account) = call.account else { return false };
         let now = self.clock.now();
         if !self.with_throttle(&call.service, |throttle| throttle.try_retry(now)) {
-            self.metrics.retry_denied("throttle");
+            self.metrics.retry_denied(DenialReason::Throttled);
             return false;
         }
         let granted = self.ask_token(account, call.request).await == Some(TakeAnswer::Granted);
-        if granted {
-            self.metrics.retry_granted();
-        } else {
-            self.metrics.retry_denied("account");
+        if !granted {
             self.with_throttle(&call.service, ServiceThrottle::give_back);
         }
         granted
--- /dev/null
+++ b/crates/coltsfoot-node/src/gossip.rs
@@ -0,0 +1,7 @@
+//! The gossip duty: one thread that owns the membership engine and its UDP socket.
+
+mod gossip_command;
+mod gossip_thread;
+
+pub use gossip_command::GossipCommand;
+pub use gossip_thread::{GossipParts, GossipThread};
--- /dev/null
+++ b/crates/coltsfoot-node/src/gossip/gossip_command.rs
@@ -0,0 +1,24 @@
+//! What the other duties ask of the gossip duty.
+
+use coltsfootroute::{
+    id::NodeId,
+    membership::{MembershipStatus, UpstreamOffer},
+    name::ServiceName,
+};
+use tokio::sync::oneshot;
+
+/// What the other duties ask of the gossip duty.
+pub enum GossipCommand {
+    /// The upstream beside the node takes work.
+    Announce(UpstreamOffer),
+    /// The upstream beside the node takes no new work.
+    Leave,
+    /// Hold the members of these services, and of no others but the own one.
+    Watch(Vec<ServiceName>),
+    /// A configuration revision is in force here.
+    SetRevision(u64),
+    /// Addresses of nodes read from the table service.
+    Introduce(Vec<NodeId>),
+    /// Report what is known.
+    Status(oneshot::Sender<MembershipStatus>),
+}
--- a/crates/coltsfoot-node/src/http/host_listener.rs
+++ b/crates/coltsfoot-node/src/http/host_listener.rs
@@ -36,7 +36,7 @@
         (Method::GET, "/status") => status(ctx).await,
         (Method::GET, "/events") => events(ctx),
         (Method::GET, "/metrics") => {
-            HttpReply::new(StatusCode::OK, TEXT, ctx.state().metrics.render())
+            metrics(ctx)
         }
         (Method::POST, "/drain") => drain(ctx),
         (Method::POST, path) => match CallPath::parse(path) {
@@ -119,17 +119,20 @@
     ctx.state().dispatch.status().await
 }
 
+fn metrics(ctx: &WebContext<'_, HostState>) -> HttpReply {
+    match ctx.state().metrics.render() {
+        Ok(text) => HttpReply::new(StatusCode::OK, TEXT, text),
+        Err(err) => HttpReply::new(StatusCode::INTERNAL_SERVER_ERROR, TEXT, err.to_string()),
+    }
+}
+
 fn events(ctx: &WebContext<'_, HostState>) -> HttpReply {
     let query = ctx.req().uri().query().unwrap_or_default();
     let since = match query.strip_prefix("since=").map(str::parse).transpose() {
         Ok(since) => since.unwrap_or(0),
         Err(_) => return bad_request("`since` is a sequence number"),
     };
-    let mut lines = String::new();
-    for record in ctx.state().journal.read_since(since, EVENTS_PAGE) {
-        lines.push_str(&record.to_json_line());
-        lines.push('\n');
-    }
+    let lines = ctx.state().events.json_lines_since(since, EVENTS_PAGE);
     HttpReply::new(StatusCode::OK, JSON, lines)
 }
 
--- a/crates/coltsfoot-node/src/http/listener_state.rs
+++ b/crates/coltsfoot-node/src/http/listener_state.rs
@@ -1,10 +1,7 @@
 //! What the listeners share with the other duties of the process.
 
-use coltsfootroute::{id::RequestId, name::{OperationName, ServiceName}};
-use bytes::Bytes;
-
 use crate::{
-    clock::MonotonicClock, config::ConfigHandle, dispatch::DispatchHandle, journal::EventJournal,
+    clock::MonotonicClock, config::ConfigHandle, dispatch::DispatchHandle, journal::EventReader,
     metrics::NodeMetrics, process::DrainSwitch,
 };
 
@@ -29,7 +26,7 @@
     /// The configuration duty.
     pub config: ConfigHandle,
     /// Events of this node.
-    pub journal: EventJournal,
+    pub events: EventReader,
     /// Metrics of this node.
     pub metrics: NodeMetrics,
     /// Begins a planned stop.
--- a/crates/coltsfoot-node/src/process/node_error.rs
+++ b/crates/coltsfoot-node/src/process/node_error.rs
@@ -2,7 +2,7 @@
 
 use std::{io, net::SocketAddr};
 
-use crate::{http::ListenerError, store::StoreError};
+use crate::{http::ListenerError, metrics::MetricsError, store::StoreError};
 
 /// Why a node cannot start.
 #[derive(Debug, thiserror::Error)]
@@ -23,6 +23,9 @@
     /// The store's client cannot start.
     #[error(transparent)]
     Store(#[from] StoreError),
+    /// The metrics cannot be registered.
+    #[error(transparent)]
+    Metrics(#[from] MetricsError),
     /// A thread cannot start.
     #[error("cannot start a thread: {0}")]
     Thread(#[from] io::Error),
