--- /dev/null
+++ b/crates/coltsfoot-node/src/journal/event_journal.rs
@@ -0,0 +1,80 @@
+//! The journal before its thread runs.
+
+use std::{
+    io,
+    sync::{
+        Arc, Mutex,
+        mpsc::{Receiver, SyncSender, sync_channel},
+    },
+    thread,
+};
+
+use coltsfootroute::{
+    event::EventRing,
+    id::{Incarnation, NodeId},
+};
+
+use super::{
+    EventReader, EventSender, JournalHandle, journal_gate::JournalGate,
+    journal_message::JournalMessage, journal_thread::JournalThread,
+};
+
+/// Name of the journal's thread.
+const THREAD_NAME: &str = "journal";
+
+/// The journal of one node's life, before its thread runs. Events emitted meanwhile wait in the queue.
+pub struct EventJournal {
+    gate: Arc<JournalGate>,
+    ring: Arc<Mutex<EventRing>>,
+    sender: SyncSender<JournalMessage>,
+    receiver: Receiver<JournalMessage>,
+}
+
+impl EventJournal {
+    /// Events that may wait for the journal's thread.
+    pub const QUEUE_EVENTS: usize = 4_096;
+    /// Records kept for readers.
+    pub const RING_RECORDS: usize = 16_384;
+
+    /// The journal of `node`, started with incarnation `life`.
+    pub fn new(node: NodeId, life: Incarnation) -> Self {
+        let (sender, receiver) = sync_channel(Self::QUEUE_EVENTS);
+        let ring = EventRing::new(Self::RING_RECORDS);
+        let gate = Arc::new(JournalGate::new(node, life));
+        Self { gate, ring: Arc::new(Mutex::new(ring)), sender, receiver }
+    }
+
+    /// Sets how many events may wait, at least 1. Call before [`EventJournal::sender`].
+    pub fn with_queue_events(mut self, events: usize) -> Self {
+        (self.sender, self.receiver) = sync_channel(events.max(1));
+        self
+    }
+
+    /// Sets how many records are kept, at least 1. Call before [`EventJournal::reader`].
+    pub fn with_ring_records(mut self, records: usize) -> Self {
+        self.ring = Arc::new(Mutex::new(EventRing::new(records)));
+        self
+    }
+
+    /// A sender.
+    pub fn sender(&self) -> EventSender {
+        EventSender::new(Arc::clone(&self.gate), self.sender.clone())
+    }
+
+    /// A reader.
+    pub fn reader(&self) -> EventReader {
+        EventReader::new(Arc::clone(&self.gate), Arc::clone(&self.ring))
+    }
+
+    /// Starts the journal's thread.
+    ///
+    /// # Errors
+    ///
+    /// The system's, if it starts no thread.
+    pub fn spawn(self) -> io::Result<JournalHandle> {
+        let journal = JournalThread::new(self.receiver, self.ring);
+        let thread = thread::Builder::new().name(THREAD_NAME.to_owned());
+        let thread = thread.spawn(move || journal.run())?;
+        Ok(JournalHandle::new(self.sender, thread))
+    }
+}
--- /dev/null
+++ b/crates/coltsfoot-node/src/metrics/control_kind.rs
@@ -0,0 +1,19 @@
+//! Kinds of control traffic.
+
+use super::metric_label::metric_label;
+
+metric_label! {
+    /// What control traffic is for.
+    ControlKind {
+        /// Membership.
+        Gossip => "gossip",
+        /// Spread of configuration.
+        Configuration => "configuration",
+        /// Retry accounts.
+        Account => "account",
+        /// The platform's store.
+        Store => "store",
+        /// Operators, metrics and events.
+        Operator => "operator",
+    }
+}
--- /dev/null
+++ b/crates/coltsfoot-node/src/metrics/process_metrics.rs
@@ -0,0 +1,68 @@
+//! Metrics of the process.
+
+use std::time::Duration;
+
+use prometheus::{Counter, CounterVec, IntCounter, IntGauge};
+
+use super::{
+    MetricsError, NodeDuty,
+    host_usage::{process_processor_time, resident_bytes},
+    metric_label::MetricLabel,
+    metric_registry::{MetricRegistry, gauge_value},
+};
+
+/// Metrics of the process: what it takes of its host, and what its journal lost.
+///
+/// Each series is written by one thread only.
+pub struct ProcessMetrics {
+    processor: Counter,
+    duty_processor: CounterVec,
+    resident: IntGauge,
+    events_dropped: IntCounter,
+}
+
+impl ProcessMetrics {
+    pub(super) fn new(registry: &MetricRegistry) -> Result<Self, MetricsError> {
+        let metrics = Self {
+            processor: registry
+                .seconds("coltsfoot_processor_seconds_total", "Processor time of the process")?,
+            duty_processor: registry.seconds_by(
+                "coltsfoot_duty_processor_seconds_total",
+                "Processor time by duty",
+                "duty",
+            )?,
+            resident: registry.gauge("coltsfoot_resident_bytes", "Resident memory")?,
+            events_dropped: registry.counter(
+                "coltsfoot_events_dropped_total",
+                "Events that did not fit the journal's queue",
+            )?,
+        };
+        for duty in NodeDuty::ALL {
+            metrics.set_duty_processor_time(*duty, Duration::ZERO);
+        }
+        Ok(metrics)
+    }
+
+    /// Processor time of a duty's thread so far; each thread reports its own by
+    /// [`thread_processor_time`](super::thread_processor_time).
+    pub fn set_duty_processor_time(&self, duty: NodeDuty, time: Duration) {
+        raise_to(&self.duty_processor.with_label_values(&[duty.as_str()]), time);
+    }
+
+    /// Events dropped so far, as [`EventReader::dropped`](crate::journal::EventReader::dropped) tells.
+    pub fn set_events_dropped(&self, dropped: u64) {
+        self.events_dropped.inc_by(dropped.saturating_sub(self.events_dropped.get()));
+    }
+
+    /// Reads what the process takes of its host.
+    pub(super) fn refresh(&self) {
+        raise_to(&self.processor, process_processor_time());
+        self.resident.set(gauge_value(resident_bytes()));
+    }
+}
+
+/// Raises a counter to `total`; counters only take increments, and none that is negative.
+fn raise_to(counter: &Counter, total: Duration) {
+    let increment = total.as_secs_f64() - counter.get();
+    counter.inc_by(increment.max(0.0));
+}
--- /dev/null
+++ b/crates/coltsfoot-node/src/metrics/store_result.rs
@@ -0,0 +1,19 @@
+//! Results of a request to the platform's store.
+
+use super::metric_label::metric_label;
+
+metric_label! {
+    /// How a request to the platform's store ended.
+    StoreResult {
+        /// Answered; a write took effect.
+        Done => "done",
+        /// Answered; a condition did not hold.
+        Conflict => "conflict",
+        /// Not answered, or with an error.
+        Unavailable => "unavailable",
+        /// Not answered in time; a write may have taken effect.
+        TimedOut => "timed-out",
+        /// Not sent: this node's share of the rate is used up, or the breaker is open.
+        Limited => "limited",
+    }
+}
