Check a submitted schema in full, all faults in one answer

Cause: an operator who gets one fault at a time submits many times; faults must name line and field. Change: the text is read into a tree that keeps places; form and meaning are checked on the whole of it (unknown, duplicate, missing and mistyped fields, names, zeros, undeclared callees, cycles, chains beyond 32 calls).

--- a/crates/coltsfootroute/src/schema.rs
+++ b/crates/coltsfootroute/src/schema.rs
@@ -1,19 +1,27 @@
 //! The schema an operator submits: services, operations, the call graph and what matters most.
 
 mod call_edge;
+mod call_graph;
 mod client_entry;
 mod operation_entry;
+mod schema_check;
+mod schema_diff;
 mod schema_document;
 mod schema_error;
 mod schema_errors;
 mod schema_parser;
 mod service_entry;
+mod source_fields;
+mod source_node;
+mod source_reader;
 
 pub use call_edge::CallEdge;
 pub use client_entry::ClientEntry;
 pub use operation_entry::OperationEntry;
+pub use schema_check::{MAX_CHAIN_DEPTH, MAX_NAME_BYTES};
+pub use schema_diff::{SchemaChange, SchemaDiff};
 pub use schema_document::SchemaDocument;
 pub use schema_error::SchemaError;
-pub use schema_errors::SchemaErrors;
+pub use schema_errors::{MAX_SCHEMA_ERRORS, SchemaErrors};
 pub use schema_parser::MAX_SCHEMA_BYTES;
 pub use service_entry::ServiceEntry;
--- /dev/null
+++ b/crates/coltsfootroute/src/schema/call_graph.rs
@@ -0,0 +1,159 @@
+//! The call graph that a document declares, by operation.
+
+use super::{CallEdge, OperationEntry, SchemaDocument};
+use crate::name::{OperationName, ServiceName};
+use indexmap::IndexMap;
+
+/// The operations of a document and the nested calls between them. Calls of undeclared operations are
+/// left out.
+pub(super) struct CallGraph<'a> {
+    vertices: IndexMap<(&'a ServiceName, &'a OperationName), Vertex<'a>>,
+}
+
+struct Vertex<'a> {
+    path: String,
+    operation: &'a OperationEntry,
+}
+
+/// What one walk over the whole graph finds.
+pub(super) struct GraphSurvey {
+    /// One entry for each edge that closes a cycle.
+    pub cycles: Vec<CallCycle>,
+    /// Path of each client entry, and the calls of its longest chain with the client's own. Means nothing
+    /// for chains that run into a cycle.
+    pub client_depths: Vec<(String, usize)>,
+}
+
+/// A cycle of calls.
+pub(super) struct CallCycle {
+    /// Path of the edge that closes it.
+    pub closing_edge: String,
+    /// Operations on it, the first repeated at the end.
+    pub chain: Vec<String>,
+}
+
+/// A vertex under way in the depth-first walk.
+struct Frame {
+    vertex: usize,
+    next_call: usize,
+}
+
+#[derive(Clone, Copy, PartialEq)]
+enum Mark {
+    New,
+    UnderWay,
+    /// Finished, with the calls of the longest chain from here.
+    Depth(usize),
+}
+
+impl<'a> CallGraph<'a> {
+    /// Indexes `document`; of operations declared twice the first counts.
+    pub fn new(document: &'a SchemaDocument) -> Self {
+        let mut vertices = IndexMap::new();
+        for (i, service) in document.services.iter().enumerate() {
+            for (j, operation) in service.operations.iter().enumerate() {
+                let path = format!("services[{i}].operations[{j}]");
+                let key = (&service.name, &operation.name);
+                vertices.entry(key).or_insert(Vertex { path, operation });
+            }
+        }
+        Self { vertices }
+    }
+
+    /// Operations that a run of the one at `start` leads to, itself first, each once.
+    pub fn reachable(&self, start: (&ServiceName, &OperationName)) -> Vec<&'a ServiceName> {
+        let mut found = indexmap::IndexSet::new();
+        found.extend(self.vertices.get_index_of(&start));
+        let mut position = 0;
+        while let Some(&vertex) = found.get_index(position) {
+            found.extend(self.calls(vertex).iter().filter_map(|call| self.callee(call)));
+            position += 1;
+        }
+        found.into_iter().map(|vertex| self.service(vertex)).collect()
+    }
+
+    /// Finds cycles and depths. Iterative, so that a long chain costs no stack.
+    pub fn survey(&self) -> GraphSurvey {
+        let mut marks = vec![Mark::New; self.vertices.len()];
+        let mut cycles = Vec::new();
+        for root in 0..self.vertices.len() {
+            if marks[root] == Mark::New {
+                self.walk(root, &mut marks, &mut cycles);
+            }
+        }
+        let client_depths = self.client_depths(&marks);
+        GraphSurvey { cycles, client_depths }
+    }
+
+    fn walk(&self, root: usize, marks: &mut [Mark], cycles: &mut Vec<CallCycle>) {
+        let mut stack = vec![Frame { vertex: root, next_call: 0 }];
+        marks[root] = Mark::UnderWay;
+        while let Some(frame) = stack.last_mut() {
+            let (vertex, index) = (frame.vertex, frame.next_call);
+            frame.next_call += 1;
+            let Some(call) = self.calls(vertex).get(index) else {
+                marks[vertex] = Mark::Depth(self.depth(vertex, marks));
+                stack.pop();
+                continue;
+            };
+            let Some(callee) = self.callee(call) else {
+                continue;
+            };
+            match marks[callee] {
+                Mark::New => {
+                    marks[callee] = Mark::UnderWay;
+                    stack.push(Frame { vertex: callee, next_call: 0 });
+                }
+                Mark::UnderWay => cycles.push(self.cycle(&stack, callee, index)),
+                Mark::Depth(_) => {}
+            }
+        }
+    }
+
+    /// Calls of the longest chain from `vertex`, whose callees are all finished or on a cycle.
+    fn depth(&self, vertex: usize, marks: &[Mark]) -> usize {
+        let callees = self.calls(vertex).iter().filter_map(|call| self.callee(call));
+        let depths = callees.filter_map(|callee| match marks[callee] {
+            Mark::Depth(depth) => Some(depth),
+            Mark::New | Mark::UnderWay => None,
+        });
+        1 + depths.max().unwrap_or(0)
+    }
+
+    fn cycle(&self, stack: &[Frame], callee: usize, index: usize) -> CallCycle {
+        let from = stack.iter().position(|frame| frame.vertex == callee).unwrap_or(0);
+        let on_cycle = stack[from..].iter().map(|frame| frame.vertex).chain([callee]);
+        let chain = on_cycle.map(|vertex| self.label(vertex)).collect();
+        let caller = stack.last().map_or(callee, |frame| frame.vertex);
+        CallCycle { closing_edge: format!("{}.calls[{index}]", self.vertices[caller].path), chain }
+    }
+
+    fn client_depths(&self, marks: &[Mark]) -> Vec<(String, usize)> {
+        let vertices = self.vertices.values().zip(marks);
+        vertices
+            .filter_map(|(vertex, mark)| match mark {
+                Mark::Depth(depth) if vertex.operation.client.is_some() => {
+                    Some((format!("{}.client", vertex.path), *depth))
+                }
+                _ => None,
+            })
+            .collect()
+    }
+
+    fn calls(&self, vertex: usize) -> &'a [CallEdge] {
+        &self.vertices[vertex].operation.calls
+    }
+
+    fn callee(&self, call: &CallEdge) -> Option<usize> {
+        self.vertices.get_index_of(&(&call.service, &call.operation))
+    }
+
+    fn service(&self, vertex: usize) -> &'a ServiceName {
+        self.vertices.get_index(vertex).map(|((service, _), _)| *service).expect("a known vertex")
+    }
+
+    fn label(&self, vertex: usize) -> String {
+        let ((service, operation), _) = self.vertices.get_index(vertex).expect("a known vertex");
+        format!("{service}/{operation}")
+    }
+}
--- a/crates/coltsfootroute/src/schema/client_entry.rs
+++ b/crates/coltsfootroute/src/schema/client_entry.rs
@@ -10,8 +10,9 @@
         /// Importance of every call the request causes.
         pub importance: Importance,
         /// Deadline where the client states none, and the most it may state; milliseconds.
+        #[schemars(range(min = 1))]
         pub deadline_ms: u64,
-        /// Retries granted to the whole request, over all its calls and however deep.
+        /// Retries granted to the whole request, over all its calls and however deep; 0 forbids them.
         pub retry_budget: u32,
     }
 }
--- a/crates/coltsfootroute/src/schema/operation_entry.rs
+++ b/crates/coltsfootroute/src/schema/operation_entry.rs
@@ -9,7 +9,7 @@
     #[serde(deny_unknown_fields)]
     pub struct OperationEntry {
         /// Name, unique within the service.
-        #[schemars(with = "String")]
+        #[schemars(with = "String", length(min = 1, max = 64), regex(pattern = "^[a-z0-9-]+$"))]
         pub name: OperationName,
         /// Whether a run may be repeated. A non-repeatable operation needs an idempotency key.
         #[serde(default = "yes")]
--- /dev/null
+++ b/crates/coltsfootroute/src/schema/schema_check.rs
@@ -0,0 +1,138 @@
+//! Checks of meaning, on a document whose form is right.
+
+use super::{CallEdge, OperationEntry, SchemaDocument, ServiceEntry, call_graph::CallGraph};
+use crate::name::{OperationName, ServiceName};
+use indexmap::{IndexMap, IndexSet};
+
+/// Longest name, in bytes.
+pub const MAX_NAME_BYTES: usize = 64;
+
+/// Longest chain of calls under a client operation, the client's own call included.
+pub const MAX_CHAIN_DEPTH: usize = 32;
+
+/// A field's path and what is wrong with it.
+type Finding = (String, String);
+
+/// Gathers the faults of one document.
+pub(super) struct SchemaCheck<'a> {
+    document: &'a SchemaDocument,
+    /// Operations by service.
+    declared: IndexMap<&'a ServiceName, IndexSet<&'a OperationName>>,
+    findings: Vec<Finding>,
+}
+
+impl<'a> SchemaCheck<'a> {
+    /// Every fault of `document`.
+    pub fn run(document: &'a SchemaDocument) -> Vec<Finding> {
+        let mut check = Self { document, declared: declared(document), findings: Vec::new() };
+        check.name("deployment", &document.deployment);
+        check.services();
+        check.graph();
+        check.findings
+    }
+
+    fn services(&mut self) {
+        let mut names = IndexSet::new();
+        for (index, service) in self.document.services.iter().enumerate() {
+            let path = format!("services[{index}]");
+            if !names.insert(&service.name) {
+                self.find(
+                    format!("{path}.name"),
+                    format!("duplicate service `{}`", shortened(service.name.as_str())),
+                );
+            }
+            self.service(&path, service);
+        }
+    }
+
+    fn service(&mut self, path: &str, service: &ServiceEntry) {
+        self.name(&format!("{path}.name"), service.name.as_str());
+        self.at_least_one(format!("{path}.slots"), service.slots.into());
+        self.at_least_one(format!("{path}.connections"), service.connections.into());
+        self.at_least_one(format!("{path}.retention_s"), service.retention_s);
+        let mut names = IndexSet::new();
+        for (index, operation) in service.operations.iter().enumerate() {
+            let path = format!("{path}.operations[{index}]");
+            if !names.insert(&operation.name) {
+                let name = shortened(operation.name.as_str());
+                let message = format!("duplicate operation `{name}`");
+                self.find(format!("{path}.name"), message);
+            }
+            self.operation(&path, operation);
+        }
+    }
+
+    fn operation(&mut self, path: &str, operation: &OperationEntry) {
+        self.name(&format!("{path}.name"), operation.name.as_str());
+        if let Some(client) = &operation.client {
+            // A retry budget of 0 is meaningful: the request is never retried.
+            self.at_least_one(format!("{path}.client.deadline_ms"), client.deadline_ms);
+        }
+        for (index, call) in operation.calls.iter().enumerate() {
+            self.call(&format!("{path}.calls[{index}]"), call);
+        }
+    }
+
+    fn call(&mut self, path: &str, call: &CallEdge) {
+        self.at_least_one(format!("{path}.fan_out"), call.fan_out.into());
+        let Some(operations) = self.declared.get(&call.service) else {
+            let message = format!("undeclared service `{}`", shortened(call.service.as_str()));
+            return self.find(format!("{path}.service"), message);
+        };
+        if !operations.contains(&call.operation) {
+            let operation = shortened(call.operation.as_str());
+            let message = format!("undeclared operation `{operation}` of `{}`", call.service);
+            self.find(format!("{path}.operation"), message);
+        }
+    }
+
+    fn graph(&mut self) {
+        let graph = CallGraph::new(self.document);
+        let survey = graph.survey();
+        for cycle in &survey.cycles {
+            let message = format!("cycle of calls: {}", cycle.chain.join(" -> "));
+            self.find(cycle.closing_edge.clone(), message);
+        }
+        for (path, depth) in survey.client_depths {
+            if depth > MAX_CHAIN_DEPTH {
+                let message = format!("chain of {depth} calls: expected at most {MAX_CHAIN_DEPTH}");
+                self.find(path, message);
+            }
+        }
+    }
+
+    fn name(&mut self, path: &str, name: &str) {
+        let is_known = |byte: u8| matches!(byte, b'a'..=b'z' | b'0'..=b'9' | b'-');
+        if !(1..=MAX_NAME_BYTES).contains(&name.len()) || !name.bytes().all(is_known) {
+            let message = format!(
+                "bad name `{}`: expected 1 to {MAX_NAME_BYTES} of a-z, 0-9 and `-`",
+                shortened(name)
+            );
+            self.find(path.to_owned(), message);
+        }
+    }
+
+    fn at_least_one(&mut self, path: String, number: u64) {
+        if number == 0 {
+            self.find(path, "0: expected at least 1".to_owned());
+        }
+    }
+
+    fn find(&mut self, path: String, message: String) {
+        self.findings.push((path, message));
+    }
+}
+
+fn declared(document: &SchemaDocument) -> IndexMap<&ServiceName, IndexSet<&OperationName>> {
+    let mut declared: IndexMap<_, IndexSet<_>> = IndexMap::new();
+    for service in &document.services {
+        let names = service.operations.iter().map(|operation| &operation.name);
+        declared.entry(&service.name).or_default().extend(names);
+    }
+    declared
+}
+
+/// The start of a name, so that a hostile one doesn't fill the answer.
+fn shortened(name: &str) -> String {
+    name.chars().take(MAX_NAME_BYTES).flat_map(char::escape_debug).collect()
+}
--- /dev/null
+++ b/crates/coltsfootroute/src/schema/schema_diff.rs
@@ -0,0 +1,146 @@
+//! Difference between two schemas.
+
+use super::{OperationEntry, SchemaDocument, ServiceEntry};
+use indexmap::{IndexMap, IndexSet};
+use std::fmt;
+
+record_type! {
+    /// What changed from one schema to another, in readable terms; the order of declarations doesn't
+    /// count.
+    #[derive(Default, serde::Serialize, serde::Deserialize)]
+    #[serde(transparent)]
+    pub struct SchemaDiff {
+        /// The changes: first those to things that the old schema has, in its order.
+        pub changes: Vec<SchemaChange>,
+    }
+}
+
+record_type! {
+    /// One change. A service or operation that is added or removed is one change, its fields aren't listed.
+    #[derive(serde::Serialize, serde::Deserialize)]
+    #[serde(deny_unknown_fields)]
+    pub struct SchemaChange {
+        /// What changed: `deployment`, `service a`, `service a/operation`, `service a/operation -> b/callee`,
+        /// or a `.field` of one.
+        pub item: String,
+        /// Value before; `None` if the item is new.
+        pub before: Option<String>,
+        /// Value after; `None` if the item is gone.
+        pub after: Option<String>,
+    }
+}
+
+impl SchemaDiff {
+    /// What changed from `old` to `new`.
+    pub fn between(old: &SchemaDocument, new: &SchemaDocument) -> Self {
+        let (old, new) = (flattened(old), flattened(new));
+        let news = new.keys().filter(|item| !old.contains_key(*item));
+        let mut changes = Vec::new();
+        let mut whole = IndexSet::new();
+        for item in old.keys().chain(news) {
+            let change = SchemaChange::new(item, old.get(item), new.get(item));
+            if change.before == change.after || lies_within(&whole, item) {
+                continue;
+            }
+            if change.is_whole() {
+                whole.insert(item.clone());
+            }
+            changes.push(change);
+        }
+        Self { changes }
+    }
+
+    /// Whether nothing changed.
+    pub fn is_empty(&self) -> bool {
+        self.changes.is_empty()
+    }
+}
+
+impl SchemaChange {
+    fn new(item: &str, before: Option<&String>, after: Option<&String>) -> Self {
+        Self { item: item.to_owned(), before: before.cloned(), after: after.cloned() }
+    }
+
+    /// Whether the item is added or removed with all it holds.
+    fn is_whole(&self) -> bool {
+        self.before.is_none() || self.after.is_none()
+    }
+}
+
+/// Whether `item` lies within one of `whole`, things added or removed as a whole.
+fn lies_within(whole: &IndexSet<String>, item: &str) -> bool {
+    std::iter::successors(Some(item), |item| item.rfind(['.', '/', ' ']).map(|end| &(*item)[..end]))
+        .skip(1)
+        .any(|item| whole.contains(item))
+}
+
+/// Every item of a document with its value as text; a service or operation itself has an empty one.
+fn flattened(document: &SchemaDocument) -> IndexMap<String, String> {
+    let mut items = IndexMap::new();
+    items.insert("deployment".to_owned(), document.deployment.clone());
+    for service in &document.services {
+        flatten_service(service, &mut items);
+    }
+    items
+}
+
+fn flatten_service(service: &ServiceEntry, items: &mut IndexMap<String, String>) {
+    let name = format!("service {}", service.name);
+    items.insert(name.clone(), String::new());
+    items.insert(format!("{name}.slots"), service.slots.to_string());
+    items.insert(format!("{name}.connections"), service.connections.to_string());
+    items.insert(format!("{name}.retention_s"), service.retention_s.to_string());
+    for operation in &service.operations {
+        flatten_operation(&name, operation, items);
+    }
+}
+
+fn flatten_operation(
+    service: &str,
+    operation: &OperationEntry,
+    items: &mut IndexMap<String, String>,
+) {
+    let name = format!("{service}/{}", operation.name);
+    items.insert(name.clone(), String::new());
+    items.insert(format!("{name}.repeatable"), operation.repeatable.to_string());
+    if let Some(client) = &operation.client {
+        items.insert(format!("{name}.client"), String::new());
+        items.insert(format!("{name}.client.importance"), client.importance.to_string());
+        items.insert(format!("{name}.client.deadline_ms"), client.deadline_ms.to_string());
+        items.insert(format!("{name}.client.retry_budget"), client.retry_budget.to_string());
+    }
+    for call in &operation.calls {
+        let mut item = format!("{name} -> {}/{}", call.service, call.operation);
+        while items.contains_key(&item) {
+            // The same callee declared twice: each declaration counts.
+            item.push_str(" again");
+        }
+        items.insert(item.clone(), String::new());
+        items.insert(format!("{item}.fan_out"), call.fan_out.to_string());
+    }
+}
+
+impl fmt::Display for SchemaDiff {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (index, change) in self.changes.iter().enumerate() {
+            if index > 0 {
+                f.write_str("\n")?;
+            }
+            change.fmt(f)?;
+        }
+        Ok(())
+    }
+}
+
+impl fmt::Display for SchemaChange {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let item = &self.item;
+        match (&self.before, &self.after) {
+            (Some(before), Some(after)) => write!(f, "changed {item}: {before} to {after}"),
+            (None, Some(after)) if !after.is_empty() => write!(f, "added {item}: {after}"),
+            (None, _) => write!(f, "added {item}"),
+            (Some(before), None) if !before.is_empty() => write!(f, "removed {item}: {before}"),
+            (Some(_), None) => write!(f, "removed {item}"),
+        }
+    }
+}
--- a/crates/coltsfootroute/src/schema/schema_document.rs
+++ b/crates/coltsfootroute/src/schema/schema_document.rs
@@ -1,7 +1,8 @@
 //! A whole schema.
 
-use super::ServiceEntry;
-use crate::name::ServiceName;
+use super::{ServiceEntry, call_graph::CallGraph};
+use crate::name::{OperationName, ServiceName};
+use indexmap::IndexSet;
 
 record_type! {
     /// What an operator submits: every service of one deployment.
@@ -9,6 +10,7 @@
     #[serde(deny_unknown_fields)]
     pub struct SchemaDocument {
         /// Name of the deployment.
+        #[schemars(length(min = 1, max = 64), regex(pattern = "^[a-z0-9-]+$"))]
         pub deployment: String,
         /// Services, in order of declaration.
         pub services: Vec<ServiceEntry>,
@@ -20,4 +22,31 @@
     pub fn service(&self, name: &ServiceName) -> Option<&ServiceEntry> {
         self.services.iter().find(|service| service.name == *name)
     }
+
+    /// Services that a run of this operation may involve at any depth, its own first, each once; empty if
+    /// the operation is undeclared.
+    pub fn reachable(
+        &self,
+        service: &ServiceName,
+        operation: &OperationName,
+    ) -> IndexSet<ServiceName> {
+        CallGraph::new(self).reachable((service, operation)).into_iter().cloned().collect()
+    }
+
+    /// Services that operations of `service` call directly, each once.
+    pub fn called_by(&self, service: &ServiceName) -> IndexSet<ServiceName> {
+        let operations = self.service(service).into_iter().flat_map(|service| &service.operations);
+        operations.flat_map(|operation| &operation.calls).map(|call| call.service.clone()).collect()
+    }
+
+    /// The JSON Schema of the format, as indented text.
+    ///
+    /// # Panics
+    ///
+    /// Never: the schema is a fixed value.
+    pub fn json_schema() -> String {
+        let schema = schemars::schema_for!(Self);
+        let text = serde_json::to_string_pretty(&schema).expect("a fixed JSON value");
+        text + "\n"
+    }
 }
--- a/crates/coltsfootroute/src/schema/schema_errors.rs
+++ b/crates/coltsfootroute/src/schema/schema_errors.rs
@@ -3,6 +3,9 @@
 use super::SchemaError;
 use std::fmt;
 
+/// Most faults listed in one answer; a hostile text may hold a fault in every few bytes.
+pub const MAX_SCHEMA_ERRORS: usize = 1_000;
+
 record_type! {
     /// Every fault found in a submitted schema; nothing was changed. Body of the answer to a submission
     /// that is refused for its content.
@@ -17,13 +20,23 @@
 }
 
 impl SchemaErrors {
-    /// Orders `errors` by place.
+    /// Orders `errors` by place; beyond [`MAX_SCHEMA_ERRORS`] a last entry counts the rest.
     pub fn new(mut errors: Vec<SchemaError>) -> Self {
         errors.sort_by_key(|error| (error.line, error.column));
+        let rest = errors.len().saturating_sub(MAX_SCHEMA_ERRORS);
+        errors.truncate(MAX_SCHEMA_ERRORS);
+        if rest > 0 {
+            errors.push(unlisted(rest));
+        }
         Self { errors }
     }
 }
 
+fn unlisted(rest: usize) -> SchemaError {
+    let message = format!("{rest} further faults are not listed");
+    SchemaError { line: 0, column: 0, field: String::new(), message }
+}
+
 impl fmt::Display for SchemaErrors {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         for (index, error) in self.errors.iter().enumerate() {
--- /dev/null
+++ b/crates/coltsfootroute/src/schema/source_fields.rs
@@ -0,0 +1,171 @@
+//! The fields of one mapping of a YAML tree.
+
+use super::{
+    SchemaError,
+    source_node::{SourceNode, SourceValue},
+    source_reader::SourceReader,
+};
+use indexmap::IndexMap;
+use std::{fmt::Display, str::FromStr};
+
+/// Reads the fields of one mapping; reports unknown, duplicate, missing and mistyped ones to its reader.
+pub(super) struct SourceFields<'a, 'r> {
+    reader: &'r mut SourceReader,
+    node: &'a SourceNode,
+    path: String,
+    fields: IndexMap<&'a str, &'a SourceNode>,
+    /// Whether the node is a mapping at all; if not, missing fields aren't reported besides.
+    is_map: bool,
+}
+
+impl<'a, 'r> SourceFields<'a, 'r> {
+    /// Opens `node`, whose path is `path`, and reports keys not in `known`.
+    pub fn new(
+        reader: &'r mut SourceReader,
+        node: &'a SourceNode,
+        path: &str,
+        known: &[&str],
+    ) -> Self {
+        reader.places.insert(path.to_owned(), (node.line, node.column));
+        let mut fields =
+            Self { reader, node, path: path.to_owned(), fields: IndexMap::new(), is_map: true };
+        match &node.value {
+            SourceValue::Map(entries) => fields.open(entries, known),
+            other => {
+                fields.is_map = false;
+                let message = format!("expected a mapping, found {}", other.kind());
+                fields.report(node, path.to_owned(), message);
+            }
+        }
+        fields
+    }
+
+    fn open(&mut self, entries: &'a [(SourceNode, SourceNode)], known: &[&str]) {
+        for (key, value) in entries {
+            let SourceValue::Text(name) = &key.value else {
+                let message = format!("expected a field name, found {}", key.value.kind());
+                self.report(key, self.path.clone(), message);
+                continue;
+            };
+            let path = self.path_of(name);
+            if !known.contains(&name.as_str()) {
+                let message = format!("unknown field: expected one of {}", known.join(", "));
+                self.report(key, path, message);
+            } else if self.fields.insert(name, value).is_some() {
+                self.report(key, path, "duplicate field".to_owned());
+            } else {
+                self.reader.places.insert(path, (value.line, value.column));
+            }
+        }
+    }
+
+    /// Required text.
+    pub fn text(&mut self, name: &str) -> String {
+        match self.required(name).map(|node| (node, &node.value)) {
+            Some((_, SourceValue::Text(text))) => text.clone(),
+            Some((node, other)) => {
+                self.mistyped(node, name, "text", other);
+                String::new()
+            }
+            None => String::new(),
+        }
+    }
+
+    /// A number; required unless it has a default.
+    pub fn number(&mut self, name: &str, default: Option<u64>) -> u64 {
+        let node = match default {
+            Some(default) if !self.fields.contains_key(name) => return default,
+            _ => self.required(name),
+        };
+        match node.map(|node| (node, &node.value)) {
+            Some((_, SourceValue::Number(number))) => *number,
+            Some((node, other)) => {
+                self.mistyped(node, name, "a whole number from 0", other);
+                0
+            }
+            None => 0,
+        }
+    }
+
+    /// A number of 32 bits; required unless it has a default.
+    pub fn count(&mut self, name: &str, default: Option<u64>) -> u32 {
+        let number = self.number(name, default);
+        u32::try_from(number).unwrap_or_else(|_| {
+            let message = format!("{number}: expected at most {}", u32::MAX);
+            let node = self.fields.get(name).copied().unwrap_or(self.node);
+            self.report(node, self.path_of(name), message);
+            u32::MAX
+        })
+    }
+
+    /// A boolean with a default.
+    pub fn flag(&mut self, name: &str, default: bool) -> bool {
+        match self.fields.get(name).copied().map(|node| (node, &node.value)) {
+            Some((_, SourceValue::Flag(flag))) => *flag,
+            Some((node, other)) => {
+                self.mistyped(node, name, "true or false", other);
+                default
+            }
+            None => default,
+        }
+    }
+
+    /// Required text that parses as `T`.
+    pub fn parsed<T: FromStr<Err: Display>>(&mut self, name: &str) -> Option<T> {
+        let text = self.text(name);
+        match text.parse() {
+            Ok(value) => Some(value),
+            Err(error) => {
+                if let Some(node) = self.fields.get(name).copied()
+                    && matches!(node.value, SourceValue::Text(_))
+                {
+                    self.report(node, self.path_of(name), error.to_string());
+                }
+                None
+            }
+        }
+    }
+
+    /// The node of an optional field, with its path.
+    pub fn optional(&self, name: &str) -> Option<(String, &'a SourceNode)> {
+        self.fields.get(name).map(|node| (self.path_of(name), *node))
+    }
+
+    /// A list, with its path.
+    pub fn list(&mut self, name: &str, required: bool) -> Option<(String, &'a [SourceNode])> {
+        let node = if required { self.required(name)? } else { self.fields.get(name).copied()? };
+        match &node.value {
+            SourceValue::List(items) => Some((self.path_of(name), items)),
+            other => {
+                self.mistyped(node, name, "a list", other);
+                None
+            }
+        }
+    }
+
+    fn required(&mut self, name: &str) -> Option<&'a SourceNode> {
+        let node = self.fields.get(name).copied();
+        if node.is_none() && self.is_map {
+            self.report(self.node, self.path_of(name), "missing field".to_owned());
+        }
+        node
+    }
+
+    fn mistyped(&mut self, node: &SourceNode, name: &str, expected: &str, found: &SourceValue) {
+        let message = format!("expected {expected}, found {}", found.kind());
+        self.report(node, self.path_of(name), message);
+    }
+
+    fn report(&mut self, node: &SourceNode, field: String, message: String) {
+        self.reader.errors.push(SchemaError {
+            line: node.line,
+            column: node.column,
+            field,
+            message,
+        });
+    }
+
+    fn path_of(&self, name: &str) -> String {
+        if self.path.is_empty() { name.to_owned() } else { format!("{}.{name}", self.path) }
+    }
+}
--- /dev/null
+++ b/crates/coltsfootroute/src/schema/source_reader.rs
@@ -0,0 +1,84 @@
+//! Reads a schema from a YAML tree and gathers every fault of its form.
+
+use super::{
+    CallEdge, ClientEntry, OperationEntry, SchemaDocument, SchemaError, ServiceEntry,
+    source_fields::SourceFields, source_node::SourceNode,
+};
+use crate::{
+    importance::Importance,
+    name::{OperationName, ServiceName},
+};
+use indexmap::IndexMap;
+
+/// Reads a document however faulty its form is: what is missing or wrong is reported and replaced by a
+/// stand-in, so that the rest can still be checked.
+#[derive(Default)]
+pub(super) struct SourceReader {
+    /// Faults of form found so far.
+    pub errors: Vec<SchemaError>,
+    /// Line and column of each field read, by path.
+    pub places: IndexMap<String, (u64, u64)>,
+}
+
+impl SourceReader {
+    /// Reads a whole document.
+    pub fn document(&mut self, node: &SourceNode) -> SchemaDocument {
+        let mut fields = SourceFields::new(self, node, "", &["deployment", "services"]);
+        let deployment = fields.text("deployment");
+        let services = fields.list("services", true);
+        SchemaDocument { deployment, services: self.each(services, Self::service) }
+    }
+
+    fn service(&mut self, node: &SourceNode, path: &str) -> ServiceEntry {
+        let known = ["name", "slots", "connections", "retention_s", "operations"];
+        let mut fields = SourceFields::new(self, node, path, &known);
+        let name = ServiceName::from(fields.text("name"));
+        let slots = fields.count("slots", None);
+        let connections = fields.count("connections", None);
+        let retention_s =
+            fields.number("retention_s", Some(super::service_entry::DEFAULT_RETENTION_S));
+        let operations = fields.list("operations", true);
+        let operations = self.each(operations, Self::operation);
+        ServiceEntry { name, slots, connections, retention_s, operations }
+    }
+
+    fn operation(&mut self, node: &SourceNode, path: &str) -> OperationEntry {
+        let known = ["name", "repeatable", "client", "calls"];
+        let mut fields = SourceFields::new(self, node, path, &known);
+        let name = OperationName::from(fields.text("name"));
+        let repeatable = fields.flag("repeatable", true);
+        let client = fields.optional("client");
+        let calls = fields.list("calls", false);
+        let client = client.map(|(path, node)| self.client(node, &path));
+        OperationEntry { name, repeatable, client, calls: self.each(calls, Self::call) }
+    }
+
+    fn client(&mut self, node: &SourceNode, path: &str) -> ClientEntry {
+        let known = ["importance", "deadline_ms", "retry_budget"];
+        let mut fields = SourceFields::new(self, node, path, &known);
+        let importance = fields.parsed::<Importance>("importance").unwrap_or_default();
+        let deadline_ms = fields.number("deadline_ms", None);
+        let retry_budget = fields.count("retry_budget", None);
+        ClientEntry { importance, deadline_ms, retry_budget }
+    }
+
+    fn call(&mut self, node: &SourceNode, path: &str) -> CallEdge {
+        let mut fields = SourceFields::new(self, node, path, &["service", "operation", "fan_out"]);
+        let service = ServiceName::from(fields.text("service"));
+        let operation = OperationName::from(fields.text("operation"));
+        let fan_out = fields.count("fan_out", Some(1));
+        CallEdge { service, operation, fan_out }
+    }
+
+    fn each<T>(
+        &mut self,
+        list: Option<(String, &[SourceNode])>,
+        read: fn(&mut Self, &SourceNode, &str) -> T,
+    ) -> Vec<T> {
+        let Some((path, items)) = list else {
+            return Vec::new();
+        };
+        let numbered = items.iter().enumerate();
+        numbered.map(|(index, item)| read(self, item, &format!("{path}[{index}]"))).collect()
+    }
+}
