--- /dev/null
+++ b/crates/coltsfoot-node/tests/integration/main.rs
@@ -0,0 +1,4 @@
+//! Integration tests of the node's parts.
+
+mod store;
+mod util;
--- /dev/null
+++ b/crates/coltsfoot-node/tests/integration/util/store_fixture.rs
@@ -0,0 +1,48 @@
+//! A table stand-in and a store thread in front of it.
+
+use std::time::Duration;
+
+use coltsfoot_node::store::{StoreHandle, StoreSettings, StoreThread};
+use coltsfoot_standin::table::{FaultCommand, TableHandle, TableServer, TableSettings};
+use coltsfootroute::table::{RowCondition, RowKey, RowWrite, StoreUse, TableReply, TableRequest};
+
+/// Far more than any request takes: a test that reaches it has failed.
+pub const LONG: Duration = Duration::from_secs(30);
+
+pub struct StoreFixture {
+    pub table: TableHandle,
+    pub store: StoreHandle,
+}
+
+impl StoreFixture {
+    pub fn new() -> Self {
+        Self::with_settings(|settings| settings)
+    }
+
+    pub fn with_settings(change: impl FnOnce(StoreSettings) -> StoreSettings) -> Self {
+        let table = TableServer::start(&TableSettings::default()).expect("loopback");
+        let settings = change(StoreSettings::new(table.address()));
+        let store = StoreThread::start(settings).expect("thread");
+        Self { table, store }
+    }
+
+    pub fn fault(&self, command: FaultCommand) {
+        self.table.fault(&command);
+    }
+
+    pub async fn claim(&self, request: TableRequest) -> TableReply {
+        self.store.request(request, LONG, StoreUse::Claim).await
+    }
+}
+
+pub fn insert(key: &str, value: &str) -> TableRequest {
+    TableRequest::Transact(vec![RowWrite {
+        key: RowKey::new(key),
+        condition: RowCondition::Absent,
+        value: Some(value.to_owned()),
+    }])
+}
+
+pub fn read(key: &str) -> TableRequest {
+    TableRequest::Read(RowKey::new(key))
+}
--- a/crates/coltsfoot-standin/src/table/table_handle.rs
+++ b/crates/coltsfoot-standin/src/table/table_handle.rs
@@ -8,13 +8,21 @@
 
 use super::{FaultCommand, TableCounts, table_service::TableService};
 
+/// How the server ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum StopMode {
+    /// After the requests in flight.
+    Graceful,
+    /// Without waiting for idle connections to close.
+    AtOnce,
+}
+
 /// Controls a stand-in that runs in threads of this process; stops it when dropped.
 #[derive(Debug)]
 pub struct TableHandle {
     address: SocketAddr,
     service: Arc<TableService>,
-    /// Dropped to stop the server.
-    stop: Option<mpsc::Sender<()>>,
+    stop: mpsc::Sender<StopMode>,
     thread: Option<JoinHandle<()>>,
 }
 
@@ -22,10 +30,10 @@
     pub(super) fn new(
         address: SocketAddr,
         service: Arc<TableService>,
-        stop: mpsc::Sender<()>,
+        stop: mpsc::Sender<StopMode>,
         thread: JoinHandle<()>,
     ) -> Self {
-        Self { address, service, stop: Some(stop), thread: Some(thread) }
+        Self { address, service, stop, thread: Some(thread) }
     }
 
     /// Address listened on.
@@ -45,11 +53,12 @@
 
     /// Stops after the requests in flight and waits for the end.
     pub fn stop(mut self) {
-        self.stop_and_join();
+        self.stop_and_join(StopMode::Graceful);
     }
 
-    fn stop_and_join(&mut self) {
-        self.stop = None;
+    fn stop_and_join(&mut self, mode: StopMode) {
+        // A server that has ended already takes no command.
+        let _ = self.stop.send(mode);
         if let Some(thread) = self.thread.take() {
             // A panic of the server thread has been printed already.
             let _ = thread.join();
@@ -59,6 +68,6 @@
 
 impl Drop for TableHandle {
     fn drop(&mut self) {
-        self.stop_and_join();
+        self.stop_and_join(StopMode::AtOnce);
     }
 }
--- a/crates/coltsfoot-standin/src/table/table_server.rs
+++ b/crates/coltsfoot-standin/src/table/table_server.rs
@@ -20,6 +20,7 @@
 
 use super::{
     FaultCommand, TableHandle, TableSettings,
+    table_handle::StopMode,
     table_service::{ServiceError, TableService},
 };
 
@@ -49,12 +50,11 @@
             .listen(listener)?
             .run();
         let server_handle = server.handle()?;
-        let (stop, stopped) = mpsc::channel::<()>();
+        let (stop, stopped) = mpsc::channel();
         let server_thread = thread::Builder::new().name("table".to_owned()).spawn(move || {
             let waiter = thread::spawn(move || {
-                // Ends with an error when the handle drops its sender: the sign to stop.
-                let _ = stopped.recv();
-                server_handle.stop(true);
+                let mode = stopped.recv().unwrap_or(StopMode::AtOnce);
+                server_handle.stop(mode == StopMode::Graceful);
             });
             if let Err(error) = server.wait() {
                 log::error!("event=table-server-failed error=\"{error}\"");
--- a/crates/coltsfoot-standin/src/table/table_service.rs
+++ b/crates/coltsfoot-standin/src/table/table_service.rs
@@ -7,12 +7,12 @@
 
 use bytes::Bytes;
 use coltsfootroute::{
-    table::{TableReply, TableRequest, TokenBucket},
+    table::{MemoryTable, TableReply, TableRequest, TokenBucket},
     time::MonotonicTime,
 };
 
 use super::{
-    FaultCommand, FaultMode, TableCounts, TableRows, TableSettings,
+    FaultCommand, FaultMode, TableCounts, TableSettings,
     fault_state::{FaultState, FaultVerdict},
 };
 use crate::objects::ObjectStore;
@@ -26,7 +26,7 @@
 
 #[derive(Debug)]
 struct ServiceState {
-    rows: TableRows,
+    rows: MemoryTable,
     objects: ObjectStore,
     fault: FaultState,
     counts: TableCounts,
@@ -48,7 +48,7 @@
 impl TableService {
     pub(super) fn new(settings: &TableSettings) -> Self {
         let state = ServiceState {
-            rows: TableRows::default(),
+            rows: MemoryTable::default(),
             objects: ObjectStore::default(),
             fault: FaultState::default(),
             counts: TableCounts::default(),
--- a/crates/coltsfootroute/src/table.rs
+++ b/crates/coltsfootroute/src/table.rs
@@ -4,6 +4,7 @@
 //! to the service. Keys are flat text; a row's version rises with every write of that row.
 
 mod circuit_breaker;
+mod memory_table;
 mod object_reply;
 mod rate_budget;
 mod row_condition;
@@ -19,6 +20,7 @@
 mod token_bucket;
 
 pub use circuit_breaker::{BreakerSettings, BreakerState, CircuitBreaker};
+pub use memory_table::MemoryTable;
 pub use object_reply::ObjectReply;
 pub use rate_budget::{RateBudget, RateShare};
 pub use row_condition::RowCondition;
--- a/crates/coltsfoot-standin/src/table/table_rows.rs
+++ b/crates/coltsfootroute/src/table/memory_table.rs
@@ -1,15 +1,13 @@
-//! The rows, in memory.
+//! A table in memory, for stand-ins and tests.
 
 use std::{collections::BTreeMap, ops::Bound};
 
-use coltsfootroute::table::{
-    RowCondition, RowKey, RowVersion, RowWrite, StoredRow, TableReply, TableRequest,
-};
+use super::{RowCondition, RowKey, RowVersion, RowWrite, StoredRow, TableReply, TableRequest};
 
-/// Rows by key. As with the platform's service, the version of a row that was deleted starts again at
-/// 1: a client that relies on versions must not delete.
+/// Rows by key, with the semantics of the platform's service. The version of a row that was deleted
+/// starts again at 1: a client that relies on versions must not delete.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct TableRows {
+pub struct MemoryTable {
     rows: BTreeMap<String, RowState>,
 }
 
@@ -19,7 +17,7 @@
     value: String,
 }
 
-impl TableRows {
+impl MemoryTable {
     /// Carries out `request` whole.
     pub fn apply(&mut self, request: &TableRequest) -> TableReply {
         match request {
@@ -55,7 +53,9 @@
             let mut keys: Vec<&RowKey> = failed.iter().map(|write| &write.key).collect();
             keys.sort();
             keys.dedup();
-            return TableReply::Conflict(keys.into_iter().filter_map(|key| self.row(key)).collect());
+            return TableReply::Conflict(
+                keys.into_iter().filter_map(|key| self.row(key)).collect(),
+            );
         }
         for write in writes {
             self.write(write);
