--- /dev/null
+++ b/crates/coltsfootroute/src/once/answer_header.rs
@@ -0,0 +1,13 @@
+//! A header of a stored answer.
+
+record_type! {
+    /// A header of the upstream's answer that is replayed with it.
+    #[derive(serde::Serialize, serde::Deserialize)]
+    #[serde(deny_unknown_fields)]
+    pub struct AnswerHeader {
+        /// Name, in lower case.
+        pub name: String,
+        /// Value.
+        pub value: String,
+    }
+}
--- /dev/null
+++ b/crates/coltsfootroute/src/once/claim_machine.rs
@@ -0,0 +1,170 @@
+//! The state machine of one claim.
+
+use super::{
+    ClaimNote, ClaimRecord, ClaimRefusal, ClaimResult, ClaimStep, ClaimTicket,
+    claim_refusal::ClaimTrace,
+    row_view::{self, RowView},
+};
+use crate::{
+    outcome::RefusalReason,
+    table::{RowKey, RowVersion, TableReply, TableRequest},
+    time::MonotonicTime,
+};
+
+record_type! {
+    /// Claims one key. Each reply must be that of the request given last.
+    ///
+    /// A write without an answer is resolved by reading the row back and looking for the own claim id.
+    /// The same claim may then be written again: both writes have the same condition, and as rows are
+    /// never deleted at most one of them can take effect.
+    pub struct ClaimMachine {
+        claim: ClaimNote,
+        row_key: RowKey,
+        deadline: MonotonicTime,
+        /// What the claim is written on; `None` for no row.
+        base: Option<RowVersion>,
+        /// Whether a claim written on `base` may have taken effect, or may still do so.
+        is_in_doubt: bool,
+        /// Requests still granted.
+        requests_left: u32,
+    }
+}
+
+/// Requests that one claim sends at the most.
+const MOST_REQUESTS: u32 = 8;
+
+impl ClaimMachine {
+    /// Prepares to write `claim` to `row_key` before `deadline`.
+    pub fn new(claim: ClaimNote, row_key: RowKey, deadline: MonotonicTime) -> Self {
+        Self {
+            claim,
+            row_key,
+            deadline,
+            base: None,
+            is_in_doubt: false,
+            requests_left: MOST_REQUESTS,
+        }
+    }
+
+    /// The claim being made.
+    pub fn claim(&self) -> &ClaimNote {
+        &self.claim
+    }
+
+    /// The first request: a write that takes effect if the key was never claimed.
+    pub fn start(&mut self) -> TableRequest {
+        self.write()
+    }
+
+    /// Takes the reply to the last request.
+    pub fn on_reply(&mut self, reply: &TableReply, now: MonotonicTime) -> ClaimStep {
+        match reply {
+            TableReply::Committed => self.claimed_at(row_view::version_after(self.base), now),
+            TableReply::Conflict(rows) | TableReply::Rows(rows) => {
+                let view = RowView::of(&self.row_key, rows);
+                self.on_row(view, now)
+            }
+            TableReply::Unavailable => self.refuse(RefusalReason::StoreUnavailable),
+            TableReply::Uncertain => self.read_back(now),
+        }
+    }
+
+    /// What the claim may have left in the table if it is given up while a request is under way.
+    pub(super) fn trace(&self) -> ClaimTrace {
+        ClaimTrace::InDoubt(self.base)
+    }
+
+    fn on_row(&mut self, view: RowView, now: MonotonicTime) -> ClaimStep {
+        match view {
+            RowView::Absent => self.write_again(None, now),
+            RowView::Present(version, ClaimRecord::Free) => self.write_again(Some(version), now),
+            RowView::Present(version, ClaimRecord::Claimed(claim))
+                if claim.claim_id == self.claim.claim_id =>
+            {
+                self.claimed_at(version, now)
+            }
+            // Any other record stands on the base or on a later version: no own write can follow.
+            RowView::Present(_, record) => ClaimStep::Done(self.judge(record)),
+            RowView::Foreign => {
+                self.is_in_doubt = false;
+                self.refuse(RefusalReason::StoreUnavailable)
+            }
+        }
+    }
+
+    fn judge(&self, record: ClaimRecord) -> ClaimResult {
+        if record.is_expired(self.claim.at) {
+            return ClaimResult::Expired;
+        }
+        if record.claim().is_some_and(|claim| claim.body_digest != self.claim.body_digest) {
+            return ClaimResult::Conflict;
+        }
+        match record {
+            ClaimRecord::Finished { answer, .. } => ClaimResult::Replay(answer),
+            ClaimRecord::Claimed(claim) if !self.claim.holder.succeeds(claim.holder) => {
+                ClaimResult::Busy(claim)
+            }
+            // The earlier life of this node may have dispatched it: nobody can tell any more.
+            ClaimRecord::Claimed(_) | ClaimRecord::Interrupted(_) => ClaimResult::Interrupted,
+            // Taken out before, by the caller and above.
+            ClaimRecord::Free | ClaimRecord::Expired => ClaimResult::Expired,
+        }
+    }
+
+    /// Writes the claim on `base`, which the last reply has shown.
+    fn write_again(&mut self, base: Option<RowVersion>, now: MonotonicTime) -> ClaimStep {
+        if base != self.base {
+            // The row has moved on: earlier writes can't take effect any more.
+            self.is_in_doubt = false;
+        }
+        self.base = base;
+        if !self.may_ask(now) {
+            return self.refuse(self.reason_to_stop(now));
+        }
+        ClaimStep::Ask(self.write())
+    }
+
+    fn read_back(&mut self, now: MonotonicTime) -> ClaimStep {
+        self.is_in_doubt = true;
+        if !self.may_ask(now) {
+            return self.refuse(self.reason_to_stop(now));
+        }
+        self.requests_left -= 1;
+        ClaimStep::Ask(TableRequest::Read(self.row_key.clone()))
+    }
+
+    fn write(&mut self) -> TableRequest {
+        self.requests_left = self.requests_left.saturating_sub(1);
+        row_view::write(&self.row_key, self.base, &ClaimRecord::Claimed(self.claim))
+    }
+
+    fn claimed_at(&self, version: RowVersion, now: MonotonicTime) -> ClaimStep {
+        if now >= self.deadline {
+            let trace = ClaimTrace::Standing(version);
+            return done(ClaimRefusal::new(RefusalReason::Deadline, trace));
+        }
+        ClaimStep::Done(ClaimResult::Dispatch(ClaimTicket {
+            claim_id: self.claim.claim_id,
+            version,
+            claimed_at: now,
+            deadline: self.deadline,
+        }))
+    }
+
+    fn refuse(&self, reason: RefusalReason) -> ClaimStep {
+        let trace = if self.is_in_doubt { self.trace() } else { ClaimTrace::None };
+        done(ClaimRefusal::new(reason, trace))
+    }
+
+    fn may_ask(&self, now: MonotonicTime) -> bool {
+        self.requests_left > 0 && now < self.deadline
+    }
+
+    fn reason_to_stop(&self, now: MonotonicTime) -> RefusalReason {
+        if now >= self.deadline { RefusalReason::Deadline } else { RefusalReason::StoreUnavailable }
+    }
+}
+
+fn done(refusal: ClaimRefusal) -> ClaimStep {
+    ClaimStep::Done(ClaimResult::Refuse(refusal))
+}
--- /dev/null
+++ b/crates/coltsfootroute/src/once/claim_run.rs
@@ -0,0 +1,19 @@
+//! A run under way.
+
+use super::ClaimId;
+
+/// A request that has been dispatched. It can't be copied and is used up by
+/// [`OnceGuard::finish`](super::OnceGuard::finish) or
+/// [`OnceGuard::interrupt`](super::OnceGuard::interrupt).
+#[derive(Debug, PartialEq, Eq)]
+#[must_use = "a run that ends unnoticed leaves its key busy"]
+pub struct ClaimRun {
+    pub(super) claim_id: ClaimId,
+}
+
+impl ClaimRun {
+    /// The claim under which it runs.
+    pub fn claim_id(&self) -> ClaimId {
+        self.claim_id
+    }
+}
--- /dev/null
+++ b/crates/coltsfootroute/src/once/claim_step.rs
@@ -0,0 +1,13 @@
+//! Step of a claim.
+
+use super::ClaimResult;
+use crate::table::TableRequest;
+
+/// What to do next for a claim.
+#[derive(Debug, PartialEq, Eq)]
+pub enum ClaimStep {
+    /// Send this request and give its reply back.
+    Ask(TableRequest),
+    /// The attempt has ended.
+    Done(ClaimResult),
+}
--- /dev/null
+++ b/crates/coltsfootroute/src/once/once_guard.rs
@@ -0,0 +1,292 @@
+//! All claims of one guard.
+
+use std::collections::VecDeque;
+
+use indexmap::IndexMap;
+
+use super::{
+    AnswerMachine, ClaimHolder, ClaimId, ClaimMachine, ClaimNote, ClaimRecord, ClaimRefusal,
+    ClaimResult, ClaimRun, ClaimStep, ClaimTicket, DispatchVerdict, ErrandReply, ErrandRequest,
+    HolderAnswer, OnceCall, OnceKey, OnceSettings, ReleaseMachine, ReleaseStep, RunAnswer,
+    StoreErrand, WallTime,
+    answer_machine::AnswerProgress,
+    claim_refusal::ClaimTrace,
+    open_claim::{ClaimStage, OpenClaim},
+};
+use crate::{
+    outcome::RefusalReason,
+    table::{RowVersion, TableReply},
+    time::MonotonicTime,
+};
+
+record_type! {
+    /// The claims that one life of a node has begun and not settled.
+    ///
+    /// At most one of them is open for a key. A claim leaves only when it is settled in the table: its
+    /// end is stored, it is released, or it provably never got there.
+    pub struct OnceGuard {
+        holder: ClaimHolder,
+        settings: OnceSettings,
+        open: IndexMap<ClaimId, OpenClaim>,
+        by_key: IndexMap<OnceKey, ClaimId>,
+        /// Claims with an errand to be sent, by the time from which it may be; in that order, as all
+        /// pauses are equally long. A claim whose errand is under way isn't listed.
+        errands: VecDeque<(MonotonicTime, ClaimId)>,
+    }
+}
+
+impl OnceGuard {
+    /// No claims yet.
+    pub fn new(holder: ClaimHolder, settings: OnceSettings) -> Self {
+        Self {
+            holder,
+            settings,
+            open: IndexMap::new(),
+            by_key: IndexMap::new(),
+            errands: VecDeque::new(),
+        }
+    }
+
+    /// Begins to claim `call` under the fresh `claim_id`. To be called immediately before dispatch: after
+    /// admission, with a slot of the upstream at hand.
+    pub fn begin(&mut self, call: OnceCall, claim_id: ClaimId, wall: WallTime) -> ClaimStep {
+        if let Some(result) = self.duplicate(&call) {
+            return ClaimStep::Done(result);
+        }
+        if self.open.len() >= self.settings.most_open {
+            let refusal = ClaimRefusal::new(RefusalReason::StoreUnavailable, ClaimTrace::None);
+            return ClaimStep::Done(ClaimResult::Refuse(refusal));
+        }
+        let claim = ClaimNote {
+            claim_id,
+            holder: self.holder,
+            body_digest: call.body_digest,
+            at: wall,
+            until: wall.after(call.retention),
+        };
+        let row_key = call.key.row_key();
+        let mut machine = ClaimMachine::new(claim, row_key.clone(), call.deadline);
+        let request = machine.start();
+        let stage = ClaimStage::Claiming(machine);
+        self.by_key.insert(call.key.clone(), claim_id);
+        self.open.insert(claim_id, OpenClaim { key: call.key, row_key, claim, stage });
+        ClaimStep::Ask(request)
+    }
+
+    /// Takes the table's reply for a claim being made; `None` if the claim was given up meanwhile.
+    pub fn on_reply(
+        &mut self,
+        claim_id: ClaimId,
+        reply: &TableReply,
+        now: MonotonicTime,
+    ) -> Option<ClaimStep> {
+        let open = self.open.get_mut(&claim_id)?;
+        let ClaimStage::Claiming(machine) = &mut open.stage else {
+            return None;
+        };
+        let step = machine.on_reply(reply, now);
+        match &step {
+            ClaimStep::Ask(_) => {}
+            ClaimStep::Done(ClaimResult::Dispatch(ticket)) => {
+                open.stage = ClaimStage::Ticketed(ticket.version);
+            }
+            ClaimStep::Done(ClaimResult::Refuse(refusal)) => {
+                self.release(claim_id, refusal.trace, now);
+            }
+            ClaimStep::Done(_) => self.settle(claim_id),
+        }
+        Some(step)
+    }
+
+    /// Gives up a claim that is still being made, because its caller has gone or is refused. It will
+    /// never be dispatched.
+    pub fn cancel(&mut self, claim_id: ClaimId, now: MonotonicTime) {
+        let Some(open) = self.open.get(&claim_id) else {
+            return;
+        };
+        if let ClaimStage::Claiming(machine) = &open.stage {
+            let trace = machine.trace();
+            self.release(claim_id, trace, now);
+        }
+    }
+
+    /// Uses up a ticket: the last check before the request goes to the upstream.
+    pub fn dispatch(&mut self, ticket: ClaimTicket, now: MonotonicTime) -> DispatchVerdict {
+        let (claim_id, version) = (ticket.claim_id, ticket.version);
+        let verdict = ticket.dispatch(now, self.settings.longest_ticket);
+        match (&verdict, self.open.get_mut(&claim_id)) {
+            (DispatchVerdict::Run(_), Some(open)) => open.stage = ClaimStage::Running(version),
+            (DispatchVerdict::Lapsed, _) => {
+                self.release(claim_id, ClaimTrace::Standing(version), now);
+            }
+            // The ticket of another guard.
+            (DispatchVerdict::Run(_), None) => return DispatchVerdict::Lapsed,
+        }
+        verdict
+    }
+
+    /// Gives back a ticket whose request won't be dispatched.
+    pub fn abandon(&mut self, ticket: ClaimTicket, now: MonotonicTime) {
+        self.release(ticket.claim_id, ClaimTrace::Standing(ticket.version), now);
+    }
+
+    /// The run ended with a complete answer. Its record is the next errand; the answer to the caller may
+    /// wait for it up to [`OnceSettings::longest_answer_wait`].
+    pub fn finish(&mut self, run: ClaimRun, answer: RunAnswer, now: MonotonicTime) {
+        let most_inline = self.settings.most_inline;
+        self.store(&run, now, |open, version| {
+            let row_key = open.row_key.clone();
+            AnswerMachine::finished(open.claim, row_key, version, answer, most_inline)
+        });
+    }
+
+    /// The run failed, was cut off or gave an incomplete answer: what it did is unknown.
+    pub fn interrupt(&mut self, run: ClaimRun, now: MonotonicTime) {
+        self.store(&run, now, |open, version| {
+            AnswerMachine::interrupted(open.claim, open.row_key.clone(), version)
+        });
+    }
+
+    /// The next request that may be sent at `now` for claims that nobody waits for.
+    pub fn next_errand(&mut self, now: MonotonicTime) -> Option<StoreErrand> {
+        let (_, claim_id) = self.errands.pop_front_if(|(due, _)| *due <= now)?;
+        let request = match &self.open.get(&claim_id)?.stage {
+            ClaimStage::Storing(machine) => machine.request(),
+            ClaimStage::Releasing(machine) => ErrandRequest::Table(machine.start()),
+            // A claim is listed only in the two stages above.
+            _ => return None,
+        };
+        Some(StoreErrand { claim_id, request })
+    }
+
+    /// When the next errand may be sent.
+    pub fn next_errand_at(&self) -> Option<MonotonicTime> {
+        self.errands.front().map(|(due, _)| *due)
+    }
+
+    /// Takes the reply to an errand; gives a request to be sent at once for the same claim, if any.
+    pub fn on_errand_reply(
+        &mut self,
+        claim_id: ClaimId,
+        reply: &ErrandReply,
+        now: MonotonicTime,
+    ) -> Option<StoreErrand> {
+        let open = self.open.get_mut(&claim_id)?;
+        let next = match &mut open.stage {
+            ClaimStage::Storing(machine) => match machine.on_reply(reply) {
+                AnswerProgress::Next => Some(machine.request()),
+                AnswerProgress::Later => return self.try_later(claim_id, now),
+                AnswerProgress::Settled => None,
+            },
+            ClaimStage::Releasing(machine) => match release_step(machine, reply) {
+                ReleaseStep::Ask(request) => Some(ErrandRequest::Table(request)),
+                ReleaseStep::Later => return self.try_later(claim_id, now),
+                ReleaseStep::Released => None,
+            },
+            _ => return None,
+        };
+        match next {
+            Some(request) => Some(StoreErrand { claim_id, request }),
+            None => {
+                self.settle(claim_id);
+                None
+            }
+        }
+    }
+
+    /// What to tell a peer that asks about `claim_id`.
+    pub fn holder_answer(&self, claim_id: ClaimId) -> HolderAnswer {
+        self.open.get(&claim_id).map_or(HolderAnswer::NotMine, OpenClaim::holder_answer)
+    }
+
+    /// Whether the claim is settled in the table, or was never begun here.
+    pub fn is_settled(&self, claim_id: ClaimId) -> bool {
+        !self.open.contains_key(&claim_id)
+    }
+
+    /// Claims in any stage.
+    pub fn open_claims(&self) -> usize {
+        self.open.len()
+    }
+
+    /// Claims that never led to a dispatch and still have to be released.
+    pub fn abandoned_claims(&self) -> usize {
+        let is_releasing = |open: &&OpenClaim| matches!(open.stage, ClaimStage::Releasing(_));
+        self.open.values().filter(is_releasing).count()
+    }
+
+    /// Ends of runs that still have to be stored.
+    pub fn unstored_answers(&self) -> usize {
+        let is_storing = |open: &&OpenClaim| matches!(open.stage, ClaimStage::Storing(_));
+        self.open.values().filter(is_storing).count()
+    }
+
+    /// Answers a request whose key is open here, without the store.
+    fn duplicate(&self, call: &OnceCall) -> Option<ClaimResult> {
+        let open = self.open.get(self.by_key.get(&call.key)?)?;
+        let is_same = open.claim.body_digest == call.body_digest;
+        Some(match &open.stage {
+            // Nothing ran yet or will under that claim: nothing to conflict with either.
+            ClaimStage::Releasing(_) => ClaimResult::Refuse(ClaimRefusal::new(
+                RefusalReason::StoreUnavailable,
+                ClaimTrace::None,
+            )),
+            _ if !is_same => ClaimResult::Conflict,
+            ClaimStage::Storing(machine) => match machine.replayable() {
+                Some(ClaimRecord::Finished { answer, .. }) => ClaimResult::Replay(answer.clone()),
+                Some(ClaimRecord::Interrupted(_)) => ClaimResult::Interrupted,
+                _ => ClaimResult::Busy(open.claim),
+            },
+            ClaimStage::Claiming(_) | ClaimStage::Ticketed(_) | ClaimStage::Running(_) => {
+                ClaimResult::Busy(open.claim)
+            }
+        })
+    }
+
+    fn store(
+        &mut self,
+        run: &ClaimRun,
+        now: MonotonicTime,
+        machine: impl FnOnce(&OpenClaim, RowVersion) -> AnswerMachine,
+    ) {
+        let Some(open) = self.open.get_mut(&run.claim_id) else {
+            return;
+        };
+        if let ClaimStage::Running(version) = open.stage {
+            open.stage = ClaimStage::Storing(machine(open, version));
+            self.errands.push_front((now, run.claim_id));
+        }
+    }
+
+    /// Releases a claim that may stand in the table, or forgets one that provably doesn't.
+    fn release(&mut self, claim_id: ClaimId, trace: ClaimTrace, now: MonotonicTime) {
+        let Some(open) = self.open.get_mut(&claim_id) else {
+            return;
+        };
+        match ReleaseMachine::for_trace(claim_id, open.row_key.clone(), trace) {
+            Some(machine) => {
+                open.stage = ClaimStage::Releasing(machine);
+                self.errands.push_front((now, claim_id));
+            }
+            None => self.settle(claim_id),
+        }
+    }
+
+    fn settle(&mut self, claim_id: ClaimId) {
+        if let Some(open) = self.open.swap_remove(&claim_id) {
+            self.by_key.swap_remove(&open.key);
+        }
+    }
+
+    fn try_later(&mut self, claim_id: ClaimId, now: MonotonicTime) -> Option<StoreErrand> {
+        self.errands.push_back((now + self.settings.errand_pause, claim_id));
+        None
+    }
+}
+
+fn release_step(machine: &ReleaseMachine, reply: &ErrandReply) -> ReleaseStep {
+    match reply {
+        ErrandReply::Table(reply) => machine.on_reply(reply),
+        ErrandReply::Object(_) => ReleaseStep::Later,
+    }
+}
--- /dev/null
+++ b/crates/coltsfootroute/src/once/store_errand.rs
@@ -0,0 +1,40 @@
+//! Work for the store that no caller waits for.
+
+use super::ClaimId;
+use crate::table::{ObjectReply, TableReply, TableRequest};
+
+record_type! {
+    /// A request to be sent for a claim; its reply goes to
+    /// [`OnceGuard::on_errand_reply`](super::OnceGuard::on_errand_reply).
+    pub struct StoreErrand {
+        /// The claim.
+        pub claim_id: ClaimId,
+        /// The request.
+        pub request: ErrandRequest,
+    }
+}
+
+record_type! {
+    /// A request to the table service or to the object store.
+    pub enum ErrandRequest {
+        /// To the table service.
+        Table(TableRequest),
+        /// Stores an object.
+        PutObject {
+            /// Name of the object.
+            name: String,
+            /// Its whole content.
+            body: Vec<u8>,
+        },
+    }
+}
+
+record_type! {
+    /// The reply to an [`ErrandRequest`].
+    pub enum ErrandReply {
+        /// From the table service.
+        Table(TableReply),
+        /// From the object store.
+        Object(ObjectReply),
+    }
+}
