--- a/crates/coltsfoot-node/tests/integration/main.rs
+++ b/crates/coltsfoot-node/tests/integration/main.rs
@@ -4,3 +4,7 @@
 mod journal;
 mod metrics;
 mod settings;
+//! Integration tests of the node's parts.
+
+mod store;
+mod util;
