--- a/crates/coltsfootroute/src/routing/upstream_health.rs
+++ b/crates/coltsfootroute/src/routing/upstream_health.rs
@@ -7,14 +7,13 @@
 
 /// Whether an upstream takes calls, as far as its failures go.
 ///
-/// Invariants: `trials_passed` and `trial_in_flight` are only set while `ejected_until` is.
+/// Invariant: `trials_passed` is only set while `ejected_until` is.
 #[derive(Clone, Debug, Default)]
 pub(super) struct UpstreamHealth {
     failures_in_row: u32,
     ejected_until: Option<MonotonicTime>,
     ejections_in_row: u32,
     trials_passed: u32,
-    trial_in_flight: bool,
 }
 
 impl UpstreamHealth {
@@ -28,32 +27,14 @@
         self.ejected_until.is_some_and(|until| until <= now)
     }
 
-    /// Whether a trial call may start.
-    pub(super) fn wants_trial(&self, now: MonotonicTime) -> bool {
-        self.is_on_trial(now) && !self.trial_in_flight
-    }
-
     /// Failures since the last success.
     pub(super) fn failures_in_row(&self) -> u32 {
         self.failures_in_row
     }
 
-    /// Counts a call that starts.
-    pub(super) fn started(&mut self, now: MonotonicTime) {
-        if self.is_on_trial(now) {
-            self.trial_in_flight = true;
-        }
-    }
-
-    /// Counts a call that ended without telling anything of the upstream.
-    pub(super) fn cancelled(&mut self) {
-        self.trial_in_flight = false;
-    }
-
     /// Counts a success; returns whether the upstream returns from its ejection.
     pub(super) fn succeeded(&mut self, now: MonotonicTime, settings: &RoutingSettings) -> bool {
         self.failures_in_row = 0;
-        self.trial_in_flight = false;
         if !self.is_on_trial(now) {
             return false;
         }
@@ -68,9 +49,7 @@
     /// Counts a failure; a failed trial ejects again, for longer.
     pub(super) fn failed(&mut self, now: MonotonicTime, settings: &RoutingSettings) {
         self.failures_in_row = self.failures_in_row.saturating_add(1);
-        let failed_trial = self.trial_in_flight && self.is_on_trial(now);
-        self.trial_in_flight = false;
-        if failed_trial {
+        if self.is_on_trial(now) {
             self.eject(now, settings);
         }
     }
@@ -80,7 +59,6 @@
         self.ejected_until = Some(now + self.next_ejection(settings));
         self.ejections_in_row = self.ejections_in_row.saturating_add(1);
         self.trials_passed = 0;
-        self.trial_in_flight = false;
     }
 
     fn next_ejection(&self, settings: &RoutingSettings) -> Duration {
--- a/crates/coltsfootroute/src/routing/upstream_pool.rs
+++ b/crates/coltsfootroute/src/routing/upstream_pool.rs
@@ -28,8 +28,9 @@
     records: IndexMap<NodeId, UpstreamRecord>,
     /// Positions in `records` of the upstreams that are not leaving, by tier.
     tiers: [Vec<usize>; UpstreamTier::COUNT],
-    /// Average latency over all upstreams, microseconds; what an unknown upstream is taken to have.
+    /// Median of the upstreams' latency averages, microseconds; what an unknown one is taken to have.
     baseline: f64,
+    calls_since_baseline: usize,
     chosen_near: u64,
     chosen_far: u64,
     ejections: u64,
@@ -45,32 +46,33 @@
             records: IndexMap::new(),
             tiers: Default::default(),
             baseline: INITIAL_BASELINE_MICROS,
+            calls_since_baseline: 0,
             chosen_near: 0,
             chosen_far: 0,
             ejections: 0,
         }
     }
 
-    /// Replaces the set of upstreams by what membership knows now. Upstreams that are no longer
-    /// named are dropped.
+    /// Replaces the set of upstreams by what membership knows now.
     pub fn update(
         &mut self,
         now: MonotonicTime,
         upstreams: impl IntoIterator<Item = UpstreamInfo>,
     ) {
-        let mut before = std::mem::take(&mut self.records);
+        for record in self.records.values_mut() {
+            record.present = false;
+        }
         for info in upstreams {
             let tier = self.tier_of(&info);
-            let node = info.node;
-            let record = match before.swap_remove(&node) {
-                Some(mut record) => {
-                    record.update(now, info, tier, &self.settings);
-                    record
+            match self.records.get_mut(&info.node) {
+                Some(record) => record.update(now, info, tier, &self.settings),
+                None => {
+                    let record = UpstreamRecord::new(now, info, tier, &self.settings);
+                    self.records.insert(record.info.node, record);
                 }
-                None => UpstreamRecord::new(now, info, tier, &self.settings),
-            };
-            self.records.insert(node, record);
+            }
         }
+        self.records.retain(|_, record| record.present || record.in_flight > 0);
         self.rebuild_tiers();
     }
 
@@ -91,9 +93,7 @@
         rng: &mut impl Rng,
         exclude: &[NodeId],
     ) -> Option<NodeId> {
-        let trusted = self.choose_where(now, rng, exclude, |record| !record.info.suspect);
-        let position = trusted
-            .or_else(|| self.choose_where(now, rng, exclude, |record| record.info.suspect))?;
+        let position = self.choose_position(now, rng, exclude)?;
         let (node, record) = self.records.get_index(position)?;
         match record.tier {
             UpstreamTier::OwnDomain => self.chosen_near += 1,
@@ -103,9 +103,9 @@
     }
 
     /// Counts a call that starts.
-    pub fn started(&mut self, now: MonotonicTime, node: NodeId) {
+    pub fn started(&mut self, _now: MonotonicTime, node: NodeId) {
         if let Some(record) = self.records.get_mut(&node) {
-            record.started(now);
+            record.started();
         }
     }
 
@@ -117,15 +117,21 @@
         latency: Duration,
         result: RouteResult,
     ) {
+        let slow_limit = self.slow_limit();
         let Some(record) = self.records.get_mut(&node) else { return };
-        let was_leaving = record.info.leaving;
-        record.finished(now, latency, result, &self.settings);
-        if record.info.leaving != was_leaving {
+        let was_live = record.is_live();
+        record.finished(now, latency, result, slow_limit, &self.settings);
+        if !record.present && record.in_flight == 0 {
+            self.records.swap_remove(&node);
+            self.rebuild_tiers();
+            return;
+        }
+        if record.is_live() != was_live {
             self.rebuild_tiers();
         }
         match result {
             RouteResult::Succeeded => {
-                self.learn_baseline(latency);
+                self.learn_baseline();
                 self.eject_if_slow(now, node);
             }
             RouteResult::Failed | RouteResult::Unreachable => self.eject_if_failing(now, node),
@@ -174,34 +180,58 @@
         }
     }
 
+    fn live(&self) -> impl Iterator<Item = &UpstreamRecord> {
+        self.records.values().filter(|record| record.is_live())
+    }
+
     fn rebuild_tiers(&mut self) {
         for tier in &mut self.tiers {
             tier.clear();
         }
         for (position, record) in self.records.values().enumerate() {
-            if !record.info.leaving {
+            if record.is_live() {
                 self.tiers[record.tier.index()].push(position);
             }
         }
     }
 
-    /// The best of two upstreams of each tier, nearer tiers preferred.
+    /// Trusted upstreams first, then suspects; ejected ones only where all are ejected.
+    fn choose_position(
+        &self,
+        now: MonotonicTime,
+        rng: &mut impl Rng,
+        exclude: &[NodeId],
+    ) -> Option<usize> {
+        let trusted = |record: &UpstreamRecord| record.takes_calls(now) && !record.info.suspect;
+        if let Some(position) = self.choose_where(now, rng, exclude, trusted) {
+            return Some(position);
+        }
+        let suspect = |record: &UpstreamRecord| record.takes_calls(now);
+        if let Some(position) = self.choose_where(now, rng, exclude, suspect) {
+            return Some(position);
+        }
+        let all_ejected = self.live().all(|record| record.health.is_ejected());
+        if !all_ejected {
+            return None;
+        }
+        self.choose_where(now, rng, exclude, UpstreamRecord::has_room)
+    }
+
+    /// The best of two upstreams of each tier that `takes` a call, nearer tiers preferred.
     fn choose_where(
         &self,
         now: MonotonicTime,
         rng: &mut impl Rng,
         exclude: &[NodeId],
-        accept: impl Fn(&UpstreamRecord) -> bool,
+        takes: impl Fn(&UpstreamRecord) -> bool,
     ) -> Option<usize> {
+        let takes = |record: &UpstreamRecord| !exclude.contains(&record.info.node) && takes(record);
         let mut best: Option<(usize, f64)> = None;
         for (index, tier) in self.tiers.iter().enumerate() {
-            let takes = |record: &UpstreamRecord| {
-                record.takes_calls(now) && !exclude.contains(&record.info.node) && accept(record)
-            };
             for position in self.two_of(tier, rng, takes).into_iter().flatten() {
                 let record = &self.records[position];
                 // A first attempt can still be retried, so it is the one to try an ejected upstream.
-                if exclude.is_empty() && record.health.wants_trial(now) {
+                if exclude.is_empty() && record.wants_trial(now) {
                     return Some(position);
                 }
                 let cost = record.cost(now, self.baseline, &self.settings) * self.reluctance(index);
@@ -254,9 +284,22 @@
         }
     }
 
-    fn learn_baseline(&mut self, latency: Duration) {
-        let sample = latency.as_micros() as f64;
-        self.baseline += (sample - self.baseline) * BASELINE_GAIN;
+    /// Takes the median over the upstreams' averages anew, once for as many calls as there are
+    /// upstreams, so that a call's cost does not grow with the pool.
+    fn learn_baseline(&mut self) {
+        self.calls_since_baseline += 1;
+        if self.calls_since_baseline < self.records.len().max(LEAST_CALLS_PER_BASELINE) {
+            return;
+        }
+        self.calls_since_baseline = 0;
+        let observed = self.live().filter_map(|record| record.latency.observed());
+        let mut averages: Vec<f64> = observed.collect();
+        if averages.is_empty() {
+            return;
+        }
+        let middle = (averages.len() - 1) / 2;
+        let (_, median, _) = averages.select_nth_unstable_by(middle, f64::total_cmp);
+        self.baseline = *median;
     }
 
     fn eject_if_failing(&mut self, now: MonotonicTime, node: NodeId) {
@@ -270,20 +313,25 @@
 
     fn eject_if_slow(&mut self, now: MonotonicTime, node: NodeId) {
         let Some(record) = self.records.get(&node) else { return };
-        if record.latency.samples() < self.settings.samples_to_eject {
+        // Latency to another region is mostly the way there; the cost of a choice takes care of it.
+        if record.tier == UpstreamTier::OtherRegion
+            || record.latency.samples() < self.settings.samples_to_eject
+        {
             return;
         }
-        let limit = self.baseline * f64::from(self.settings.slow_factor);
-        if record.latency.observed().is_some_and(|micros| micros > limit) {
+        if record.latency.observed().is_some_and(|micros| micros > self.slow_limit()) {
             self.eject(now, node);
         }
     }
 
+    /// Latency above which an upstream is slow, in microseconds.
+    fn slow_limit(&self) -> f64 {
+        self.baseline * f64::from(self.settings.slow_factor)
+    }
+
     fn eject(&mut self, now: MonotonicTime, node: NodeId) {
-        let live = self.records.values().filter(|record| !record.info.leaving);
-        let (members, ejected) = live.fold((0, 0), |(members, ejected), record| {
-            (members + 1, ejected + usize::from(record.health.is_ejected()))
-        });
+        let members = self.live().count();
+        let ejected = self.live().filter(|record| record.health.is_ejected()).count();
         let Some(record) = self.records.get_mut(&node) else { return };
         if record.health.is_ejected() || ejected >= self.settings.most_ejected(members) {
             return;
@@ -295,5 +343,5 @@
 
 /// Latency that the first upstream of a pool is taken to have: 10 ms.
 const INITIAL_BASELINE_MICROS: f64 = 10_000.0;
-/// Weight of one call in the pool's average latency.
-const BASELINE_GAIN: f64 = 0.02;
+/// Least calls between two looks at the median.
+const LEAST_CALLS_PER_BASELINE: usize = 16;
--- a/crates/coltsfootroute/src/routing/upstream_record.rs
+++ b/crates/coltsfootroute/src/routing/upstream_record.rs
@@ -1,5 +1,7 @@
 //! What a pool keeps of one upstream.
 
+use std::time::Duration;
+
 use super::{
     InFlightShare, RouteResult, RoutingSettings, UpstreamInfo, UpstreamPhase, UpstreamTier,
     latency_average::LatencyAverage, upstream_health::UpstreamHealth,
@@ -14,6 +16,8 @@
     pub(super) share: InFlightShare,
     pub(super) latency: LatencyAverage,
     pub(super) health: UpstreamHealth,
+    /// Whether membership names it; one that it no longer names stays only while calls are in flight.
+    pub(super) present: bool,
     /// Calls started and not finished, to this life and earlier ones.
     pub(super) in_flight: u32,
     /// Calls of `in_flight` that were started in an earlier life; their results say nothing of this one.
@@ -38,6 +42,7 @@
             share,
             latency: LatencyAverage::default(),
             health: UpstreamHealth::default(),
+            present: true,
             in_flight: 0,
             stale_in_flight: 0,
             refused_share: 0.0,
@@ -54,6 +59,7 @@
         tier: UpstreamTier,
         settings: &RoutingSettings,
     ) {
+        self.present = true;
         if info.incarnation < self.info.incarnation {
             return;
         }
@@ -77,11 +83,25 @@
         self.share = InFlightShare::new(connections, settings.callers, settings.least_share);
     }
 
+    /// Whether it belongs to the live part of the pool.
+    pub(super) fn is_live(&self) -> bool {
+        self.present && !self.info.leaving
+    }
+
+    /// Whether this caller's share has room for a call.
+    pub(super) fn has_room(&self) -> bool {
+        self.is_live() && self.in_flight < self.share.0
+    }
+
     /// Whether a call may be sent, suspicion aside.
     pub(super) fn takes_calls(&self, now: MonotonicTime) -> bool {
-        !self.info.leaving
-            && self.in_flight < self.share.0
-            && (!self.health.is_ejected() || self.health.wants_trial(now))
+        self.has_room() && (!self.health.is_ejected() || self.wants_trial(now))
+    }
+
+    /// Whether a trial call may start: one at a time, and none before the calls that led to the
+    /// ejection have ended.
+    pub(super) fn wants_trial(&self, now: MonotonicTime) -> bool {
+        self.in_flight == 0 && self.health.is_on_trial(now)
     }
 
     /// How bad a choice the upstream is: expected wait per slot, in microseconds.
@@ -125,17 +145,18 @@
         }
     }
 
-    pub(super) fn started(&mut self, now: MonotonicTime) {
+    pub(super) fn started(&mut self) {
         self.in_flight += 1;
-        self.health.started(now);
     }
 
-    /// Takes in a call's result; ejection is left to the pool, which knows the cap.
+    /// Takes in a call's result; ejection is left to the pool, which knows the cap. A trial that took
+    /// longer than `slow_limit` microseconds fails.
     pub(super) fn finished(
         &mut self,
         now: MonotonicTime,
-        latency: std::time::Duration,
+        latency: Duration,
         result: RouteResult,
+        slow_limit: f64,
         settings: &RoutingSettings,
     ) {
         self.in_flight = self.in_flight.saturating_sub(1);
@@ -148,21 +169,33 @@
             RouteResult::Succeeded => {
                 self.latency.record(now, latency, window);
                 self.count_refusal(now, 0.0, settings);
-                if self.health.succeeded(now, settings) {
-                    self.warming_since = now;
-                }
+                self.succeeded(now, latency, slow_limit, settings);
             }
             RouteResult::Failed => {
                 self.latency.record_failure(now, latency, window);
                 self.health.failed(now, settings);
             }
             RouteResult::Unreachable => self.health.failed(now, settings),
-            RouteResult::Refused => {
-                self.count_refusal(now, 1.0, settings);
-                self.health.cancelled();
-            }
+            RouteResult::Refused => self.count_refusal(now, 1.0, settings),
             RouteResult::Leaving => self.info.leaving = true,
-            RouteResult::Cancelled => self.health.cancelled(),
+            RouteResult::Cancelled => {}
+        }
+    }
+
+    fn succeeded(
+        &mut self,
+        now: MonotonicTime,
+        latency: Duration,
+        slow_limit: f64,
+        settings: &RoutingSettings,
+    ) {
+        if self.health.is_on_trial(now) && latency.as_micros() as f64 > slow_limit {
+            self.health.failed(now, settings);
+        } else if self.health.succeeded(now, settings) {
+            // What it was like before the ejection must not eject it again.
+            self.latency = LatencyAverage::default();
+            self.latency.record(now, latency, settings.latency_window);
+            self.warming_since = now;
         }
     }
 
