Upstream stand-in

Cause: the path needs upstreams that misbehave on command and count what they ran. Change: coltsfoot-upstream and coltsfoot_standin::upstream: slots, bounded queue, shedding, cold start, drain, deadlines, cancellation, faults on command, runs per idempotency key.

--- /dev/null
+++ b/crates/coltsfoot-standin/src/bin/coltsfoot-upstream.rs
@@ -0,0 +1,110 @@
+//! Plays one upstream of a deployment.
+
+use std::{
+    fs,
+    io::{Write, stdout},
+    net::SocketAddr,
+    path::PathBuf,
+    time::Duration,
+};
+
+use anyhow::Context;
+use clap::{Arg, ArgMatches, Command, value_parser};
+use coltsfoot_standin::{
+    termination::wait_for_termination,
+    upstream::{UpstreamServer, UpstreamSettings},
+};
+use coltsfootroute::{name::ServiceName, schema::SchemaDocument};
+
+fn main() -> anyhow::Result<()> {
+    let arguments = command().get_matches();
+    let handle = UpstreamServer::start(read_settings(&arguments)?)?;
+    writeln!(stdout(), "event=listening address={}", handle.address())?;
+    wait_for_termination()?;
+    let counts = handle.stop();
+    writeln!(
+        stdout(),
+        "event=stopped runs={} running={} cancelled={} runs_after_leave={} double_runs={}",
+        counts.runs,
+        counts.running,
+        counts.cancelled,
+        counts.runs_after_leave,
+        counts.double_run_keys
+    )?;
+    Ok(())
+}
+
+fn command() -> Command {
+    Command::new("coltsfoot-upstream")
+        .about("Plays one upstream of a deployment")
+        .arg(option("service", "Service to play").required(true))
+        .arg(option("schema", "Schema file").required(true).value_parser(value_parser!(PathBuf)))
+        .arg(
+            option("node", "Host listener of the upstream's own node")
+                .value_parser(value_parser!(SocketAddr)),
+        )
+        .arg(
+            option("listen", "Address to listen on")
+                .default_value("127.0.0.1:0")
+                .value_parser(value_parser!(SocketAddr)),
+        )
+        .arg(
+            option("service-time-ms", "Mean service time")
+                .default_value("20")
+                .value_parser(value_parser!(f64)),
+        )
+        .arg(
+            option("slots", "Runs at once, instead of the schema's")
+                .value_parser(value_parser!(u32)),
+        )
+        .arg(
+            option("max-waiting", "Calls that wait for a slot before it sheds")
+                .default_value("1000")
+                .value_parser(value_parser!(usize)),
+        )
+        .arg(
+            option("cold-start-ms", "Time after the start in which runs are slower")
+                .default_value("0")
+                .value_parser(value_parser!(u64)),
+        )
+        .arg(
+            option("cold-factor", "Factor on the service time during the cold start")
+                .default_value("4")
+                .value_parser(value_parser!(f64)),
+        )
+        .arg(
+            option("seed", "Seed of all random choices")
+                .default_value("1")
+                .value_parser(value_parser!(u64)),
+        )
+}
+
+fn option(name: &'static str, help: &'static str) -> Arg {
+    Arg::new(name).long(name).help(help)
+}
+
+fn read_settings(arguments: &ArgMatches) -> anyhow::Result<UpstreamSettings> {
+    let service: &String = take(arguments, "service")?;
+    let path: &PathBuf = take(arguments, "schema")?;
+    let text = fs::read_to_string(path).with_context(|| format!("reading {}", path.display()))?;
+    let schema: SchemaDocument =
+        serde_saphyr::from_str(&text).with_context(|| format!("parsing {}", path.display()))?;
+    let mut settings = UpstreamSettings::new(ServiceName::new(service), schema);
+    settings.node = arguments.get_one("node").copied();
+    settings.listen = *take(arguments, "listen")?;
+    settings.service_time =
+        Duration::from_secs_f64(*take::<f64>(arguments, "service-time-ms")? / 1000.0);
+    settings.slots = arguments.get_one("slots").copied();
+    settings.max_waiting = *take(arguments, "max-waiting")?;
+    settings.cold_start = Duration::from_millis(*take(arguments, "cold-start-ms")?);
+    settings.cold_factor = *take(arguments, "cold-factor")?;
+    settings.seed = *take(arguments, "seed")?;
+    Ok(settings)
+}
+
+fn take<'a, T>(arguments: &'a ArgMatches, name: &str) -> anyhow::Result<&'a T>
+where
+    T: Clone + Send + Sync + 'static,
+{
+    arguments.get_one(name).with_context(|| format!("--{name} is missing"))
+}
--- a/crates/coltsfoot-standin/src/lib.rs
+++ b/crates/coltsfoot-standin/src/lib.rs
@@ -1,1 +1,9 @@
-//! placeholder
+//! Stand-ins for development: what a deployment finds on its platform and what its clients do.
+//!
+//! Nothing here is linked into the daemons.
+
+pub mod body_digest;
+pub mod call_answer;
+pub mod http_client;
+pub mod termination;
+pub mod upstream;
--- /dev/null
+++ b/crates/coltsfoot-standin/src/upstream/nested_calls.rs
@@ -0,0 +1,109 @@
+//! Nested calls of a run.
+
+use bytes::Bytes;
+use coltsfootroute::{
+    constants::{CONTEXT_HEADER, DEADLINE_HEADER, IDEMPOTENCY_KEY_HEADER, MAX_KEY_BYTES},
+    schema::{CallEdge, OperationEntry, SchemaDocument},
+};
+use futures_util::future::try_join_all;
+use http::Request;
+use http_body_util::{BodyExt, Full};
+
+use crate::{body_digest::body_digest, http_client::HttpClient};
+
+use super::{call_request::CallRequest, run_error::RunError, upstream_state::UpstreamState};
+
+/// Longest part of a failed call's answer that is passed on, bytes.
+const MAX_REASON_BYTES: usize = 300;
+
+/// Makes the calls that `operation` declares: the edges in turn, the fan-out of one edge at once.
+/// Returns the milliseconds of work that the callees report.
+pub(super) async fn make_nested_calls(
+    state: &UpstreamState,
+    client: &HttpClient,
+    operation: &OperationEntry,
+    request: &CallRequest,
+) -> Result<u64, RunError> {
+    let parent = parent_key(state, request);
+    let mut work_ms = 0;
+    for (index, edge) in operation.calls.iter().enumerate() {
+        let calls = (0..edge.fan_out).map(|copy| {
+            let key = nested_key(&parent, index, copy);
+            make_call(state, client, edge, request, key)
+        });
+        work_ms += try_join_all(calls).await?.into_iter().sum::<u64>();
+    }
+    Ok(work_ms)
+}
+
+/// The key from which those of the nested calls derive.
+fn parent_key(state: &UpstreamState, request: &CallRequest) -> String {
+    match &request.key {
+        Some(key) => key.clone(),
+        None => format!("run-{:016x}", state.draw_token()),
+    }
+}
+
+/// Stays the same when the parent runs again under its own key.
+fn nested_key(parent: &str, index: usize, copy: u32) -> String {
+    let key = format!("{parent}.{index}.{copy}");
+    if key.len() <= MAX_KEY_BYTES { key } else { body_digest(key.as_bytes()) }
+}
+
+async fn make_call(
+    state: &UpstreamState,
+    client: &HttpClient,
+    edge: &CallEdge,
+    request: &CallRequest,
+    key: String,
+) -> Result<u64, RunError> {
+    let callee = format!("{}/{}", edge.service, edge.operation);
+    let fail = |reason: String| RunError::Nested { callee: callee.clone(), reason };
+    let node = state.settings.node.ok_or(RunError::NoNode)?;
+    let mut builder = Request::post(format!("http://{node}/call/{callee}"));
+    if let Some(context) = &request.context {
+        builder = builder.header(CONTEXT_HEADER, context);
+    }
+    if let Some(remaining) = request.remaining() {
+        builder = builder.header(DEADLINE_HEADER, remaining.as_millis().to_string());
+    }
+    if !is_repeatable(&state.settings.schema, edge) {
+        builder = builder.header(IDEMPOTENCY_KEY_HEADER, key);
+    }
+    let body = Full::new(request.body.clone());
+    let nested = builder.body(body).map_err(|error| fail(error.to_string()))?;
+    let response = client.request(nested).await.map_err(|error| fail(describe(&error)))?;
+    let status = response.status();
+    let answer = response.into_body().collect().await.map_err(|error| fail(describe(&error)))?;
+    let answer = answer.to_bytes();
+    if !status.is_success() {
+        return Err(fail(format!("{status} {}", shorten(&answer))));
+    }
+    Ok(read_work_ms(&answer))
+}
+
+fn is_repeatable(schema: &SchemaDocument, edge: &CallEdge) -> bool {
+    let operation = schema.service(&edge.service).and_then(|s| s.operation(&edge.operation));
+    operation.is_none_or(|operation| operation.repeatable)
+}
+
+/// The error with its causes: the outermost alone says only that the connection failed.
+fn describe(error: &dyn std::error::Error) -> String {
+    let mut text = error.to_string();
+    let mut source = error.source();
+    while let Some(cause) = source {
+        text = format!("{text}: {cause}");
+        source = cause.source();
+    }
+    text
+}
+
+fn shorten(answer: &Bytes) -> String {
+    let part = &answer[..answer.len().min(MAX_REASON_BYTES)];
+    String::from_utf8_lossy(part).into_owned()
+}
+
+fn read_work_ms(answer: &Bytes) -> u64 {
+    let work = serde_json::from_slice::<crate::call_answer::CallAnswer>(answer);
+    work.map_or(0, |answer| answer.work_ms)
+}
