--- a/crates/coltsfoot-standin/src/bin/coltsfoot-upstream.rs
+++ b/crates/coltsfoot-standin/src/bin/coltsfoot-upstream.rs
@@ -72,6 +72,10 @@
                 .default_value("4")
                 .value_parser(value_parser!(f64)),
         )
+        .arg(
+            option("run-log", "File that gets a line for each non-repeatable run")
+                .value_parser(value_parser!(PathBuf)),
+        )
         .arg(
             option("seed", "Seed of all random choices")
                 .default_value("1")
@@ -99,6 +103,7 @@
     settings.cold_start = Duration::from_millis(*take(arguments, "cold-start-ms")?);
     settings.cold_factor = *take(arguments, "cold-factor")?;
     settings.seed = *take(arguments, "seed")?;
+    settings.run_log = arguments.get_one("run-log").cloned();
     Ok(settings)
 }
 
--- a/crates/coltsfoot-standin/src/call_answer.rs
+++ b/crates/coltsfoot-standin/src/call_answer.rs
@@ -11,6 +11,6 @@
     pub key: Option<String>,
     /// Digest of the call's body.
     pub body_digest: String,
-    /// Service time of this run and of all runs nested in it, milliseconds.
-    pub work_ms: u64,
+    /// Service time of this run and of all runs nested in it, microseconds.
+    pub work_us: u64,
 }
--- a/crates/coltsfoot-standin/src/lib.rs
+++ b/crates/coltsfoot-standin/src/lib.rs
@@ -5,5 +5,6 @@
 pub mod body_digest;
 pub mod call_answer;
 pub mod http_client;
+pub mod load;
 pub mod termination;
 pub mod upstream;
--- a/crates/coltsfoot-standin/src/upstream/answer_body.rs
+++ b/crates/coltsfoot-standin/src/upstream/answer_body.rs
@@ -17,18 +17,20 @@
     length: u64,
     /// Whether the connection breaks after `data`.
     cut: bool,
+    /// Whether the server has had the chance to send `data` before the break.
+    flushed: bool,
 }
 
 impl AnswerBody {
     /// All of `data`.
     pub(super) fn whole(data: Bytes) -> Self {
-        Self { length: data.len() as u64, data: Some(data), cut: false }
+        Self { length: data.len() as u64, data: Some(data), cut: false, flushed: false }
     }
 
     /// The first half of `data`, then the connection breaks.
     pub(super) fn cut(data: Bytes) -> Self {
         let half = data.slice(..data.len() / 2);
-        Self { length: data.len() as u64, data: Some(half), cut: true }
+        Self { length: data.len() as u64, data: Some(half), cut: true, flushed: false }
     }
 }
 
@@ -38,11 +40,16 @@
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
-        _: &mut Context<'_>,
+        cx: &mut Context<'_>,
     ) -> Poll<Option<io::Result<Frame<Bytes>>>> {
         if let Some(data) = self.data.take() {
             return Poll::Ready(Some(Ok(Frame::data(data))));
         }
+        if self.cut && !self.flushed {
+            self.flushed = true;
+            cx.waker().wake_by_ref();
+            return Poll::Pending;
+        }
         if self.cut {
             return Poll::Ready(Some(Err(io::ErrorKind::ConnectionAborted.into())));
         }
--- a/crates/coltsfoot-standin/src/upstream/call_handler.rs
+++ b/crates/coltsfoot-standin/src/upstream/call_handler.rs
@@ -71,16 +71,16 @@
     request: &CallRequest,
 ) -> Answer {
     let key = request.key.as_deref().filter(|_| !operation.repeatable);
-    let guard = RunGuard::new(state, key);
+    let guard = RunGuard::new(state, &request.operation, key);
     let result = work(state, client, operation, request).await;
     guard.end(result.is_ok());
     match result {
-        Ok(work_ms) => complete(state, request, work_ms),
+        Ok(work_us) => complete(state, request, work_us),
         Err(error) => fail(&error),
     }
 }
 
-/// Own work first, then the nested calls; returns the milliseconds spent by all.
+/// Own work first, then the nested calls; returns the microseconds spent by all.
 async fn work(
     state: &Arc<UpstreamState>,
     client: &HttpClient,
@@ -89,12 +89,12 @@
 ) -> Result<u64, RunError> {
     let timer = ServiceTimer { state, started: Instant::now() };
     sleep(state.draw_service_time()).await;
-    let own_ms = timer.stop();
+    let own_us = timer.stop();
     if state.draw_chance(state.control().fail_ratio) {
         return Err(RunError::Commanded);
     }
-    let nested_ms = make_nested_calls(state, client, operation, request).await?;
-    Ok(own_ms + nested_ms)
+    let nested_us = make_nested_calls(state, client, operation, request).await?;
+    Ok(own_us + nested_us)
 }
 
 /// Adds the service time when dropped, so that stopped work counts as well.
@@ -105,7 +105,7 @@
 
 impl ServiceTimer<'_> {
     fn stop(self) -> u64 {
-        u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX)
+        u64::try_from(self.started.elapsed().as_micros()).unwrap_or(u64::MAX)
     }
 }
 
@@ -115,13 +115,13 @@
     }
 }
 
-fn complete(state: &UpstreamState, request: &CallRequest, work_ms: u64) -> Answer {
+fn complete(state: &UpstreamState, request: &CallRequest, work_us: u64) -> Answer {
     let answer = CallAnswer {
         service: state.settings.service.to_string(),
         operation: request.operation.clone(),
         key: request.key.clone(),
         body_digest: body_digest(&request.body),
-        work_ms,
+        work_us,
     };
     let data = to_json(&answer);
     let cut = state.draw_chance(state.control().cut_answers);
--- a/crates/coltsfoot-standin/src/upstream/nested_calls.rs
+++ b/crates/coltsfoot-standin/src/upstream/nested_calls.rs
@@ -17,7 +17,7 @@
 const MAX_REASON_BYTES: usize = 300;
 
 /// Makes the calls that `operation` declares: the edges in turn, the fan-out of one edge at once.
-/// Returns the milliseconds of work that the callees report.
+/// Returns the microseconds of work that the callees report.
 pub(super) async fn make_nested_calls(
     state: &UpstreamState,
     client: &HttpClient,
@@ -25,15 +25,15 @@
     request: &CallRequest,
 ) -> Result<u64, RunError> {
     let parent = parent_key(state, request);
-    let mut work_ms = 0;
+    let mut work_us = 0;
     for (index, edge) in operation.calls.iter().enumerate() {
         let calls = (0..edge.fan_out).map(|copy| {
             let key = nested_key(&parent, index, copy);
             make_call(state, client, edge, request, key)
         });
-        work_ms += try_join_all(calls).await?.into_iter().sum::<u64>();
+        work_us += try_join_all(calls).await?.into_iter().sum::<u64>();
     }
-    Ok(work_ms)
+    Ok(work_us)
 }
 
 /// The key from which those of the nested calls derive.
@@ -79,7 +79,7 @@
     if !status.is_success() {
         return Err(fail(format!("{status} {}", shorten(&answer))));
     }
-    Ok(read_work_ms(&answer))
+    Ok(read_work_us(&answer))
 }
 
 fn is_repeatable(schema: &SchemaDocument, edge: &CallEdge) -> bool {
@@ -103,7 +103,7 @@
     String::from_utf8_lossy(part).into_owned()
 }
 
-fn read_work_ms(answer: &Bytes) -> u64 {
+fn read_work_us(answer: &Bytes) -> u64 {
     let work = serde_json::from_slice::<crate::call_answer::CallAnswer>(answer);
-    work.map_or(0, |answer| answer.work_ms)
+    work.map_or(0, |answer| answer.work_us)
 }
--- a/crates/coltsfoot-standin/src/upstream/run_counts.rs
+++ b/crates/coltsfoot-standin/src/upstream/run_counts.rs
@@ -1,6 +1,6 @@
 //! Counting of runs.
 
-use std::time::Duration;
+use std::{fs::File, io::Write, time::Duration};
 
 use indexmap::IndexMap;
 
@@ -14,16 +14,31 @@
     wasted_time: Duration,
     /// Runs of each key of a non-repeatable operation.
     keys: IndexMap<String, u32>,
+    run_log: Option<File>,
 }
 
 impl RunCounts {
+    /// Counters at nought; each run under a key adds a line to `run_log`.
+    pub(super) fn new(run_log: Option<File>) -> Self {
+        Self { run_log, ..Self::default() }
+    }
+
     /// A run starts; `key` is given where it must not run twice.
-    pub(super) fn start_run(&mut self, key: Option<&str>, leaving: bool) {
+    pub(super) fn start_run(&mut self, operation: &str, key: Option<&str>, leaving: bool) {
         self.report.runs += 1;
         self.report.running += 1;
         self.report.runs_after_leave += u64::from(leaving);
         if let Some(key) = key {
             self.count_key(key);
+            self.log_run(operation, key);
+        }
+    }
+
+    /// Unbuffered, so that the line outlives the process.
+    fn log_run(&mut self, operation: &str, key: &str) {
+        if let Some(file) = &mut self.run_log {
+            // A full disk costs lines of a development tool, not runs.
+            let _ = file.write_all(format!("{operation} {key}\n").as_bytes());
         }
     }
 
--- a/crates/coltsfoot-standin/src/upstream/run_guard.rs
+++ b/crates/coltsfoot-standin/src/upstream/run_guard.rs
@@ -13,8 +13,8 @@
 
 impl RunGuard {
     /// A run starts now.
-    pub(super) fn new(state: &Arc<UpstreamState>, key: Option<&str>) -> Self {
-        state.counts().start_run(key, state.is_leaving());
+    pub(super) fn new(state: &Arc<UpstreamState>, operation: &str, key: Option<&str>) -> Self {
+        state.counts().start_run(operation, key, state.is_leaving());
         Self { state: Arc::clone(state), started: Instant::now(), ended: false }
     }
 
--- a/crates/coltsfoot-standin/src/upstream/upstream_error.rs
+++ b/crates/coltsfoot-standin/src/upstream/upstream_error.rs
@@ -18,6 +18,9 @@
         /// Cause.
         source: io::Error,
     },
+    /// The run log can't be opened.
+    #[error("cannot open the run log: {0}")]
+    RunLog(io::Error),
     /// The thread or its runtime can't be started.
     #[error("cannot start the thread: {0}")]
     Thread(io::Error),
--- a/crates/coltsfoot-standin/src/upstream/upstream_settings.rs
+++ b/crates/coltsfoot-standin/src/upstream/upstream_settings.rs
@@ -1,6 +1,6 @@
 //! Settings of an upstream.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, path::PathBuf, time::Duration};
 
 use coltsfootroute::{name::ServiceName, schema::SchemaDocument};
 
@@ -28,6 +28,9 @@
     pub cold_factor: f64,
     /// Seed of all random choices.
     pub seed: u64,
+    /// File to which each run of a non-repeatable operation adds a line when it starts, so that
+    /// runs can be counted over several upstreams, also over those that were killed.
+    pub run_log: Option<PathBuf>,
 }
 
 impl UpstreamSettings {
@@ -51,6 +54,7 @@
             cold_start: Duration::ZERO,
             cold_factor: Self::DEFAULT_COLD_FACTOR,
             seed: 1,
+            run_log: None,
         }
     }
 }
--- a/crates/coltsfoot-standin/src/upstream/upstream_state.rs
+++ b/crates/coltsfoot-standin/src/upstream/upstream_state.rs
@@ -1,6 +1,7 @@
 //! State shared by the tasks of one upstream.
 
 use std::{
+    fs::File,
     sync::{
         Mutex, MutexGuard, PoisonError,
         atomic::{AtomicBool, Ordering},
@@ -37,7 +38,8 @@
 
 impl UpstreamState {
     /// # Errors
-    /// [`UpstreamError::UnknownService`] where the schema lacks the service.
+    /// [`UpstreamError::UnknownService`] where the schema lacks the service, or
+    /// [`UpstreamError::RunLog`].
     pub(super) fn new(settings: UpstreamSettings) -> Result<Self, UpstreamError> {
         let service = settings
             .schema
@@ -52,7 +54,7 @@
             service_time: ServiceTime::new(settings.service_time),
             started: Instant::now(),
             leaving: AtomicBool::new(false),
-            counts: Mutex::new(RunCounts::default()),
+            counts: Mutex::new(RunCounts::new(open_run_log(&settings)?)),
             control: Mutex::new(ControlState::new()),
             rng: Mutex::new(Pcg64::seed_from_u64(settings.seed)),
             settings,
@@ -113,6 +115,12 @@
     }
 }
 
+fn open_run_log(settings: &UpstreamSettings) -> Result<Option<File>, UpstreamError> {
+    let Some(path) = &settings.run_log else { return Ok(None) };
+    let opened = File::options().create(true).append(true).open(path);
+    opened.map(Some).map_err(UpstreamError::RunLog)
+}
+
 /// The counters stay usable after a panic elsewhere: each update is complete in itself.
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
