--- a/crates/coltsfoot-standin/src/bin/coltsfoot-load.rs
+++ b/crates/coltsfoot-standin/src/bin/coltsfoot-load.rs
@@ -13,8 +13,8 @@
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use coltsfoot_standin::{
     load::{
-        ArrivalKind, IntervalRecord, LoadReport, LoadRunner, LoadSettings, OfferedOperation,
-        ProbeSettings, RetryPolicy, SurgeWindow,
+        ArrivalKind, ArrivalWindow, IntervalRecord, LoadReport, LoadRunner, LoadSettings,
+        OfferedOperation, ProbeSettings, RetryPolicy, SurgeWindow,
     },
     termination::wait_for_termination,
 };
@@ -89,6 +89,10 @@
             option("burst-length", "Mean arrivals between changes of state, correlated only")
                 .value_parser(value_parser!(u32).range(1..)),
         )
+        .arg(
+            option("arrival-window", "BEGIN_MS:END_MS; outside of it arrivals are Poisson")
+                .value_parser(value_parser!(ArrivalWindow)),
+        )
         .arg(
             option("surge", "BEGIN_MS:END_MS:FACTOR[:SERVICE/OPERATION]; several possible")
                 .action(ArgAction::Append)
@@ -152,6 +156,7 @@
     let duration = Duration::from_secs_f64(*take(arguments, "duration-s")?);
     let mut settings = LoadSettings::new(targets, operations, duration, *take(arguments, "seed")?);
     settings.arrivals = read_arrivals(arguments)?;
+    settings.arrival_window = arguments.get_one("arrival-window").copied();
     settings.surges = take_all(arguments, "surge");
     settings.retry = RetryPolicy {
         max_retries: *take(arguments, "retries")?,
--- a/crates/coltsfoot-standin/src/load.rs
+++ b/crates/coltsfoot-standin/src/load.rs
@@ -4,6 +4,7 @@
 mod arrival_kind;
 mod arrival_process;
 mod arrival_schedule;
+mod arrival_window;
 mod attempt_result;
 mod importance_tally;
 mod interval_record;
@@ -24,6 +25,7 @@
 pub use arrival_kind::ArrivalKind;
 pub use arrival_process::ArrivalProcess;
 pub use arrival_schedule::{ArrivalSchedule, DueRequest};
+pub use arrival_window::ArrivalWindow;
 pub use importance_tally::ImportanceTally;
 pub use interval_record::IntervalRecord;
 pub use load_report::LoadReport;
--- a/crates/coltsfoot-standin/src/load/arrival_schedule.rs
+++ b/crates/coltsfoot-standin/src/load/arrival_schedule.rs
@@ -5,7 +5,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
 
-use super::{ArrivalKind, ArrivalProcess, OfferedOperation, SurgeWindow};
+use super::{ArrivalKind, ArrivalProcess, ArrivalWindow, OfferedOperation, SurgeWindow};
 
 /// A request that is due.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -22,6 +22,9 @@
     operations: Vec<OfferedOperation>,
     surges: Vec<SurgeWindow>,
     process: ArrivalProcess,
+    /// Arrivals outside of `window`.
+    calm: ArrivalProcess,
+    window: Option<ArrivalWindow>,
     rng: Pcg64,
     now: Duration,
     end: Duration,
@@ -38,7 +41,21 @@
     ) -> Self {
         let mut rng = Pcg64::seed_from_u64(seed);
         let process = ArrivalProcess::new(kind, &mut rng);
-        Self { operations, surges, process, rng, now: Duration::ZERO, end }
+        let calm = ArrivalProcess::new(ArrivalKind::Poisson, &mut rng);
+        let now = Duration::ZERO;
+        Self { operations, surges, process, calm, window: None, rng, now, end }
+    }
+
+    /// Limits the kind of arrivals to `window`; outside of it they are Poisson.
+    pub fn with_window(mut self, window: Option<ArrivalWindow>) -> Self {
+        self.window = window;
+        self
+    }
+
+    fn next_interval(&mut self) -> f64 {
+        let inside = self.window.is_none_or(|window| window.covers(self.now));
+        let process = if inside { &mut self.process } else { &mut self.calm };
+        process.next_interval(&mut self.rng)
     }
 
     fn rate_of(&self, operation: &OfferedOperation, time: Duration) -> f64 {
@@ -95,7 +112,7 @@
         if self.operations.is_empty() {
             return None;
         }
-        let interval = self.process.next_interval(&mut self.rng);
+        let interval = self.next_interval();
         self.advance(interval);
         if self.now >= self.end {
             return None;
--- a/crates/coltsfoot-standin/src/load/load_runner.rs
+++ b/crates/coltsfoot-standin/src/load/load_runner.rs
@@ -8,6 +8,7 @@
 };
 
 use bytes::Bytes;
+use coltsfootroute::outcome::CallOutcome;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
 use tokio::{
@@ -116,6 +117,7 @@
             self.settings.duration,
             self.settings.seed,
         )
+        .with_window(self.settings.arrival_window)
     }
 
     fn start_probe(&self, start: Instant) -> Option<JoinHandle<ProbeReport>> {
@@ -167,8 +169,7 @@
         let operation = Arc::clone(&self.operations[end.operation]);
         let outcome = end.outcome();
         self.report.count_outcome(&operation, end);
-        self.record.completed +=
-            u64::from(outcome == coltsfootroute::outcome::CallOutcome::Completed);
+        self.record.completed += u64::from(outcome == CallOutcome::Completed);
         self.record.tally(operation.importance).count(outcome);
         if let (Some(log), Some(key)) = (&mut self.key_log, &end.key) {
             // As for the flush.
--- a/crates/coltsfoot-standin/src/load/load_settings.rs
+++ b/crates/coltsfoot-standin/src/load/load_settings.rs
@@ -2,7 +2,9 @@
 
 use std::{net::SocketAddr, path::PathBuf, time::Duration};
 
-use super::{ArrivalKind, OfferedOperation, ProbeSettings, RetryPolicy, SurgeWindow};
+use super::{
+    ArrivalKind, ArrivalWindow, OfferedOperation, ProbeSettings, RetryPolicy, SurgeWindow,
+};
 
 /// What a run offers, to whom, and how its clients behave.
 #[derive(Clone, Debug)]
@@ -15,6 +17,8 @@
     pub duration: Duration,
     /// Kind of arrivals.
     pub arrivals: ArrivalKind,
+    /// Part of the run with arrivals of that kind, the rest being Poisson; all of it if absent.
+    pub arrival_window: Option<ArrivalWindow>,
     /// Windows of higher demand.
     pub surges: Vec<SurgeWindow>,
     /// Behaviour after a failure.
@@ -51,6 +55,7 @@
             operations,
             duration,
             arrivals: ArrivalKind::Poisson,
+            arrival_window: None,
             surges: Vec::new(),
             retry: RetryPolicy::default(),
             max_in_flight: Self::DEFAULT_MAX_IN_FLIGHT,
