--- a/crates/coltsfoot-node/src/dispatch/client_request.rs
+++ b/crates/coltsfoot-node/src/dispatch/client_request.rs
@@ -65,12 +65,8 @@
             Err(reason) => return self.refuse(Importance::Background, reason),
         };
         if let Some(retry_after_s) = self.shed_at_root(&call, check.importance) {
-            self.metrics.refused(RefusalReason::Overload, check.importance);
-            return CallReply::refusal(
-                RefusalReason::Overload,
-                CallOutcome::NotRun,
-                retry_after_s,
-            );
+            self.metrics.requests.refused(RefusalReason::Overload, check.importance);
+            return CallReply::refusal(RefusalReason::Overload, CallOutcome::NotRun, retry_after_s);
         }
         let opened = self.accounts.borrow_mut().open(
             self.clock.now(),
--- a/crates/coltsfoot-node/src/dispatch/dispatch_thread.rs
+++ b/crates/coltsfoot-node/src/dispatch/dispatch_thread.rs
@@ -1,5 +1,6 @@
 //! The thread of the dispatch duty.
 
+use std::sync::Arc;
 use std::{io, net::TcpListener, rc::Rc, thread, time::Duration};
 
 use coltsfootroute::time::MonotonicTime;
@@ -47,7 +48,7 @@
     /// Commands to the gossip duty.
     pub gossip: mpsc::Sender<GossipCommand>,
     /// Metrics of the node.
-    pub metrics: NodeMetrics,
+    pub metrics: Arc<NodeMetrics>,
     /// Events of the node.
     pub events: EventSender,
     /// Seed of the random generator.
--- a/crates/coltsfoot-node/src/dispatch/dispatcher.rs
+++ b/crates/coltsfoot-node/src/dispatch/dispatcher.rs
@@ -1,5 +1,6 @@
 //! State of the dispatch duty. One thread owns it; calls run as tasks of that thread.
 
+use std::sync::Arc;
 use std::{
     cell::{Cell, RefCell},
     rc::Rc,
@@ -71,7 +72,7 @@
     pub(super) call_ended: Notify,
     pub(super) once: OnceDesk,
     pub(super) gossip: mpsc::Sender<GossipCommand>,
-    pub(super) metrics: NodeMetrics,
+    pub(super) metrics: Arc<NodeMetrics>,
     pub(super) events: EventSender,
     pub(super) rng: RefCell<Pcg64>,
     next_call: Cell<u64>,
@@ -144,7 +145,7 @@
 
     /// A refusal of a call that ran nowhere, counted.
     pub(super) fn refuse(&self, importance: Importance, reason: RefusalReason) -> CallReply {
-        self.metrics.refused(reason, importance);
+        self.metrics.requests.refused(reason, importance);
         self.refusal(reason, CallOutcome::NotRun)
     }
 
@@ -191,7 +192,7 @@
             }
             Err(refusal) => {
                 if breaches.on_refusal(now, &refusal.service, importance) {
-                    self.metrics.importance_breached();
+                    self.metrics.requests.importance_breached();
                 }
                 Some(refusal.retry_after.0)
             }
--- a/crates/coltsfoot-node/src/dispatch/guard.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard.rs
@@ -70,10 +70,7 @@
     }
 
     /// Lets the gate act, and hands out what it decides.
-    pub(super) fn with_gate(
-        &self,
-        act: impl FnOnce(&mut AdmissionGate) -> Vec<AdmissionVerdict>,
-    ) {
+    pub(super) fn with_gate(&self, act: impl FnOnce(&mut AdmissionGate) -> Vec<AdmissionVerdict>) {
         let verdicts = self.gate.borrow_mut().as_mut().map(act).unwrap_or_default();
         self.deliver(verdicts);
     }
@@ -180,21 +177,17 @@
         }
     }
 
-    fn count_decision(
-        &self,
-        call: &CallRequest,
-        decision: Option<AdmissionDecision>,
-    ) {
+    fn count_decision(&self, call: &CallRequest, decision: Option<AdmissionDecision>) {
         let now = self.clock.now();
         let mut breaches = self.guard.breaches.borrow_mut();
         match decision {
             Some(AdmissionDecision::Run) => {
                 breaches.on_admission(now, &call.service, call.importance);
-                self.metrics.admitted(call.importance);
+                self.metrics.requests.admitted(call.importance);
             }
             Some(AdmissionDecision::Refuse(RefusalReason::Overload)) => {
                 if breaches.on_refusal(now, &call.service, call.importance) {
-                    self.metrics.importance_breached();
+                    self.metrics.requests.importance_breached();
                 }
             }
             _ => {}
--- a/crates/coltsfoot-node/src/dispatch/local_upstream.rs
+++ b/crates/coltsfoot-node/src/dispatch/local_upstream.rs
@@ -57,11 +57,8 @@
         let same = upstream
             .as_ref()
             .is_some_and(|known| known.announcement == *announcement && !known.leaving);
-        *upstream = Some(GuardedUpstream {
-            announcement: announcement.clone(),
-            heard,
-            leaving: false,
-        });
+        *upstream =
+            Some(GuardedUpstream { announcement: announcement.clone(), heard, leaving: false });
         !same
     }
 
--- a/crates/coltsfoot-node/src/dispatch/nested_request.rs
+++ b/crates/coltsfoot-node/src/dispatch/nested_request.rs
@@ -91,12 +91,7 @@
     }
 
     /// Takes note of how a routed call ended.
-    pub(super) fn record_end(
-        &self,
-        call: &RoutedCall,
-        reply: &CallReply,
-        received: MonotonicTime,
-    ) {
+    pub(super) fn record_end(&self, call: &RoutedCall, reply: &CallReply, received: MonotonicTime) {
         let now = self.clock.now();
         let taken = now.since(received);
         match &reply.body {
@@ -105,11 +100,13 @@
                     let mut times = self.times.borrow_mut();
                     times.record(now, &call.service, &call.operation, taken);
                 }
-                self.metrics.answered(reply.outcome);
-                self.metrics.upstream_latency(reply.upstream_time);
-                self.metrics.added_latency(taken.saturating_sub(reply.upstream_time));
+                self.metrics.requests.answered(reply.outcome);
+                self.metrics.requests.upstream_latency(reply.upstream_time);
+                self.metrics.requests.added_latency(taken.saturating_sub(reply.upstream_time));
+            }
+            ReplyBody::Refusal { reason, .. } => {
+                self.metrics.requests.refused(*reason, call.importance)
             }
-            ReplyBody::Refusal { reason, .. } => self.metrics.refused(*reason, call.importance),
         }
     }
 }
--- a/crates/coltsfoot-node/src/dispatch/node_state.rs
+++ b/crates/coltsfoot-node/src/dispatch/node_state.rs
@@ -45,7 +45,7 @@
 impl Dispatcher {
     /// A configuration is in force from now on.
     pub(super) async fn configure(&self, config: &Arc<ConfigInForce>) {
-        self.metrics.set_revision(config.revision());
+        self.metrics.control.set_revision(config.revision());
         let own = self
             .guard
             .upstream
@@ -134,7 +134,7 @@
     pub(super) fn report_gauges(&self) {
         let gate = self.guard.gate.borrow();
         let Some(gate) = gate.as_ref() else { return };
-        self.metrics.set_load(gate.in_flight() as usize, gate.queued() as usize);
-        self.metrics.set_limit(gate.limit() as usize);
+        self.metrics.requests.set_load(gate.in_flight() as usize, gate.queued() as usize);
+        self.metrics.requests.set_limit(gate.limit() as usize);
     }
 }
--- a/crates/coltsfoot-node/src/dispatch/retry_tokens.rs
+++ b/crates/coltsfoot-node/src/dispatch/retry_tokens.rs
@@ -31,11 +31,11 @@
         let mut accounts = self.accounts.borrow_mut();
         match accounts.take(self.clock.now(), request, take_id) {
             LedgerAnswer::Granted => {
-                self.metrics.retry_granted(accounts.granted(request).unwrap_or_default());
+                self.metrics.retries.granted(accounts.granted(request).unwrap_or_default());
                 TakeAnswer::Granted
             }
             LedgerAnswer::Denied(denial) => {
-                self.metrics.retry_denied(denial_reason(denial));
+                self.metrics.retries.denied(denial_reason(denial));
                 match denial {
                     TakeDenial::UnknownAccount => TakeAnswer::NoAccount,
                     _ => TakeAnswer::Denied,
@@ -53,7 +53,7 @@
         let Some(account) = call.account else { return false };
         let now = self.clock.now();
         if !self.with_throttle(&call.service, |throttle| throttle.try_retry(now)) {
-            self.metrics.retry_denied(DenialReason::Throttled);
+            self.metrics.retries.denied(DenialReason::Throttled);
             return false;
         }
         let granted = self.ask_token(account, call.request).await == Some(TakeAnswer::Granted);
--- a/crates/coltsfoot-node/src/dispatch/upstream_client.rs
+++ b/crates/coltsfoot-node/src/dispatch/upstream_client.rs
@@ -116,8 +116,10 @@
         if !states_length(&head.headers, head.status) {
             return Err(UpstreamError::CutOff);
         }
-        let body =
-            Limited::new(body, self.body_limit).collect().await.map_err(|_| UpstreamError::CutOff)?;
+        let body = Limited::new(body, self.body_limit)
+            .collect()
+            .await
+            .map_err(|_| UpstreamError::CutOff)?;
         let content_type = head.headers.get(CONTENT_TYPE).and_then(|value| value.to_str().ok());
         Ok(UpstreamAnswer {
             status: head.status.as_u16(),
--- a/crates/coltsfoot-node/src/http/call_path.rs
+++ b/crates/coltsfoot-node/src/http/call_path.rs
@@ -22,9 +22,6 @@
         if service.is_empty() || operation.is_empty() || operation.contains('/') {
             return None;
         }
-        Some(Self {
-            service: ServiceName::new(service),
-            operation: OperationName::new(operation),
-        })
+        Some(Self { service: ServiceName::new(service), operation: OperationName::new(operation) })
     }
 }
--- a/crates/coltsfoot-node/src/http/client_listener.rs
+++ b/crates/coltsfoot-node/src/http/client_listener.rs
@@ -55,8 +55,7 @@
 
 /// The reply to a call that cannot be read; it ran nowhere.
 pub fn malformed(err: &RequestError) -> HttpReply {
-    let reply =
-        HttpReply::refusal(RequestId(0), RefusalReason::BadRequest, CallOutcome::NotRun, 0);
+    let reply = HttpReply::refusal(RequestId(0), RefusalReason::BadRequest, CallOutcome::NotRun, 0);
     match err {
         RequestError::Header(_) => reply,
         // The rest of the body was not read, so the connection cannot carry another request.
--- a/crates/coltsfoot-node/src/http/host_listener.rs
+++ b/crates/coltsfoot-node/src/http/host_listener.rs
@@ -35,9 +35,7 @@
         (Method::GET, "/schema/history") => ctx.state().config.history().await,
         (Method::GET, "/status") => status(ctx).await,
         (Method::GET, "/events") => events(ctx),
-        (Method::GET, "/metrics") => {
-            metrics(ctx)
-        }
+        (Method::GET, "/metrics") => metrics(ctx),
         (Method::POST, "/drain") => drain(ctx),
         (Method::POST, path) => match CallPath::parse(path) {
             Some(path) => nested_call(ctx, path).await,
--- a/crates/coltsfoot-node/src/http/http_reply.rs
+++ b/crates/coltsfoot-node/src/http/http_reply.rs
@@ -58,15 +58,17 @@
         outcome: CallOutcome,
         retry_after_s: u32,
     ) -> Self {
-        let status = StatusCode::from_u16(reason.status()).unwrap_or(StatusCode::SERVICE_UNAVAILABLE);
+        let status =
+            StatusCode::from_u16(reason.status()).unwrap_or(StatusCode::SERVICE_UNAVAILABLE);
         let body = RefusalBody {
             reason: reason.as_str(),
             outcome: outcome.as_str(),
             request: request.to_string(),
         };
-        Self::json(status, &body)
-            .with_outcome(outcome)
-            .with_header(HeaderName::from_static(RETRY_AFTER_HEADER), HeaderValue::from(retry_after_s))
+        Self::json(status, &body).with_outcome(outcome).with_header(
+            HeaderName::from_static(RETRY_AFTER_HEADER),
+            HeaderValue::from(retry_after_s),
+        )
     }
 
     /// The reply to a call.
--- a/crates/coltsfoot-node/src/http/listener_state.rs
+++ b/crates/coltsfoot-node/src/http/listener_state.rs
@@ -4,6 +4,7 @@
     clock::MonotonicClock, config::ConfigHandle, dispatch::DispatchHandle, journal::EventReader,
     metrics::NodeMetrics, process::DrainSwitch,
 };
+use std::sync::Arc;
 
 /// State of the listener for clients.
 #[derive(Clone)]
@@ -28,7 +29,7 @@
     /// Events of this node.
     pub events: EventReader,
     /// Metrics of this node.
-    pub metrics: NodeMetrics,
+    pub metrics: Arc<NodeMetrics>,
     /// Begins a planned stop.
     pub drain: DrainSwitch,
     /// Most bytes of a body.
--- a/crates/coltsfoot-node/src/http/request_parts.rs
+++ b/crates/coltsfoot-node/src/http/request_parts.rs
@@ -7,9 +7,7 @@
     CONTEXT_HEADER, DEADLINE_HEADER, IDEMPOTENCY_KEY_HEADER, MAX_KEY_BYTES,
 };
 use http::{HeaderMap, header::CONTENT_TYPE};
-use xitca_web::{
-    body::{BodyExt, RequestBody},
-};
+use xitca_web::body::{BodyExt, RequestBody};
 
 /// A request that cannot be read.
 #[derive(Debug, thiserror::Error)]
--- a/crates/coltsfoot-node/src/http/serve.rs
+++ b/crates/coltsfoot-node/src/http/serve.rs
@@ -10,7 +10,10 @@
 use xitca_server::ServerHandle;
 use xitca_web::{App, handler::handler_service, http::WebResponse};
 
-use super::{client_listener, host_listener, listener_state::{ClientState, HostState}};
+use super::{
+    client_listener, host_listener,
+    listener_state::{ClientState, HostState},
+};
 
 /// Time a client has to send the head of its request.
 const REQUEST_HEAD_TIMEOUT: Duration = Duration::from_secs(5);
@@ -62,7 +65,8 @@
     pub fn start_client(listener: TcpListener, state: ClientState) -> Result<Self, ListenerError> {
         let fail = |source| ListenerError { name: "client", source };
         let address = listener.local_addr().map_err(fail)?;
-        let server = serve_app!("client", listener, state, client_listener::handle).map_err(fail)?;
+        let server =
+            serve_app!("client", listener, state, client_listener::handle).map_err(fail)?;
         Self::spawn("http-client", address, server.run()).map_err(fail)
     }
 
--- a/crates/coltsfoot-node/src/process/node_process.rs
+++ b/crates/coltsfoot-node/src/process/node_process.rs
@@ -1,5 +1,6 @@
 //! Starting and stopping a node.
 
+use std::sync::Arc;
 use std::{
     net::{SocketAddr, TcpListener, UdpSocket},
     time::Duration,
@@ -78,7 +79,7 @@
         let journal = EventJournal::new(identity.node, identity.incarnation);
         let (events, reader) = (journal.sender(), journal.reader());
         let journal = journal.spawn()?;
-        let metrics = NodeMetrics::new()?;
+        let metrics = Arc::new(NodeMetrics::new()?);
         let store = StoreThread::start(store_settings(&settings, seed))?;
         let (dispatch, dispatch_ring) = DispatchThread::ring();
         let (config, config_ring) = ConfigThread::ring();
