--- a/crates/coltsfoot-node/src/http/serve.rs
+++ b/crates/coltsfoot-node/src/http/serve.rs
@@ -8,7 +8,7 @@
 };
 
 use xitca_server::ServerHandle;
-use xitca_web::{App, handler::handler_service, http::WebResponse};
+use xitca_web::{App, handler::handler_service};
 
 use super::{
     client_listener, host_listener,
@@ -104,6 +104,3 @@
         let _ = self.thread.join();
     }
 }
-
-/// What every handler returns.
-pub type HandlerResponse = WebResponse;
--- a/crates/coltsfoot-node/tests/integration/main.rs
+++ b/crates/coltsfoot-node/tests/integration/main.rs
@@ -4,7 +4,5 @@
 mod journal;
 mod metrics;
 mod settings;
-//! Integration tests of the node's parts.
-
 mod store;
 mod util;
--- a/crates/coltsfoot-standin/src/bin/coltsfoot-table.rs
+++ b/crates/coltsfoot-standin/src/bin/coltsfoot-table.rs
@@ -36,6 +36,8 @@
         .about("Stand-in for the platform's table service and object store")
         .arg(
             Arg::new("address")
+                .long("listen")
+                .value_name("ADDRESS")
                 .help("Address to listen on; port 0 takes any free port")
                 .default_value("127.0.0.1:0")
                 .value_parser(value_parser!(SocketAddr)),
--- a/crates/coltsfoot-standin/src/lib.rs
+++ b/crates/coltsfoot-standin/src/lib.rs
@@ -1,7 +1,3 @@
-//! Stand-ins for the platform and its clients, for development and tests only.
-
-pub mod objects;
-pub mod table;
 //! Stand-ins for development: what a deployment finds on its platform and what its clients do.
 //!
 //! Nothing here is linked into the daemons.
@@ -10,5 +6,7 @@
 pub mod call_answer;
 pub mod http_client;
 pub mod load;
+pub mod objects;
+pub mod table;
 pub mod termination;
 pub mod upstream;
