--- /dev/null
+++ b/crates/coltsfootroute/tests/integration/once/fuzz.rs
@@ -0,0 +1,181 @@
+//! Stateful fuzzing of at-most-once execution against an oracle that counts runs.
+
+use std::time::Duration;
+
+use coltsfootroute::once::{ClaimId, ClaimRecord};
+use proptest::{
+    prelude::*,
+    test_runner::{Config, RngSeed},
+};
+use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
+
+use crate::util::once_world::{OnceWorld, RETENTION, StoreFate};
+
+const GUARDS: usize = 3;
+const KEYS: [&str; 2] = ["k1", "k2"];
+const BODIES: [&str; 2] = ["pay 10", "pay 20"];
+/// Long enough for a long answer to go to the object store.
+const LONG_ANSWER: usize = 100;
+const CASES: u32 = 1_500;
+const STEPS: usize = 60;
+
+/// Picks are taken modulo what there is to pick from.
+#[derive(Clone, Debug)]
+enum OnceTransition {
+    Begin { guard: usize, key: usize, body: usize },
+    Deliver { pick: usize, fate: StoreFate },
+    LandLate,
+    Dispatch { pick: usize },
+    Finish { pick: usize, is_long: bool },
+    Interrupt { pick: usize },
+    Cancel { pick: usize },
+    Errands { guard: usize },
+    Restart { guard: usize },
+    Advance { millis: u64 },
+    Expire,
+    Sweep,
+}
+
+/// The oracle lives in [`OnceWorld`], beside what it watches; the reference only draws transitions.
+struct OnceReference;
+
+impl ReferenceStateMachine for OnceReference {
+    type State = ();
+    type Transition = OnceTransition;
+
+    fn init_state() -> BoxedStrategy<()> {
+        Just(()).boxed()
+    }
+
+    fn transitions(_: &()) -> BoxedStrategy<OnceTransition> {
+        let fate = prop_oneof![
+            6 => Just(StoreFate::Up),
+            2 => Just(StoreFate::AckLost),
+            1 => Just(StoreFate::Lost),
+            2 => Just(StoreFate::Late),
+            1 => Just(StoreFate::Down),
+        ];
+        let (guard, pick) = (0..GUARDS, 0_usize..8);
+        // Mostly the same key and body: that is where they meet.
+        let key = prop_oneof![4 => Just(0_usize), 1 => Just(1_usize)];
+        let body = prop_oneof![8 => Just(0_usize), 1 => Just(1_usize)];
+        prop_oneof![
+            10 => (guard.clone(), key, body)
+                .prop_map(|(guard, key, body)| OnceTransition::Begin { guard, key, body }),
+            30 => (pick.clone(), fate)
+                .prop_map(|(pick, fate)| OnceTransition::Deliver { pick, fate }),
+            3 => Just(OnceTransition::LandLate),
+            6 => pick.clone().prop_map(|pick| OnceTransition::Dispatch { pick }),
+            4 => (pick.clone(), any::<bool>())
+                .prop_map(|(pick, is_long)| OnceTransition::Finish { pick, is_long }),
+            1 => pick.clone().prop_map(|pick| OnceTransition::Interrupt { pick }),
+            4 => pick.prop_map(|pick| OnceTransition::Cancel { pick }),
+            10 => guard.clone().prop_map(|guard| OnceTransition::Errands { guard }),
+            1 => guard.prop_map(|guard| OnceTransition::Restart { guard }),
+            4 => (1_u64..700).prop_map(|millis| OnceTransition::Advance { millis }),
+            1 => Just(OnceTransition::Expire),
+            1 => Just(OnceTransition::Sweep),
+        ]
+        .boxed()
+    }
+
+    fn apply((): (), _: &OnceTransition) {}
+}
+
+struct OnceFuzz;
+
+impl StateMachineTest for OnceFuzz {
+    type SystemUnderTest = OnceWorld;
+    type Reference = OnceReference;
+
+    fn init_test((): &()) -> OnceWorld {
+        OnceWorld::new(GUARDS)
+    }
+
+    fn apply(mut world: OnceWorld, (): &(), transition: OnceTransition) -> OnceWorld {
+        match transition {
+            OnceTransition::Begin { guard, key, body } => {
+                world.begin(guard, KEYS[key], BODIES[body]);
+            }
+            OnceTransition::Deliver { pick, fate } if !world.flights.is_empty() => {
+                world.deliver(pick % world.flights.len(), fate);
+            }
+            OnceTransition::Deliver { .. } => {}
+            OnceTransition::LandLate => world.land_late(),
+            OnceTransition::Dispatch { pick } => {
+                if let Some(claim_id) = nth(world.tickets.keys(), pick) {
+                    world.dispatch(claim_id);
+                }
+            }
+            OnceTransition::Finish { pick, is_long } => {
+                if let Some(claim_id) = nth(world.runs.keys(), pick) {
+                    world.finish(claim_id, if is_long { LONG_ANSWER } else { 0 });
+                }
+            }
+            OnceTransition::Interrupt { pick } => {
+                if let Some(claim_id) = nth(world.runs.keys(), pick) {
+                    world.interrupt(claim_id);
+                }
+            }
+            OnceTransition::Cancel { pick } => {
+                if let Some(claim_id) = nth(world.attempts.keys().rev(), pick) {
+                    world.cancel(claim_id);
+                }
+            }
+            OnceTransition::Errands { guard } => world.send_errands(guard),
+            OnceTransition::Restart { guard } => world.restart(guard),
+            OnceTransition::Advance { millis } => world.advance(Duration::from_millis(millis)),
+            OnceTransition::Expire => world.advance(RETENTION),
+            OnceTransition::Sweep => world.sweep(),
+        }
+        world
+    }
+
+    /// Once everything has settled, a key is free unless it ran, may have run in a life that ended, or
+    /// has expired.
+    fn teardown(mut world: OnceWorld, (): ()) {
+        world.settle();
+        for guard in &world.guards {
+            assert_eq!(guard.open_claims(), 0, "a claim is never settled");
+        }
+        for key in KEYS {
+            let record = world.record(key);
+            let may_run = match &record {
+                None | Some(ClaimRecord::Free) => true,
+                Some(ClaimRecord::Claimed(claim)) => {
+                    assert!(!world.is_alive(claim.holder), "an abandoned claim stands");
+                    false
+                }
+                Some(_) => false,
+            };
+            let claim_id = world.begin(0, key, BODIES[0]);
+            world.settle();
+            let attempt = &world.attempts[&claim_id];
+            assert_eq!(attempt.was_dispatched, may_run, "{record:?}: {:?}", attempt.told);
+        }
+    }
+}
+
+fn nth<'a>(mut ids: impl ExactSizeIterator<Item = &'a ClaimId>, pick: usize) -> Option<ClaimId> {
+    let count = ids.len();
+    if count == 0 { None } else { ids.nth(pick % count).copied() }
+}
+
+fn config() -> Config {
+    // `scripts/fuzz` and long runs by hand set the number of cases and the seed.
+    let number = |name: &str| std::env::var(name).ok().and_then(|text| text.parse::<u64>().ok());
+    Config {
+        cases: number("COLTSFOOT_FUZZ_CASES").map_or(CASES, |cases| cases as u32),
+        rng_seed: RngSeed::Fixed(number("COLTSFOOT_FUZZ_SEED").unwrap_or(0x5eed)),
+        failure_persistence: None,
+        max_shrink_iters: 20_000,
+        ..Config::default()
+    }
+}
+
+prop_state_machine! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn no_key_runs_twice(sequential 1..STEPS => OnceFuzz);
+}
--- /dev/null
+++ b/crates/coltsfootroute/tests/integration/store_policy.rs
@@ -0,0 +1,162 @@
+//! Circuit breaker, rate budget and retry in front of the table service.
+
+use std::time::Duration;
+
+use coltsfootroute::{
+    table::{
+        BreakerSettings, BreakerState, CircuitBreaker, RateBudget, RateShare, RowCondition, RowKey,
+        RowWrite, StoreBackoff, StoreHealth, StoreUse, TableReply, TableRequest,
+    },
+    time::MonotonicTime,
+};
+use rand::SeedableRng;
+use rand_pcg::Pcg64;
+use rstest::rstest;
+
+const PROBE_TIMEOUT: Duration = Duration::from_secs(2);
+
+fn at(millis: u64) -> MonotonicTime {
+    MonotonicTime::from_millis(millis)
+}
+
+fn rng() -> Pcg64 {
+    Pcg64::seed_from_u64(7)
+}
+
+fn read() -> TableRequest {
+    TableRequest::Read(RowKey::new("a"))
+}
+
+fn write() -> TableRequest {
+    let key = RowKey::new("a");
+    TableRequest::Transact(vec![RowWrite { key, condition: RowCondition::Any, value: None }])
+}
+
+fn breaker() -> CircuitBreaker {
+    CircuitBreaker::new(BreakerSettings {
+        failures_to_open: 2,
+        shortest_open: Duration::from_millis(100),
+        longest_open: Duration::from_millis(200),
+        probe_timeout: PROBE_TIMEOUT,
+    })
+}
+
+fn open_breaker(rng: &mut Pcg64) -> CircuitBreaker {
+    let mut breaker = breaker();
+    breaker.record(at(0), StoreHealth::Failing, rng);
+    breaker.record(at(0), StoreHealth::Failing, rng);
+    breaker
+}
+
+#[test]
+fn breaker_opens_only_after_failures_in_a_row() {
+    let mut breaker = breaker();
+
+    breaker.record(at(0), StoreHealth::Failing, &mut rng());
+    breaker.record(at(0), StoreHealth::Answering, &mut rng());
+    breaker.record(at(0), StoreHealth::Failing, &mut rng());
+
+    assert_eq!(breaker.state(), BreakerState::Closed(1));
+    assert!(breaker.admit(at(0)));
+}
+
+#[test]
+fn open_breaker_lets_one_probe_through() {
+    let mut breaker = open_breaker(&mut rng());
+
+    assert!(!breaker.admit(at(1)));
+    assert!(breaker.admit(at(100)));
+    assert!(!breaker.admit(at(101)));
+
+    breaker.record(at(102), StoreHealth::Answering, &mut rng());
+    assert!(breaker.admit(at(102)));
+    assert_eq!(breaker.state(), BreakerState::Closed(0));
+}
+
+#[test]
+fn failed_probes_lengthen_the_pause_up_to_its_bound() {
+    let mut rng = rng();
+    let mut breaker = open_breaker(&mut rng);
+
+    for round in 1..6 {
+        let now = at(round * 1_000);
+        assert!(breaker.admit(now));
+        breaker.record(now, StoreHealth::Failing, &mut rng);
+        let BreakerState::Open(until) = breaker.state() else { panic!("{:?}", breaker.state()) };
+        assert!(until >= now + Duration::from_millis(100), "half of the longest at the least");
+        assert!(until <= now + Duration::from_millis(200));
+    }
+}
+
+#[test]
+fn lost_probe_makes_room_for_the_next() {
+    let mut breaker = open_breaker(&mut rng());
+    assert!(breaker.admit(at(100)));
+
+    assert!(!breaker.admit(at(2_099)));
+    assert!(breaker.admit(at(100) + PROBE_TIMEOUT));
+}
+
+#[test]
+fn budget_of_all_nodes_together_keeps_the_rates() {
+    let share = RateShare { nodes: 12, ..RateShare::default() };
+    let mut budget = RateBudget::new(&share);
+    let mut count = |request: &TableRequest| {
+        (0..10_000)
+            .filter(|millis| {
+                budget.take(at(*millis), request, StoreUse::Claim, Duration::ZERO).is_some()
+            })
+            .count() as f64
+    };
+
+    let (writes, reads) = (count(&write()), count(&read()));
+
+    // Ten seconds at the rate, and the burst once.
+    assert!(writes * 12.0 <= share.writes_per_s * (10.0 + share.burst_s) + 12.0, "{writes}");
+    assert!(writes * 12.0 >= share.writes_per_s * 9.0, "{writes}");
+    assert!(reads * 12.0 <= share.reads_per_s * (10.0 + share.burst_s) + 12.0, "{reads}");
+}
+
+#[test]
+fn budget_keeps_a_reserve_for_claims() {
+    let share = RateShare { writes_per_s: 10.0, nodes: 1, burst_s: 1.0, ..RateShare::default() };
+    let mut budget = RateBudget::new(&share);
+    let mut drain = |store_use| {
+        std::iter::from_fn(|| budget.take(at(0), &write(), store_use, Duration::ZERO)).count()
+    };
+
+    assert_eq!(drain(StoreUse::Config), 5);
+    assert_eq!(drain(StoreUse::Claim), 5);
+}
+
+#[test]
+fn budget_says_how_long_to_wait() {
+    let share = RateShare { writes_per_s: 10.0, nodes: 1, burst_s: 0.1, ..RateShare::default() };
+    let mut budget = RateBudget::new(&share);
+    let mut take = |wait: u64| {
+        let longest = Duration::from_millis(wait);
+        budget.take(at(0), &write(), StoreUse::Claim, longest)
+    };
+
+    assert_eq!(take(0), Some(Duration::ZERO));
+    assert_eq!(take(99), None);
+    assert_eq!(take(100), Some(Duration::from_millis(100)));
+    assert_eq!(take(200), Some(Duration::from_millis(200)));
+}
+
+#[rstest]
+#[case::refused_read(read(), TableReply::Unavailable, true)]
+#[case::lost_read(read(), TableReply::Uncertain, true)]
+#[case::refused_write(write(), TableReply::Unavailable, true)]
+#[case::lost_write(write(), TableReply::Uncertain, false)]
+#[case::conflict(write(), TableReply::Conflict(Vec::new()), false)]
+fn only_what_is_safe_is_sent_again(
+    #[case] request: TableRequest,
+    #[case] reply: TableReply,
+    #[case] is_sent: bool,
+) {
+    let backoff = StoreBackoff::default();
+
+    assert_eq!(backoff.pause(&request, &reply, 1, &mut rng()).is_some(), is_sent);
+    assert_eq!(backoff.pause(&request, &reply, backoff.attempts, &mut rng()), None);
+}
--- /dev/null
+++ b/crates/coltsfootroute/tests/integration/util.rs
@@ -0,0 +1,3 @@
+//! Fixtures shared by the tests.
+
+pub mod once_world;
--- /dev/null
+++ b/crates/coltsfootroute/tests/integration/util/once_world.rs
@@ -0,0 +1,399 @@
+//! Several guards, a table that fails on command, and an oracle that counts runs.
+
+use std::time::Duration;
+
+use coltsfootroute::{
+    id::{Incarnation, NodeId},
+    name::{OperationName, ServiceName},
+    once::{
+        AnswerBody, BodyDigest, BusyVerdict, ClaimHolder, ClaimId, ClaimNote, ClaimRecord,
+        ClaimResult, ClaimRun, ClaimStep, ClaimTicket, ClientKey, DispatchVerdict, ErrandReply,
+        ErrandRequest, HolderView, OnceCall, OnceGuard, OnceKey, OnceSettings, RecordSweeper,
+        RunAnswer, StoredAnswer, SweepStep, WallTime,
+    },
+    outcome::CallOutcome,
+    table::{MemoryTable, ObjectReply, TableReply, TableRequest},
+    time::MonotonicTime,
+};
+use indexmap::IndexMap;
+
+pub const DEADLINE: Duration = Duration::from_millis(500);
+pub const RETENTION: Duration = Duration::from_secs(3_600);
+/// Bodies above this go to the object store.
+pub const MOST_INLINE: usize = 40;
+
+/// What becomes of one request to the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StoreFate {
+    Up,
+    /// It takes effect; its answer is lost.
+    AckLost,
+    /// It never arrives and nobody learns so.
+    Lost,
+    /// No answer; it takes effect at a later `land_late`.
+    Late,
+    /// Refused.
+    Down,
+}
+
+/// A request to the store on its way.
+#[derive(Clone, Debug)]
+pub struct StoreFlight {
+    pub guard: usize,
+    incarnation: Incarnation,
+    pub claim_id: ClaimId,
+    is_errand: bool,
+    request: ErrandRequest,
+}
+
+/// One call to a guard and what came of it.
+#[derive(Clone, Debug)]
+pub struct CallAttempt {
+    pub guard: usize,
+    key: OnceKey,
+    deadline: MonotonicTime,
+    pub told: Option<String>,
+    outcome: Option<CallOutcome>,
+    pub was_dispatched: bool,
+}
+
+pub struct OnceWorld {
+    pub table: MemoryTable,
+    objects: IndexMap<String, Vec<u8>>,
+    pub guards: Vec<OnceGuard>,
+    incarnations: Vec<Incarnation>,
+    pub flights: Vec<StoreFlight>,
+    late: Vec<ErrandRequest>,
+    pub tickets: IndexMap<ClaimId, ClaimTicket>,
+    pub runs: IndexMap<ClaimId, ClaimRun>,
+    pub attempts: IndexMap<ClaimId, CallAttempt>,
+    run_counts: IndexMap<OnceKey, u32>,
+    first_answers: IndexMap<OnceKey, Vec<u8>>,
+    pub now: MonotonicTime,
+    wall: WallTime,
+    last_id: u128,
+}
+
+pub fn once_key(key: &str) -> OnceKey {
+    OnceKey {
+        service: ServiceName::new("payments"),
+        operation: OperationName::new("submit-fee"),
+        client_key: ClientKey::new(key),
+    }
+}
+
+fn node(index: usize) -> NodeId {
+    NodeId(([127, 0, 0, 1], 7_000 + index as u16).into())
+}
+
+impl OnceWorld {
+    pub fn new(guards: usize) -> Self {
+        let mut world = Self {
+            table: MemoryTable::default(),
+            objects: IndexMap::new(),
+            guards: Vec::new(),
+            incarnations: vec![Incarnation(1); guards],
+            flights: Vec::new(),
+            late: Vec::new(),
+            tickets: IndexMap::new(),
+            runs: IndexMap::new(),
+            attempts: IndexMap::new(),
+            run_counts: IndexMap::new(),
+            first_answers: IndexMap::new(),
+            now: MonotonicTime::from_millis(1),
+            wall: WallTime(1_000_000),
+            last_id: 0,
+        };
+        world.guards = (0..guards).map(|index| world.new_guard(index)).collect();
+        world
+    }
+
+    fn new_guard(&self, index: usize) -> OnceGuard {
+        let holder = ClaimHolder { node: node(index), incarnation: self.incarnations[index] };
+        let settings = OnceSettings { most_inline: MOST_INLINE, ..OnceSettings::default() };
+        OnceGuard::new(holder, settings)
+    }
+
+    pub fn begin(&mut self, guard: usize, key: &str, body: &str) -> ClaimId {
+        self.last_id += 1;
+        let claim_id = ClaimId(self.last_id);
+        let (key, deadline) = (once_key(key), self.now + DEADLINE);
+        let body_digest = BodyDigest::of(body.as_bytes());
+        let attempt = CallAttempt {
+            guard,
+            key: key.clone(),
+            deadline,
+            told: None,
+            outcome: None,
+            was_dispatched: false,
+        };
+        self.attempts.insert(claim_id, attempt);
+        let call = OnceCall { key, body_digest, retention: RETENTION, deadline };
+        let step = self.guards[guard].begin(call, claim_id, self.wall);
+        self.on_step(claim_id, step);
+        claim_id
+    }
+
+    /// Lets `fate` meet the flight at `index` and hands the reply to its guard, if that still lives.
+    pub fn deliver(&mut self, index: usize, fate: StoreFate) {
+        let flight = self.flights.remove(index);
+        let reply = self.meet(&flight.request, fate);
+        if self.incarnations[flight.guard] != flight.incarnation {
+            return;
+        }
+        let guard = &mut self.guards[flight.guard];
+        if flight.is_errand {
+            if let Some(errand) = guard.on_errand_reply(flight.claim_id, &reply, self.now) {
+                self.send(flight.claim_id, true, errand.request);
+            }
+            return;
+        }
+        let ErrandReply::Table(reply) = reply else { unreachable!("claims use the table only") };
+        if let Some(step) = guard.on_reply(flight.claim_id, &reply, self.now) {
+            self.on_step(flight.claim_id, step);
+        }
+    }
+
+    fn meet(&mut self, request: &ErrandRequest, fate: StoreFate) -> ErrandReply {
+        let reply = match fate {
+            StoreFate::Up => return self.store(request),
+            StoreFate::AckLost => {
+                self.store(request);
+                TableReply::Uncertain
+            }
+            StoreFate::Late => {
+                self.late.push(request.clone());
+                TableReply::Uncertain
+            }
+            StoreFate::Lost => TableReply::Uncertain,
+            StoreFate::Down => TableReply::Unavailable,
+        };
+        match (request, reply) {
+            (ErrandRequest::Table(_), reply) => ErrandReply::Table(reply),
+            (ErrandRequest::PutObject { .. }, _) => ErrandReply::Object(ObjectReply::Uncertain),
+        }
+    }
+
+    fn store(&mut self, request: &ErrandRequest) -> ErrandReply {
+        match request {
+            ErrandRequest::Table(request) => ErrandReply::Table(self.table.apply(request)),
+            ErrandRequest::PutObject { name, body } => {
+                self.objects.insert(name.clone(), body.clone());
+                ErrandReply::Object(ObjectReply::Stored)
+            }
+        }
+    }
+
+    /// The writes whose answers nobody waits for any more take effect now.
+    pub fn land_late(&mut self) {
+        for request in std::mem::take(&mut self.late) {
+            self.store(&request);
+        }
+    }
+
+    fn on_step(&mut self, claim_id: ClaimId, step: ClaimStep) {
+        let result = match step {
+            ClaimStep::Ask(request) => {
+                return self.send(claim_id, false, ErrandRequest::Table(request));
+            }
+            ClaimStep::Done(result) => result,
+        };
+        let reason = result.reason().map(|reason| format!(" {reason}")).unwrap_or_default();
+        match (result.outcome(), result) {
+            (_, ClaimResult::Dispatch(ticket)) => {
+                self.tickets.insert(claim_id, ticket);
+            }
+            (_, ClaimResult::Replay(answer)) => self.replay(claim_id, &answer),
+            (_, ClaimResult::Busy(claim)) => self.on_busy(claim_id, &claim),
+            (outcome, _) => self.tell(claim_id, outcome.expect("a result but dispatch"), &reason),
+        }
+    }
+
+    fn send(&mut self, claim_id: ClaimId, is_errand: bool, request: ErrandRequest) {
+        let guard = self.attempts[&claim_id].guard;
+        let incarnation = self.incarnations[guard];
+        self.flights.push(StoreFlight { guard, incarnation, claim_id, is_errand, request });
+    }
+
+    /// Asks the holder, as a guard does that finds a claim in its way.
+    fn on_busy(&mut self, claim_id: ClaimId, claim: &ClaimNote) {
+        let holder = (0..self.guards.len()).find(|index| node(*index) == claim.holder.node);
+        let holder = holder.expect("a guard of this world");
+        let view = if self.incarnations[holder] == claim.holder.incarnation {
+            HolderView::Answered(self.guards[holder].holder_answer(claim.claim_id))
+        } else {
+            HolderView::Ended
+        };
+        let outcome = match BusyVerdict::of(view) {
+            BusyVerdict::TryAgain => CallOutcome::Unknown,
+            BusyVerdict::Refuse(outcome) => outcome,
+        };
+        if outcome == CallOutcome::NotRun {
+            assert!(!self.attempts[&claim.claim_id].was_dispatched, "the holder told a lie");
+        }
+        self.tell(claim_id, outcome, &format!(" busy ({view:?})"));
+    }
+
+    fn replay(&mut self, claim_id: ClaimId, answer: &StoredAnswer) {
+        let body = match &answer.body {
+            AnswerBody::Inline(body) => body.clone(),
+            AnswerBody::Object { name, .. } => self.objects[name].clone(),
+        };
+        let key = &self.attempts[&claim_id].key;
+        assert_eq!(Some(&body), self.first_answers.get(key), "another answer than the first");
+        let text = format!(" replay of {}", String::from_utf8_lossy(&body[..body.len().min(12)]));
+        self.tell(claim_id, CallOutcome::Completed, &text);
+    }
+
+    fn tell(&mut self, claim_id: ClaimId, outcome: CallOutcome, detail: &str) {
+        let attempt = &mut self.attempts[&claim_id];
+        assert_eq!(attempt.told, None, "one request answered twice");
+        if outcome == CallOutcome::NotRun {
+            assert!(!attempt.was_dispatched, "told not-run after its dispatch");
+        }
+        attempt.outcome = Some(outcome);
+        attempt.told = Some(format!("{outcome}{detail}"));
+    }
+
+    pub fn dispatch(&mut self, claim_id: ClaimId) {
+        let Some(ticket) = self.tickets.swap_remove(&claim_id) else { return };
+        let guard = self.attempts[&claim_id].guard;
+        match self.guards[guard].dispatch(ticket, self.now) {
+            DispatchVerdict::Run(run) => {
+                self.runs.insert(claim_id, run);
+                self.count_run(claim_id);
+            }
+            DispatchVerdict::Lapsed => self.tell(claim_id, CallOutcome::NotRun, " deadline"),
+        }
+    }
+
+    /// The oracle: at most one run a key, none after `not-run` was told or the caller gave up.
+    fn count_run(&mut self, claim_id: ClaimId) {
+        let attempt = &mut self.attempts[&claim_id];
+        attempt.was_dispatched = true;
+        assert_ne!(attempt.outcome, Some(CallOutcome::NotRun), "ran after not-run was told");
+        assert!(self.now < attempt.deadline, "ran past its deadline");
+        let count = self.run_counts.entry(attempt.key.clone()).or_default();
+        *count += 1;
+        assert_eq!(*count, 1, "ran twice");
+    }
+
+    pub fn finish(&mut self, claim_id: ClaimId, length: usize) {
+        let Some(run) = self.runs.swap_remove(&claim_id) else { return };
+        let attempt = &self.attempts[&claim_id];
+        let mut body = format!("answer-{}", claim_id.0).into_bytes();
+        body.resize(body.len().max(length), b'.');
+        self.first_answers.insert(attempt.key.clone(), body.clone());
+        let answer = RunAnswer { status: 200, headers: Vec::new(), body };
+        self.guards[attempt.guard].finish(run, answer, self.now);
+        self.tell(claim_id, CallOutcome::Completed, &format!(" answer-{}", claim_id.0));
+    }
+
+    pub fn interrupt(&mut self, claim_id: ClaimId) {
+        let Some(run) = self.runs.swap_remove(&claim_id) else { return };
+        let guard = self.attempts[&claim_id].guard;
+        self.guards[guard].interrupt(run, self.now);
+        self.tell(claim_id, CallOutcome::Unknown, " cut off");
+    }
+
+    /// The caller goes away, or the guard gives the request up, before its dispatch.
+    pub fn cancel(&mut self, claim_id: ClaimId) {
+        let attempt = &self.attempts[&claim_id];
+        if attempt.told.is_some() || attempt.was_dispatched {
+            return;
+        }
+        let guard = &mut self.guards[attempt.guard];
+        match self.tickets.swap_remove(&claim_id) {
+            Some(ticket) => guard.abandon(ticket, self.now),
+            None => guard.cancel(claim_id, self.now),
+        }
+        self.tell(claim_id, CallOutcome::NotRun, " cancelled");
+    }
+
+    /// Puts the guard's errands that are due on their way.
+    pub fn send_errands(&mut self, guard: usize) {
+        while let Some(errand) = self.guards[guard].next_errand(self.now) {
+            self.send(errand.claim_id, true, errand.request);
+        }
+    }
+
+    /// The guard's process is killed and starts anew; what it sent may still arrive.
+    pub fn restart(&mut self, guard: usize) {
+        self.incarnations[guard] = self.incarnations[guard].next();
+        self.guards[guard] = self.new_guard(guard);
+        let attempts = &self.attempts;
+        self.tickets.retain(|claim_id, _| attempts[claim_id].guard != guard);
+        self.runs.retain(|claim_id, _| attempts[claim_id].guard != guard);
+        for index in (0..self.flights.len()).rev() {
+            if self.flights[index].guard == guard {
+                self.late.push(self.flights.remove(index).request);
+            }
+        }
+        let untold =
+            self.attempts.iter().filter(|(_, call)| call.guard == guard && call.told.is_none());
+        let untold: Vec<ClaimId> = untold.map(|(claim_id, _)| *claim_id).collect();
+        for claim_id in untold {
+            // The ingress node sees the connection break and can't know more.
+            self.tell(claim_id, CallOutcome::Unknown, " guard lost");
+        }
+    }
+
+    pub fn advance(&mut self, duration: Duration) {
+        self.now = self.now + duration;
+        self.wall = self.wall.after(duration);
+    }
+
+    /// One undisturbed pass of the sweeper.
+    pub fn sweep(&mut self) {
+        let mut sweeper = RecordSweeper::new(self.wall, 2);
+        let mut request = sweeper.start();
+        loop {
+            let reply = self.table.apply(&request);
+            match sweeper.on_reply(&reply) {
+                SweepStep::Ask(next) => request = next,
+                SweepStep::Done { objects } => {
+                    self.objects.retain(|name, _| !objects.contains(name));
+                    return;
+                }
+            }
+        }
+    }
+
+    /// Everything settles with the store up: late writes land, tickets and runs end, errands are done.
+    pub fn settle(&mut self) {
+        self.land_late();
+        loop {
+            while !self.flights.is_empty() {
+                self.deliver(0, StoreFate::Up);
+            }
+            while let Some(claim_id) = self.tickets.keys().next().copied() {
+                self.dispatch(claim_id);
+            }
+            while let Some(claim_id) = self.runs.keys().next().copied() {
+                self.finish(claim_id, 0);
+            }
+            self.advance(Duration::from_secs(1));
+            (0..self.guards.len()).for_each(|guard| self.send_errands(guard));
+            if self.flights.is_empty() {
+                return;
+            }
+        }
+    }
+
+    pub fn record(&self, key: &str) -> Option<ClaimRecord> {
+        let request = TableRequest::Read(once_key(key).row_key());
+        let TableReply::Rows(rows) = self.table.clone().apply(&request) else { return None };
+        rows.first().and_then(|row| ClaimRecord::parse(&row.value))
+    }
+
+    pub fn runs_of(&self, key: &str) -> u32 {
+        self.run_counts.get(&once_key(key)).copied().unwrap_or(0)
+    }
+
+    /// Whether `holder` is a life that goes on.
+    pub fn is_alive(&self, holder: ClaimHolder) -> bool {
+        (0..self.guards.len()).any(|index| {
+            node(index) == holder.node && self.incarnations[index] == holder.incarnation
+        })
+    }
+}
