--- a/crates/coltsfoot-node/src/store/store_handle.rs
+++ b/crates/coltsfoot-node/src/store/store_handle.rs
@@ -3,7 +3,10 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use coltsfootroute::table::{ObjectReply, StoreUse, TableReply, TableRequest};
+use coltsfootroute::{
+    once::{ErrandReply, ErrandRequest},
+    table::{ObjectReply, StoreUse, TableReply, TableRequest},
+};
 use tokio::{
     sync::{mpsc, oneshot},
     time::Instant,
@@ -52,6 +55,18 @@
         self.object(ObjectAction::Get { name: name.to_owned() }, deadline).await
     }
 
+    /// Carries out an errand of at-most-once execution within `deadline` from now.
+    pub async fn errand(&self, request: ErrandRequest, deadline: Duration) -> ErrandReply {
+        match request {
+            ErrandRequest::Table(request) => {
+                ErrandReply::Table(self.request(request, deadline, StoreUse::Answer).await)
+            }
+            ErrandRequest::PutObject { name, body } => {
+                ErrandReply::Object(self.put_object(&name, body.into(), deadline).await)
+            }
+        }
+    }
+
     async fn object(&self, action: ObjectAction, deadline: Duration) -> ObjectReply {
         let (reply, received) = oneshot::channel();
         let deadline = Instant::now() + deadline;
--- a/crates/coltsfoot-node/tests/integration/main.rs
+++ b/crates/coltsfoot-node/tests/integration/main.rs
@@ -1,4 +1,5 @@
 //! Integration tests of the node's parts.
 
 mod store;
+mod store_claims;
 mod util;
--- a/crates/coltsfoot-node/tests/integration/util.rs
+++ b/crates/coltsfoot-node/tests/integration/util.rs
@@ -1,3 +1,4 @@
 //! Fixtures shared by the tests.
 
+pub mod claim_driver;
 pub mod store_fixture;
--- /dev/null
+++ b/crates/coltsfoot-node/tests/integration/util/claim_driver.rs
@@ -0,0 +1,82 @@
+//! A guard's claims over the store thread, as the daemon drives them.
+
+use std::time::Duration;
+
+use coltsfoot_node::store::StoreHandle;
+use coltsfootroute::{
+    id::{Incarnation, NodeId},
+    name::{OperationName, ServiceName},
+    once::{
+        BodyDigest, ClaimHolder, ClaimId, ClaimResult, ClaimStep, ClientKey, DispatchVerdict,
+        OnceCall, OnceGuard, OnceKey, OnceSettings, RunAnswer, StoreErrand, WallTime,
+    },
+    table::StoreUse,
+    time::MonotonicTime,
+};
+
+use super::store_fixture::LONG;
+
+/// Time stands still for the guard: no deadline passes, no errand has to wait.
+const NOW: MonotonicTime = MonotonicTime::from_millis(1);
+
+pub struct ClaimDriver {
+    pub guard: OnceGuard,
+    store: StoreHandle,
+}
+
+impl ClaimDriver {
+    pub fn new(store: &StoreHandle, port: u16) -> Self {
+        let node = NodeId(([127, 0, 0, 1], port).into());
+        let holder = ClaimHolder { node, incarnation: Incarnation(1) };
+        let settings = OnceSettings { errand_pause: Duration::ZERO, ..OnceSettings::default() };
+        Self { guard: OnceGuard::new(holder, settings), store: store.clone() }
+    }
+
+    pub async fn claim(&mut self, claim_id: u128, key: &str) -> ClaimResult {
+        let claim_id = ClaimId(claim_id);
+        let call = OnceCall {
+            key: OnceKey {
+                service: ServiceName::new("payments"),
+                operation: OperationName::new("submit-fee"),
+                client_key: ClientKey::new(key),
+            },
+            body_digest: BodyDigest::of(b"pay 10"),
+            retention: LONG,
+            deadline: NOW + LONG,
+        };
+        let mut step = self.guard.begin(call, claim_id, WallTime(1));
+        loop {
+            match step {
+                ClaimStep::Ask(request) => {
+                    let reply = self.store.request(request, LONG, StoreUse::Claim).await;
+                    step = self.guard.on_reply(claim_id, &reply, NOW).expect("still claiming");
+                }
+                ClaimStep::Done(result) => return result,
+            }
+        }
+    }
+
+    /// Runs a claimed call, which gives `body`.
+    pub fn run(&mut self, result: ClaimResult, body: Vec<u8>) {
+        let ClaimResult::Dispatch(ticket) = result else { panic!("{result:?}") };
+        let verdict = self.guard.dispatch(ticket, NOW);
+        let DispatchVerdict::Run(run) = verdict else { panic!("{verdict:?}") };
+        let answer = RunAnswer { status: 200, headers: Vec::new(), body };
+        self.guard.finish(run, answer, NOW);
+    }
+
+    /// Carries out errands until none is left.
+    pub async fn settle(&mut self) {
+        while let Some(errand) = self.guard.next_errand(NOW) {
+            self.carry_out(errand).await;
+        }
+    }
+
+    async fn carry_out(&mut self, errand: StoreErrand) {
+        let mut next = Some(errand);
+        while let Some(StoreErrand { claim_id, request }) = next {
+            let reply = self.store.errand(request, LONG).await;
+            next = self.guard.on_errand_reply(claim_id, &reply, NOW);
+        }
+    }
+}
