--- a/crates/coltsfoot-node/tests/integration/main.rs
+++ b/crates/coltsfoot-node/tests/integration/main.rs
@@ -5,4 +5,5 @@
 mod metrics;
 mod settings;
 mod store;
+mod store_claims;
 mod util;
--- a/crates/coltsfootroute/tests/integration/main.rs
+++ b/crates/coltsfootroute/tests/integration/main.rs
@@ -2,3 +2,6 @@
 
 mod event;
 mod schema;
+mod once;
+mod store_policy;
+mod util;
