Revisions: submission, history chain, state and deltas of the configuration

Cause: two operators at once, lost acknowledgements and late deltas must never revert a configuration.

--- /dev/null
+++ b/crates/coltsfootroute/src/revision/config_state.rs
@@ -0,0 +1,243 @@
+//! The configuration that a node has in force.
+
+use super::{
+    Applied, ChainDigest, ConfigDelta, ConfigEntry, ContentDigest, DeltaFault, EntryChange,
+    Revision, RevisionRecord,
+};
+use crate::{
+    name::ServiceName,
+    schema::{SchemaDocument, ServiceEntry},
+};
+use indexmap::IndexMap;
+
+/// Most removed services remembered. Deltas from before the oldest one forgotten become full snapshots.
+pub const MAX_TOMBSTONES: usize = 1_024;
+
+/// What one node has in force. Its revision only rises: whatever arrives late, twice or in any order
+/// changes nothing or is refused whole. Cheap to clone.
+#[derive(Clone, Debug, Default)]
+pub struct ConfigState {
+    /// Record of the revision in force; `None` before the first.
+    record: Option<RevisionRecord>,
+    deployment: String,
+    /// Services, in order of their names.
+    entries: IndexMap<ServiceName, ConfigEntry>,
+    /// Services removed after `floor`, with the revision that removed them, oldest first.
+    tombstones: IndexMap<ServiceName, Revision>,
+    /// Lowest revision since which every change is known; deltas from below it are full snapshots.
+    floor: Revision,
+}
+
+/// What a document or delta would make of a state.
+struct Candidate {
+    deployment: String,
+    entries: IndexMap<ServiceName, ConfigEntry>,
+    tombstones: IndexMap<ServiceName, Revision>,
+    floor: Revision,
+}
+
+impl ConfigState {
+    /// No configuration, revision 0.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Revision in force; 0 if none.
+    pub fn revision(&self) -> Revision {
+        self.record.as_ref().map_or(Revision::ZERO, |record| record.revision)
+    }
+
+    /// Record of the revision in force.
+    pub fn record(&self) -> Option<&RevisionRecord> {
+        self.record.as_ref()
+    }
+
+    /// Name of the deployment; empty at revision 0.
+    pub fn deployment(&self) -> &str {
+        &self.deployment
+    }
+
+    /// The service called `name`.
+    pub fn service(&self, name: &ServiceName) -> Option<&ServiceEntry> {
+        self.entries.get(name).map(|entry| &*entry.service)
+    }
+
+    /// All services, in order of their names.
+    pub fn entries(&self) -> impl Iterator<Item = &ConfigEntry> {
+        self.entries.values()
+    }
+
+    /// The whole configuration as a document, services in order of their names.
+    pub fn document(&self) -> SchemaDocument {
+        let services = self.entries().map(|entry| (*entry.service).clone()).collect();
+        SchemaDocument { deployment: self.deployment.clone(), services }
+    }
+
+    /// Puts a whole document in force, as read from the table service.
+    ///
+    /// # Errors
+    ///
+    /// The record isn't that of the document, isn't intact or belongs to another history.
+    pub fn apply_document(
+        &mut self,
+        record: &RevisionRecord,
+        document: &SchemaDocument,
+    ) -> Result<Applied, DeltaFault> {
+        if !self.precedes(record)? {
+            return Ok(Applied::AlreadyHeld);
+        }
+        let candidate = self.candidate_of_document(record.revision, document);
+        self.adopt(candidate, record)
+    }
+
+    /// What changed after revision `from`: a full snapshot if `from` is 0 or too far back, `None` if
+    /// nothing newer is held.
+    pub fn delta_since(&self, from: Revision) -> Option<ConfigDelta> {
+        let record = self.record.clone().filter(|record| record.revision > from)?;
+        let from = if from < self.floor { Revision::ZERO } else { from };
+        let entries = self.entries.values().filter(|entry| entry.revision > from);
+        let kept = entries.map(|entry| EntryChange {
+            name: entry.service.name.clone(),
+            revision: entry.revision,
+            service: Some((*entry.service).clone()),
+        });
+        let tombstones = self.tombstones.iter().filter(|(_, revision)| **revision > from);
+        let removed = tombstones.map(|(name, revision)| EntryChange {
+            name: name.clone(),
+            revision: *revision,
+            service: None,
+        });
+        let mut changes: Vec<_> = kept.chain(removed).collect();
+        changes.sort_by(|left, right| left.name.cmp(&right.name));
+        Some(ConfigDelta { from, record, deployment: self.deployment.clone(), changes })
+    }
+
+    /// Applies a delta from a peer, whole or not at all.
+    ///
+    /// # Errors
+    ///
+    /// The delta doesn't fit the revision held, or what would result isn't what its record says.
+    pub fn apply_delta(&mut self, delta: &ConfigDelta) -> Result<Applied, DeltaFault> {
+        if !self.precedes(&delta.record)? {
+            return Ok(Applied::AlreadyHeld);
+        }
+        let held = self.revision();
+        if delta.from > held {
+            return Err(DeltaFault::Gap { from: delta.from, held });
+        }
+        let candidate = self.candidate_of_delta(delta);
+        self.adopt(candidate, &delta.record)
+    }
+
+    /// Whether the revision in force is lower than that of `record`.
+    fn precedes(&self, record: &RevisionRecord) -> Result<bool, DeltaFault> {
+        let (held, offered) = (self.revision(), record.revision);
+        let chain = self.record.as_ref().map_or(ChainDigest::ROOT, |record| record.chain);
+        if !record.is_intact() {
+            return Err(DeltaFault::Record(offered));
+        }
+        let is_other = offered == held && record.chain != chain;
+        let is_stranger = offered == held.next() && record.parent != chain;
+        if is_other || is_stranger {
+            return Err(DeltaFault::Diverged(offered));
+        }
+        Ok(held < offered)
+    }
+
+    fn candidate_of_document(&self, revision: Revision, document: &SchemaDocument) -> Candidate {
+        let fresh = document.services.iter().map(|service| {
+            let entry = ConfigEntry::new(revision, service.clone());
+            let held = self.entries.get(&service.name);
+            let same = held.filter(|held| held.digest == entry.digest).cloned();
+            (service.name.clone(), same.unwrap_or(entry))
+        });
+        let entries: IndexMap<_, _> = fresh.collect();
+        let deployment = document.deployment.clone();
+        if revision != self.revision().next() {
+            // A revision skipped may have changed a service there and back, which can't be seen from here.
+            return Candidate { deployment, entries, tombstones: IndexMap::new(), floor: revision };
+        }
+        let mut tombstones = self.tombstones.clone();
+        tombstones.extend(self.entries.keys().map(|name| (name.clone(), revision)));
+        tombstones.retain(|name, _| !entries.contains_key(name));
+        Candidate { deployment, entries, tombstones, floor: self.floor }
+    }
+
+    fn candidate_of_delta(&self, delta: &ConfigDelta) -> Candidate {
+        let mut candidate = self.base_of_delta(delta);
+        for change in &delta.changes {
+            let name = change.name.clone();
+            candidate.entries.shift_remove(&name);
+            candidate.tombstones.shift_remove(&name);
+            match &change.service {
+                Some(service) => {
+                    candidate
+                        .entries
+                        .insert(name, ConfigEntry::new(change.revision, service.clone()));
+                }
+                None => {
+                    candidate.tombstones.insert(name, change.revision);
+                }
+            }
+        }
+        candidate
+    }
+
+    /// What the changes of a delta are laid over: nothing for a snapshot, else the state.
+    fn base_of_delta(&self, delta: &ConfigDelta) -> Candidate {
+        let deployment = delta.deployment.clone();
+        if delta.is_snapshot() {
+            // A snapshot doesn't tell what was changed before it.
+            let (entries, tombstones) = (IndexMap::new(), IndexMap::new());
+            return Candidate { deployment, entries, tombstones, floor: delta.to() };
+        }
+        let (entries, tombstones) = (self.entries.clone(), self.tombstones.clone());
+        Candidate { deployment, entries, tombstones, floor: self.floor }
+    }
+
+    /// Puts `candidate` in force if its content is that of `record`.
+    fn adopt(
+        &mut self,
+        mut candidate: Candidate,
+        record: &RevisionRecord,
+    ) -> Result<Applied, DeltaFault> {
+        candidate.entries.sort_unstable_keys();
+        if candidate.digest() != record.content {
+            return Err(DeltaFault::Content(record.revision));
+        }
+        candidate.forget_old_tombstones();
+        let changed = self.changed(&candidate.entries);
+        let Candidate { deployment, entries, tombstones, floor } = candidate;
+        *self = Self { record: Some(record.clone()), deployment, entries, tombstones, floor };
+        Ok(Applied::Raised { revision: record.revision, changed })
+    }
+
+    fn changed(&self, entries: &IndexMap<ServiceName, ConfigEntry>) -> Vec<ServiceName> {
+        let mut names: Vec<_> = self.entries.keys().chain(entries.keys()).cloned().collect();
+        names.sort_unstable();
+        names.dedup();
+        let digest = |entry: &ConfigEntry| entry.digest;
+        names.retain(|name| self.entries.get(name).map(digest) != entries.get(name).map(digest));
+        names
+    }
+}
+
+impl Candidate {
+    fn digest(&self) -> ContentDigest {
+        let digests: Vec<_> =
+            self.entries.iter().map(|(name, entry)| (name, entry.digest)).collect();
+        ContentDigest::of_services(&self.deployment, &digests)
+    }
+
+    /// Keeps the tombstones that a delta can still need, and not too many.
+    fn forget_old_tombstones(&mut self) {
+        self.tombstones.sort_by(|_, left, _, right| left.cmp(right));
+        while self.tombstones.len() > MAX_TOMBSTONES {
+            if let Some((_, revision)) = self.tombstones.shift_remove_index(0) {
+                self.floor = self.floor.max(revision);
+            }
+        }
+        let floor = self.floor;
+        self.tombstones.retain(|_, revision| *revision > floor);
+    }
+}
--- /dev/null
+++ b/crates/coltsfootroute/src/revision/digest_macros.rs
@@ -0,0 +1,66 @@
+//! Macro for the digests of this module.
+
+/// Declares a SHA-256 digest, written as 64 lower-case hexadecimal digits.
+macro_rules! digest_type {
+    ($(#[$meta:meta])* $name:ident) => {
+        $(#[$meta])*
+        #[derive(
+            Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize, serde::Deserialize,
+        )]
+        #[serde(try_from = "String", into = "String")]
+        pub struct $name([u8; 32]);
+
+        impl $name {
+            /// Digest of `bytes`.
+            pub(super) fn of_bytes(bytes: &[u8]) -> Self {
+                use sha2::Digest;
+                Self(sha2::Sha256::digest(bytes).into())
+            }
+        }
+
+        impl std::fmt::Display for $name {
+            fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+                self.0.iter().try_for_each(|byte| write!(f, "{byte:02x}"))
+            }
+        }
+
+        impl std::fmt::Debug for $name {
+            fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+                write!(f, "{}({self})", stringify!($name))
+            }
+        }
+
+        impl From<$name> for String {
+            fn from(digest: $name) -> Self {
+                digest.to_string()
+            }
+        }
+
+        impl TryFrom<String> for $name {
+            type Error = String;
+
+            fn try_from(text: String) -> Result<Self, String> {
+                text.parse()
+            }
+        }
+
+        impl std::str::FromStr for $name {
+            type Err = String;
+
+            fn from_str(text: &str) -> Result<Self, String> {
+                let fault = || format!("expected 64 hexadecimal digits, found `{text}`");
+                if text.len() != 64 || !text.is_ascii() {
+                    return Err(fault());
+                }
+                let mut bytes = [0; 32];
+                for (index, byte) in bytes.iter_mut().enumerate() {
+                    let digits = &text[2 * index..2 * index + 2];
+                    *byte = u8::from_str_radix(digits, 16).map_err(|_| fault())?;
+                }
+                Ok(Self(bytes))
+            }
+        }
+    };
+}
+
+pub(super) use digest_type;
--- /dev/null
+++ b/crates/coltsfootroute/src/revision/head_reader.rs
@@ -0,0 +1,61 @@
+//! Reads the newest configuration.
+
+use super::{HeadRow, ReaderStep, RevisionRow, RowFault, schema_rows};
+use crate::table::{StoredRow, TableReply, TableRequest};
+
+/// Reads `schema/head`, then the revision that it names. Gives `None` if there is no configuration yet.
+#[derive(Clone, Debug, Default)]
+pub struct HeadReader {
+    head: Option<HeadRow>,
+}
+
+impl HeadReader {
+    /// A reader that hasn't sent anything yet.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// The first request.
+    pub fn start(&mut self) -> TableRequest {
+        self.head = None;
+        TableRequest::Read(schema_rows::head_key())
+    }
+
+    /// Takes the reply to the last request.
+    pub fn take(&mut self, reply: &TableReply) -> ReaderStep<Option<RevisionRow>> {
+        let TableReply::Rows(rows) = reply else {
+            return ReaderStep::Unavailable;
+        };
+        match self.head.take() {
+            None => self.take_head(rows.first()),
+            Some(head) => take_revision(&head, rows.first()),
+        }
+        .unwrap_or_else(ReaderStep::Faulty)
+    }
+
+    fn take_head(
+        &mut self,
+        row: Option<&StoredRow>,
+    ) -> Result<ReaderStep<Option<RevisionRow>>, RowFault> {
+        let Some(row) = row else {
+            return Ok(ReaderStep::Done(None));
+        };
+        let head: HeadRow = schema_rows::decoded(row)?;
+        let key = schema_rows::revision_key(head.revision);
+        self.head = Some(head);
+        Ok(ReaderStep::Send(TableRequest::Read(key)))
+    }
+}
+
+fn take_revision(
+    head: &HeadRow,
+    row: Option<&StoredRow>,
+) -> Result<ReaderStep<Option<RevisionRow>>, RowFault> {
+    let key = schema_rows::revision_key(head.revision);
+    let row = row.ok_or_else(|| schema_rows::fault(&key, "missing".to_owned()))?;
+    let revision = schema_rows::decoded_revision(row)?;
+    if revision.record.chain != head.chain {
+        return Err(schema_rows::fault(&key, "not the record that the head names".to_owned()));
+    }
+    Ok(ReaderStep::Done(Some(revision)))
+}
--- /dev/null
+++ b/crates/coltsfootroute/src/revision/history_reader.rs
@@ -0,0 +1,58 @@
+//! Reads the history.
+
+use super::{ReaderStep, Revision, RevisionRecord, RowFault, schema_rows};
+use crate::table::{StoredRow, TableReply, TableRequest};
+
+/// Rows of a page; each holds a whole configuration.
+const PAGE_ROWS: usize = 32;
+
+/// Reads records page by page, oldest first.
+#[derive(Clone, Debug)]
+pub struct HistoryReader {
+    after: Revision,
+    limit: usize,
+    records: Vec<RevisionRecord>,
+}
+
+impl HistoryReader {
+    /// Reads at most `limit` records, those after revision `after`.
+    pub fn new(after: Revision, limit: usize) -> Self {
+        Self { after, limit, records: Vec::new() }
+    }
+
+    /// The first request.
+    pub fn start(&mut self) -> TableRequest {
+        self.records.clear();
+        self.page()
+    }
+
+    /// Takes the reply to the last request.
+    pub fn take(&mut self, reply: &TableReply) -> ReaderStep<Vec<RevisionRecord>> {
+        let TableReply::Rows(rows) = reply else {
+            return ReaderStep::Unavailable;
+        };
+        if let Err(fault) = self.add(rows) {
+            return ReaderStep::Faulty(fault);
+        }
+        if rows.is_empty() || self.records.len() >= self.limit {
+            return ReaderStep::Done(std::mem::take(&mut self.records));
+        }
+        ReaderStep::Send(self.page())
+    }
+
+    fn add(&mut self, rows: &[StoredRow]) -> Result<(), RowFault> {
+        for row in rows {
+            self.records.push(schema_rows::decoded_revision(row)?.record);
+        }
+        Ok(())
+    }
+
+    fn page(&self) -> TableRequest {
+        let after = self.records.last().map_or(self.after, |record| record.revision);
+        TableRequest::Scan {
+            prefix: schema_rows::REVISION_PREFIX.to_owned(),
+            after: schema_rows::revision_key(after).as_str().to_owned(),
+            limit: PAGE_ROWS.min(self.limit - self.records.len()),
+        }
+    }
+}
--- a/crates/coltsfootroute/src/schema/schema_diff.rs
+++ b/crates/coltsfootroute/src/schema/schema_diff.rs
@@ -1,6 +1,6 @@
 //! Difference between two schemas.
 
-use super::{OperationEntry, SchemaDocument, ServiceEntry};
+use super::{OperationEntry, SchemaChange, SchemaDocument, ServiceEntry};
 use indexmap::{IndexMap, IndexSet};
 use std::fmt;
 
@@ -15,21 +15,6 @@
     }
 }
 
-record_type! {
-    /// One change. A service or operation that is added or removed is one change, its fields aren't listed.
-    #[derive(serde::Serialize, serde::Deserialize)]
-    #[serde(deny_unknown_fields)]
-    pub struct SchemaChange {
-        /// What changed: `deployment`, `service a`, `service a/operation`, `service a/operation -> b/callee`,
-        /// or a `.field` of one.
-        pub item: String,
-        /// Value before; `None` if the item is new.
-        pub before: Option<String>,
-        /// Value after; `None` if the item is gone.
-        pub after: Option<String>,
-    }
-}
-
 impl SchemaDiff {
     /// What changed from `old` to `new`.
     pub fn between(old: &SchemaDocument, new: &SchemaDocument) -> Self {
@@ -56,17 +41,6 @@
     }
 }
 
-impl SchemaChange {
-    fn new(item: &str, before: Option<&String>, after: Option<&String>) -> Self {
-        Self { item: item.to_owned(), before: before.cloned(), after: after.cloned() }
-    }
-
-    /// Whether the item is added or removed with all it holds.
-    fn is_whole(&self) -> bool {
-        self.before.is_none() || self.after.is_none()
-    }
-}
-
 /// Whether `item` lies within one of `whole`, things added or removed as a whole.
 fn lies_within(whole: &IndexSet<String>, item: &str) -> bool {
     std::iter::successors(Some(item), |item| item.rfind(['.', '/', ' ']).map(|end| &(*item)[..end]))
@@ -131,16 +105,3 @@
         Ok(())
     }
 }
-
-impl fmt::Display for SchemaChange {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let item = &self.item;
-        match (&self.before, &self.after) {
-            (Some(before), Some(after)) => write!(f, "changed {item}: {before} to {after}"),
-            (None, Some(after)) if !after.is_empty() => write!(f, "added {item}: {after}"),
-            (None, _) => write!(f, "added {item}"),
-            (Some(before), None) if !before.is_empty() => write!(f, "removed {item}: {before}"),
-            (Some(_), None) => write!(f, "removed {item}"),
-        }
-    }
-}
