--- a/crates/coltsfoot-node/src/config/config_thread.rs
+++ b/crates/coltsfoot-node/src/config/config_thread.rs
@@ -114,10 +114,9 @@
     async fn read_head(&self) {
         let request = TableRequest::Read(RowKey::new(HEAD_KEY));
         let reply = self.parts.store.request(request, STORE_DEADLINE, StoreUse::Config).await;
-        if let TableReply::Rows(rows) = reply {
-            if let Some(config) = rows.first().and_then(decode) {
-                self.put_in_force(config).await;
-            }
+        let TableReply::Rows(rows) = reply else { return };
+        if let Some(config) = rows.first().and_then(decode) {
+            self.put_in_force(config).await;
         }
     }
 
--- a/crates/coltsfoot-node/src/dispatch/calls_in_flight.rs
+++ b/crates/coltsfoot-node/src/dispatch/calls_in_flight.rs
@@ -1,6 +1,10 @@
 //! The calls that the upstream beside the node works on, found by the context it was given.
 
-use std::cell::{Cell, RefCell};
+use std::{
+    cell::{Cell, RefCell},
+    cmp::Reverse,
+    rc::Rc,
+};
 
 use coltsfoot_wire::peer::LevelNote;
 use coltsfootroute::{
@@ -59,7 +63,7 @@
             levels.retain(|kept| kept.guard != note.guard || kept.service != note.service);
             levels.push(note.clone());
         }
-        levels.sort_by(|a, b| b.level.cmp(&a.level));
+        levels.sort_by_key(|note| Reverse(note.level));
         levels.truncate(MAX_LEVELS);
     }
 
@@ -74,19 +78,19 @@
 /// A context is random, so that it cannot be guessed, and known only while its call is in flight.
 #[derive(Default)]
 pub struct CallsInFlight {
-    spans: RefCell<IndexMap<u128, std::rc::Rc<CallSpan>>>,
+    spans: RefCell<IndexMap<u128, Rc<CallSpan>>>,
 }
 
 impl CallsInFlight {
     /// Enters a call and returns its context.
-    pub fn enter(&self, rng: &mut impl Rng, span: std::rc::Rc<CallSpan>) -> u128 {
+    pub fn enter(&self, rng: &mut impl Rng, span: Rc<CallSpan>) -> u128 {
         let context = rng.random::<u128>();
         self.spans.borrow_mut().insert(context, span);
         context
     }
 
     /// The call of a context as the upstream sent it back.
-    pub fn find(&self, context: &str) -> Option<std::rc::Rc<CallSpan>> {
+    pub fn find(&self, context: &str) -> Option<Rc<CallSpan>> {
         let context = u128::from_str_radix(context, 16).ok()?;
         self.spans.borrow().get(&context).cloned()
     }
--- a/crates/coltsfoot-node/src/dispatch/dispatch_thread.rs
+++ b/crates/coltsfoot-node/src/dispatch/dispatch_thread.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::{io, net::TcpListener, rc::Rc, thread, time::Duration};
 
-use coltsfootroute::time::MonotonicTime;
+use coltsfootroute::{event::EventKind, time::MonotonicTime};
 use tokio::{
     runtime,
     sync::{mpsc, oneshot},
@@ -161,10 +161,15 @@
     async fn leave(self: Rc<Self>, done: oneshot::Sender<()>) {
         let begun: MonotonicTime = self.clock.now();
         self.drain.borrow_mut().begin(begun);
+        let in_flight = u32::try_from(self.drain.borrow().in_flight()).unwrap_or(u32::MAX);
+        self.events.emit(EventKind::DrainBegun { in_flight });
         self.withdraw_upstream().await;
         while !self.is_drained() {
             sleep(DRAIN_POLL).await;
         }
+        let elapsed = self.clock.now().since(begun).as_millis();
+        let elapsed_ms = u64::try_from(elapsed).unwrap_or(u64::MAX);
+        self.events.emit(EventKind::Drained { elapsed_ms });
         let _ = done.send(());
     }
 }
--- a/crates/coltsfoot-node/src/dispatch/guard.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard.rs
@@ -185,10 +185,10 @@
                 breaches.on_admission(now, &call.service, call.importance);
                 self.metrics.requests.admitted(call.importance);
             }
-            Some(AdmissionDecision::Refuse(RefusalReason::Overload)) => {
-                if breaches.on_refusal(now, &call.service, call.importance) {
-                    self.metrics.requests.importance_breached();
-                }
+            Some(AdmissionDecision::Refuse(RefusalReason::Overload))
+                if breaches.on_refusal(now, &call.service, call.importance) =>
+            {
+                self.metrics.requests.importance_breached();
             }
             _ => {}
         }
--- a/crates/coltsfoot-node/src/dispatch/local_upstream.rs
+++ b/crates/coltsfoot-node/src/dispatch/local_upstream.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use coltsfootroute::{membership::UpstreamOffer, name::ServiceName};
+use coltsfootroute::{event::EventKind, membership::UpstreamOffer, name::ServiceName};
 use http::StatusCode;
 
 use super::{dispatcher::Dispatcher, guard::GuardedUpstream};
@@ -38,6 +38,12 @@
         }
         if self.take_in(&announcement) {
             self.fit_gate(announcement.slots);
+            self.events.emit(EventKind::UpstreamAnnounced {
+                service: announcement.service.clone(),
+                upstream: announcement.address,
+                slots: announcement.slots,
+                connections: announcement.connections,
+            });
             let command = GossipCommand::Announce(UpstreamOffer {
                 service: announcement.service.clone(),
                 slots: announcement.slots,
@@ -64,17 +70,25 @@
 
     /// The upstream leaves: no new work from now on.
     pub(super) async fn withdraw_upstream(&self) -> HttpReply {
-        let was_there = match &mut *self.guard.upstream.borrow_mut() {
-            Some(upstream) => !std::mem::replace(&mut upstream.leaving, true),
-            None => false,
-        };
-        if was_there {
+        let left = self.mark_leaving();
+        if let Some(left) = left {
+            self.events.emit(left);
             // A closed ring means that the process stops.
             let _ = self.gossip.send(GossipCommand::Leave).await;
         }
         HttpReply::json(StatusCode::OK, &serde_json::json!({ "leaving": true }))
     }
 
+    fn mark_leaving(&self) -> Option<EventKind> {
+        let mut upstream = self.guard.upstream.borrow_mut();
+        let upstream = upstream.as_mut().filter(|upstream| !upstream.leaving)?;
+        upstream.leaving = true;
+        Some(EventKind::UpstreamLeft {
+            service: upstream.announcement.service.clone(),
+            upstream: upstream.announcement.address,
+        })
+    }
+
     /// Takes an upstream that has fallen silent as gone.
     pub(super) async fn notice_silence(&self) {
         let now = self.clock.now();
--- a/crates/coltsfoot-node/src/dispatch/nested_request.rs
+++ b/crates/coltsfoot-node/src/dispatch/nested_request.rs
@@ -4,6 +4,7 @@
 
 use coltsfoot_wire::peer::{CallReply, ReplyBody};
 use coltsfootroute::{
+    event::EventKind,
     id::RequestId,
     importance::Importance,
     outcome::{CallOutcome, RefusalReason},
@@ -101,16 +102,54 @@
                     times.record(now, &call.service, &call.operation, taken);
                 }
                 self.metrics.requests.answered(reply.outcome);
+                self.events.emit(answered_event(call, reply, taken));
                 self.metrics.requests.upstream_latency(reply.upstream_time);
                 self.metrics.requests.added_latency(taken.saturating_sub(reply.upstream_time));
             }
             ReplyBody::Refusal { reason, .. } => {
-                self.metrics.requests.refused(*reason, call.importance)
+                self.metrics.requests.refused(*reason, call.importance);
+                self.events.emit(refused_event(call, reply, *reason));
             }
         }
     }
 }
 
+fn answered_event(call: &RoutedCall, reply: &CallReply, taken: Duration) -> EventKind {
+    let (request, service, operation) =
+        (call.request, call.service.clone(), call.operation.clone());
+    match (&reply.body, reply.outcome) {
+        (ReplyBody::Answer { status, .. }, CallOutcome::Completed) => EventKind::RequestCompleted {
+            request,
+            service,
+            operation,
+            status: *status,
+            elapsed_us: u64::try_from(taken.as_micros()).unwrap_or(u64::MAX),
+        },
+        _ => EventKind::RequestUnknown {
+            request,
+            service,
+            operation,
+            reason: RefusalReason::UpstreamFailed,
+        },
+    }
+}
+
+fn refused_event(call: &RoutedCall, reply: &CallReply, reason: RefusalReason) -> EventKind {
+    let (request, service, operation) =
+        (call.request, call.service.clone(), call.operation.clone());
+    match reply.outcome {
+        CallOutcome::Unknown => EventKind::RequestUnknown { request, service, operation, reason },
+        outcome => EventKind::RequestRefused {
+            request,
+            service,
+            operation,
+            importance: call.importance,
+            reason,
+            outcome,
+        },
+    }
+}
+
 /// Never later than the deadline of the call above.
 fn nested_deadline(call: &IncomingCall, span: Option<&CallSpan>) -> MonotonicTime {
     let asked = call.remaining.map(|remaining| call.received + remaining);
--- a/crates/coltsfoot-node/src/process/node_process.rs
+++ b/crates/coltsfoot-node/src/process/node_process.rs
@@ -7,6 +7,7 @@
 };
 
 use coltsfootroute::{
+    event::EventKind,
     id::{Incarnation, NodeId},
     membership::{GossipSettings, MemberRecord},
 };
@@ -79,6 +80,16 @@
         let journal = EventJournal::new(identity.node, identity.incarnation);
         let (events, reader) = (journal.sender(), journal.reader());
         let journal = journal.spawn()?;
+        events.emit(EventKind::Started {
+            incarnation: identity.incarnation,
+            region: identity.region.clone(),
+            domain: identity.domain.clone(),
+        });
+        events.emit(EventKind::Listening {
+            client: addresses.client,
+            host: addresses.host,
+            peer: addresses.peer,
+        });
         let metrics = Arc::new(NodeMetrics::new()?);
         let store = StoreThread::start(store_settings(&settings, seed))?;
         let (dispatch, dispatch_ring) = DispatchThread::ring();
--- a/crates/coltsfootroute/tests/integration/main.rs
+++ b/crates/coltsfootroute/tests/integration/main.rs
@@ -1,7 +1,7 @@
 //! Tests of the library, one file for each subject.
 
 mod event;
-mod schema;
 mod once;
+mod schema;
 mod store_policy;
 mod util;
