Prove submission and spread by scenarios and stateful fuzzing

Cause: lost acknowledgements, two operators, late and doubled deltas and restarts must not revert anything. Change: scripted scenarios revision-*.txt through datadriven, a proptest state machine over submissions, delayed writes, deltas and restarts against a list of what took effect in the table, tests of tampering. The first oracle was wrong twice: a command that named a revision too early may be accepted when it is repeated later, and a submission may use up its attempts; both checks were replaced by as strict ones (nothing was written; a repetition with the same key resolves).

--- a/crates/coltsfootroute/src/revision/submission_result.rs
+++ b/crates/coltsfootroute/src/revision/submission_result.rs
@@ -10,7 +10,8 @@
         Accepted(RevisionRecord),
         /// Accepted earlier under the same key, with the same document.
         AlreadyAccepted(RevisionRecord),
-        /// Not accepted, and never will be: another submission came first.
+        /// Not accepted, and this submission never will be: another came first. Or, where the revision
+        /// expected is higher than the newest, it named one that doesn't exist and wrote nothing.
         Conflict {
             /// Record of the newest revision; `None` if there is none yet.
             current: Option<RevisionRecord>,
--- a/crates/coltsfootroute/tests/integration/main.rs
+++ b/crates/coltsfootroute/tests/integration/main.rs
@@ -1,3 +1,4 @@
 //! Tests of the library, one file for each subject.
 
+mod revision;
 mod schema;
--- /dev/null
+++ b/crates/coltsfootroute/tests/integration/revision.rs
@@ -0,0 +1,8 @@
+//! Revisions: submission, history and spread under loss, reorder, duplication and restart.
+
+mod fake_table;
+mod fuzz;
+mod history;
+mod scenarios;
+mod state;
+mod world;
--- /dev/null
+++ b/crates/coltsfootroute/tests/integration/revision/fuzz.rs
@@ -0,0 +1,315 @@
+//! Stateful fuzzing of submission and spread against a list of what took effect.
+
+use super::world::{Fate, World, submission_request};
+use coltsfootroute::revision::{
+    Applied, ConfigState, ContentDigest, Revision, SubmissionResult, verify_history,
+};
+use proptest::{prelude::*, test_runner::RngSeed};
+use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
+
+const NODES: usize = 4;
+const SEED: u64 = 0x5eed_c017;
+
+/// What may happen; indices are taken modulo what there is.
+#[derive(Clone, Debug)]
+pub enum Happening {
+    /// A new submission, of an operator who believes that the newest revision is `stale` before it.
+    Submit { stale: u64, slots: [u32; 3] },
+    /// The operator repeats a command, perhaps with another document.
+    Repeat { which: usize, same: bool },
+    /// One request of a submission under way fares as it may.
+    Step { which: usize, fate: Fate },
+    /// Delayed writes arrive.
+    Late,
+    /// A node reads the table service.
+    Load { node: usize },
+    /// A node writes a delta for another, which may arrive never, once or often, at any time.
+    Ask { from: usize, to: usize },
+    /// A delta on its way arrives.
+    Deliver { which: usize, to: usize },
+    /// A node loses all it holds.
+    Restart { node: usize },
+}
+
+pub struct Script;
+
+impl ReferenceStateMachine for Script {
+    type State = ();
+    type Transition = Happening;
+
+    fn init_state() -> BoxedStrategy<()> {
+        Just(()).boxed()
+    }
+
+    fn transitions((): &()) -> BoxedStrategy<Happening> {
+        let fate = prop_oneof![
+            5 => Just(Fate::Delivered),
+            1 => Just(Fate::Down),
+            1 => Just(Fate::ReplyLost),
+            1 => Just(Fate::Delayed),
+        ];
+        let node = || 0..NODES;
+        let stale = prop_oneof![3 => Just(0u64), 1 => Just(1), 1 => 0..4u64];
+        prop_oneof![
+            3 => (stale, [0..4u32, 0..4, 0..4])
+                .prop_map(|(stale, slots)| Happening::Submit { stale, slots }),
+            1 => (any::<usize>(), any::<bool>())
+                .prop_map(|(which, same)| Happening::Repeat { which, same }),
+            16 => (any::<usize>(), fate).prop_map(|(which, fate)| Happening::Step { which, fate }),
+            1 => Just(Happening::Late),
+            2 => node().prop_map(|node| Happening::Load { node }),
+            4 => (node(), node()).prop_map(|(from, to)| Happening::Ask { from, to }),
+            4 => (any::<usize>(), node()).prop_map(|(which, to)| Happening::Deliver { which, to }),
+            1 => node().prop_map(|node| Happening::Restart { node }),
+        ]
+        .boxed()
+    }
+
+    fn apply((): (), _: &Happening) {}
+}
+
+/// The system under test, with what was told and seen so far.
+#[derive(Default)]
+pub struct Trial {
+    world: World,
+    submitted: usize,
+}
+
+impl Trial {
+    fn submit(&mut self, key: &str, expected: u64, lines: &str) {
+        self.submitted += 1;
+        let name = format!("s{}", self.submitted);
+        self.world.submit(&name, submission_request("amina", key, expected, lines));
+    }
+
+    fn submit_new(&mut self, stale: u64, slots: [u32; 3]) {
+        let newest = self.world.table.commits.len() as u64;
+        let key = format!("k{}", self.submitted);
+        // A stale beyond the newest stands for a revision that doesn't exist.
+        let expected = newest.checked_sub(stale).unwrap_or(newest + stale);
+        self.submit(&key, expected, &lines(slots));
+    }
+
+    fn repeat(&mut self, which: usize, same: bool) {
+        let Some(name) = pick(&self.names(|_| true), which) else {
+            return;
+        };
+        let request = self.world.runners[&name].request.clone();
+        let services = request.document.services.iter();
+        let add = u32::from(!same);
+        let text: Vec<_> =
+            services.map(|service| format!("{} {}", service.name, service.slots + add)).collect();
+        self.submit(request.key.as_str(), request.expected.0, &text.join("\n"));
+    }
+
+    fn step(&mut self, which: usize, fate: Fate) {
+        let under_way = self.names(|result| result.is_none());
+        if let Some(name) = pick(&under_way, which) {
+            self.world.step(&name, fate);
+        }
+    }
+
+    fn names(&self, is_wanted: fn(&Option<SubmissionResult>) -> bool) -> Vec<String> {
+        let wanted = self.world.runners.iter().filter(|(_, runner)| is_wanted(&runner.result));
+        wanted.map(|(name, _)| name.clone()).collect()
+    }
+
+    fn load(&mut self, node: usize) {
+        let name = node.to_string();
+        let before = self.world.node(&name).state.revision();
+        let applied = self.world.load(&name);
+        let newest = self.world.table.commits.len() as u64;
+        assert_eq!(self.world.node(&name).state.revision(), Revision(newest));
+        self.check_rise(&name, before, applied.expect("the table service holds one history"));
+    }
+
+    fn ask(&mut self, from: usize, to: usize) {
+        let since = self.world.node(&to.to_string()).state.revision();
+        if let Some(delta) = self.world.node(&from.to_string()).state.delta_since(since) {
+            let name = format!("d{}", self.world.deltas.len());
+            self.world.deltas.insert(name, delta);
+        }
+    }
+
+    fn deliver(&mut self, which: usize, to: usize) {
+        let names: Vec<String> = self.world.deltas.keys().cloned().collect();
+        let Some(name) = pick(&names, which) else {
+            return;
+        };
+        let (delta, to) = (self.world.deltas[&name].clone(), to.to_string());
+        let state = &mut self.world.node(&to).state;
+        let before = state.revision();
+        let fits = delta.from <= before && before < delta.to();
+        match state.apply_delta(&delta) {
+            Ok(applied) => {
+                assert_eq!(fits, applied != Applied::AlreadyHeld, "{before} {delta:?}");
+                self.check_rise(&to, before, applied);
+            }
+            Err(_) => {
+                assert!(delta.from > before, "a delta that fits was refused: {before} {delta:?}")
+            }
+        }
+    }
+
+    /// A state changes only upwards, and says so.
+    fn check_rise(&mut self, node: &str, before: Revision, applied: Applied) {
+        let after = self.world.node(node).state.revision();
+        match applied {
+            Applied::Raised { revision, .. } => assert!(before < after && after == revision),
+            Applied::AlreadyHeld => assert_eq!(before, after),
+        }
+    }
+
+    fn check_node(&self, state: &ConfigState) {
+        let Some(index) = state.revision().0.checked_sub(1) else {
+            return;
+        };
+        let commit = &self.world.table.commits[index as usize];
+        let content = ContentDigest::of_document(&commit.document);
+        assert_eq!(ContentDigest::of_document(&state.document()), content);
+    }
+
+    fn check_commits(&self) {
+        let commits = &self.world.table.commits;
+        for (index, commit) in commits.iter().enumerate() {
+            assert_eq!(commit.revision, index as u64 + 1, "revisions rise by 1");
+            let twice = commits.iter().filter(|other| other.key == commit.key).count();
+            assert_eq!(twice, 1, "{} was accepted twice", commit.key);
+            let runners = self.world.runners.values();
+            let mut own = runners.filter(|runner| runner.request.key.as_str() == commit.key);
+            let expected = own.next().expect("a submission").request.expected;
+            assert_eq!(expected.next().0, commit.revision, "accepted over a revision not seen");
+        }
+    }
+
+    fn check_results(&self) {
+        for runner in self.world.runners.values() {
+            let (key, document) = (runner.request.key.as_str(), &runner.request.document);
+            let commits = self.world.table.commits.iter();
+            let own = commits.clone().find(|commit| commit.key == key);
+            let is_in = own.is_some_and(|commit| commit.document == *document);
+            match &runner.result {
+                Some(
+                    SubmissionResult::Accepted(record) | SubmissionResult::AlreadyAccepted(record),
+                ) => {
+                    assert!(is_in, "told accepted, but it isn't");
+                    assert_eq!(Some(record.revision.0), own.map(|commit| commit.revision));
+                }
+                Some(SubmissionResult::Conflict { current, .. }) => {
+                    let newest = current.as_ref().map_or(Revision::ZERO, |record| record.revision);
+                    // An operator may repeat a command that named a revision too early.
+                    let is_early = newest < runner.request.expected && runner.writes == 0;
+                    assert!(own.is_none() || is_early, "told a conflict, but accepted");
+                }
+                Some(SubmissionResult::KeyReused(_)) => assert!(own.is_some() && !is_in),
+                Some(SubmissionResult::Faulty(fault)) => panic!("{fault}"),
+                Some(SubmissionResult::Unresolved { .. }) | None => {}
+            }
+        }
+    }
+
+    /// After the trouble: all submissions end, all nodes get the same configuration, the chain holds.
+    fn settle(mut self) {
+        self.world.deliver_delayed();
+        for name in self.names(|result| result.is_none()) {
+            self.world.run(&name);
+        }
+        self.repeat_unresolved();
+        self.load(0);
+        for node in 1..NODES {
+            self.ask(0, node);
+            let last = self.world.deltas.len().saturating_sub(1);
+            self.deliver(last, node);
+            let revision = self.world.node(&node.to_string()).state.revision();
+            assert_eq!(revision.0, self.world.table.commits.len() as u64);
+        }
+        self.check();
+        let history = self.world.history();
+        assert_eq!(history.len(), self.world.table.commits.len());
+        assert_eq!(verify_history(&history), Ok(()));
+    }
+
+    /// A submission that gave up is resolved by a repetition with its key.
+    fn repeat_unresolved(&mut self) {
+        let is_unresolved = |result: &Option<SubmissionResult>| {
+            matches!(result, Some(SubmissionResult::Unresolved { .. }))
+        };
+        for name in self.names(is_unresolved) {
+            let request = self.world.runners[&name].request.clone();
+            self.submitted += 1;
+            let again = format!("s{}", self.submitted);
+            self.world.submit(&again, request);
+            self.world.run(&again);
+            assert!(!is_unresolved(&self.world.runners[&again].result), "no answer without faults");
+        }
+    }
+
+    fn check(&self) {
+        self.check_commits();
+        self.check_results();
+        self.world.nodes.values().for_each(|node| self.check_node(&node.state));
+    }
+}
+
+/// Services with slots above 0; a service with 0 is absent.
+fn lines(slots: [u32; 3]) -> String {
+    let all = ["catalogo", "envios", "fletes"].into_iter().zip(slots);
+    let present: Vec<_> = all
+        .filter(|(_, slots)| *slots > 0)
+        .map(|(name, slots)| format!("{name} {slots}"))
+        .collect();
+    present.join("\n")
+}
+
+fn pick(names: &[String], which: usize) -> Option<String> {
+    names.get(which.checked_rem(names.len())?).cloned()
+}
+
+impl StateMachineTest for Trial {
+    type SystemUnderTest = Self;
+    type Reference = Script;
+
+    fn init_test((): &()) -> Self {
+        Self::default()
+    }
+
+    fn apply(mut trial: Self, (): &(), happening: Happening) -> Self {
+        match happening {
+            Happening::Submit { stale, slots } => trial.submit_new(stale, slots),
+            Happening::Repeat { which, same } => trial.repeat(which, same),
+            Happening::Step { which, fate } => trial.step(which, fate),
+            Happening::Late => drop(trial.world.deliver_delayed()),
+            Happening::Load { node } => trial.load(node),
+            Happening::Ask { from, to } => trial.ask(from, to),
+            Happening::Deliver { which, to } => trial.deliver(which, to),
+            Happening::Restart { node } => drop(trial.world.nodes.shift_remove(&node.to_string())),
+        }
+        trial
+    }
+
+    fn check_invariants(trial: &Self, (): &()) {
+        trial.check();
+    }
+
+    fn teardown(trial: Self, (): ()) {
+        trial.settle();
+    }
+}
+
+/// Cases of a run; `COLTSFOOT_FUZZ_CASES` asks for more.
+fn cases() -> u32 {
+    let text = std::env::var("COLTSFOOT_FUZZ_CASES").ok();
+    text.and_then(|text| text.parse().ok()).unwrap_or(64)
+}
+
+prop_state_machine! {
+    #![proptest_config(ProptestConfig {
+        cases: cases(),
+        rng_seed: RngSeed::Fixed(SEED),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn submission_and_spread_follow_the_oracle(sequential 1..160 => Trial);
+}
--- /dev/null
+++ b/crates/coltsfootroute/tests/integration/revision/world.rs
@@ -0,0 +1,184 @@
+//! Operators, nodes and what is on its way between them and the table service.
+
+use super::fake_table::FakeTable;
+use coltsfootroute::{
+    name::OperatorName,
+    revision::{
+        Applied, ConfigDelta, ConfigState, DeltaFault, HeadReader, HistoryReader, ReaderStep,
+        Revision, RevisionRecord, StartGate, Submission, SubmissionKey, SubmissionRequest,
+        SubmissionResult, SubmissionStep,
+    },
+    schema::SchemaDocument,
+    table::{TableReply, TableRequest},
+};
+use indexmap::IndexMap;
+
+/// How one request to the table service fares.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Fate {
+    Delivered,
+    /// Refused, provably not carried out.
+    Down,
+    /// Carried out, but the reply is lost.
+    ReplyLost,
+    /// Lost for now; a write may still arrive later.
+    Delayed,
+}
+
+/// A submission under way.
+#[derive(Debug)]
+pub struct Runner {
+    pub request: SubmissionRequest,
+    submission: Submission,
+    pub next: Option<TableRequest>,
+    /// Writes sent so far.
+    pub writes: usize,
+    pub result: Option<SubmissionResult>,
+}
+
+/// One life of a node.
+#[derive(Debug, Default)]
+pub struct Node {
+    pub state: ConfigState,
+    pub gate: StartGate,
+}
+
+#[derive(Debug, Default)]
+pub struct World {
+    pub table: FakeTable,
+    pub runners: IndexMap<String, Runner>,
+    /// Writes that were lost on the way and may arrive at any time.
+    pub delayed: Vec<TableRequest>,
+    pub nodes: IndexMap<String, Node>,
+    pub deltas: IndexMap<String, ConfigDelta>,
+}
+
+/// A document with one service a line: name and slots.
+pub fn document(lines: &str) -> SchemaDocument {
+    let service = |line: &str| {
+        let (name, slots) = line.split_once(' ').expect("name and slots");
+        format!("{{name: {name}, slots: {slots}, connections: 1, operations: []}}")
+    };
+    let services: Vec<_> = lines.lines().map(service).collect();
+    let text = format!("deployment: test\nservices: [{}]\n", services.join(", "));
+    SchemaDocument::from_yaml(&text).expect("valid")
+}
+
+pub fn submission_request(
+    operator: &str,
+    key: &str,
+    expected: u64,
+    lines: &str,
+) -> SubmissionRequest {
+    SubmissionRequest {
+        expected: Revision(expected),
+        operator: OperatorName::new(operator),
+        key: SubmissionKey::new(key),
+        document: document(lines),
+        wall_ms: 1_000,
+    }
+}
+
+impl World {
+    pub fn submit(&mut self, name: &str, request: SubmissionRequest) {
+        let mut submission = Submission::new(request.clone());
+        let mut runner =
+            Runner { request, submission: submission.clone(), next: None, writes: 0, result: None };
+        let step = submission.start();
+        runner.submission = submission;
+        runner.follow(step);
+        self.runners.insert(name.to_owned(), runner);
+    }
+
+    /// Carries one request of a submission; nothing if it is done.
+    pub fn step(&mut self, name: &str, fate: Fate) {
+        let runner = &mut self.runners[name];
+        let Some(request) = runner.next.take() else {
+            return;
+        };
+        runner.writes += usize::from(matches!(request, TableRequest::Transact(_)));
+        let reply = carry(&mut self.table, &mut self.delayed, request, fate);
+        let step = runner.submission.take(reply);
+        runner.follow(step);
+    }
+
+    pub fn run(&mut self, name: &str) {
+        while self.runners[name].result.is_none() {
+            self.step(name, Fate::Delivered);
+        }
+    }
+
+    /// Delayed writes arrive.
+    pub fn deliver_delayed(&mut self) -> Vec<TableReply> {
+        let delayed = std::mem::take(&mut self.delayed);
+        delayed.iter().map(|request| self.table.execute(request)).collect()
+    }
+
+    pub fn node(&mut self, name: &str) -> &mut Node {
+        self.nodes.entry(name.to_owned()).or_default()
+    }
+
+    /// A node reads the newest configuration from the table service.
+    pub fn load(&mut self, name: &str) -> Result<Applied, DeltaFault> {
+        let mut reader = HeadReader::new();
+        let mut request = reader.start();
+        let row = loop {
+            match reader.take(&self.table.execute(&request)) {
+                ReaderStep::Send(next) => request = next,
+                ReaderStep::Done(row) => break row,
+                other => panic!("{other:?}"),
+            }
+        };
+        let node = self.node(name);
+        let Some(row) = row else {
+            return Ok(Applied::AlreadyHeld);
+        };
+        node.gate.hear_store(row.record.revision);
+        node.state.apply_document(&row.record, &row.document)
+    }
+
+    pub fn history(&mut self) -> Vec<RevisionRecord> {
+        let mut reader = HistoryReader::new(Revision::ZERO, usize::MAX);
+        let mut request = reader.start();
+        loop {
+            match reader.take(&self.table.execute(&request)) {
+                ReaderStep::Send(next) => request = next,
+                ReaderStep::Done(records) => return records,
+                other => panic!("{other:?}"),
+            }
+        }
+    }
+}
+
+impl Runner {
+    fn follow(&mut self, step: SubmissionStep) {
+        match step {
+            SubmissionStep::Send(request) | SubmissionStep::SendLater(request) => {
+                self.next = Some(request);
+            }
+            SubmissionStep::Done(result) => self.result = Some(result),
+        }
+    }
+}
+
+fn carry(
+    table: &mut FakeTable,
+    delayed: &mut Vec<TableRequest>,
+    request: TableRequest,
+    fate: Fate,
+) -> TableReply {
+    match fate {
+        Fate::Delivered => table.execute(&request),
+        Fate::Down => TableReply::Unavailable,
+        Fate::ReplyLost => {
+            table.execute(&request);
+            TableReply::Uncertain
+        }
+        Fate::Delayed => {
+            if matches!(request, TableRequest::Transact(_)) {
+                delayed.push(request);
+            }
+            TableReply::Uncertain
+        }
+    }
+}
