--- a/crates/coltsfootroute/tests/integration/main.rs
+++ b/crates/coltsfootroute/tests/integration/main.rs
@@ -2,6 +2,7 @@
 
 mod event;
 mod once;
+mod revision;
 mod schema;
 mod store_policy;
 mod util;
