Node configuration: submission, start gate, deltas and history by the library

Cause: the thin version wrote one row and sent whole documents. Change: Submission and HeadReader drive the table service, ConfigState takes deltas, StartGate holds work back until a configuration is known.

--- a/crates/coltsfoot-node/src/config.rs
+++ b/crates/coltsfoot-node/src/config.rs
@@ -1,11 +1,14 @@
 //! The configuration duty: submissions, the revision in force, its spread.
 
+mod config_book;
 mod config_cell;
 mod config_command;
 mod config_error;
 mod config_handle;
 mod config_in_force;
+mod config_replies;
 mod config_thread;
+mod submit_desk;
 mod submit_request;
 
 pub use config_cell::ConfigCell;
--- /dev/null
+++ b/crates/coltsfoot-node/src/config/config_book.rs
@@ -0,0 +1,125 @@
+//! What the configuration duty holds: the state, when it may be used, the recent history.
+
+use std::sync::Arc;
+
+use coltsfootroute::{
+    event::EventKind,
+    id::NodeId,
+    revision::{
+        Applied, ConfigDelta, ConfigState, DeltaFault, HistoryRecord, InForceRecord, RecentHistory,
+        Revision, RevisionRecord, StartGate,
+    },
+    schema::SchemaDocument,
+};
+
+use super::ConfigInForce;
+use crate::clock::wall_millis;
+
+/// Revisions remembered for peers and operators.
+const RECENT_REVISIONS: usize = 256;
+
+/// What the configuration duty holds.
+///
+/// Invariant: the state never goes to a lower revision; nothing is handed out before the gate is open.
+pub struct ConfigBook {
+    node: NodeId,
+    state: ConfigState,
+    gate: StartGate,
+    recent: RecentHistory,
+    handed_out: Revision,
+    /// In force before `handed_out`.
+    previous: Revision,
+}
+
+impl ConfigBook {
+    /// An empty book; `peers` are asked before the node may take work while the store is down.
+    pub fn new(node: NodeId, peers: &[NodeId]) -> Self {
+        let mut gate = StartGate::new();
+        for peer in peers {
+            gate.ask(*peer);
+        }
+        let (state, recent) = (ConfigState::new(), RecentHistory::new(RECENT_REVISIONS));
+        let (handed_out, previous) = (Revision::ZERO, Revision::ZERO);
+        Self { node, state, gate, recent, handed_out, previous }
+    }
+
+    /// Revision held, which may not be in force yet.
+    pub fn held(&self) -> Revision {
+        self.state.revision()
+    }
+
+    /// Takes in what a peer sent; an empty answer says that it holds nothing newer.
+    ///
+    /// # Errors
+    ///
+    /// [`DeltaFault`] if the delta does not fit; nothing is changed then.
+    pub fn hear_peer(
+        &mut self,
+        peer: NodeId,
+        delta: Option<&ConfigDelta>,
+    ) -> Result<(), DeltaFault> {
+        let told = delta.map_or(Revision::ZERO, ConfigDelta::to);
+        self.gate.hear_peer(peer, told);
+        let Some(delta) = delta else { return Ok(()) };
+        let applied = self.state.apply_delta(delta)?;
+        self.note(&applied, &delta.record);
+        Ok(())
+    }
+
+    /// A peer did not answer.
+    pub fn give_up(&mut self, peer: NodeId) {
+        self.gate.give_up(peer);
+    }
+
+    /// Takes in what the table service holds, `None` if it holds no configuration.
+    ///
+    /// # Errors
+    ///
+    /// [`DeltaFault`] if the document does not match its record; nothing is changed then.
+    pub fn hear_store(
+        &mut self,
+        newest: Option<(&RevisionRecord, &SchemaDocument)>,
+    ) -> Result<(), DeltaFault> {
+        let Some((record, document)) = newest else {
+            self.gate.hear_store(Revision::ZERO);
+            return Ok(());
+        };
+        self.gate.hear_store(record.revision);
+        let applied = self.state.apply_document(record, document)?;
+        self.note(&applied, record);
+        Ok(())
+    }
+
+    fn note(&mut self, applied: &Applied, record: &RevisionRecord) {
+        if let Applied::Raised { revision, .. } = applied {
+            self.recent.push(record.clone());
+            self.recent.note_in_force(InForceRecord {
+                revision: *revision,
+                chain: record.chain,
+                node: self.node,
+                wall_ms: wall_millis(),
+            });
+        }
+    }
+
+    /// The configuration to put in force now, if there is a newer one and the node may use it.
+    pub fn take_newer(&mut self) -> Option<Arc<ConfigInForce>> {
+        let held = self.held();
+        if held <= self.handed_out || !self.gate.try_open(held) {
+            return None;
+        }
+        self.previous = std::mem::replace(&mut self.handed_out, held);
+        Some(Arc::new(ConfigInForce::new(self.state.clone())))
+    }
+
+    /// The event that tells of the revision last handed out.
+    pub fn in_force_event(&self) -> EventKind {
+        let previous = (self.previous > Revision::ZERO).then_some(self.previous.0);
+        EventKind::RevisionInForce { revision: self.handed_out.0, previous }
+    }
+
+    /// The recent history as this node saw it.
+    pub fn recent(&self) -> Vec<HistoryRecord> {
+        self.recent.after(Revision::ZERO).cloned().collect()
+    }
+}
--- a/crates/coltsfoot-node/src/config/config_in_force.rs
+++ b/crates/coltsfoot-node/src/config/config_in_force.rs
@@ -1,26 +1,35 @@
 //! The configuration in force, as the other duties read it.
 
+use std::sync::{Arc, Mutex};
+
 use coltsfootroute::{
     name::{OperationName, ServiceName},
+    revision::{ConfigState, Revision},
     schema::{OperationEntry, SchemaDocument},
 };
+use indexmap::IndexMap;
+
+type ReachableServices = IndexMap<ServiceName, IndexMap<OperationName, Arc<[ServiceName]>>>;
 
-/// The configuration in force, as the other duties read it. Immutable; a change makes a new one.
-#[derive(Debug, serde::Serialize, serde::Deserialize)]
+/// The configuration in force, as the other duties read it. A change makes a new one.
+#[derive(Debug)]
 pub struct ConfigInForce {
-    revision: u64,
+    state: ConfigState,
     document: SchemaDocument,
+    /// Worked out when an operation is first called: most nodes take in few of all operations.
+    reachable: Mutex<ReachableServices>,
 }
 
 impl ConfigInForce {
-    /// `document` at `revision`.
-    pub fn new(revision: u64, document: SchemaDocument) -> Self {
-        Self { revision, document }
+    /// What `state` holds.
+    pub fn new(state: ConfigState) -> Self {
+        let document = state.document();
+        Self { state, document, reachable: Mutex::default() }
     }
 
     /// Revision, 1 for the first.
     pub fn revision(&self) -> u64 {
-        self.revision
+        self.state.revision().0
     }
 
     /// The schema.
@@ -34,7 +43,12 @@
         service: &ServiceName,
         operation: &OperationName,
     ) -> Option<&OperationEntry> {
-        self.document.service(service)?.operation(operation)
+        self.state.service(service)?.operation(operation)
+    }
+
+    /// How long the records of a service's non-repeatable requests are kept, in seconds.
+    pub fn retention_s(&self, service: &ServiceName) -> Option<u64> {
+        self.state.service(service).map(|entry| entry.retention_s)
     }
 
     /// Number of services.
@@ -53,8 +67,20 @@
     }
 
     /// Services that a run of the operation reaches, itself included.
-    pub fn reachable(&self, service: &ServiceName, operation: &OperationName) -> Vec<ServiceName> {
-        self.document.reachable(service, operation).into_iter().collect()
+    pub fn reachable(
+        &self,
+        service: &ServiceName,
+        operation: &OperationName,
+    ) -> Arc<[ServiceName]> {
+        // A poisoned lock guards a cache whose entries are whole or absent.
+        let mut cache = self.reachable.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+        if let Some(services) = cache.get(service).and_then(|entry| entry.get(operation)) {
+            return services.clone();
+        }
+        let services: Arc<[_]> = self.document.reachable(service, operation).into_iter().collect();
+        let entry = cache.entry(service.clone()).or_default();
+        entry.insert(operation.clone(), services.clone());
+        services
     }
 
     /// What changed since `revision`, for a peer that is behind; empty if nothing did.
@@ -63,9 +89,9 @@
     ///
     /// Only if serialization fails.
     pub fn encode_since(&self, revision: u64) -> Result<Vec<u8>, serde_json::Error> {
-        if revision >= self.revision {
-            return Ok(Vec::new());
+        match self.state.delta_since(Revision(revision)) {
+            Some(delta) => serde_json::to_vec(&delta),
+            None => Ok(Vec::new()),
         }
-        serde_json::to_vec(self)
     }
 }
--- /dev/null
+++ b/crates/coltsfoot-node/src/config/config_replies.rs
@@ -0,0 +1,81 @@
+//! Replies to operators about configuration.
+
+use coltsfootroute::{
+    revision::{ConflictBody, FailureBody, RevisionRecord, SubmissionResult},
+    schema::SchemaErrors,
+};
+use http::{HeaderValue, StatusCode, header::ETAG};
+
+use super::ConfigInForce;
+use crate::http::HttpReply;
+
+/// Media type of a schema.
+const YAML: &str = "application/yaml";
+
+/// The schema in force.
+pub fn schema(config: Option<&ConfigInForce>) -> HttpReply {
+    let Some(config) = config else {
+        return with_status(StatusCode::NOT_FOUND, "no configuration is in force", false);
+    };
+    let text = match serde_saphyr::to_string(config.document()) {
+        Ok(text) => text,
+        Err(err) => {
+            return with_status(StatusCode::INTERNAL_SERVER_ERROR, &err.to_string(), false);
+        }
+    };
+    let reply = HttpReply::new(StatusCode::OK, YAML, text);
+    match HeaderValue::from_str(&format!("\"{}\"", config.revision())) {
+        Ok(tag) => reply.with_header(ETAG, tag),
+        Err(_) => reply,
+    }
+}
+
+/// A submission that was accepted, now or before.
+pub fn accepted(record: &RevisionRecord) -> HttpReply {
+    HttpReply::json(StatusCode::OK, record)
+}
+
+/// A submission whose content is faulty.
+pub fn faulty(errors: &SchemaErrors) -> HttpReply {
+    HttpReply::json(StatusCode::UNPROCESSABLE_ENTITY, errors)
+}
+
+/// A submission that was not accepted.
+pub fn refused(result: SubmissionResult) -> HttpReply {
+    match result {
+        SubmissionResult::Conflict { current, diff } => {
+            let body = ConflictBody { reason: "conflict".to_owned(), current, diff };
+            HttpReply::json(StatusCode::CONFLICT, &body)
+        }
+        SubmissionResult::KeyReused(revision) => with_status(
+            StatusCode::UNPROCESSABLE_ENTITY,
+            &format!("the idempotency key stands with another schema, revision {revision}"),
+            false,
+        ),
+        SubmissionResult::Unresolved { may_take_effect } => with_status(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "the table service does not answer",
+            may_take_effect,
+        ),
+        SubmissionResult::Faulty(fault) => {
+            with_status(StatusCode::INTERNAL_SERVER_ERROR, &fault.to_string(), false)
+        }
+        SubmissionResult::Accepted(record) | SubmissionResult::AlreadyAccepted(record) => {
+            accepted(&record)
+        }
+    }
+}
+
+/// Revisions, oldest first.
+pub fn history(records: &[RevisionRecord]) -> HttpReply {
+    HttpReply::json(StatusCode::OK, &records)
+}
+
+/// A request that cannot be served.
+pub fn failure(reason: &str, may_take_effect: bool) -> HttpReply {
+    with_status(StatusCode::BAD_REQUEST, reason, may_take_effect)
+}
+
+fn with_status(status: StatusCode, reason: &str, may_take_effect: bool) -> HttpReply {
+    HttpReply::json(status, &FailureBody { reason: reason.to_owned(), may_take_effect })
+}
--- a/crates/coltsfoot-node/src/config/config_thread.rs
+++ b/crates/coltsfoot-node/src/config/config_thread.rs
@@ -1,42 +1,44 @@
 //! The thread of the configuration duty.
 
-use std::{io, sync::Arc, thread, time::Duration};
+use std::{io, pin::Pin, thread, time::Duration};
 
-use bytes::Bytes;
 use coltsfootroute::{
     id::NodeId,
-    schema::SchemaDocument,
-    table::{RowCondition, RowKey, RowWrite, StoreUse, StoredRow, TableReply, TableRequest},
+    revision::{ConfigDelta, HeadReader, ReaderStep, Revision},
 };
-use http::StatusCode;
-use serde_json::json;
+use futures_util::{StreamExt, stream::FuturesUnordered};
 use tokio::{
     runtime,
     sync::{mpsc, oneshot},
     time::{Instant, sleep_until},
 };
 
-use super::{ConfigCell, ConfigCommand, ConfigHandle, ConfigInForce, SubmitRequest};
+use super::{
+    ConfigCell, ConfigCommand, ConfigHandle,
+    config_book::ConfigBook,
+    config_replies,
+    submit_desk::{FinishedErrand, SubmitDesk},
+};
 use crate::{
     dispatch::{DispatchCommand, DispatchHandle},
     gossip::GossipCommand,
-    http::HttpReply,
+    journal::EventSender,
     store::StoreHandle,
 };
 
 /// Commands that wait at most.
 const COMMAND_RING: usize = 64;
-/// Time one request to the table service may take.
-const STORE_DEADLINE: Duration = Duration::from_secs(2);
 /// Pause between attempts to learn the first configuration.
 const FIRST_READ_PERIOD: Duration = Duration::from_secs(1);
 /// Pause between reads of the head once a configuration is in force: gossip is what spreads revisions.
-const HEAD_READ_PERIOD: Duration = Duration::from_secs(300);
-/// Row that names the revision in force.
-const HEAD_KEY: &str = "schema/head";
+const HEAD_READ_PERIOD: Duration = Duration::from_secs(600);
 
 /// What the configuration duty is made of.
 pub struct ConfigParts {
+    /// The node.
+    pub node: NodeId,
+    /// Peers of the settings, asked at the start.
+    pub peers: Vec<NodeId>,
     /// Where the configuration in force stands.
     pub cell: ConfigCell,
     /// The platform's table service.
@@ -45,11 +47,16 @@
     pub dispatch: DispatchHandle,
     /// Commands to the gossip duty.
     pub gossip: mpsc::Sender<GossipCommand>,
+    /// Events of the node.
+    pub events: EventSender,
 }
 
 /// The thread of the configuration duty.
 pub struct ConfigThread {
     parts: ConfigParts,
+    book: ConfigBook,
+    /// Waits on the store that must not hold up what comes from peers.
+    errands: FuturesUnordered<Pin<Box<dyn Future<Output = FinishedErrand> + Send>>>,
 }
 
 impl ConfigThread {
@@ -66,13 +73,15 @@
     /// If the runtime or the thread cannot be created.
     pub fn start(parts: ConfigParts, commands: mpsc::Receiver<ConfigCommand>) -> io::Result<()> {
         let runtime = runtime::Builder::new_current_thread().enable_all().build()?;
+        let book = ConfigBook::new(parts.node, &parts.peers);
+        let duty = Self { parts, book, errands: FuturesUnordered::new() };
         thread::Builder::new()
             .name("config".to_owned())
-            .spawn(move || runtime.block_on(Self { parts }.run(commands)))?;
+            .spawn(move || runtime.block_on(duty.run(commands)))?;
         Ok(())
     }
 
-    async fn run(self, mut commands: mpsc::Receiver<ConfigCommand>) {
+    async fn run(mut self, mut commands: mpsc::Receiver<ConfigCommand>) {
         let mut next_read = Instant::now();
         loop {
             tokio::select! {
@@ -80,122 +89,132 @@
                     Some(command) => self.obey(command).await,
                     None => return,
                 },
+                Some(errand) = self.errands.next(), if !self.errands.is_empty() => {
+                    self.settle(errand).await;
+                }
                 () = sleep_until(next_read) => {
-                    self.read_head().await;
-                    let pause = match self.parts.cell.load() {
-                        Some(_) => HEAD_READ_PERIOD,
-                        None => FIRST_READ_PERIOD,
-                    };
-                    next_read = Instant::now() + pause;
+                    self.learn().await;
+                    next_read = Instant::now() + self.pause();
                 }
             }
         }
     }
 
-    async fn obey(&self, command: ConfigCommand) {
+    fn pause(&self) -> Duration {
+        match self.parts.cell.load() {
+            Some(_) => HEAD_READ_PERIOD,
+            None => FIRST_READ_PERIOD,
+        }
+    }
+
+    async fn obey(&mut self, command: ConfigCommand) {
         match command {
             ConfigCommand::Submit(request, body, reply) => {
-                let _ = reply.send(self.submit(request, body).await);
+                self.errands.push(Box::pin(self.desk().submit(request, body, reply)));
             }
             ConfigCommand::Show(reply) => {
-                let _ = reply.send(self.show());
+                // The asker may have gone away; nothing is owed to it then.
+                let _ = reply.send(config_replies::schema(self.parts.cell.load().as_deref()));
             }
             ConfigCommand::History(reply) => {
-                let _ = reply.send(HttpReply::json(StatusCode::OK, &json!([])));
+                let recent = self.book.recent();
+                self.errands.push(Box::pin(self.desk().history(recent, reply)));
+            }
+            ConfigCommand::Behind { peer, revision } => {
+                if Revision(revision) > self.book.held() {
+                    self.pull(peer).await;
+                }
             }
-            ConfigCommand::Behind { peer, revision } => self.pull(peer, revision).await,
         }
     }
 
-    fn revision(&self) -> u64 {
-        self.parts.cell.load().map_or(0, |config| config.revision())
+    /// Learns the newest configuration: from the store, and before the first one from peers as well.
+    async fn learn(&mut self) {
+        self.read_head().await;
+        if self.parts.cell.load().is_some() {
+            return;
+        }
+        for peer in self.parts.peers.clone() {
+            self.pull(peer).await;
+        }
     }
 
-    async fn read_head(&self) {
-        let request = TableRequest::Read(RowKey::new(HEAD_KEY));
-        let reply = self.parts.store.request(request, STORE_DEADLINE, StoreUse::Config).await;
-        let TableReply::Rows(rows) = reply else { return };
-        if let Some(config) = rows.first().and_then(decode) {
-            self.put_in_force(config).await;
+    async fn read_head(&mut self) {
+        let mut reader = HeadReader::new();
+        let mut request = reader.start();
+        let newest = loop {
+            let reply = self.desk().ask_store(request).await;
+            match reader.take(&reply) {
+                ReaderStep::Send(next) => request = next,
+                ReaderStep::Done(newest) => break newest,
+                ReaderStep::Unavailable => return,
+                ReaderStep::Faulty(fault) => {
+                    log::error!("event=configuration-row-faulty error={:?}", fault.to_string());
+                    return;
+                }
+            }
+        };
+        let newest = newest.as_ref().map(|row| (&row.record, &row.document));
+        if let Err(fault) = self.book.hear_store(newest) {
+            log::error!("event=configuration-refused source=store error={:?}", fault.to_string());
         }
+        self.put_in_force().await;
+    }
+
+    fn desk(&self) -> SubmitDesk {
+        SubmitDesk::new(self.parts.store.clone(), self.parts.events.clone())
     }
 
-    async fn put_in_force(&self, config: ConfigInForce) {
+    /// Puts in force what the book holds, if it is newer and may be used.
+    async fn put_in_force(&mut self) {
+        let Some(config) = self.book.take_newer() else { return };
         let revision = config.revision();
-        if revision <= self.revision() {
-            return;
-        }
-        let config = Arc::new(config);
         self.parts.cell.store(config.clone());
+        self.parts.events.emit(self.book.in_force_event());
         self.parts.dispatch.tell(DispatchCommand::Configure(config)).await;
         // A closed ring means that the process stops.
         let _ = self.parts.gossip.send(GossipCommand::SetRevision(revision)).await;
     }
 
-    async fn pull(&self, peer: NodeId, revision: u64) {
-        if revision <= self.revision() {
-            return;
-        }
+    /// Asks a peer for what changed since the revision held.
+    async fn pull(&mut self, peer: NodeId) {
         let (reply, receiver) = oneshot::channel();
-        let command = DispatchCommand::PullConfig { peer, since: self.revision(), reply };
-        self.parts.dispatch.tell(command).await;
-        let Ok(Some(delta)) = receiver.await else { return };
-        if let Ok(config) = serde_json::from_slice(&delta) {
-            self.put_in_force(config).await;
+        let since = self.book.held().0;
+        self.parts.dispatch.tell(DispatchCommand::PullConfig { peer, since, reply }).await;
+        match receiver.await {
+            Ok(Some(encoded)) => self.take_delta(peer, &encoded),
+            Ok(None) | Err(_) => self.book.give_up(peer),
         }
+        self.put_in_force().await;
     }
 
-    fn show(&self) -> HttpReply {
-        match self.parts.cell.load() {
-            Some(config) => HttpReply::json(StatusCode::OK, config.document()),
-            None => HttpReply::json(StatusCode::NOT_FOUND, &json!({ "message": "no schema yet" })),
+    fn take_delta(&mut self, peer: NodeId, encoded: &[u8]) {
+        let delta = match encoded.is_empty() {
+            true => None,
+            false => match serde_json::from_slice::<ConfigDelta>(encoded) {
+                Ok(delta) => Some(delta),
+                Err(err) => {
+                    log::warn!("event=delta-malformed peer={peer} error={:?}", err.to_string());
+                    return;
+                }
+            },
+        };
+        if let Err(fault) = self.book.hear_peer(peer, delta.as_ref()) {
+            log::warn!("event=delta-refused peer={peer} error={:?}", fault.to_string());
         }
     }
 
-    async fn submit(&self, request: SubmitRequest, body: Bytes) -> HttpReply {
-        let document = match std::str::from_utf8(&body).map(SchemaDocument::from_yaml) {
-            Ok(Ok(document)) => document,
-            Ok(Err(errors)) => {
-                let body = json!({ "message": errors.to_string() });
-                return HttpReply::json(StatusCode::UNPROCESSABLE_ENTITY, &body);
-            }
-            Err(err) => {
-                let body = json!({ "message": err.to_string() });
-                return HttpReply::json(StatusCode::UNPROCESSABLE_ENTITY, &body);
-            }
-        };
-        let config = ConfigInForce::new(request.expected + 1, document);
-        match self.write_head(&request, &config).await {
-            TableReply::Committed => {
-                let revision = config.revision();
-                self.put_in_force(config).await;
-                HttpReply::json(StatusCode::OK, &json!({ "revision": revision }))
-            }
-            TableReply::Conflict(_) => {
-                HttpReply::json(StatusCode::CONFLICT, &json!({ "reason": "conflict" }))
+    /// Takes in what an errand brought, then answers its asker.
+    async fn settle(&mut self, errand: FinishedErrand) {
+        if let Some(accepted) = &errand.accepted {
+            let newest = Some((&accepted.record, &accepted.document));
+            if let Err(fault) = self.book.hear_store(newest) {
+                // The next read of the head brings what was accepted.
+                log::warn!("event=configuration-refused source=own error={:?}", fault.to_string());
             }
-            _ => HttpReply::json(
-                StatusCode::SERVICE_UNAVAILABLE,
-                &json!({ "message": "the table service does not answer" }),
-            ),
+            self.put_in_force().await;
         }
+        // The asker may have gone away; nothing is owed to it then.
+        let _ = errand.reply.send(errand.answer);
     }
-
-    async fn write_head(&self, request: &SubmitRequest, config: &ConfigInForce) -> TableReply {
-        let condition = match request.expected {
-            0 => RowCondition::Absent,
-            revision => RowCondition::Version(coltsfootroute::table::RowVersion(revision)),
-        };
-        let write = RowWrite {
-            key: RowKey::new(HEAD_KEY),
-            condition,
-            value: serde_json::to_string(config).ok(),
-        };
-        let request = TableRequest::Transact(vec![write]);
-        self.parts.store.request(request, STORE_DEADLINE, StoreUse::Config).await
-    }
-}
-
-fn decode(row: &StoredRow) -> Option<ConfigInForce> {
-    serde_json::from_str(&row.value).ok()
 }
--- /dev/null
+++ b/crates/coltsfoot-node/src/config/submit_desk.rs
@@ -0,0 +1,166 @@
+//! Carrying submissions through, and reading the history, beside the duty's own loop.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use coltsfootroute::{
+    event::EventKind,
+    revision::{
+        HistoryReader, HistoryRecord, ReaderStep, Revision, RevisionRecord, Submission,
+        SubmissionKey, SubmissionRequest, SubmissionResult, SubmissionStep,
+    },
+    schema::SchemaDocument,
+    table::{StoreUse, TableReply, TableRequest},
+};
+use tokio::{sync::oneshot, time::sleep};
+
+use super::{SubmitRequest, config_replies};
+use crate::{clock::wall_millis, http::HttpReply, journal::EventSender, store::StoreHandle};
+
+/// Time one request to the table service may take.
+const STORE_DEADLINE: Duration = Duration::from_secs(2);
+/// Pause before a step is sent again.
+const RESEND_PAUSE: Duration = Duration::from_millis(200);
+/// Revisions that one answer of the history holds at most.
+const HISTORY_LIMIT: usize = 1_000;
+
+/// A revision that was accepted.
+pub struct AcceptedRevision {
+    /// Its record.
+    pub record: RevisionRecord,
+    /// Its schema.
+    pub document: SchemaDocument,
+}
+
+/// An errand that has ended, to be taken in before its asker is answered.
+pub struct FinishedErrand {
+    /// What was accepted, if anything.
+    pub accepted: Option<AcceptedRevision>,
+    /// The answer.
+    pub answer: HttpReply,
+    /// The asker.
+    pub reply: oneshot::Sender<HttpReply>,
+}
+
+/// Carries submissions through.
+pub struct SubmitDesk {
+    store: StoreHandle,
+    events: EventSender,
+}
+
+impl SubmitDesk {
+    /// A desk that works on the table service behind `store`.
+    pub fn new(store: StoreHandle, events: EventSender) -> Self {
+        Self { store, events }
+    }
+
+    /// Asks the table service.
+    pub async fn ask_store(&self, request: TableRequest) -> TableReply {
+        self.store.request(request, STORE_DEADLINE, StoreUse::Config).await
+    }
+
+    /// Carries a submission through until its result is known.
+    pub async fn submit(
+        self,
+        request: SubmitRequest,
+        body: Bytes,
+        reply: oneshot::Sender<HttpReply>,
+    ) -> FinishedErrand {
+        match self.drive(request, &body).await {
+            Ok(accepted) => {
+                let answer = config_replies::accepted(&accepted.record);
+                FinishedErrand { accepted: Some(accepted), answer, reply }
+            }
+            Err(answer) => FinishedErrand { accepted: None, answer, reply },
+        }
+    }
+
+    async fn drive(
+        &self,
+        request: SubmitRequest,
+        body: &[u8],
+    ) -> Result<AcceptedRevision, HttpReply> {
+        let document = parse(body)?;
+        let mut submission = Submission::new(submission_request(request, document.clone())?);
+        let mut step = submission.start();
+        let result = loop {
+            let request = match step {
+                SubmissionStep::Send(request) => request,
+                SubmissionStep::SendLater(request) => {
+                    sleep(RESEND_PAUSE).await;
+                    request
+                }
+                SubmissionStep::Done(result) => break result,
+            };
+            step = submission.take(self.ask_store(request).await);
+        };
+        match result {
+            SubmissionResult::Accepted(record) => {
+                self.events.emit(accepted_event(&record));
+                Ok(AcceptedRevision { record, document })
+            }
+            SubmissionResult::AlreadyAccepted(record) => Ok(AcceptedRevision { record, document }),
+            refused => Err(config_replies::refused(refused)),
+        }
+    }
+
+    /// The history in the table service; what this node remembers while the service is down.
+    pub async fn history(
+        self,
+        recent: Vec<HistoryRecord>,
+        reply: oneshot::Sender<HttpReply>,
+    ) -> FinishedErrand {
+        let answer = self.read_history(recent).await;
+        FinishedErrand { accepted: None, answer, reply }
+    }
+
+    async fn read_history(&self, recent: Vec<HistoryRecord>) -> HttpReply {
+        let mut reader = HistoryReader::new(Revision::ZERO, HISTORY_LIMIT);
+        let mut request = reader.start();
+        loop {
+            let reply = self.ask_store(request).await;
+            match reader.take(&reply) {
+                ReaderStep::Send(next) => request = next,
+                ReaderStep::Done(records) => return config_replies::history(&records),
+                ReaderStep::Unavailable => {
+                    let records: Vec<_> = recent.into_iter().map(|entry| entry.record).collect();
+                    return config_replies::history(&records);
+                }
+                ReaderStep::Faulty(fault) => {
+                    return config_replies::failure(&fault.to_string(), false);
+                }
+            }
+        }
+    }
+}
+
+fn parse(body: &[u8]) -> Result<SchemaDocument, HttpReply> {
+    let text = std::str::from_utf8(body)
+        .map_err(|_| config_replies::failure("the schema is not UTF-8", false))?;
+    SchemaDocument::from_yaml(text).map_err(|errors| config_replies::faulty(&errors))
+}
+
+fn submission_request(
+    request: SubmitRequest,
+    document: SchemaDocument,
+) -> Result<SubmissionRequest, HttpReply> {
+    let key = SubmissionKey::new(&request.key);
+    if !key.is_valid() {
+        return Err(config_replies::failure("malformed idempotency-key", false));
+    }
+    Ok(SubmissionRequest {
+        expected: Revision(request.expected),
+        operator: request.operator,
+        key,
+        document,
+        wall_ms: wall_millis(),
+    })
+}
+
+fn accepted_event(record: &RevisionRecord) -> EventKind {
+    EventKind::RevisionAccepted {
+        revision: record.revision.0,
+        operator: record.operator.clone(),
+        digest: record.chain.to_string(),
+    }
+}
--- a/crates/coltsfoot-node/src/process/node_process.rs
+++ b/crates/coltsfoot-node/src/process/node_process.rs
@@ -123,11 +123,19 @@
             once: OnceDesk::new(store.clone()),
             gossip: gossip.clone(),
             metrics: metrics.clone(),
-            events,
+            events: events.clone(),
             seed,
         };
         DispatchThread::start(dispatch_parts, peer, dispatch_ring)?;
-        let config_parts = ConfigParts { cell, store, dispatch: dispatch.clone(), gossip };
+        let config_parts = ConfigParts {
+            node: NodeId(addresses.peer),
+            peers: settings.peers.iter().copied().map(NodeId).collect(),
+            cell,
+            store,
+            dispatch: dispatch.clone(),
+            gossip,
+            events: events.clone(),
+        };
         ConfigThread::start(config_parts, config_ring)?;
 
         let client_state = ClientState { clock, dispatch: dispatch.clone(), body_limit };
