Node at-most-once: claims, errands, replays and holders by the library

Cause: the thin version wrote a bare row, could not replay and blocked keys whose claim was lost. Change: OnceGuard decides; the guard claims right before dispatch, stores the end of each run, releases what never ran, asks the holder of a busy key.

--- a/crates/coltsfoot-node/src/dispatch.rs
+++ b/crates/coltsfoot-node/src/dispatch.rs
@@ -12,6 +12,7 @@
 mod local_upstream;
 mod nested_request;
 mod node_state;
+mod once_desk;
 mod once_run;
 mod peer_links;
 mod peer_server;
--- a/crates/coltsfoot-node/src/dispatch/dispatch_thread.rs
+++ b/crates/coltsfoot-node/src/dispatch/dispatch_thread.rs
@@ -19,7 +19,7 @@
 };
 use crate::{
     clock::MonotonicClock, config::ConfigCell, gossip::GossipCommand, http::HttpReply,
-    journal::EventSender, metrics::NodeMetrics, once::OnceDesk, settings::ControlMode,
+    journal::EventSender, metrics::NodeMetrics, settings::ControlMode, store::StoreHandle,
 };
 
 /// Commands that wait for the dispatch duty at most; beyond them calls are refused.
@@ -43,8 +43,10 @@
     pub body_limit: usize,
     /// How long a leaving node waits for callers to learn of it.
     pub drain_notice: Duration,
-    /// At-most-once runs.
-    pub once: OnceDesk,
+    /// The platform's services.
+    pub store: StoreHandle,
+    /// Nodes that share the platform's rates.
+    pub nodes: u32,
     /// Commands to the gossip duty.
     pub gossip: mpsc::Sender<GossipCommand>,
     /// Metrics of the node.
@@ -96,6 +98,8 @@
     spawn_local(accept_peers(listener, dispatcher.clone()));
     spawn_local(dispatcher.clone().tick_gate());
     spawn_local(dispatcher.clone().upkeep());
+    spawn_local(dispatcher.clone().run_errands());
+    spawn_local(dispatcher.clone().sweep_records());
     while let Some(command) = commands.recv().await {
         // Each command is a task of its own: none may hold up the ring.
         spawn_local(dispatcher.clone().obey(command));
--- a/crates/coltsfoot-node/src/dispatch/dispatcher.rs
+++ b/crates/coltsfoot-node/src/dispatch/dispatcher.rs
@@ -15,6 +15,7 @@
     id::{Incarnation, NodeId},
     importance::Importance,
     name::{DomainName, RegionName, ServiceName},
+    once::ClaimHolder,
     outcome::{CallOutcome, RefusalReason},
     retry::{AccountLedger, LedgerSettings, RetryPolicy, ServiceThrottle},
 };
@@ -25,12 +26,12 @@
 
 use super::{
     calls_in_flight::CallsInFlight, dispatch_thread::DispatchParts, guard::GuardState,
-    incoming_call::IncomingCall, peer_links::PeerLinks, service_pool::ServicePool,
-    upstream_client::UpstreamClient,
+    incoming_call::IncomingCall, once_desk::OnceDesk, peer_links::PeerLinks,
+    service_pool::ServicePool, upstream_client::UpstreamClient,
 };
 use crate::{
     clock::MonotonicClock, config::ConfigCell, gossip::GossipCommand, journal::EventSender,
-    metrics::NodeMetrics, once::OnceDesk, settings::ControlMode,
+    metrics::NodeMetrics, settings::ControlMode,
 };
 
 /// What the dispatch duty knows of its own node; immutable.
@@ -93,6 +94,8 @@
 impl Dispatcher {
     /// The state of a node that has just started.
     pub fn new(parts: DispatchParts) -> Self {
+        let holder =
+            ClaimHolder { node: parts.identity.node, incarnation: parts.identity.incarnation };
         let drain = DrainSettings::default().with_notice(parts.drain_notice);
         Self {
             clock: parts.clock,
@@ -114,7 +117,7 @@
             upstream_client: UpstreamClient::new(parts.body_limit),
             drain: RefCell::new(DrainState::new(drain)),
             call_ended: Notify::new(),
-            once: parts.once,
+            once: OnceDesk::new(holder, parts.store, parts.nodes),
             gossip: parts.gossip,
             metrics: parts.metrics,
             events: parts.events,
--- a/crates/coltsfoot-node/src/dispatch/guard.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard.rs
@@ -290,10 +290,14 @@
     }
 }
 
+/// A complete answer that says that the upstream failed leaves open how far the run came.
+pub(super) fn answer_outcome(status: u16) -> CallOutcome {
+    if status >= FIRST_SERVER_ERROR { CallOutcome::Unknown } else { CallOutcome::Completed }
+}
+
 fn answer_reply(answer: UpstreamAnswer, upstream_time: Duration) -> CallReply {
-    let failed = answer.status >= FIRST_SERVER_ERROR;
     CallReply {
-        outcome: if failed { CallOutcome::Unknown } else { CallOutcome::Completed },
+        outcome: answer_outcome(answer.status),
         body: ReplyBody::Answer {
             status: answer.status,
             content_type: answer.content_type,
--- a/crates/coltsfoot-node/src/dispatch/once_run.rs
+++ b/crates/coltsfoot-node/src/dispatch/once_run.rs
@@ -1,19 +1,35 @@
-//! Runs of operations that must not be repeated.
+//! Runs of operations that must not be repeated: claim, dispatch, answer.
 
-use std::rc::Rc;
+use std::{rc::Rc, time::Duration};
 
-use coltsfoot_wire::peer::{CallReply, CallRequest, ClaimState};
+use coltsfoot_wire::peer::{CallReply, CallRequest, ReplyBody};
 use coltsfootroute::{
-    id::RequestId,
+    event::{ClaimOutcome, EventKind},
+    once::{
+        AnswerBody, AnswerHeader, BodyDigest, BusyVerdict, ClaimId, ClaimResult, ClaimRun,
+        ClaimStep, ClientKey, DispatchVerdict, OnceCall, OnceKey, RunAnswer, StoredAnswer,
+        WallTime,
+    },
     outcome::{CallOutcome, RefusalReason},
-    table::{RowCondition, RowKey, RowWrite, StoreUse, TableReply, TableRequest},
+    table::{ObjectReply, StoreUse},
     time::MonotonicTime,
 };
+use http::header::CONTENT_TYPE;
+use rand::RngExt;
+use tokio::time::{sleep, timeout};
 
-use super::{calls_in_flight::CallSpan, dispatcher::Dispatcher, run_permit::RunPermit};
+use super::{
+    calls_in_flight::CallSpan, dispatcher::Dispatcher, guard::answer_outcome, run_permit::RunPermit,
+};
+use crate::clock::wall_millis;
+
+/// Pause before a key whose record is about to move on is looked at again.
+const BUSY_PAUSE: Duration = Duration::from_millis(20);
+/// Time to fetch a large answer.
+const OBJECT_DEADLINE: Duration = Duration::from_secs(2);
 
 impl Dispatcher {
-    /// Claims the call's key, then runs the call.
+    /// Claims the call's key, then runs the call, or says what became of the run before.
     pub(super) async fn run_once(
         self: &Rc<Self>,
         call: &CallRequest,
@@ -21,25 +37,153 @@
         span: &Rc<CallSpan>,
         permit: RunPermit,
     ) -> CallReply {
-        let key = call.key.as_deref().unwrap_or_default();
-        let write = RowWrite {
-            key: RowKey::new(&format!("once/{}/{}/{key}", call.service, call.operation)),
-            condition: RowCondition::Absent,
-            value: Some(format!("\"{}\"", call.request)),
+        loop {
+            let result = self.claim(call, deadline).await;
+            self.note_claim(call, &result);
+            match result {
+                ClaimResult::Dispatch(ticket) => {
+                    let verdict = self.once.guard.borrow_mut().dispatch(ticket, self.clock.now());
+                    self.once.errands_changed.notify_one();
+                    let DispatchVerdict::Run(run) = verdict else {
+                        return self.refusal(RefusalReason::Deadline, CallOutcome::NotRun);
+                    };
+                    let reply = self.run(call, deadline, span, permit).await;
+                    self.settle_run(run, &reply).await;
+                    return reply;
+                }
+                ClaimResult::Replay(answer) => return self.replay(answer).await,
+                ClaimResult::Busy(note) => {
+                    let view = self.ask_holder(note.holder, note.claim_id).await;
+                    let verdict = BusyVerdict::of(view);
+                    if let BusyVerdict::Refuse(outcome) = verdict {
+                        return self.refusal(RefusalReason::KeyInProgress, outcome);
+                    }
+                    if self.clock.now() + BUSY_PAUSE >= deadline {
+                        return self.refusal(RefusalReason::KeyInProgress, CallOutcome::Unknown);
+                    }
+                    sleep(BUSY_PAUSE).await;
+                }
+                refused => {
+                    let reason = refused.reason().unwrap_or(RefusalReason::StoreUnavailable);
+                    let outcome = refused.outcome().unwrap_or(CallOutcome::Unknown);
+                    return self.refusal(reason, outcome);
+                }
+            }
+        }
+    }
+
+    async fn claim(&self, call: &CallRequest, deadline: MonotonicTime) -> ClaimResult {
+        let claim_id = ClaimId(self.rng.borrow_mut().random());
+        let once_call = self.once_call(call, deadline);
+        let wall = WallTime(wall_millis());
+        let mut step = self.once.guard.borrow_mut().begin(once_call, claim_id, wall);
+        loop {
+            let request = match step {
+                ClaimStep::Ask(request) => request,
+                ClaimStep::Done(result) => {
+                    self.once.errands_changed.notify_one();
+                    return result;
+                }
+            };
+            let time = deadline.since(self.clock.now());
+            let reply = self.once.store.request(request, time, StoreUse::Claim).await;
+            let next = self.once.guard.borrow_mut().on_reply(claim_id, &reply, self.clock.now());
+            // Claims are never cancelled here, so the guard always knows this one.
+            step = next.unwrap_or(ClaimStep::Done(ClaimResult::Interrupted));
+        }
+    }
+
+    fn once_call(&self, call: &CallRequest, deadline: MonotonicTime) -> OnceCall {
+        let retention_s = self.config.load().and_then(|config| config.retention_s(&call.service));
+        OnceCall {
+            key: OnceKey {
+                service: call.service.clone(),
+                operation: call.operation.clone(),
+                client_key: ClientKey::new(call.key.as_deref().unwrap_or_default()),
+            },
+            body_digest: BodyDigest::of(&call.body),
+            retention: Duration::from_secs(retention_s.unwrap_or_default()),
+            deadline,
+        }
+    }
+
+    /// Stores how a run ended. The caller's answer waits for the record, up to a bound.
+    async fn settle_run(&self, run: ClaimRun, reply: &CallReply) {
+        let claim_id = run.claim_id();
+        let now = self.clock.now();
+        {
+            let mut guard = self.once.guard.borrow_mut();
+            match (&reply.body, reply.outcome) {
+                (ReplyBody::Answer { .. }, _) => guard.finish(run, run_answer(reply), now),
+                (ReplyBody::Refusal { .. }, CallOutcome::NotRun) => guard.withdraw(run, now),
+                (ReplyBody::Refusal { .. }, _) => guard.interrupt(run, now),
+            }
+        }
+        self.once.errands_changed.notify_one();
+        let settled = async {
+            loop {
+                let changed = self.once.settled.notified();
+                if self.once.guard.borrow().is_settled(claim_id) {
+                    return;
+                }
+                changed.await;
+            }
         };
-        let request = TableRequest::Transact(vec![write]);
-        let time = deadline.since(self.clock.now());
-        match self.once.store().request(request, time, StoreUse::Claim).await {
-            TableReply::Committed => self.run(call, deadline, span, permit).await,
-            TableReply::Conflict(_) => {
-                self.refusal(RefusalReason::KeyInProgress, CallOutcome::Unknown)
+        // Past the bound the record is stored in the background; a repeat finds the run here.
+        let _ = timeout(self.once.answer_wait, settled).await;
+    }
+
+    async fn replay(&self, answer: StoredAnswer) -> CallReply {
+        let body = match answer.body {
+            AnswerBody::Inline(body) => body,
+            AnswerBody::Object { name, digest } => {
+                let fetched = self.once.store.get_object(&name, OBJECT_DEADLINE).await;
+                match fetched {
+                    ObjectReply::Found(body) if BodyDigest::of(&body) == digest => body.to_vec(),
+                    // It ran, but its answer cannot be had now.
+                    _ => {
+                        return self.refusal(RefusalReason::StoreUnavailable, CallOutcome::Unknown);
+                    }
+                }
             }
-            _ => self.refusal(RefusalReason::StoreUnavailable, CallOutcome::NotRun),
+        };
+        let header = answer.headers.into_iter().find(|header| header.name == CONTENT_TYPE.as_str());
+        CallReply {
+            outcome: answer_outcome(answer.status),
+            body: ReplyBody::Answer {
+                status: answer.status,
+                content_type: header.map(|header| header.value).unwrap_or_default(),
+                body,
+                replayed: true,
+            },
+            levels: Vec::new(),
+            upstream_time: Duration::ZERO,
         }
     }
 
-    /// What became of a claim of this node.
-    pub(super) fn claim_state(&self, _claim: RequestId) -> ClaimState {
-        ClaimState::NotMine
+    fn note_claim(&self, call: &CallRequest, result: &ClaimResult) {
+        let outcome = match result {
+            ClaimResult::Dispatch(_) => ClaimOutcome::Granted,
+            ClaimResult::Replay(_) => ClaimOutcome::Replayed,
+            ClaimResult::Conflict => ClaimOutcome::Conflict,
+            ClaimResult::Expired => ClaimOutcome::Expired,
+            ClaimResult::Busy(_) | ClaimResult::Interrupted => ClaimOutcome::InProgress,
+            ClaimResult::Refuse(_) => ClaimOutcome::Unavailable,
+        };
+        self.metrics.store.claimed(outcome);
+        self.events.emit(EventKind::ClaimDecided {
+            request: call.request,
+            service: call.service.clone(),
+            operation: call.operation.clone(),
+            outcome,
+        });
     }
 }
+
+fn run_answer(reply: &CallReply) -> RunAnswer {
+    let ReplyBody::Answer { status, content_type, body, .. } = &reply.body else {
+        return RunAnswer { status: 0, headers: Vec::new(), body: Vec::new() };
+    };
+    let header = AnswerHeader { name: CONTENT_TYPE.to_string(), value: content_type.clone() };
+    RunAnswer { status: *status, headers: vec![header], body: body.clone() }
+}
--- a/crates/coltsfoot-node/src/lib.rs
+++ b/crates/coltsfoot-node/src/lib.rs
@@ -9,7 +9,6 @@
 pub mod http;
 pub mod journal;
 pub mod metrics;
-pub mod once;
 pub mod process;
 pub mod settings;
 pub mod store;
--- a/crates/coltsfoot-node/src/once.rs
+++ /dev/null
@@ -1,5 +0,0 @@
-//! At-most-once runs at the guard.
-
-mod once_desk;
-
-pub use once_desk::OnceDesk;
--- a/crates/coltsfoot-node/src/process/node_process.rs
+++ b/crates/coltsfoot-node/src/process/node_process.rs
@@ -23,7 +23,6 @@
     http::{ClientState, HostState, HttpListener},
     journal::{EventJournal, JournalHandle},
     metrics::NodeMetrics,
-    once::OnceDesk,
     settings::NodeSettings,
     store::{StoreSettings, StoreThread},
 };
@@ -120,7 +119,8 @@
             config: cell.clone(),
             body_limit,
             drain_notice: Duration::from_millis(settings.limits.drain_notice_ms),
-            once: OnceDesk::new(store.clone()),
+            store: store.clone(),
+            nodes: u32::try_from(settings.store.nodes).unwrap_or(u32::MAX),
             gossip: gossip.clone(),
             metrics: metrics.clone(),
             events: events.clone(),
--- a/crates/coltsfootroute/src/once/once_guard.rs
+++ b/crates/coltsfootroute/src/once/once_guard.rs
@@ -147,6 +147,14 @@
         });
     }
 
+    /// The upstream provably never began the run: the claim is released, so that a repeat can run.
+    pub fn withdraw(&mut self, run: ClaimRun, now: MonotonicTime) {
+        let stage = self.open.get(&run.claim_id).map(|open| &open.stage);
+        if let Some(&ClaimStage::Running(version)) = stage {
+            self.release(run.claim_id, ClaimTrace::Standing(version), now);
+        }
+    }
+
     /// The next request that may be sent at `now` for claims that nobody waits for.
     pub fn next_errand(&mut self, now: MonotonicTime) -> Option<StoreErrand> {
         let (_, claim_id) = self.errands.pop_front_if(|(due, _)| *due <= now)?;
