--- /dev/null
+++ b/crates/coltsfoot-timeline/tests/integration/main.rs
@@ -0,0 +1,7 @@
+//! Integration tests of the time line.
+
+mod collect;
+mod merge;
+mod output;
+mod run;
+mod util;
