--- a/crates/coltsfoot-node/tests/integration/journal.rs
+++ b/crates/coltsfoot-node/tests/integration/journal.rs
@@ -77,7 +77,7 @@
     (0..5).for_each(|_| sender.emit(event()));
 
     let handle = journal.spawn().unwrap();
-    while reader.read_since(1, 1).is_empty() {
+    while reader.read_since(0, 2).len() < 2 {
         std::thread::yield_now();
     }
     sender.emit(event());
--- a/crates/coltsfoot-timeline/src/output/svg_picture.rs
+++ b/crates/coltsfoot-timeline/src/output/svg_picture.rs
@@ -25,7 +25,7 @@
 const FRAME_PX: u32 = 110;
 const LABEL_PX: u32 = 170;
 const LABEL_LEFT_PX: i32 = 12;
-const LABEL_FONT_PX: i32 = 13;
+const LABEL_FONT_PX: i32 = 16;
 const MARK_PX: i32 = 4;
 /// Half the height of a gap's box, in rows.
 const GAP_HALF_HEIGHT: f64 = 0.3;
--- a/crates/coltsfoot-timeline/tests/integration/merge.rs
+++ b/crates/coltsfoot-timeline/tests/integration/merge.rs
@@ -89,6 +89,17 @@
     assert!(gaps(&entries).is_empty());
 }
 
+#[test]
+fn a_life_is_not_taken_for_the_rest_of_the_one_before() {
+    let mut restarted = event(1, 1, 9);
+    restarted.life = Incarnation(2);
+
+    let entries = MergedTimeline::new(vec![event(1, 0, 0), restarted]).entries(&all());
+
+    let gap = gaps(&entries)[0];
+    assert_eq!((gap.life, gap.first, gap.last), (Incarnation(2), 0, 0));
+}
+
 #[test]
 fn what_a_filter_leaves_out_is_not_missing() {
     let records = vec![
--- a/crates/coltsfootroute/tests/integration/event.rs
+++ b/crates/coltsfootroute/tests/integration/event.rs
@@ -110,6 +110,8 @@
 #[rstest]
 #[case("two words", r#"error="two words""#)]
 #[case("", r#"error="""#)]
+#[case("\"x", r#"error="\"x""#)]
+#[case("a\\n", r#"error="a\\n""#)]
 #[case("a=b", r#"error="a=b""#)]
 #[case("\" x=\"", r#"error="\" x=\"""#)]
 #[case("end\nevent=started", r#"error="end\nevent=started""#)]
