--- a/crates/coltsfoot-node/tests/integration/main.rs
+++ b/crates/coltsfoot-node/tests/integration/main.rs
@@ -4,3 +4,6 @@
 mod journal;
 mod metrics;
 mod settings;
+mod store;
+mod store_claims;
+mod util;
