Command line: check, submit, show, history, diff, status, drain, events, completions

Cause: operators and auditors need the RPCs without writing HTTP by hand. The fuzz oracle now also checks 'unresolved, no effect'.

--- /dev/null
+++ b/crates/coltsfootctl/tests/integration/main.rs
@@ -0,0 +1,4 @@
+//! Tests of the command line, one file for each subject.
+
+mod commands;
+mod fake_node;
--- a/crates/coltsfootroute/src/revision.rs
+++ b/crates/coltsfootroute/src/revision.rs
@@ -72,3 +72,6 @@
 pub use submission_request::SubmissionRequest;
 pub use submission_result::SubmissionResult;
 pub use submission_step::SubmissionStep;
+
+/// Request header of a submission: the operator on whose behalf it is made.
+pub const OPERATOR_HEADER: &str = "coltsfoot-operator";
--- a/crates/coltsfootroute/tests/integration/revision/fuzz.rs
+++ b/crates/coltsfootroute/tests/integration/revision/fuzz.rs
@@ -203,7 +203,14 @@
                 }
                 Some(SubmissionResult::KeyReused(_)) => assert!(own.is_some() && !is_in),
                 Some(SubmissionResult::Faulty(fault)) => panic!("{fault}"),
-                Some(SubmissionResult::Unresolved { .. }) | None => {}
+                Some(SubmissionResult::Unresolved { may_take_effect: false }) => {
+                    let mut others = self.world.runners.values().filter(|other| {
+                        other.request.key.as_str() == key && !std::ptr::eq(*other, runner)
+                    });
+                    let is_of_other = others.any(|other| other.writes > 0);
+                    assert!(own.is_none() || is_of_other, "told no effect, but accepted");
+                }
+                Some(SubmissionResult::Unresolved { may_take_effect: true }) | None => {}
             }
         }
     }
