--- a/crates/coltsfootctl/src/command.rs
+++ b/crates/coltsfootctl/src/command.rs
@@ -10,7 +10,7 @@
     client::NodeClient,
     control_error::ControlError,
     exit_code::ExitCode,
-    invocation::{Action, DocumentSource, Invocation, OutputFormat},
+    invocation::{Action, InputSource, Invocation, OutputFormat},
     output::Report,
 };
 use clap_complete::Shell;
@@ -37,8 +37,8 @@
         Action::Submit(submit) => schema_submit::submit(format, &client(submit.node), submit).await,
         Action::Show(node) => schema_documents::show(format, &client(*node)).await,
         Action::History(history) => schema_history::history(invocation, history).await,
-        Action::Diff(DocumentSource::File(old), new) => schema_documents::diff(format, old, new),
-        Action::Diff(DocumentSource::Node(node), file) => {
+        Action::Diff(InputSource::File(old), new) => schema_documents::diff(format, old, new),
+        Action::Diff(InputSource::Node(node), file) => {
             schema_documents::diff_with_node(format, &client(*node), file).await
         }
         Action::Status(node) => node_commands::status(format, &client(*node)).await,
--- a/crates/coltsfootctl/src/command/schema_history.rs
+++ b/crates/coltsfootctl/src/command/schema_history.rs
@@ -5,7 +5,7 @@
     client::NodeClient,
     control_error::ControlError,
     exit_code::ExitCode,
-    invocation::{DocumentSource, HistoryAction, Invocation},
+    invocation::{HistoryAction, InputSource, Invocation},
     output::{PlainTable, Report, shown_time},
 };
 use coltsfootroute::revision::{ChainDigest, Revision, RevisionRecord, verify_segment};
@@ -29,13 +29,13 @@
 
 async fn read_records(
     invocation: &Invocation,
-    source: &DocumentSource,
+    source: &InputSource,
 ) -> Result<Vec<RevisionRecord>, ControlError> {
     match source {
-        DocumentSource::Node(node) => {
+        InputSource::Node(node) => {
             NodeClient::new(*node, invocation.timeout).get("/schema/history").await?.json()
         }
-        DocumentSource::File(path) => serde_json::from_str(&read_file(path)?).map_err(|error| {
+        InputSource::File(path) => serde_json::from_str(&read_file(path)?).map_err(|error| {
             ControlError::Malformed { what: path.clone(), reason: error.to_string() }
         }),
     }
--- a/crates/coltsfootctl/src/lib.rs
+++ b/crates/coltsfootctl/src/lib.rs
@@ -15,5 +15,5 @@
 pub use command::run;
 pub use control_error::ControlError;
 pub use exit_code::ExitCode;
-pub use invocation::{Invocation, OutputFormat};
+pub use invocation::{Action, HistoryAction, InputSource, Invocation, OutputFormat, SubmitAction};
 pub use output::Report;
