--- /dev/null
+++ b/crates/coltsfoot-node/tests/integration/main.rs
@@ -0,0 +1,9 @@
+//! Integration tests of the node.
+
+mod args;
+mod journal;
+mod metrics;
+mod settings;
+mod store;
+mod store_claims;
+mod util;
