Membership: scenarios, fuzz against an oracle, and what they found

Cause: the fuzz found a node that, after a partition and the death of all its configured peers, held the only members of a watched group as dead by another's verdict and never asked them again. Change: a group without live members is asked through its dead and hidden ones, which then refute; pings beyond the own group go to members of held groups when there are no seeds. A group that does not answer is hidden rather than forgotten, so that later statements are still judged by the merge order; ages are kept by expiry, so that a young process doesn't renew old tombstones. Ruled out: telling the group that its members are dead on a watcher's word (its own link may be down).

--- a/crates/coltsfootroute/src/membership/gossip_engine/absorbing.rs
+++ b/crates/coltsfootroute/src/membership/gossip_engine/absorbing.rs
@@ -22,11 +22,12 @@
         from: NodeId,
         message: &GossipMessage,
     ) {
-        let corrects =
-            matches!(message.payload, GossipPayload::Records { .. } | GossipPayload::Push);
+        let from_group = matches!(message.payload, GossipPayload::Records { .. });
+        let corrects = from_group || message.payload == GossipPayload::Push;
         let mut corrections = Vec::new();
         for update in &message.updates {
-            let stale = self.absorb(now, rng, update.clone());
+            let vouched = update.record.node == from || from_group;
+            let stale = self.absorb(now, rng, update.clone(), vouched);
             if stale && (corrects || update.record.node == from) {
                 corrections.extend(self.known_update(now, &update.record));
             }
@@ -34,12 +35,14 @@
         self.correct(now, from, corrections);
     }
 
-    /// Takes in one record; returns whether a newer one is known here.
+    /// Takes in one record, `vouched` for by its subject or group; returns whether a newer one is
+    /// known here.
     pub(super) fn absorb(
         &mut self,
         now: MonotonicTime,
         rng: &mut impl Rng,
         update: MemberUpdate,
+        vouched: bool,
     ) -> bool {
         if update.record.node == self.me.node {
             self.absorb_self(now, &update.record);
@@ -52,7 +55,7 @@
             return false;
         };
         let record = update.record.clone();
-        match group.merge(now, update) {
+        match group.merge(now, update, vouched) {
             MergeOutcome::Changed(before) => {
                 self.note_change(now, rng, &service, before, &record);
                 false
@@ -83,7 +86,7 @@
     pub(super) fn publish_self(&mut self, now: MonotonicTime) {
         let Some(service) = self.me.service.clone() else { return };
         let Some(group) = self.groups.get_mut(&service) else { return };
-        group.merge(now, MemberUpdate::new(self.me.clone()));
+        group.merge(now, MemberUpdate::new(self.me.clone()), true);
         self.updates.push(self.me.node);
         self.effects.push(GossipEffect::Changed { service });
     }
@@ -115,7 +118,7 @@
         }
         for (service, left) in ended {
             let before = self.groups[&service].get(left.node).map(|known| known.state);
-            self.groups[&service].merge(now, MemberUpdate::new(left.clone()));
+            self.groups[&service].merge(now, MemberUpdate::new(left.clone()), true);
             self.note_change(now, rng, &service, before, &left);
         }
     }
--- a/crates/coltsfootroute/src/membership/gossip_engine/announcing.rs
+++ b/crates/coltsfootroute/src/membership/gossip_engine/announcing.rs
@@ -117,7 +117,7 @@
         self.groups.insert(service.clone(), group);
         self.watches.insert(service.clone(), WatchState::new(now));
         for seed in self.seeds.take(now, &service) {
-            self.absorb(now, rng, seed);
+            self.absorb(now, rng, seed, false);
         }
     }
 
--- a/crates/coltsfootroute/src/membership/gossip_engine/joining.rs
+++ b/crates/coltsfootroute/src/membership/gossip_engine/joining.rs
@@ -7,7 +7,7 @@
 use super::{GossipEngine, pending_ping::PingPurpose};
 use crate::{
     id::NodeId,
-    membership::{GossipEffect, SendPriority},
+    membership::{GossipEffect, GroupView, SendPriority},
     time::MonotonicTime,
 };
 
@@ -81,8 +81,10 @@
     pub(super) fn cross_target(&self, now: MonotonicTime, rng: &mut impl Rng) -> Option<NodeId> {
         let seed = self.seeds.sample(now, rng, 1).pop().map(|update| update.record.node);
         let contact = self.contacts.iter().copied().choose(rng);
+        let member = self.groups.values().flat_map(GroupView::live).choose(rng);
+        let known = seed.or(member.map(|record| record.node));
         let from_contacts = rng.random_range(0..CONTACT_SHARE) == 0;
-        let target = if from_contacts { contact.or(seed) } else { seed.or(contact) };
+        let target = if from_contacts { contact.or(known) } else { known.or(contact) };
         target.filter(|node| *node != self.me.node)
     }
 }
--- a/crates/coltsfootroute/src/membership/gossip_engine/probing.rs
+++ b/crates/coltsfootroute/src/membership/gossip_engine/probing.rs
@@ -129,7 +129,7 @@
                 .filter(|record| record.incarnation == incarnation)
                 .map(|record| record.with_state(MemberState::Dead));
             if let Some(dead) = dead {
-                self.absorb(now, rng, MemberUpdate::new(dead));
+                self.absorb(now, rng, MemberUpdate::new(dead), true);
             }
         }
     }
@@ -221,7 +221,7 @@
         let record = self.own_group().and_then(|group| group.get(round.target));
         let suspect = record.map(|record| record.with_state(MemberState::Suspect));
         if let Some(suspect) = suspect {
-            self.absorb(now, rng, MemberUpdate::new(suspect));
+            self.absorb(now, rng, MemberUpdate::new(suspect), true);
         }
     }
 
--- a/crates/coltsfootroute/src/membership/gossip_engine/pulling.rs
+++ b/crates/coltsfootroute/src/membership/gossip_engine/pulling.rs
@@ -22,8 +22,6 @@
 const EAGER_PULL_DIVISOR: u32 = 4;
 /// Wait before a pull is tried again for which there were no bytes.
 const DEFERRED_PULL_DELAY: Duration = Duration::from_millis(200);
-/// Most members remembered after they were forgotten for silence.
-const MAX_LOST: usize = 32;
 
 impl GossipEngine {
     /// Pulls the groups that are due.
@@ -126,12 +124,12 @@
     }
 
     /// The node asked last has not answered: it is asked less, and a group of which nobody answers
-    /// for long is forgotten.
+    /// for long is hidden.
     fn note_silence(&mut self, now: MonotonicTime, service: &ServiceName) {
         let Some(watch) = self.watches.get_mut(service) else { return };
         let Some(target) = watch.waiting.take() else { return };
         watch.silent.insert(target);
-        let long = now.since(watch.answered) >= self.settings.forget_after;
+        let long = now.since(watch.answered) >= self.settings.hide_after;
         if !long || self.is_member_of(service) {
             return;
         }
@@ -139,31 +137,23 @@
         let watch = &self.watches[service];
         let all_silent = group.live().all(|record| watch.silent.contains(&record.node));
         if all_silent {
-            self.forget_group(service);
+            self.hide_group(now, service);
         }
     }
 
-    /// Drops the live members of a group that does not answer. Nothing is said to others about them:
+    /// Hides the live members of a group that does not answer. Nothing is said to others about them:
     /// this node's own link may be what is down.
-    fn forget_group(&mut self, service: &ServiceName) {
-        let (Some(group), Some(watch)) =
-            (self.groups.get_mut(service), self.watches.get_mut(service))
-        else {
-            return;
-        };
+    fn hide_group(&mut self, now: MonotonicTime, service: &ServiceName) {
+        let Some(group) = self.groups.get_mut(service) else { return };
         let nodes: Vec<_> = group.live().map(|record| record.node).collect();
         if nodes.is_empty() {
             return;
         }
         for node in nodes {
-            group.forget(node);
-            if watch.lost.len() < MAX_LOST {
-                watch.lost.insert(node);
-            }
+            group.hide(now, node);
             let state = MemberState::Dead;
             self.effects.push(GossipEffect::MemberDown { service: service.clone(), node, state });
         }
-        watch.silent.clear();
         self.effects.push(GossipEffect::Changed { service: service.clone() });
     }
 
@@ -184,10 +174,10 @@
         let members = if elsewhere { None } else { others().choose(rng) };
         answering
             .or(members)
-            .or_else(|| watch.lost.iter().copied().filter(|_| !elsewhere).choose(rng))
+            .or_else(|| group.lost().filter(|_| !elsewhere).choose(rng))
             .or_else(|| self.cross_target(now, rng))
             .or_else(|| others().choose(rng))
-            .or_else(|| watch.lost.iter().copied().choose(rng))
+            .or_else(|| group.lost().choose(rng))
     }
 
     fn pull_interval(&self, now: MonotonicTime, service: &ServiceName) -> Duration {
--- a/crates/coltsfootroute/src/membership/gossip_engine/watch_state.rs
+++ b/crates/coltsfootroute/src/membership/gossip_engine/watch_state.rs
@@ -17,28 +17,18 @@
     pub(super) silent: IndexSet<NodeId>,
     /// When a member last answered, or the watch began.
     pub(super) answered: MonotonicTime,
-    /// Members forgotten for silence; asked again when nobody else is known.
-    pub(super) lost: IndexSet<NodeId>,
 }
 
 impl WatchState {
     /// A watch that pulls at once and counts as used.
     pub(super) fn new(now: MonotonicTime) -> Self {
-        Self {
-            due: now,
-            used: now,
-            waiting: None,
-            silent: IndexSet::new(),
-            answered: now,
-            lost: IndexSet::new(),
-        }
+        Self { due: now, used: now, waiting: None, silent: IndexSet::new(), answered: now }
     }
 
     /// Notes an answer of a member of the group.
     pub(super) fn note_answer(&mut self, now: MonotonicTime) {
         self.waiting = None;
         self.silent.clear();
-        self.lost.clear();
         self.answered = now;
     }
 }
--- a/crates/coltsfootroute/src/membership/gossip_settings.rs
+++ b/crates/coltsfootroute/src/membership/gossip_settings.rs
@@ -27,8 +27,8 @@
         pub cold_after: Duration,
         /// Time between two comparisons with a member of the own group.
         pub sync_interval: Duration,
-        /// Time without any answer from a watched service after which its members are forgotten.
-        pub forget_after: Duration,
+        /// Time without any answer from a watched service after which its members are hidden.
+        pub hide_after: Duration,
         /// Time between two pings outside the own group.
         pub cross_interval: Duration,
         /// Time between two probes of dead members of the own group.
@@ -80,7 +80,7 @@
             cold_pull_interval: Duration::from_secs(10),
             cold_after: Duration::from_secs(30),
             sync_interval: Duration::from_secs(10),
-            forget_after: Duration::from_secs(10),
+            hide_after: Duration::from_secs(10),
             cross_interval: Duration::from_secs(2),
             dead_probe_interval: Duration::from_secs(5),
             pause_gap: Duration::from_secs(3),
--- a/crates/coltsfootroute/src/membership/group_view.rs
+++ b/crates/coltsfootroute/src/membership/group_view.rs
@@ -33,8 +33,16 @@
     hash: u64,
     /// Bucket among [`MAX_BUCKETS`].
     bucket: u8,
-    /// Of a dead or departed member: when it is forgotten, by the age that came with the statement.
+    /// Of a member that is not present: when it is forgotten, by the age that came with the statement.
     expires: MonotonicTime,
+    /// Nobody of the group answers this node: kept only to judge later statements by.
+    hidden: bool,
+}
+
+impl MemberEntry {
+    fn is_present(&self) -> bool {
+        self.record.state.is_live() && !self.hidden
+    }
 }
 
 /// Members of one service by node, with digests kept up incrementally.
@@ -71,35 +79,46 @@
         }
     }
 
-    /// Takes in a statement if it is newer in the merge order.
-    pub fn merge(&mut self, now: MonotonicTime, update: MemberUpdate) -> MergeOutcome {
+    /// Takes in a statement if it is newer in the merge order. A `vouched` one, which comes from the
+    /// member itself or from its group, also shows a hidden member again.
+    pub fn merge(
+        &mut self,
+        now: MonotonicTime,
+        update: MemberUpdate,
+        vouched: bool,
+    ) -> MergeOutcome {
         let record = update.record;
         let before = match self.members.get(&record.node) {
             Some(known) => match record.merge_order(&known.record) {
                 Ordering::Less => return MergeOutcome::Stale,
-                Ordering::Equal => return MergeOutcome::Same,
-                Ordering::Greater => Some(known.record.state),
+                Ordering::Equal if !(known.hidden && vouched) => return MergeOutcome::Same,
+                _ if known.hidden => None,
+                _ => Some(known.record.state),
             },
             None if self.members.len() >= self.max_members => return MergeOutcome::Full,
             None => None,
         };
-        self.put(record, now + self.retention.saturating_sub(update.age));
+        self.put(record, now + self.retention.saturating_sub(update.age), false);
         MergeOutcome::Changed(before)
     }
 
-    /// Removes a member without a trace; returns whether it was live.
-    pub fn forget(&mut self, node: NodeId) -> bool {
-        let Some(entry) = self.members.swap_remove(&node) else { return false };
-        let live = entry.record.state.is_live();
-        if live {
-            self.toggle(&entry);
-            self.live -= 1;
+    /// Hides a live member: neither shown nor passed on, but remembered.
+    pub fn hide(&mut self, now: MonotonicTime, node: NodeId) {
+        if let Some(record) = self.get(node).cloned() {
+            self.put(record, now + self.retention, true);
         }
-        self.version += 1;
-        live
     }
 
-    /// Forgets tombstones past their retention, and the oldest beyond `limit`.
+    /// Members that may be back: hidden or dead.
+    pub fn lost(&self) -> impl Iterator<Item = NodeId> {
+        let lost = self
+            .members
+            .values()
+            .filter(|entry| entry.hidden || entry.record.state == MemberState::Dead);
+        lost.map(|entry| entry.record.node)
+    }
+
+    /// Forgets absent members past their retention, and the oldest beyond `limit`.
     pub fn prune(&mut self, now: MonotonicTime, limit: usize) {
         let tombstones = self.tombstones().map(|entry| (entry.expires, entry.record.node));
         let mut tombstones: Vec<_> = tombstones.collect();
@@ -122,9 +141,9 @@
         self.members.get(&node).map(|entry| self.entry_update(now, entry))
     }
 
-    /// All records, tombstones included.
+    /// All records but the hidden ones, tombstones included.
     pub fn records(&self) -> impl Iterator<Item = &MemberRecord> {
-        self.members.values().map(|entry| &entry.record)
+        self.members.values().filter(|entry| !entry.hidden).map(|entry| &entry.record)
     }
 
     /// Live records: alive or suspected.
@@ -171,7 +190,7 @@
     ) -> IndexMap<u16, Vec<MemberUpdate>> {
         let mut updates: IndexMap<u16, Vec<_>> =
             wanted.iter().map(|bucket| (*bucket, Vec::new())).collect();
-        for entry in self.members.values() {
+        for entry in self.members.values().filter(|entry| !entry.hidden) {
             let bucket = (usize::from(entry.bucket) % count) as u16;
             if let Some(updates) = updates.get_mut(&bucket) {
                 updates.push(self.entry_update(now, entry));
@@ -180,16 +199,16 @@
         updates
     }
 
-    fn put(&mut self, record: MemberRecord, expires: MonotonicTime) {
+    fn put(&mut self, record: MemberRecord, expires: MonotonicTime, hidden: bool) {
         let hash = record.content_hash();
         let bucket = record.node_hash() as u8;
-        let entry = MemberEntry { record, hash, bucket, expires };
-        if entry.record.state.is_live() {
+        let entry = MemberEntry { record, hash, bucket, expires, hidden };
+        if entry.is_present() {
             self.toggle(&entry);
             self.live += 1;
         }
         let before = self.members.insert(entry.record.node, entry);
-        if let Some(before) = before.filter(|before| before.record.state.is_live()) {
+        if let Some(before) = before.filter(MemberEntry::is_present) {
             self.toggle(&before);
             self.live -= 1;
         }
@@ -203,7 +222,7 @@
     }
 
     fn tombstones(&self) -> impl Iterator<Item = &MemberEntry> {
-        self.members.values().filter(|entry| !entry.record.state.is_live())
+        self.members.values().filter(|entry| !entry.is_present())
     }
 
     fn entry_update(&self, now: MonotonicTime, entry: &MemberEntry) -> MemberUpdate {
--- /dev/null
+++ b/crates/coltsfootroute/tests/integration/main.rs
@@ -0,0 +1,3 @@
+//! Integration tests of the library.
+
+mod membership;
--- /dev/null
+++ b/crates/coltsfootroute/tests/integration/membership/fuzz.rs
@@ -0,0 +1,256 @@
+//! Fuzz against an oracle: what each node truly is.
+//!
+//! At every step: what a node shows of another never falls in the merge order, so that a leave is never
+//! undone at its incarnation and incarnations never go back; own incarnations rise; control bytes keep
+//! to the budget. After healing and quiet: every live member is alive wherever it is watched, and no
+//! other is shown.
+
+use std::{cmp::Ordering, time::Duration};
+
+use coltsfootroute::{
+    id::{Incarnation, NodeId},
+    membership::{MemberRecord, MemberState},
+};
+use indexmap::IndexMap;
+use proptest::{prelude::*, strategy::Union, test_runner::RngSeed};
+use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
+
+use super::network::{GossipNetwork, Life, node_id};
+
+const NODES: usize = 7;
+const SERVICES: [&str; 2] = ["logbook", "medicals"];
+/// Long enough for a suspicion, a round of dead probes over all nodes, and a comparison of groups.
+const QUIET: Duration = Duration::from_secs(120);
+
+/// What a node truly is.
+#[derive(Clone, Debug)]
+struct TrueNode {
+    life: Life,
+    service: Option<usize>,
+}
+
+#[derive(Clone, Debug)]
+enum FuzzStep {
+    Announce(usize, usize),
+    Leave(usize),
+    Kill(usize),
+    Restart(usize),
+    Pause(usize),
+    Resume(usize),
+    Cut(u8),
+    Heal,
+    Loss(u32),
+    Delay(u64),
+    Run(u64),
+}
+
+struct TrueMembership;
+
+impl ReferenceStateMachine for TrueMembership {
+    type State = Vec<TrueNode>;
+    type Transition = FuzzStep;
+
+    fn init_state() -> BoxedStrategy<Self::State> {
+        let node =
+            |place: usize| TrueNode { life: Life::Up, service: Some(usize::from(place >= 4)) };
+        Just((0..NODES).map(node).collect::<Vec<_>>()).boxed()
+    }
+
+    fn transitions(_: &Self::State) -> BoxedStrategy<FuzzStep> {
+        let node = || 0..NODES;
+        let steps = [
+            (node(), 0..SERVICES.len())
+                .prop_map(|(node, service)| FuzzStep::Announce(node, service))
+                .boxed(),
+            node().prop_map(FuzzStep::Leave).boxed(),
+            node().prop_map(FuzzStep::Kill).boxed(),
+            node().prop_map(FuzzStep::Restart).boxed(),
+            node().prop_map(FuzzStep::Pause).boxed(),
+            node().prop_map(FuzzStep::Resume).boxed(),
+            any::<u8>().prop_map(FuzzStep::Cut).boxed(),
+            Just(FuzzStep::Heal).boxed(),
+            (0_u32..50).prop_map(FuzzStep::Loss).boxed(),
+            (2_u64..800).prop_map(FuzzStep::Delay).boxed(),
+        ];
+        let run = (50_u64..15_000).prop_map(FuzzStep::Run).boxed();
+        let count = steps.len() as u32;
+        let steps = steps.into_iter().map(|step| (1, step));
+        Union::new_weighted(steps.chain([(count, run)]).collect()).boxed()
+    }
+
+    fn apply(mut state: Self::State, step: &FuzzStep) -> Self::State {
+        match *step {
+            FuzzStep::Announce(node, service) => state[node].service = Some(service),
+            FuzzStep::Leave(node) => state[node].service = None,
+            FuzzStep::Kill(node) => state[node].life = Life::Killed,
+            FuzzStep::Restart(node) => state[node] = TrueNode { life: Life::Up, service: None },
+            FuzzStep::Pause(node) => state[node].life = Life::Paused,
+            FuzzStep::Resume(node) => state[node].life = Life::Up,
+            _ => {}
+        }
+        state
+    }
+
+    fn preconditions(state: &Self::State, step: &FuzzStep) -> bool {
+        match *step {
+            FuzzStep::Announce(node, _) | FuzzStep::Leave(node) | FuzzStep::Pause(node) => {
+                state[node].life == Life::Up
+            }
+            FuzzStep::Resume(node) => state[node].life == Life::Paused,
+            FuzzStep::Kill(node) => state[node].life != Life::Killed,
+            _ => true,
+        }
+    }
+}
+
+/// Observer, its life, the one observed, the service.
+type Sight = (NodeId, u64, NodeId, &'static str);
+
+struct FuzzedNetwork {
+    network: GossipNetwork,
+    seen: IndexMap<Sight, MemberRecord>,
+    own: IndexMap<NodeId, Incarnation>,
+}
+
+impl FuzzedNetwork {
+    fn new() -> Self {
+        let mut network = GossipNetwork::new(5);
+        network.duplicate_percent = 5;
+        let mut fuzzed = Self { network, seen: IndexMap::new(), own: IndexMap::new() };
+        for place in 0..NODES {
+            fuzzed.start(place);
+            fuzzed.network.announce(fuzz_node(place), SERVICES[usize::from(place >= 4)]);
+        }
+        fuzzed.run(Duration::from_secs(20));
+        fuzzed
+    }
+
+    /// All know two peers, which may be down themselves.
+    fn start(&mut self, place: usize) {
+        self.network.start(fuzz_node(place), vec![fuzz_node(0), fuzz_node(5)]);
+        self.network.watch(fuzz_node(place), &SERVICES);
+    }
+
+    fn run(&mut self, duration: Duration) {
+        let end = self.network.now + duration;
+        while self.network.now < end {
+            let step = end.since(self.network.now).min(Duration::from_millis(200));
+            self.network.run(step);
+            self.look();
+        }
+    }
+
+    fn look(&mut self) {
+        for (observer, state) in self.network.up_nodes() {
+            let incarnation = state.engine.own_record().incarnation;
+            let before = self.own.insert(observer, incarnation);
+            assert!(before <= Some(incarnation), "own incarnation of {observer} fell");
+            for service in SERVICES {
+                for record in state.engine.records(service) {
+                    let sight = (observer, state.lives, record.node, service);
+                    if let Some(before) = self.seen.insert(sight, record.clone()) {
+                        assert_ne!(
+                            record.merge_order(&before),
+                            Ordering::Less,
+                            "{observer}: {before:?} became {record:?}"
+                        );
+                    }
+                }
+            }
+            let sent = state.engine.status().counters.total_bytes();
+            assert!(sent <= self.network.allowed_bytes(observer), "{observer} sent {sent}");
+        }
+    }
+}
+
+fn fuzz_node(place: usize) -> NodeId {
+    node_id(place as u8 + 1)
+}
+
+struct MembershipFuzz;
+
+impl StateMachineTest for MembershipFuzz {
+    type SystemUnderTest = FuzzedNetwork;
+    type Reference = TrueMembership;
+
+    fn init_test(_: &Vec<TrueNode>) -> FuzzedNetwork {
+        FuzzedNetwork::new()
+    }
+
+    fn apply(mut fuzzed: FuzzedNetwork, _: &Vec<TrueNode>, step: FuzzStep) -> FuzzedNetwork {
+        let network = &mut fuzzed.network;
+        match step {
+            FuzzStep::Announce(node, service) => {
+                network.announce(fuzz_node(node), SERVICES[service])
+            }
+            FuzzStep::Leave(node) => network.leave(fuzz_node(node)),
+            FuzzStep::Kill(node) => network.kill(fuzz_node(node)),
+            FuzzStep::Restart(node) => fuzzed.start(node),
+            FuzzStep::Pause(node) => network.pause(fuzz_node(node)),
+            FuzzStep::Resume(node) => network.resume(fuzz_node(node)),
+            FuzzStep::Cut(mask) => {
+                (0..NODES).for_each(|node| {
+                    network.set_side(fuzz_node(node), u32::from(mask >> node & 1))
+                });
+            }
+            FuzzStep::Heal => network.heal(),
+            FuzzStep::Loss(percent) => network.loss_percent = percent,
+            FuzzStep::Delay(millis) => network.max_delay = Duration::from_millis(millis),
+            FuzzStep::Run(millis) => fuzzed.run(Duration::from_millis(millis)),
+        }
+        fuzzed.look();
+        fuzzed
+    }
+
+    fn teardown(mut fuzzed: FuzzedNetwork, mut truth: Vec<TrueNode>) {
+        fuzzed.network.heal();
+        fuzzed.network.loss_percent = 0;
+        fuzzed.network.max_delay = Duration::from_millis(5);
+        for (place, node) in truth.iter_mut().enumerate() {
+            if node.life == Life::Paused {
+                fuzzed.network.resume(fuzz_node(place));
+                node.life = Life::Up;
+            }
+        }
+        fuzzed.run(QUIET);
+        check_views(&fuzzed.network, &truth);
+    }
+}
+
+/// Each node that is up shows exactly the live members of each service, alive.
+fn check_views(network: &GossipNetwork, truth: &[TrueNode]) {
+    for (number, service) in SERVICES.into_iter().enumerate() {
+        let live =
+            |place: &usize| truth[*place].life == Life::Up && truth[*place].service == Some(number);
+        let expected: Vec<_> = (0..truth.len())
+            .filter(live)
+            .map(|place| (fuzz_node(place), MemberState::Alive))
+            .collect();
+        for (observer, state) in network.up_nodes() {
+            let shown = state.engine.members(service).map(|record| (record.node, record.state));
+            let mut shown: Vec<_> = shown.collect();
+            shown.sort_unstable();
+            assert_eq!(shown, expected, "{service} as seen by {observer}");
+        }
+    }
+}
+
+/// Cases of one run: few in CI, as many as `FUZZ_CASES` says otherwise.
+fn config() -> ProptestConfig {
+    let cases = std::env::var("FUZZ_CASES").ok().and_then(|cases| cases.parse().ok());
+    let seed = std::env::var("FUZZ_SEED").ok().and_then(|seed| seed.parse().ok());
+    ProptestConfig {
+        cases: cases.unwrap_or(48),
+        rng_seed: RngSeed::Fixed(seed.unwrap_or(17)),
+        failure_persistence: None,
+        max_shrink_iters: 400,
+        ..ProptestConfig::default()
+    }
+}
+
+prop_state_machine! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn membership_agrees_with_the_oracle(sequential 1..40 => MembershipFuzz);
+}
--- /dev/null
+++ b/crates/coltsfootroute/tests/integration/membership/network.rs
@@ -0,0 +1,244 @@
+//! A small network of engines with a driven clock: delay, reorder, loss, duplication, partition.
+
+use std::{
+    cmp::Reverse,
+    collections::{BinaryHeap, VecDeque},
+    net::{Ipv4Addr, SocketAddr},
+    time::Duration,
+};
+
+use coltsfootroute::{
+    id::{Incarnation, NodeId},
+    membership::{
+        GossipEffect, GossipEngine, GossipMessage, GossipSettings, MemberRecord, UpstreamOffer,
+    },
+    name::{DomainName, RegionName, ServiceName},
+    time::MonotonicTime,
+};
+use indexmap::IndexMap;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64;
+
+const TICK: Duration = Duration::from_millis(100);
+const PORT: u16 = 7_000;
+/// What a paused process finds in its socket when it goes on.
+const SOCKET_BUFFER: usize = 64;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Life {
+    Up,
+    Paused,
+    Killed,
+}
+
+#[derive(Clone, Debug)]
+pub struct SimNode {
+    pub engine: GossipEngine,
+    pub life: Life,
+    pub events: Vec<GossipEffect>,
+    /// Lives of the process so far.
+    pub lives: u64,
+    started: MonotonicTime,
+    inbox: VecDeque<(NodeId, GossipMessage)>,
+    peers: Vec<NodeId>,
+    side: u32,
+    next_tick: MonotonicTime,
+}
+
+#[derive(Debug)]
+pub struct GossipNetwork {
+    pub now: MonotonicTime,
+    pub nodes: IndexMap<NodeId, SimNode>,
+    pub loss_percent: u32,
+    pub duplicate_percent: u32,
+    pub max_delay: Duration,
+    pub settings: GossipSettings,
+    rng: Pcg64,
+    sent: u64,
+    in_flight: BinaryHeap<Reverse<(MonotonicTime, u64, NodeId, NodeId)>>,
+    messages: IndexMap<u64, GossipMessage>,
+}
+
+pub fn node_id(number: u8) -> NodeId {
+    NodeId(SocketAddr::from((Ipv4Addr::new(10, 0, 0, number), PORT)))
+}
+
+pub fn offer(service: &str) -> UpstreamOffer {
+    UpstreamOffer { service: ServiceName::new(service), slots: 120, connections: 800 }
+}
+
+impl GossipNetwork {
+    pub fn new(seed: u64) -> Self {
+        Self {
+            now: MonotonicTime::from_millis(1_000),
+            nodes: IndexMap::new(),
+            loss_percent: 0,
+            duplicate_percent: 0,
+            max_delay: Duration::from_millis(5),
+            settings: GossipSettings::new(),
+            rng: Pcg64::seed_from_u64(seed),
+            sent: 0,
+            in_flight: BinaryHeap::new(),
+            messages: IndexMap::new(),
+        }
+    }
+
+    /// Starts a node, or a new life of it, without an upstream.
+    pub fn start(&mut self, node: NodeId, peers: Vec<NodeId>) {
+        let incarnation = Incarnation(1_000_000 + self.now.0 / 1_000);
+        let domain = DomainName::new("dar-a");
+        let record = MemberRecord::new(node, incarnation, domain, RegionName::new("dar"));
+        let settings = self.settings.clone().with_peers(peers.iter().copied());
+        let before = self.nodes.get(&node);
+        let state = SimNode {
+            engine: GossipEngine::new(settings, record, self.now),
+            life: Life::Up,
+            events: Vec::new(),
+            lives: before.map_or(0, |before| before.lives) + 1,
+            started: self.now,
+            inbox: VecDeque::new(),
+            peers,
+            side: before.map_or(0, |before| before.side),
+            next_tick: self.now + Duration::from_millis(self.rng.random_range(0..100)),
+        };
+        self.nodes.insert(node, state);
+    }
+
+    pub fn restart(&mut self, node: NodeId) {
+        let peers = self.nodes[&node].peers.clone();
+        self.start(node, peers);
+    }
+
+    pub fn announce(&mut self, node: NodeId, service: &str) {
+        let state = &mut self.nodes[&node];
+        let effects = state.engine.announce(self.now, &mut self.rng, offer(service));
+        self.carry_out(node, effects);
+    }
+
+    pub fn leave(&mut self, node: NodeId) {
+        let effects = self.nodes[&node].engine.leave(self.now, &mut self.rng);
+        self.carry_out(node, effects);
+    }
+
+    pub fn watch(&mut self, node: NodeId, services: &[&str]) {
+        let services = services.iter().map(|service| ServiceName::new(service));
+        self.nodes[&node].engine.watch(self.now, &mut self.rng, services);
+    }
+
+    pub fn kill(&mut self, node: NodeId) {
+        self.nodes[&node].life = Life::Killed;
+        self.nodes[&node].inbox.clear();
+    }
+
+    pub fn pause(&mut self, node: NodeId) {
+        self.nodes[&node].life = Life::Paused;
+    }
+
+    /// The process goes on: first with what waits in its socket, which is the worse order.
+    pub fn resume(&mut self, node: NodeId) {
+        self.nodes[&node].life = Life::Up;
+        let inbox = std::mem::take(&mut self.nodes[&node].inbox);
+        for (from, message) in inbox {
+            self.deliver(from, node, message);
+        }
+    }
+
+    /// Nodes on different sides don't reach each other.
+    pub fn set_side(&mut self, node: NodeId, side: u32) {
+        self.nodes[&node].side = side;
+    }
+
+    pub fn heal(&mut self) {
+        for state in self.nodes.values_mut() {
+            state.side = 0;
+        }
+    }
+
+    /// Lets `duration` pass.
+    pub fn run(&mut self, duration: Duration) {
+        let end = self.now + duration;
+        loop {
+            let delivery = self.in_flight.peek().map(|Reverse((at, ..))| *at);
+            let tick = self.up_nodes().map(|(node, state)| (state.next_tick, node)).min();
+            let next = delivery.into_iter().chain(tick.map(|(at, _)| at)).min();
+            let Some(next) = next.filter(|next| *next <= end) else { break };
+            self.now = self.now.max(next);
+            if delivery == Some(next) {
+                self.deliver_next();
+            } else if let Some((_, node)) = tick {
+                self.tick(node);
+            }
+        }
+        self.now = end;
+    }
+
+    pub fn up_nodes(&self) -> impl Iterator<Item = (NodeId, &SimNode)> {
+        self.nodes
+            .iter()
+            .filter(|(_, state)| state.life == Life::Up)
+            .map(|(node, state)| (*node, state))
+    }
+
+    /// Bytes that a node was allowed to send in its life so far.
+    pub fn allowed_bytes(&self, node: NodeId) -> u64 {
+        let millis = self.now.since(self.nodes[&node].started).as_millis() as u64;
+        self.settings.burst_bytes + self.settings.bytes_per_second * millis / 1_000
+    }
+
+    fn tick(&mut self, node: NodeId) {
+        let state = &mut self.nodes[&node];
+        // A process that stood still does not make up for missed ticks.
+        state.next_tick = self.now + TICK;
+        let effects = state.engine.tick(self.now, &mut self.rng);
+        self.carry_out(node, effects);
+    }
+
+    fn deliver_next(&mut self) {
+        let Some(Reverse((_, number, from, to))) = self.in_flight.pop() else { return };
+        let Some(message) = self.messages.swap_remove(&number) else { return };
+        let (Some(sender), Some(receiver)) = (self.nodes.get(&from), self.nodes.get(&to)) else {
+            return;
+        };
+        if sender.side != receiver.side {
+            return;
+        }
+        self.deliver(from, to, message);
+    }
+
+    fn deliver(&mut self, from: NodeId, to: NodeId, message: GossipMessage) {
+        let state = &mut self.nodes[&to];
+        match state.life {
+            Life::Up => {
+                let effects = state.engine.receive(self.now, &mut self.rng, from, message);
+                self.carry_out(to, effects);
+            }
+            Life::Paused if state.inbox.len() < SOCKET_BUFFER => {
+                state.inbox.push_back((from, message));
+            }
+            Life::Paused | Life::Killed => {}
+        }
+    }
+
+    fn carry_out(&mut self, node: NodeId, effects: Vec<GossipEffect>) {
+        for effect in effects {
+            match effect {
+                GossipEffect::Send { to, message } => self.send(node, to, message),
+                event => self.nodes[&node].events.push(event),
+            }
+        }
+    }
+
+    fn send(&mut self, from: NodeId, to: NodeId, message: GossipMessage) {
+        assert!(message.wire_bytes() <= 1_200, "{message:?}");
+        if self.rng.random_range(0..100) < self.loss_percent {
+            return;
+        }
+        let twice = self.rng.random_range(0..100) < self.duplicate_percent;
+        for _ in 0..1 + u32::from(twice) {
+            let delay = self.rng.random_range(Duration::from_micros(500)..self.max_delay);
+            self.sent += 1;
+            self.messages.insert(self.sent, message.clone());
+            self.in_flight.push(Reverse((self.now + delay, self.sent, from, to)));
+        }
+    }
+}
