--- a/crates/coltsfootroute/tests/integration/main.rs
+++ b/crates/coltsfootroute/tests/integration/main.rs
@@ -6,3 +6,6 @@
 mod schema;
 mod store_policy;
 mod util;
+//! Integration tests of the library.
+
+mod membership;
