An answer still being stored isn't replayed past its retention

Ruled out: a late write over the swept record (its version fences it). Change: a guard answers such a repeat as expired; a replay whose object is missing is to be answered as expired too (said at AnswerBody). The bench's answer has one size, so that the body's is what varies.

--- a/crates/coltsfootroute/benches/once.rs
+++ b/crates/coltsfootroute/benches/once.rs
@@ -16,6 +16,8 @@
 
 const NOW: MonotonicTime = MonotonicTime::from_millis(1);
 const BODY_SIZES: [usize; 3] = [256, 4 << 10, 64 << 10];
+/// Size of the answer, which is stored inline.
+const ANSWER_SIZE: usize = 256;
 /// Claims that stay open beside the measured one.
 const OPEN_CLAIMS: u128 = 1_000;
 
@@ -45,7 +47,7 @@
     let step = guard.on_reply(claim_id, &TableReply::Committed, NOW);
     let Some(ClaimStep::Done(ClaimResult::Dispatch(ticket))) = step else { return };
     let DispatchVerdict::Run(run) = guard.dispatch(ticket, NOW) else { return };
-    let answer = RunAnswer { status: 200, headers: Vec::new(), body: body.to_vec() };
+    let answer = RunAnswer { status: 200, headers: Vec::new(), body: vec![7; ANSWER_SIZE] };
     guard.finish(run, answer, NOW);
     black_box(guard.next_errand(NOW));
     guard.on_errand_reply(claim_id, &ErrandReply::Table(TableReply::Committed), NOW);
--- a/crates/coltsfootroute/src/once/answer_body.rs
+++ b/crates/coltsfootroute/src/once/answer_body.rs
@@ -11,7 +11,8 @@
     pub enum AnswerBody {
         /// In the record itself, as Base64.
         Inline(#[serde(with = "base64_text")] Vec<u8>),
-        /// In the object store.
+        /// In the object store. Where it is missing there, the record has expired since it was read:
+        /// answer as for [`ClaimResult::Expired`](super::ClaimResult::Expired).
         Object {
             /// Name of the object.
             name: String,
--- a/crates/coltsfootroute/src/once/once_guard.rs
+++ b/crates/coltsfootroute/src/once/once_guard.rs
@@ -50,7 +50,7 @@
     /// Begins to claim `call` under the fresh `claim_id`. To be called immediately before dispatch: after
     /// admission, with a slot of the upstream at hand.
     pub fn begin(&mut self, call: OnceCall, claim_id: ClaimId, wall: WallTime) -> ClaimStep {
-        if let Some(result) = self.duplicate(&call) {
+        if let Some(result) = self.duplicate(&call, wall) {
             return ClaimStep::Done(result);
         }
         if self.open.len() >= self.settings.most_open {
@@ -222,7 +222,7 @@
     }
 
     /// Answers a request whose key is open here, without the store.
-    fn duplicate(&self, call: &OnceCall) -> Option<ClaimResult> {
+    fn duplicate(&self, call: &OnceCall, wall: WallTime) -> Option<ClaimResult> {
         let open = self.open.get(self.by_key.get(&call.key)?)?;
         let is_same = open.claim.body_digest == call.body_digest;
         Some(match &open.stage {
@@ -231,6 +231,8 @@
                 RefusalReason::StoreUnavailable,
                 ClaimTrace::None,
             )),
+            // Its record may have been stored, and swept with its object, without an answer.
+            ClaimStage::Storing(_) if wall >= open.claim.until => ClaimResult::Expired,
             _ if !is_same => ClaimResult::Conflict,
             ClaimStage::Storing(machine) => match machine.replayable() {
                 Some(ClaimRecord::Finished { answer, .. }) => ClaimResult::Replay(answer.clone()),
