--- a/crates/coltsfootroute/src/once/claim_machine.rs
+++ b/crates/coltsfootroute/src/once/claim_machine.rs
@@ -11,23 +11,22 @@
     time::MonotonicTime,
 };
 
-record_type! {
-    /// Claims one key. Each reply must be that of the request given last.
-    ///
-    /// A write without an answer is resolved by reading the row back and looking for the own claim id.
-    /// The same claim may then be written again: both writes have the same condition, and as rows are
-    /// never deleted at most one of them can take effect.
-    pub struct ClaimMachine {
-        claim: ClaimNote,
-        row_key: RowKey,
-        deadline: MonotonicTime,
-        /// What the claim is written on; `None` for no row.
-        base: Option<RowVersion>,
-        /// Whether a claim written on `base` may have taken effect, or may still do so.
-        is_in_doubt: bool,
-        /// Requests still granted.
-        requests_left: u32,
-    }
+/// Claims one key. Each reply must be that of the request given last.
+///
+/// A write without an answer is resolved by reading the row back and looking for the own claim id.
+/// The same claim may then be written again: both writes have the same condition, and as rows are
+/// never deleted at most one of them can take effect.
+#[derive(Debug, PartialEq, Eq)]
+pub struct ClaimMachine {
+    claim: ClaimNote,
+    row_key: RowKey,
+    deadline: MonotonicTime,
+    /// What the claim is written on; `None` for no row.
+    base: Option<RowVersion>,
+    /// Whether a claim written on `base` may have taken effect, or may still do so.
+    is_in_doubt: bool,
+    /// Requests still granted.
+    requests_left: u32,
 }
 
 /// Requests that one claim sends at the most.
@@ -46,11 +45,6 @@
         }
     }
 
-    /// The claim being made.
-    pub fn claim(&self) -> &ClaimNote {
-        &self.claim
-    }
-
     /// The first request: a write that takes effect if the key was never claimed.
     pub fn start(&mut self) -> TableRequest {
         self.write()
--- a/crates/coltsfootroute/src/once/once_guard.rs
+++ b/crates/coltsfootroute/src/once/once_guard.rs
@@ -5,13 +5,14 @@
 use indexmap::IndexMap;
 
 use super::{
-    AnswerMachine, ClaimHolder, ClaimId, ClaimMachine, ClaimNote, ClaimRecord, ClaimRefusal,
-    ClaimResult, ClaimRun, ClaimStep, ClaimTicket, DispatchVerdict, ErrandReply, ErrandRequest,
-    HolderAnswer, OnceCall, OnceKey, OnceSettings, ReleaseMachine, ReleaseStep, RunAnswer,
-    StoreErrand, WallTime,
-    answer_machine::AnswerProgress,
+    ClaimHolder, ClaimId, ClaimNote, ClaimRecord, ClaimRefusal, ClaimResult, ClaimRun, ClaimStep,
+    ClaimTicket, DispatchVerdict, ErrandReply, ErrandRequest, HolderAnswer, OnceCall, OnceKey,
+    OnceSettings, RunAnswer, StoreErrand, WallTime,
+    answer_machine::{AnswerMachine, AnswerProgress},
+    claim_machine::ClaimMachine,
     claim_refusal::ClaimTrace,
     open_claim::{ClaimStage, OpenClaim},
+    release_machine::{ReleaseMachine, ReleaseStep},
 };
 use crate::{
     outcome::RefusalReason,
@@ -19,20 +20,19 @@
     time::MonotonicTime,
 };
 
-record_type! {
-    /// The claims that one life of a node has begun and not settled.
-    ///
-    /// At most one of them is open for a key. A claim leaves only when it is settled in the table: its
-    /// end is stored, it is released, or it provably never got there.
-    pub struct OnceGuard {
-        holder: ClaimHolder,
-        settings: OnceSettings,
-        open: IndexMap<ClaimId, OpenClaim>,
-        by_key: IndexMap<OnceKey, ClaimId>,
-        /// Claims with an errand to be sent, by the time from which it may be; in that order, as all
-        /// pauses are equally long. A claim whose errand is under way isn't listed.
-        errands: VecDeque<(MonotonicTime, ClaimId)>,
-    }
+/// The claims that one life of a node has begun and not settled.
+///
+/// At most one of them is open for a key. A claim leaves only when it is settled in the table: its
+/// end is stored, it is released, or it provably never got there.
+#[derive(Debug, PartialEq, Eq)]
+pub struct OnceGuard {
+    holder: ClaimHolder,
+    settings: OnceSettings,
+    open: IndexMap<ClaimId, OpenClaim>,
+    by_key: IndexMap<OnceKey, ClaimId>,
+    /// Claims with an errand to be sent, by the time from which it may be; in that order, as all
+    /// pauses are equally long. A claim whose errand is under way isn't listed.
+    errands: VecDeque<(MonotonicTime, ClaimId)>,
 }
 
 impl OnceGuard {
@@ -49,6 +49,9 @@
 
     /// Begins to claim `call` under the fresh `claim_id`. To be called immediately before dispatch: after
     /// admission, with a slot of the upstream at hand.
+    ///
+    /// Each request that a step asks for must be followed by [`OnceGuard::on_reply`], or by
+    /// [`OnceGuard::cancel`] if its reply won't be waited for.
     pub fn begin(&mut self, call: OnceCall, claim_id: ClaimId, wall: WallTime) -> ClaimStep {
         if let Some(result) = self.duplicate(&call, wall) {
             return ClaimStep::Done(result);
@@ -113,21 +116,25 @@
     /// Uses up a ticket: the last check before the request goes to the upstream.
     pub fn dispatch(&mut self, ticket: ClaimTicket, now: MonotonicTime) -> DispatchVerdict {
         let (claim_id, version) = (ticket.claim_id, ticket.version);
+        let Some(open) = self.open.get_mut(&claim_id).filter(|open| open.is_ticketed()) else {
+            // The ticket of another guard: not for this one to run or release.
+            return DispatchVerdict::Lapsed;
+        };
         let verdict = ticket.dispatch(now, self.settings.longest_ticket);
-        match (&verdict, self.open.get_mut(&claim_id)) {
-            (DispatchVerdict::Run(_), Some(open)) => open.stage = ClaimStage::Running(version),
-            (DispatchVerdict::Lapsed, _) => {
+        match verdict {
+            DispatchVerdict::Run(_) => open.stage = ClaimStage::Running(version),
+            DispatchVerdict::Lapsed => {
                 self.release(claim_id, ClaimTrace::Standing(version), now);
             }
-            // The ticket of another guard.
-            (DispatchVerdict::Run(_), None) => return DispatchVerdict::Lapsed,
         }
         verdict
     }
 
     /// Gives back a ticket whose request won't be dispatched.
     pub fn abandon(&mut self, ticket: ClaimTicket, now: MonotonicTime) {
-        self.release(ticket.claim_id, ClaimTrace::Standing(ticket.version), now);
+        if self.open.get(&ticket.claim_id).is_some_and(OpenClaim::is_ticketed) {
+            self.release(ticket.claim_id, ClaimTrace::Standing(ticket.version), now);
+        }
     }
 
     /// The run ended with a complete answer. Its record is the next errand; the answer to the caller may
@@ -148,6 +155,9 @@
     }
 
     /// The next request that may be sent at `now` for claims that nobody waits for.
+    ///
+    /// Must be followed by [`OnceGuard::on_errand_reply`], with an uncertain reply if there is none: until
+    /// then the claim has no further errand.
     pub fn next_errand(&mut self, now: MonotonicTime) -> Option<StoreErrand> {
         let (_, claim_id) = self.errands.pop_front_if(|(due, _)| *due <= now)?;
         let request = match &self.open.get(&claim_id)?.stage {
--- a/crates/coltsfootroute/src/once/open_claim.rs
+++ b/crates/coltsfootroute/src/once/open_claim.rs
@@ -1,36 +1,41 @@
 //! A claim that is not settled yet.
 
-use super::{AnswerMachine, ClaimMachine, ClaimNote, HolderAnswer, OnceKey, ReleaseMachine};
+use super::{
+    ClaimNote, HolderAnswer, OnceKey, answer_machine::AnswerMachine, claim_machine::ClaimMachine,
+    release_machine::ReleaseMachine,
+};
 use crate::table::{RowKey, RowVersion};
 
-record_type! {
-    /// A claim that this guard has begun and not settled.
-    pub(super) struct OpenClaim {
-        pub(super) key: OnceKey,
-        pub(super) row_key: RowKey,
-        pub(super) claim: ClaimNote,
-        pub(super) stage: ClaimStage,
-    }
+/// A claim that this guard has begun and not settled.
+#[derive(Debug, PartialEq, Eq)]
+pub(super) struct OpenClaim {
+    pub(super) key: OnceKey,
+    pub(super) row_key: RowKey,
+    pub(super) claim: ClaimNote,
+    pub(super) stage: ClaimStage,
 }
 
-record_type! {
-    /// How far a claim is. It goes down this list only.
-    #[expect(clippy::large_enum_variant, reason = "a boxed machine costs an allocation a call")]
-    pub(super) enum ClaimStage {
-        /// The claim is being written.
-        Claiming(ClaimMachine),
-        /// Claimed at a version, not dispatched.
-        Ticketed(RowVersion),
-        /// Dispatched; the claim stands at this version.
-        Running(RowVersion),
-        /// The run ended; its end is being stored.
-        Storing(AnswerMachine),
-        /// Never dispatched and never will be; being released.
-        Releasing(ReleaseMachine),
-    }
+/// How far a claim is. It goes down this list only.
+#[derive(Debug, PartialEq, Eq)]
+#[expect(clippy::large_enum_variant, reason = "a boxed machine costs an allocation a call")]
+pub(super) enum ClaimStage {
+    /// The claim is being written.
+    Claiming(ClaimMachine),
+    /// Claimed at a version, not dispatched.
+    Ticketed(RowVersion),
+    /// Dispatched; the claim stands at this version.
+    Running(RowVersion),
+    /// The run ended; its end is being stored.
+    Storing(AnswerMachine),
+    /// Never dispatched and never will be; being released.
+    Releasing(ReleaseMachine),
 }
 
 impl OpenClaim {
+    pub(super) fn is_ticketed(&self) -> bool {
+        matches!(self.stage, ClaimStage::Ticketed(_))
+    }
+
     pub(super) fn holder_answer(&self) -> HolderAnswer {
         match &self.stage {
             ClaimStage::Claiming(_) | ClaimStage::Ticketed(_) | ClaimStage::Running(_) => {
