--- a/crates/coltsfootroute/src/admission/limit.rs
+++ b/crates/coltsfootroute/src/admission/limit.rs
@@ -10,8 +10,9 @@
 pub use fixed_limit::FixedLimit;
 pub use gradient_limit::GradientLimit;
 
-/// Lowest limit as a share of the slots: a slow phase never shuts an upstream down.
-const FLOOR_SHARE: f64 = 0.25;
+/// Lowest limit as a share of the slots: no phase shuts an upstream down, and there are always
+/// calls in flight to learn from.
+const FLOOR_SHARE: f64 = 0.1;
 
 /// The lowest limit for a ceiling.
 fn floor_of(ceiling: u32) -> f64 {
--- a/crates/coltsfootroute/src/admission/limit/aimd_limit.rs
+++ b/crates/coltsfootroute/src/admission/limit/aimd_limit.rs
@@ -16,8 +16,9 @@
 const REOPEN_TIME: Duration = Duration::from_secs(1);
 /// Time after a decrease until growth is at full speed.
 const RAMP_TIME: Duration = Duration::from_millis(500);
-/// Longest time that the growth of one step stands for.
-const MAX_STEP: Duration = Duration::from_millis(100);
+/// Longest time that the growth of one step stands for, so that a single success after a long
+/// silence doesn't open the limit at once.
+const MAX_STEP: Duration = Duration::from_millis(500);
 
 /// Lowers the limit when the upstream sheds and grows it again while calls succeed.
 ///
--- a/crates/coltsfootroute/src/admission/queue_order.rs
+++ b/crates/coltsfootroute/src/admission/queue_order.rs
@@ -5,10 +5,10 @@
     #[derive(Default)]
     pub enum QueueOrder {
         /// The oldest.
+        #[default]
         OldestFirst,
         /// The oldest, but the newest while a queue has stood for the overload interval: then the
         /// oldest are the least likely to finish in time.
-        #[default]
         NewestFirstUnderOverload,
     }
 }
--- a/crates/coltsfootroute/src/admission/shed_control.rs
+++ b/crates/coltsfootroute/src/admission/shed_control.rs
@@ -7,8 +7,10 @@
 
 /// Length of one window of observation.
 const WINDOW: Duration = Duration::from_millis(50);
-/// Rise in a window in which every offered call was refused, in levels.
+/// Rise in a window for each call refused beyond the target, over the calls offered, in levels.
 const RISE: f64 = 0.5;
+/// Share of refusals at the guard that the level settles at: it keeps the queue filled.
+const TARGET: f64 = 0.10;
 /// Fall in a window without refusals while the upstream is busy, in levels.
 const BUSY_FALL: f64 = 0.02;
 /// Factor of the fall in a window without refusals while the upstream has room.
@@ -20,8 +22,8 @@
 
 /// Turns refusals into a [`ShedLevel`].
 ///
-/// The level rises with the share of calls refused, but never past the most important level that
-/// was refused, so it doesn't wind up while callers lag behind. It falls slowly while the upstream
+/// The level rises with the share of calls refused beyond a target, but never past the most important
+/// level that was refused, so it doesn't wind up while callers lag behind. It falls slowly while the upstream
 /// is still busy, which keeps it near the border, and quickly once the upstream has room.
 #[derive(Clone, Debug)]
 pub(super) struct ShedControl {
@@ -94,7 +96,9 @@
         if let Some(highest) = self.highest_refused {
             let share = f64::from(self.refused) / f64::from(self.offered.max(self.refused));
             let cap = (highest.index() as f64 + 1.0).max(self.levels);
-            return (self.levels + RISE * share).min(cap).min(ShedLevel::MAX.levels());
+            return (self.levels + RISE * (share - TARGET))
+                .min(cap)
+                .clamp(0.0, ShedLevel::MAX.levels());
         }
         if self.busy { (self.levels - BUSY_FALL).max(0.0) } else { idle_fall(self.levels) }
     }
