Proofs of admission: scenarios, fuzz against an oracle, limits and levels

Cause: the gate's promises were not proved. Change: scenarios admission-*.txt, a proptest oracle over all four limits and both orders, tests of limits, shed levels and the closed loop of guard and caller.

--- /dev/null
+++ b/crates/coltsfootroute/tests/integration/admission.rs
@@ -0,0 +1,8 @@
+//! Admission: scenarios, fuzz against an oracle, limits, shed levels.
+
+mod fuzz;
+mod gate;
+mod levels;
+mod limits;
+mod scenarios;
+mod shed_loop;
--- /dev/null
+++ b/crates/coltsfootroute/tests/integration/admission/gate.rs
@@ -0,0 +1,59 @@
+//! Single properties of the gate that the scenarios don't show.
+
+use coltsfootroute::{
+    admission::{
+        AdmissionDecision, AdmissionGate, AdmissionSettings, AdmissionVerdict, CallFinish,
+        WaitingCall,
+    },
+    importance::Importance,
+    outcome::RefusalReason,
+    time::MonotonicTime,
+};
+
+fn call(id: u64, client: u64, deadline_millis: u64) -> WaitingCall {
+    let deadline = MonotonicTime::from_millis(deadline_millis);
+    WaitingCall { id, importance: Importance::Normal, deadline, client, under_way: false }
+}
+
+fn started(verdicts: &[AdmissionVerdict]) -> Option<u64> {
+    let run = verdicts.iter().find(|verdict| verdict.decision == AdmissionDecision::Run);
+    run.map(|verdict| verdict.id)
+}
+
+#[test]
+fn a_greedy_client_does_not_starve_another() {
+    let settings = AdmissionSettings::new(1).with_queue_length(20);
+    let mut gate = AdmissionGate::new(settings);
+    let mut served = [0, 0];
+    gate.offer(MonotonicTime::ZERO, call(0, 0, 60_000));
+    let mut running = 0;
+
+    // The greedy client offers nine calls for each one of the modest client.
+    for id in 1..1_000 {
+        let now = MonotonicTime::from_millis(id);
+        gate.offer(now, call(id, u64::from(id % 10 == 0), 60_000));
+        if id % 5 == 0 {
+            let next = started(&gate.finish(now, running, CallFinish::Succeeded));
+            running = next.expect("calls wait");
+            served[usize::from(running % 10 == 0)] += 1;
+        }
+    }
+
+    assert_eq!(served[0] + served[1], 199);
+    assert!(served[1] >= 95, "the modest client got {} of its 99 calls", served[1]);
+}
+
+#[test]
+fn an_estimate_from_a_slow_phase_does_not_refuse_for_ever() {
+    let mut gate = AdmissionGate::new(AdmissionSettings::new(1));
+    let at = MonotonicTime::from_millis;
+    gate.offer(at(0), call(1, 0, 5_000));
+    gate.finish(at(2_000), 1, CallFinish::Succeeded);
+
+    let soon = gate.offer(at(2_000), call(2, 0, 2_300));
+    let later = gate.offer(at(20_000), call(3, 0, 20_300));
+
+    let refusal = AdmissionDecision::Refuse(RefusalReason::Deadline);
+    assert_eq!(soon, [AdmissionVerdict { id: 2, decision: refusal }]);
+    assert_eq!(started(&later), Some(3));
+}
--- /dev/null
+++ b/crates/coltsfootroute/tests/integration/admission/shed_loop.rs
@@ -0,0 +1,134 @@
+//! The closed loop of a guard's shed level and callers that follow it.
+
+use std::net::SocketAddr;
+
+use coltsfootroute::{
+    admission::{
+        AdmissionDecision, AdmissionGate, AdmissionSettings, AdmissionVerdict, CallFinish,
+        ServiceLevels, ShedLevel, WaitingCall,
+    },
+    id::NodeId,
+    importance::Importance,
+    name::ServiceName,
+    time::MonotonicTime,
+};
+use indexmap::IndexMap;
+use rand::SeedableRng;
+use rand_pcg::Pcg64;
+
+const SLOTS: u32 = 10;
+const SERVICE_MICROS: u64 = 10_000;
+/// Arrivals in each millisecond at three times the capacity.
+const SURGE: u64 = 3;
+
+/// A gate with fixed service times, and a caller that hears of its level two milliseconds later.
+struct ShedLoop {
+    gate: AdmissionGate,
+    levels: ServiceLevels,
+    service: ServiceName,
+    guard: NodeId,
+    rng: Pcg64,
+    next_id: u64,
+    ends: Vec<(u64, u64)>,
+    news: [ShedLevel; 2],
+    importances: IndexMap<u64, Importance>,
+}
+
+impl ShedLoop {
+    fn new() -> Self {
+        Self {
+            gate: AdmissionGate::new(AdmissionSettings::new(SLOTS)),
+            levels: ServiceLevels::new(),
+            service: ServiceName::new("logbook"),
+            guard: NodeId(SocketAddr::from(([127, 0, 0, 1], 1))),
+            rng: Pcg64::seed_from_u64(7),
+            next_id: 0,
+            ends: Vec::new(),
+            news: [ShedLevel::OPEN; 2],
+            importances: IndexMap::new(),
+        }
+    }
+
+    /// Runs one millisecond with `arrivals`; gives how many calls of each importance started.
+    fn millisecond(&mut self, millis: u64, arrivals: u64) -> [u64; Importance::COUNT] {
+        let now = MonotonicTime::from_millis(millis);
+        let mut verdicts = self.gate.tick(now);
+        let due: Vec<u64> =
+            self.ends.extract_if(.., |end| end.0 <= now.0).map(|end| end.1).collect();
+        for id in due {
+            verdicts.extend(self.gate.finish(now, id, CallFinish::Succeeded));
+        }
+        for _ in 0..arrivals {
+            verdicts.extend(self.arrive(now));
+        }
+        let level = self.gate.shed_level(now);
+        self.levels.observe(now, &self.service, self.guard, self.news[0]);
+        self.news = [self.news[1], level];
+        self.count(now, &verdicts)
+    }
+
+    fn arrive(&mut self, now: MonotonicTime) -> Vec<AdmissionVerdict> {
+        self.next_id += 1;
+        let id = self.next_id;
+        let importance = Importance::ALL[id as usize % Importance::COUNT];
+        let services = std::slice::from_ref(&self.service);
+        if self.levels.admit(now, services, importance, &mut self.rng).is_err() {
+            return Vec::new();
+        }
+        self.importances.insert(id, importance);
+        let deadline = MonotonicTime(now.0 + 1_000_000);
+        self.gate.offer(now, WaitingCall { id, importance, deadline, client: 0, under_way: false })
+    }
+
+    fn count(
+        &mut self,
+        now: MonotonicTime,
+        verdicts: &[AdmissionVerdict],
+    ) -> [u64; Importance::COUNT] {
+        let mut started = [0; Importance::COUNT];
+        for verdict in verdicts.iter().filter(|verdict| verdict.decision == AdmissionDecision::Run)
+        {
+            started[self.importances[&verdict.id].index()] += 1;
+            self.ends.push((now.0 + SERVICE_MICROS, verdict.id));
+        }
+        started
+    }
+}
+
+#[test]
+fn level_settles_under_a_surge_without_wasting_slots() {
+    let mut shed_loop = ShedLoop::new();
+    let mut severities = Vec::new();
+    let mut started = 0;
+
+    for millis in 0..6_000 {
+        let counts = shed_loop.millisecond(millis, SURGE);
+        if millis >= 2_000 {
+            severities.push(shed_loop.gate.shed_level(MonotonicTime::from_millis(millis)).levels());
+            started += counts.iter().sum::<u64>();
+        }
+    }
+
+    // A third of the work fits, so the border runs through the second level from the top.
+    let least = severities.iter().copied().fold(f64::INFINITY, f64::min);
+    let greatest = severities.iter().copied().fold(0.0, f64::max);
+    assert!(least > 2.5 && greatest < 4.0, "between {least} and {greatest}");
+    assert!(started >= 3_800, "{started} of 4000 calls that fit");
+}
+
+#[test]
+fn least_important_work_is_back_within_two_seconds() {
+    let mut shed_loop = ShedLoop::new();
+    for millis in 0..4_000 {
+        shed_loop.millisecond(millis, SURGE);
+    }
+
+    let mut background = 0;
+    for millis in 4_000..7_000 {
+        let counts = shed_loop.millisecond(millis, millis % 2);
+        background += if millis >= 6_000 { counts[0] } else { 0 };
+    }
+
+    // 500 arrivals a second, a fifth of them of the least importance.
+    assert!(background >= 95, "{background} of 100");
+}
--- /dev/null
+++ b/crates/coltsfootroute/tests/integration/main.rs
@@ -0,0 +1,3 @@
+//! Tests of the library, one file for each subject.
+
+mod admission;
