--- a/crates/coltsfootroute/tests/integration/admission/gate.rs
+++ b/crates/coltsfootroute/tests/integration/admission/gate.rs
@@ -57,3 +57,17 @@
     assert_eq!(soon, [AdmissionVerdict { id: 2, decision: refusal }]);
     assert_eq!(started(&later), Some(3));
 }
+
+#[test]
+fn level_stays_at_the_most_important_work_refused() {
+    let mut gate = AdmissionGate::new(AdmissionSettings::new(1));
+    let background = |id| WaitingCall { importance: Importance::Background, ..call(id, 0, 60_000) };
+
+    // Callers that don't follow the level: one call a millisecond, none of which can start.
+    for id in 0..2_000 {
+        gate.offer(MonotonicTime::from_millis(id), background(id));
+    }
+
+    let level = gate.shed_level(MonotonicTime::from_millis(2_000));
+    assert_eq!(level.severity(), 1_000);
+}
