--- a/crates/coltsfootroute/tests/integration/main.rs
+++ b/crates/coltsfootroute/tests/integration/main.rs
@@ -9,3 +9,4 @@
 //! Integration tests of the library.
 
 mod membership;
+mod admission;
