Proofs of routing, retry accounts, deadlines and leaving

Change: scenarios retry-*, routing-*, drain-*; fuzz of the account (loss, repetition, reorder, restart, subtrees of retries), of the leave and of the pool; deadline tests.

--- a/crates/coltsfootroute/src/routing/upstream_phase.rs
+++ b/crates/coltsfootroute/src/routing/upstream_phase.rs
@@ -15,7 +15,7 @@
         Ejected,
         /// Ejection is over: takes one trial call at a time.
         Trial,
-        /// Takes no new calls in this life.
+        /// Takes no new calls in this life: it is leaving, or membership no longer names it.
         Leaving,
     }
 }
--- a/crates/coltsfootroute/src/routing/upstream_pool.rs
+++ b/crates/coltsfootroute/src/routing/upstream_pool.rs
@@ -18,8 +18,9 @@
 /// The upstreams of one called service, as one caller sees them.
 ///
 /// Invariants: an upstream that is leaving is never chosen again in that life; no upstream has more
-/// calls in flight than its share, as long as each choice is followed by [`UpstreamPool::started`];
-/// at most [`RoutingSettings::most_ejected`] upstreams are ejected at a time.
+/// calls in flight than its share, as long as each choice is followed by [`UpstreamPool::started`]
+/// and the share does not shrink; no ejection brings more than [`RoutingSettings::most_ejected`] of
+/// the live upstreams out of use, and where all are ejected they are used all the same.
 #[derive(Clone, Debug)]
 pub struct UpstreamPool {
     own_domain: DomainName,
--- a/crates/coltsfootroute/src/routing/upstream_record.rs
+++ b/crates/coltsfootroute/src/routing/upstream_record.rs
@@ -133,7 +133,7 @@
     }
 
     pub(super) fn phase(&self, now: MonotonicTime, settings: &RoutingSettings) -> UpstreamPhase {
-        if self.info.leaving {
+        if !self.is_live() {
             UpstreamPhase::Leaving
         } else if self.health.is_on_trial(now) {
             UpstreamPhase::Trial
--- /dev/null
+++ b/crates/coltsfootroute/tests/integration/drain.rs
@@ -0,0 +1,4 @@
+//! Leaving.
+
+mod drain_fuzz;
+mod scenarios;
--- /dev/null
+++ b/crates/coltsfootroute/tests/integration/drain/drain_fuzz.rs
@@ -0,0 +1,120 @@
+//! Stateful fuzzing of the leave: nothing starts after it, nothing in flight is interrupted.
+
+use coltsfootroute::{
+    drain::{DrainPhase, DrainSettings, DrainState, StartAnswer},
+    time::MonotonicTime,
+};
+use proptest::{prelude::*, test_runner::RngSeed};
+use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
+
+#[derive(Clone, Debug)]
+enum Step {
+    Begin,
+    Start,
+    Nested,
+    Finish,
+    Wait(u64),
+}
+
+#[derive(Clone, Debug, Default)]
+struct Oracle {
+    now_ms: u64,
+    begun_ms: Option<u64>,
+    in_flight: u64,
+    /// Whether the last step may start work.
+    may_start: bool,
+}
+
+impl ReferenceStateMachine for Oracle {
+    type State = Self;
+    type Transition = Step;
+
+    fn init_state() -> BoxedStrategy<Self> {
+        Just(Self::default()).boxed()
+    }
+
+    fn transitions(_: &Self) -> BoxedStrategy<Step> {
+        prop_oneof![
+            1 => Just(Step::Begin),
+            6 => Just(Step::Start),
+            3 => Just(Step::Nested),
+            8 => Just(Step::Finish),
+            4 => (0..1_500u64).prop_map(Step::Wait),
+        ]
+        .boxed()
+    }
+
+    fn preconditions(state: &Self, step: &Step) -> bool {
+        !matches!(step, Step::Finish) || state.in_flight > 0
+    }
+
+    fn apply(mut state: Self, step: &Step) -> Self {
+        state.may_start = match step {
+            Step::Start => state.begun_ms.is_none(),
+            Step::Nested => state.begun_ms.is_none() || state.in_flight > 0,
+            _ => false,
+        };
+        match step {
+            Step::Begin => state.begun_ms = state.begun_ms.or(Some(state.now_ms)),
+            Step::Start | Step::Nested => state.in_flight += u64::from(state.may_start),
+            Step::Finish => state.in_flight -= 1,
+            Step::Wait(millis) => state.now_ms += millis,
+        }
+        state
+    }
+}
+
+struct DrainFuzz;
+
+impl StateMachineTest for DrainFuzz {
+    type SystemUnderTest = (DrainState, DrainPhase);
+    type Reference = Oracle;
+
+    fn init_test(_: &Oracle) -> Self::SystemUnderTest {
+        (DrainState::new(DrainSettings::default()), DrainPhase::Serving)
+    }
+
+    fn apply(
+        (mut state, before): Self::SystemUnderTest,
+        oracle: &Oracle,
+        step: Step,
+    ) -> Self::SystemUnderTest {
+        let now = MonotonicTime::from_millis(oracle.now_ms);
+        let expected = if oracle.may_start { StartAnswer::Started } else { StartAnswer::Refused };
+        match step {
+            Step::Begin => _ = state.begin(now),
+            Step::Start => assert_eq!(state.started(), expected),
+            Step::Nested => assert_eq!(state.nested_started(), expected),
+            Step::Finish => state.finished(),
+            Step::Wait(_) => {}
+        }
+        let phase = state.phase(now);
+        assert!(before <= phase, "went back from {before} to {phase}");
+        (state, phase)
+    }
+
+    fn check_invariants((state, _): &Self::SystemUnderTest, oracle: &Oracle) {
+        let now = MonotonicTime::from_millis(oracle.now_ms);
+        let notice_ms = DrainSettings::default().notice.as_millis() as u64;
+        let noticed = oracle.begun_ms.is_some_and(|begun| begun + notice_ms <= oracle.now_ms);
+        let expected = match oracle.begun_ms {
+            None => DrainPhase::Serving,
+            Some(_) if noticed && oracle.in_flight == 0 => DrainPhase::Drained,
+            Some(_) => DrainPhase::Leaving,
+        };
+        assert_eq!(state.phase(now), expected);
+        assert_eq!(state.in_flight(), oracle.in_flight);
+    }
+}
+
+prop_state_machine! {
+    #![proptest_config(ProptestConfig {
+        cases: 256,
+        rng_seed: RngSeed::Fixed(0x0d4a_1417),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn nothing_starts_after_a_leave_and_nothing_is_cut_off(sequential 1..120 => DrainFuzz);
+}
--- /dev/null
+++ b/crates/coltsfootroute/tests/integration/retry.rs
@@ -0,0 +1,4 @@
+//! Retry accounts, policy and throttle.
+
+mod account_fuzz;
+mod scenarios;
--- /dev/null
+++ b/crates/coltsfootroute/tests/integration/retry/scenarios.rs
@@ -0,0 +1,113 @@
+//! Scripted scenarios: `tests/scenarios/retry-*.txt`.
+
+use std::{path::PathBuf, time::Duration};
+
+use coltsfootroute::{
+    id::RequestId,
+    outcome::RefusalReason,
+    retry::{
+        AccountLedger, FailedAttempt, LedgerSettings, OpenAnswer, RetryDecision, RetryPolicy,
+        ServiceThrottle, TakeAnswer, ThrottleSettings,
+    },
+    time::MonotonicTime,
+};
+use datadriven::TestCase;
+use rand::SeedableRng;
+use rand_pcg::Pcg64;
+use rstest::rstest;
+
+struct RetryFixture {
+    now: MonotonicTime,
+    ledger: AccountLedger,
+    throttle: ServiceThrottle,
+    rng: Pcg64,
+}
+
+fn fixture() -> RetryFixture {
+    let now = MonotonicTime::ZERO;
+    let settings = LedgerSettings::default().with_most_accounts(3);
+    RetryFixture {
+        now,
+        ledger: AccountLedger::new(settings),
+        throttle: ServiceThrottle::new(now, ThrottleSettings::default()),
+        rng: Pcg64::seed_from_u64(1),
+    }
+}
+
+impl RetryFixture {
+    fn run(&mut self, case: &mut TestCase) -> String {
+        match case.directive.as_str() {
+            "time" => self.now = MonotonicTime::from_millis(case.take_arg("ms").unwrap()),
+            "open" => return self.open(case),
+            "take" => return self.take(case),
+            "close" => self.ledger.close(request(case)),
+            "restart" => self.ledger = fixture().ledger,
+            "granted" => return format!("{:?}\n", self.ledger.granted(request(case))),
+            "decide" => return self.decide(case),
+            "calls" => {
+                (0..case.take_arg::<u32>("count").unwrap()).for_each(|_| self.throttle.call())
+            }
+            "retries" => return self.retries(case),
+            other => panic!("unknown directive {other}"),
+        }
+        String::new()
+    }
+
+    fn open(&mut self, case: &mut TestCase) -> String {
+        let deadline = MonotonicTime::from_millis(case.take_arg("deadline").unwrap());
+        let budget = case.take_arg("budget").unwrap();
+        let answer = self.ledger.open(self.now, request(case), budget, deadline);
+        let text = match answer {
+            OpenAnswer::Opened => "opened",
+            OpenAnswer::AlreadyOpen => "already open",
+            OpenAnswer::Full => "full",
+        };
+        format!("{text}\n")
+    }
+
+    fn take(&mut self, case: &mut TestCase) -> String {
+        let take_id = case.take_arg("id").unwrap();
+        match self.ledger.take(self.now, request(case), take_id) {
+            TakeAnswer::Granted => "granted\n".to_owned(),
+            TakeAnswer::Denied(denial) => format!("denied: {}\n", denial.as_str()),
+        }
+    }
+
+    fn decide(&mut self, case: &mut TestCase) -> String {
+        let reason: Option<String> = case.try_take_arg("reason").unwrap();
+        let expected: Option<u64> = case.try_take_arg("expected").unwrap();
+        let attempt = FailedAttempt {
+            outcome: case.take_arg::<String>("outcome").unwrap().parse().unwrap(),
+            reason: reason
+                .map(|name| serde_json::from_value::<RefusalReason>(name.into()).unwrap()),
+            repeatable: !case.take_flag("once").unwrap(),
+            deadline: MonotonicTime::from_millis(case.take_arg("deadline").unwrap()),
+            attempts: case.try_take_arg("attempts").unwrap().unwrap_or(1),
+            shedding: case.take_flag("shedding").unwrap(),
+            expected: expected.map(Duration::from_millis),
+        };
+        match RetryPolicy::default().decide(self.now, &mut self.rng, &attempt) {
+            RetryDecision::Ask { backoff } if backoff.is_zero() => "ask, at once\n".to_owned(),
+            RetryDecision::Ask { .. } => "ask, after a backoff\n".to_owned(),
+            RetryDecision::GiveUp(cause) => format!("give up: {}\n", cause.as_str()),
+        }
+    }
+
+    fn retries(&mut self, case: &mut TestCase) -> String {
+        let count: u32 = case.take_arg("count").unwrap();
+        let allowed = (0..count).filter(|_| self.throttle.try_retry(self.now)).count();
+        format!("{allowed} of {count}\n")
+    }
+}
+
+fn request(case: &mut TestCase) -> RequestId {
+    RequestId(case.take_arg("request").unwrap())
+}
+
+#[rstest]
+fn scenario(#[files("tests/scenarios/retry-*.txt")] path: PathBuf) {
+    datadriven::walk(path.to_str().unwrap(), |file| {
+        let mut fixture = fixture();
+        file.run(|case| fixture.run(case));
+    });
+}
--- /dev/null
+++ b/crates/coltsfootroute/tests/integration/routing.rs
@@ -0,0 +1,4 @@
+//! Choice of the upstream.
+
+mod pool_fuzz;
+mod scenarios;
--- /dev/null
+++ b/crates/coltsfootroute/tests/integration/routing/pool_fuzz.rs
@@ -0,0 +1,172 @@
+//! Random calls, results and membership: the pool's invariants hold after every step.
+
+use std::time::Duration;
+
+use coltsfootroute::{
+    id::{Incarnation, NodeId},
+    name::{DomainName, RegionName},
+    routing::{RouteResult, RoutingSettings, UpstreamInfo, UpstreamPhase, UpstreamPool},
+    time::MonotonicTime,
+};
+use proptest::{prelude::*, test_runner::RngSeed};
+use rand::SeedableRng;
+use rand_pcg::Pcg64;
+
+use super::scenarios::node;
+
+#[derive(Clone, Debug)]
+enum Step {
+    Call,
+    Finish(usize, RouteResult, u64),
+    /// Membership: for each of six upstreams whether it is named, leaving, or a new life.
+    Update(Vec<(bool, bool, bool)>),
+    Wait(u64),
+}
+
+const MEMBERS: usize = 6;
+
+fn step() -> impl Strategy<Value = Step> {
+    let result = prop_oneof![
+        4 => Just(RouteResult::Succeeded),
+        4 => Just(RouteResult::Failed),
+        2 => Just(RouteResult::Unreachable),
+        1 => Just(RouteResult::Refused),
+        1 => Just(RouteResult::Cancelled),
+        1 => Just(RouteResult::Leaving),
+    ];
+    let member = (prop::bool::weighted(0.8), prop::bool::weighted(0.1), prop::bool::weighted(0.2));
+    prop_oneof![
+        12 => Just(Step::Call),
+        10 => (any::<usize>(), result, 1..2_000u64)
+            .prop_map(|(index, result, millis)| Step::Finish(index, result, millis)),
+        1 => prop::collection::vec(member, MEMBERS).prop_map(Step::Update),
+        2 => (0..1_000u64).prop_map(Step::Wait),
+    ]
+}
+
+struct PoolFixture {
+    now: MonotonicTime,
+    pool: UpstreamPool,
+    rng: Pcg64,
+    in_flight: Vec<NodeId>,
+    ejections: u64,
+    incarnations: [u64; MEMBERS],
+    /// What membership says of each member: named, leaving.
+    named: [(bool, bool); MEMBERS],
+}
+
+fn fixture() -> PoolFixture {
+    let settings = RoutingSettings::default().with_callers(4);
+    let pool = UpstreamPool::new(DomainName::new("0"), RegionName::new("r"), settings);
+    let mut fixture = PoolFixture {
+        now: MonotonicTime::ZERO,
+        pool,
+        rng: Pcg64::seed_from_u64(1),
+        in_flight: Vec::new(),
+        ejections: 0,
+        incarnations: [1_000; MEMBERS],
+        named: [(true, false); MEMBERS],
+    };
+    fixture.update(&[(true, false, false); MEMBERS]);
+    fixture
+}
+
+impl PoolFixture {
+    fn apply(&mut self, step: &Step) {
+        match step {
+            Step::Call => self.call(),
+            Step::Finish(index, result, millis) if !self.in_flight.is_empty() => {
+                let node = self.in_flight.swap_remove(index % self.in_flight.len());
+                self.pool.finished(self.now, node, Duration::from_millis(*millis), *result);
+            }
+            Step::Finish(..) => {}
+            Step::Update(members) => self.update(members),
+            Step::Wait(millis) => self.now = self.now + Duration::from_millis(*millis),
+        }
+    }
+
+    fn call(&mut self) {
+        let before = self.pool.status(self.now);
+        let Some(node) = self.pool.choose(self.now, &mut self.rng, &[]) else { return };
+        let chosen = before.upstreams.iter().find(|upstream| upstream.node == node).unwrap();
+        assert_ne!(chosen.phase, UpstreamPhase::Leaving);
+        assert!(self.named[usize::from(node.0.port())].0, "{node} is no longer a member");
+        self.pool.started(self.now, node);
+        self.in_flight.push(node);
+    }
+
+    fn update(&mut self, members: &[(bool, bool, bool)]) {
+        let mut infos = Vec::new();
+        for (index, &(named, leaving, new_life)) in members.iter().enumerate() {
+            self.incarnations[index] += if new_life { 10_000 } else { 0 };
+            self.named[index] = (named, leaving);
+            if named {
+                infos.push(self.info(index, leaving));
+            }
+        }
+        self.pool.update(self.now, infos);
+    }
+
+    fn info(&self, index: usize, leaving: bool) -> UpstreamInfo {
+        UpstreamInfo {
+            node: node(index as u16),
+            incarnation: Incarnation(self.incarnations[index]),
+            domain: DomainName::new(["0", "1", "2"][index % 3]),
+            region: RegionName::new("r"),
+            slots: 8,
+            connections: 40,
+            leaving,
+            suspect: false,
+        }
+    }
+
+    fn check(&mut self) {
+        let status = self.pool.status(self.now);
+        for upstream in &status.upstreams {
+            let expected = self.in_flight.iter().filter(|&&node| node == upstream.node).count();
+            assert_eq!(upstream.in_flight as usize, expected, "{}", upstream.node);
+            assert!(upstream.in_flight <= upstream.share.0);
+        }
+        let live = status.upstreams.iter().filter(|upstream| {
+            let named = self.named[usize::from(upstream.node.0.port())].0;
+            named && upstream.phase != UpstreamPhase::Leaving
+        });
+        let ejected = live.clone().filter(|upstream| is_ejected(upstream.phase)).count();
+        if status.ejections > self.ejections {
+            let most = RoutingSettings::default().most_ejected(live.clone().count());
+            assert!(ejected <= most, "{ejected} ejected, at most {most}");
+        }
+        self.ejections = status.ejections;
+        let has_room = live.clone().any(|upstream| upstream.in_flight < upstream.share.0);
+        let some_serve = live.clone().any(|upstream| !is_ejected(upstream.phase));
+        let room_to_serve = live
+            .clone()
+            .any(|upstream| !is_ejected(upstream.phase) && upstream.in_flight < upstream.share.0);
+        let must_choose = room_to_serve || (!some_serve && has_room);
+        let choice = self.pool.choose(self.now, &mut self.rng, &[]);
+        assert!(choice.is_some() || !must_choose, "{status:?}");
+        assert_eq!(self.pool.is_empty(), live.count() == 0);
+    }
+}
+
+fn is_ejected(phase: UpstreamPhase) -> bool {
+    matches!(phase, UpstreamPhase::Ejected | UpstreamPhase::Trial)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 256,
+        rng_seed: RngSeed::Fixed(0x0401_0417),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn the_invariants_hold(steps in prop::collection::vec(step(), 1..300)) {
+        let mut fixture = fixture();
+        for step in &steps {
+            fixture.apply(step);
+            fixture.check();
+        }
+    }
+}
