--- a/crates/coltsfootroute/tests/integration/deadline.rs
+++ b/crates/coltsfootroute/tests/integration/deadline.rs
@@ -30,6 +30,11 @@
     OperationName::new("read")
 }
 
+/// Microseconds; often none, so that rounding shows.
+fn margin() -> impl Strategy<Value = u64> {
+    prop_oneof![Just(0), 0..5_000u64]
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         rng_seed: RngSeed::Fixed(0x0dea_0417),
@@ -41,7 +46,7 @@
     #[test]
     fn no_hop_extends_a_deadline(
         asked in 0..20_000u64,
-        hops in prop::collection::vec((0..1_000_000_000u64, 0..500_000u64, 0..5_000u64), 1..28),
+        hops in prop::collection::vec((0..1_000_000_000u64, 0..500_000u64, margin()), 1..28),
     ) {
         let mut remaining = Remaining(asked);
         let mut elapsed = 0;
@@ -49,7 +54,7 @@
             let deadline = remaining.deadline(MonotonicTime(clock));
             let later = MonotonicTime(clock + spent);
             remaining = Remaining::until(later, deadline).less(Duration::from_micros(margin));
-            elapsed += spent;
+            elapsed += spent + margin;
             prop_assert!(remaining.0 * 1_000 <= (asked * 1_000).saturating_sub(elapsed));
         }
     }
