--- a/crates/coltsfootroute/tests/integration/main.rs
+++ b/crates/coltsfootroute/tests/integration/main.rs
@@ -1,6 +1,11 @@
-//! Tests of the library with a driven clock.
+//! Tests of the library with a driven clock, one file for each subject.
 
 mod deadline;
 mod drain;
+mod event;
+mod once;
 mod retry;
 mod routing;
+mod schema;
+mod store_policy;
+mod util;
