--- a/crates/coltsfootroute/tests/integration/main.rs
+++ b/crates/coltsfootroute/tests/integration/main.rs
@@ -1,8 +1,12 @@
-//! Tests of the library, one file for each subject.
+//! Tests of the library with a driven clock, one file for each subject.
 
+mod deadline;
+mod drain;
 mod event;
 mod once;
 mod revision;
+mod retry;
+mod routing;
 mod schema;
 mod store_policy;
 mod util;
