--- a/crates/coltsfoot-standin/src/bin/coltsfoot-load.rs
+++ b/crates/coltsfoot-standin/src/bin/coltsfoot-load.rs
@@ -1,7 +1,6 @@
 //! Drives an open-loop load against the client listeners of nodes, or directly against upstreams.
 
 use std::{
-    fs,
     io::{Write, stdout},
     net::SocketAddr,
     path::PathBuf,
@@ -10,8 +9,9 @@
 };
 
 use anyhow::{Context, anyhow};
-use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use clap::{ArgAction, ArgMatches, Command, value_parser};
 use coltsfoot_standin::{
+    arguments::{option, read_schema, schema_option, take, take_all},
     load::{
         ArrivalKind, ArrivalWindow, IntervalRecord, LoadReport, LoadRunner, LoadSettings,
         OfferedOperation, ProbeSettings, RetryPolicy, SurgeWindow,
@@ -53,11 +53,7 @@
 fn command() -> Command {
     Command::new("coltsfoot-load")
         .about("Drives an open-loop load; prints JSON lines, the summary last")
-        .arg(
-            option("schema", "Schema file that declares the operations")
-                .required(true)
-                .value_parser(value_parser!(PathBuf)),
-        )
+        .arg(schema_option())
         .arg(
             option("target", "Client listener; may be given several times")
                 .action(ArgAction::Append)
@@ -139,15 +135,8 @@
         )
 }
 
-fn option(name: &'static str, help: &'static str) -> Arg {
-    Arg::new(name).long(name).help(help)
-}
-
 fn read_settings(arguments: &ArgMatches) -> anyhow::Result<LoadSettings> {
-    let path: &PathBuf = take(arguments, "schema")?;
-    let text = fs::read_to_string(path).with_context(|| format!("reading {}", path.display()))?;
-    let schema: SchemaDocument =
-        serde_saphyr::from_str(&text).with_context(|| format!("parsing {}", path.display()))?;
+    let schema = read_schema(arguments)?;
     let rates: Vec<String> = take_all(arguments, "rate");
     let operations =
         rates.iter().map(|rate| read_rate(&schema, rate)).collect::<anyhow::Result<Vec<_>>>()?;
@@ -196,17 +185,3 @@
         rate: *take(arguments, "probe-rate")?,
     }))
 }
-
-fn take<'a, T>(arguments: &'a ArgMatches, name: &str) -> anyhow::Result<&'a T>
-where
-    T: Clone + Send + Sync + 'static,
-{
-    arguments.get_one(name).with_context(|| format!("--{name} is missing"))
-}
-
-fn take_all<T>(arguments: &ArgMatches, name: &str) -> Vec<T>
-where
-    T: Clone + Send + Sync + 'static,
-{
-    arguments.get_many(name).into_iter().flatten().cloned().collect()
-}
--- a/crates/coltsfoot-standin/src/bin/coltsfoot-upstream.rs
+++ b/crates/coltsfoot-standin/src/bin/coltsfoot-upstream.rs
@@ -1,20 +1,19 @@
 //! Plays one upstream of a deployment.
 
 use std::{
-    fs,
     io::{Write, stdout},
     net::SocketAddr,
     path::PathBuf,
     time::Duration,
 };
 
-use anyhow::Context;
-use clap::{Arg, ArgMatches, Command, value_parser};
+use clap::{ArgMatches, Command, value_parser};
 use coltsfoot_standin::{
+    arguments::{option, read_schema, schema_option, take},
     termination::wait_for_termination,
     upstream::{UpstreamServer, UpstreamSettings},
 };
-use coltsfootroute::{name::ServiceName, schema::SchemaDocument};
+use coltsfootroute::name::ServiceName;
 
 fn main() -> anyhow::Result<()> {
     let arguments = command().get_matches();
@@ -38,7 +37,7 @@
     Command::new("coltsfoot-upstream")
         .about("Plays one upstream of a deployment")
         .arg(option("service", "Service to play").required(true))
-        .arg(option("schema", "Schema file").required(true).value_parser(value_parser!(PathBuf)))
+        .arg(schema_option())
         .arg(
             option("node", "Host listener of the upstream's own node")
                 .value_parser(value_parser!(SocketAddr)),
@@ -83,16 +82,9 @@
         )
 }
 
-fn option(name: &'static str, help: &'static str) -> Arg {
-    Arg::new(name).long(name).help(help)
-}
-
 fn read_settings(arguments: &ArgMatches) -> anyhow::Result<UpstreamSettings> {
     let service: &String = take(arguments, "service")?;
-    let path: &PathBuf = take(arguments, "schema")?;
-    let text = fs::read_to_string(path).with_context(|| format!("reading {}", path.display()))?;
-    let schema: SchemaDocument =
-        serde_saphyr::from_str(&text).with_context(|| format!("parsing {}", path.display()))?;
+    let schema = read_schema(arguments)?;
     let mut settings = UpstreamSettings::new(ServiceName::new(service), schema);
     settings.node = arguments.get_one("node").copied();
     settings.listen = *take(arguments, "listen")?;
@@ -106,10 +98,3 @@
     settings.run_log = arguments.get_one("run-log").cloned();
     Ok(settings)
 }
-
-fn take<'a, T>(arguments: &'a ArgMatches, name: &str) -> anyhow::Result<&'a T>
-where
-    T: Clone + Send + Sync + 'static,
-{
-    arguments.get_one(name).with_context(|| format!("--{name} is missing"))
-}
--- a/crates/coltsfoot-standin/src/lib.rs
+++ b/crates/coltsfoot-standin/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! Nothing here is linked into the daemons.
 
+pub mod arguments;
 pub mod body_digest;
 pub mod call_answer;
 pub mod http_client;
--- a/crates/coltsfoot-standin/src/load/load_runner.rs
+++ b/crates/coltsfoot-standin/src/load/load_runner.rs
@@ -101,6 +101,14 @@
             self.finish_request(start, &end, &mut emit);
         }
         emit(&self.record);
+        self.finish(sending_time, probe).await
+    }
+
+    async fn finish(
+        mut self,
+        sending_time: Duration,
+        probe: Option<JoinHandle<ProbeReport>>,
+    ) -> LoadReport {
         let probe = wait_for_probe(probe).await;
         if let Some(log) = &mut self.key_log {
             // A full disk costs a line of a development tool, not the report.
--- a/crates/coltsfoot-standin/src/upstream/nested_calls.rs
+++ b/crates/coltsfoot-standin/src/upstream/nested_calls.rs
@@ -1,5 +1,7 @@
 //! Nested calls of a run.
 
+use std::net::SocketAddr;
+
 use bytes::Bytes;
 use coltsfootroute::{
     constants::{CONTEXT_HEADER, DEADLINE_HEADER, IDEMPOTENCY_KEY_HEADER, MAX_KEY_BYTES},
@@ -9,7 +11,7 @@
 use http::Request;
 use http_body_util::{BodyExt, Full};
 
-use crate::{body_digest::body_digest, http_client::HttpClient};
+use crate::{body_digest::body_digest, call_answer::CallAnswer, http_client::HttpClient};
 
 use super::{call_request::CallRequest, run_error::RunError, upstream_state::UpstreamState};
 
@@ -57,9 +59,22 @@
     request: &CallRequest,
     key: String,
 ) -> Result<u64, RunError> {
-    let callee = format!("{}/{}", edge.service, edge.operation);
-    let fail = |reason: String| RunError::Nested { callee: callee.clone(), reason };
     let node = state.settings.node.ok_or(RunError::NoNode)?;
+    let callee = format!("{}/{}", edge.service, edge.operation);
+    let key = (!is_repeatable(&state.settings.schema, edge)).then_some(key);
+    let answer = match build_request(node, &callee, request, key) {
+        Ok(nested) => exchange(client, nested).await,
+        Err(error) => Err(error.to_string()),
+    };
+    answer.map(|answer| read_work_us(&answer)).map_err(|reason| RunError::Nested { callee, reason })
+}
+
+fn build_request(
+    node: SocketAddr,
+    callee: &str,
+    request: &CallRequest,
+    key: Option<String>,
+) -> http::Result<Request<Full<Bytes>>> {
     let mut builder = Request::post(format!("http://{node}/call/{callee}"));
     if let Some(context) = &request.context {
         builder = builder.header(CONTEXT_HEADER, context);
@@ -67,19 +82,19 @@
     if let Some(remaining) = request.remaining() {
         builder = builder.header(DEADLINE_HEADER, remaining.as_millis().to_string());
     }
-    if !is_repeatable(&state.settings.schema, edge) {
+    if let Some(key) = key {
         builder = builder.header(IDEMPOTENCY_KEY_HEADER, key);
     }
-    let body = Full::new(request.body.clone());
-    let nested = builder.body(body).map_err(|error| fail(error.to_string()))?;
-    let response = client.request(nested).await.map_err(|error| fail(describe(&error)))?;
+    builder.body(Full::new(request.body.clone()))
+}
+
+/// The body of a successful answer, or why there is none.
+async fn exchange(client: &HttpClient, nested: Request<Full<Bytes>>) -> Result<Bytes, String> {
+    let response = client.request(nested).await.map_err(|error| describe(&error))?;
     let status = response.status();
-    let answer = response.into_body().collect().await.map_err(|error| fail(describe(&error)))?;
-    let answer = answer.to_bytes();
-    if !status.is_success() {
-        return Err(fail(format!("{status} {}", shorten(&answer))));
-    }
-    Ok(read_work_us(&answer))
+    let body = response.into_body().collect().await.map_err(|error| describe(&error))?;
+    let answer = body.to_bytes();
+    if status.is_success() { Ok(answer) } else { Err(format!("{status} {}", shorten(&answer))) }
 }
 
 fn is_repeatable(schema: &SchemaDocument, edge: &CallEdge) -> bool {
@@ -103,7 +118,7 @@
     String::from_utf8_lossy(part).into_owned()
 }
 
+/// 0 where the callee says nothing of it.
 fn read_work_us(answer: &Bytes) -> u64 {
-    let work = serde_json::from_slice::<crate::call_answer::CallAnswer>(answer);
-    work.map_or(0, |answer| answer.work_us)
+    serde_json::from_slice::<CallAnswer>(answer).map_or(0, |answer| answer.work_us)
 }
