A leaving ingress serves clients during the notice

Change: a leaving node routes client requests to other hosts until the notice ends, asking callers to close. Conclusion: the guard still refuses at once, the ingress need not.

--- a/crates/coltsfoot-node/src/dispatch/client_request.rs
+++ b/crates/coltsfoot-node/src/dispatch/client_request.rs
@@ -14,7 +14,11 @@
 };
 use rand::RngExt;
 
-use super::{dispatcher::Dispatcher, incoming_call::IncomingCall, routed_call::RoutedCall};
+use super::{
+    dispatcher::{CallKind, Dispatcher},
+    incoming_call::IncomingCall,
+    routed_call::RoutedCall,
+};
 use crate::http::HttpReply;
 
 /// A client request that passed the checks of its form.
@@ -57,7 +61,7 @@
         call: IncomingCall,
         client: IpAddr,
     ) -> CallReply {
-        let Some(_permit) = self.start_call(false) else {
+        let Some(_permit) = self.start_call(CallKind::Client) else {
             return self.refuse(Importance::Background, RefusalReason::Leaving);
         };
         let check = match self.check_entry(&call) {
--- a/crates/coltsfoot-node/src/dispatch/dispatcher.rs
+++ b/crates/coltsfoot-node/src/dispatch/dispatcher.rs
@@ -79,6 +79,17 @@
     next_call: Cell<u64>,
 }
 
+/// What a leaving node distinguishes when it takes calls.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CallKind {
+    /// A client's request, to be routed from here.
+    Client,
+    /// A call for the upstream beside the node.
+    Guarded,
+    /// A call nested below work under way beside the node.
+    Nested,
+}
+
 /// A call that counts as in flight until it is dropped.
 pub struct StartedCall {
     dispatcher: Rc<Dispatcher>,
@@ -138,11 +149,14 @@
         self.config.load().map_or(0, |config| config.revision())
     }
 
-    /// Counts a call as in flight; `None` while the node leaves. Calls nested below work under way are
-    /// taken until the last of that work has ended.
-    pub(super) fn start_call(self: &Rc<Self>, under_way: bool) -> Option<StartedCall> {
+    /// Counts a call as in flight; `None` if a leaving node no longer takes its kind.
+    pub(super) fn start_call(self: &Rc<Self>, kind: CallKind) -> Option<StartedCall> {
         let mut drain = self.drain.borrow_mut();
-        let answer = if under_way { drain.nested_started() } else { drain.started() };
+        let answer = match kind {
+            CallKind::Client => drain.client_started(self.clock.now()),
+            CallKind::Guarded => drain.started(),
+            CallKind::Nested => drain.nested_started(),
+        };
         (answer == StartAnswer::Started).then(|| StartedCall { dispatcher: self.clone() })
     }
 
--- a/crates/coltsfoot-node/src/dispatch/guard.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard.rs
@@ -21,7 +21,7 @@
 
 use super::{
     calls_in_flight::{CallSpan, context_text},
-    dispatcher::Dispatcher,
+    dispatcher::{CallKind, Dispatcher},
     local_upstream::UpstreamAnnouncement,
     run_permit::{RunPermit, WaitPermit},
     upstream_client::{UpstreamAnswer, UpstreamCall, UpstreamError},
@@ -105,7 +105,7 @@
         deadline: MonotonicTime,
         span: &Rc<CallSpan>,
     ) -> CallReply {
-        let Some(_started) = self.start_call(false) else {
+        let Some(_started) = self.start_call(CallKind::Guarded) else {
             return self.refuse(call.importance, RefusalReason::Leaving);
         };
         let repeatable = match self.check_guarded(&call) {
--- a/crates/coltsfoot-node/src/dispatch/nested_request.rs
+++ b/crates/coltsfoot-node/src/dispatch/nested_request.rs
@@ -13,8 +13,11 @@
 use rand::RngExt;
 
 use super::{
-    calls_in_flight::CallSpan, client_request::check_key, dispatcher::Dispatcher,
-    incoming_call::IncomingCall, routed_call::RoutedCall,
+    calls_in_flight::CallSpan,
+    client_request::check_key,
+    dispatcher::{CallKind, Dispatcher},
+    incoming_call::IncomingCall,
+    routed_call::RoutedCall,
 };
 use crate::http::HttpReply;
 
@@ -49,8 +52,9 @@
         span: Option<&CallSpan>,
     ) -> CallReply {
         let importance = span.map_or(Importance::Background, |span| span.importance);
+        let kind = if span.is_some() { CallKind::Nested } else { CallKind::Guarded };
         // Work under way may go on calling while the node leaves.
-        let Some(_permit) = self.start_call(span.is_some()) else {
+        let Some(_permit) = self.start_call(kind) else {
             return self.refuse(importance, RefusalReason::Leaving);
         };
         let deadline = nested_deadline(&call, span);
--- a/crates/coltsfootroute/src/drain/drain_state.rs
+++ b/crates/coltsfootroute/src/drain/drain_state.rs
@@ -28,7 +28,18 @@
         first
     }
 
-    /// Asks to start new work: a client's request, or a call from another node.
+    /// Asks to take in a client's request at `now`. A leaving node still takes them in while callers
+    /// learn of the leave, since it can route them to other hosts.
+    pub fn client_started(&mut self, now: MonotonicTime) -> StartAnswer {
+        if self.begun_at.is_some_and(|begun_at| begun_at + self.settings.notice <= now) {
+            self.refused += 1;
+            return StartAnswer::Refused;
+        }
+        self.in_flight += 1;
+        StartAnswer::Started
+    }
+
+    /// Asks to start work for the upstream beside the node: a call from another node.
     pub fn started(&mut self) -> StartAnswer {
         if self.begun_at.is_some() {
             self.refused += 1;
--- a/crates/coltsfootroute/tests/integration/main.rs
+++ b/crates/coltsfootroute/tests/integration/main.rs
@@ -1,16 +1,14 @@
-//! Tests of the library with a driven clock, one file for each subject.
+//! Integration tests of the library, one file for each subject.
 
+mod admission;
 mod deadline;
 mod drain;
 mod event;
+mod membership;
 mod once;
-mod revision;
 mod retry;
+mod revision;
 mod routing;
 mod schema;
 mod store_policy;
 mod util;
-//! Integration tests of the library.
-
-mod membership;
-mod admission;
