--- a/crates/coltsfootroute/src/event.rs
+++ b/crates/coltsfootroute/src/event.rs
@@ -1,8 +1,8 @@
 //! Typed events and the logical clock that orders them over all processes.
 //!
-//! Every process keeps a [`HybridClock`] and stamps its events with it. Messages between processes carry
-//! the sender's latest stamp, so an event that another one caused always has the higher stamp, also
-//! where wall clocks disagree; see [`HybridClock`] for why.
+//! Every process keeps a [`HybridClock`] and stamps its events with it. Where messages between processes
+//! carry the sender's latest stamp, an event that another one caused always has the higher stamp, also if
+//! wall clocks disagree; see [`HybridClock`] for why.
 
 #[macro_use]
 mod event_macro;
