--- a/crates/coltsfootroute/src/admission/service_levels.rs
+++ b/crates/coltsfootroute/src/admission/service_levels.rs
@@ -1,24 +1,20 @@
 //! Shed levels of services as a caller knows them.
 
-use std::time::Duration;
-
 use indexmap::IndexMap;
 use rand::{Rng, RngExt};
 
-use super::{RetryAfter, ShedLevel, ShedRefusal, guard_level::GuardLevel};
+use super::{RetryAfter, ShedLevel, ShedRefusal, service_level::ServiceLevel};
 use crate::{id::NodeId, importance::Importance, name::ServiceName, time::MonotonicTime};
 
-/// Age at which a guard is forgotten.
-const FORGET_AFTER: Duration = Duration::from_secs(10);
-
 /// The shed levels that came back in answers, by service and guard.
 ///
-/// The level of a service is the mean over its guards, weighted by the answers each gave of late:
-/// the level that a call routed now is expected to meet. Without fresh news a level decays within
-/// about a second; the work that this lets through brings the next news.
+/// The level of a service is the mean over its latest answers: each guard counts by the share of the
+/// calls that go to it, so the level is the one that a call routed now is expected to meet. Without
+/// fresh news a level decays within about a second; the work that this lets through brings the next
+/// news.
 #[derive(Clone, Debug, Default)]
 pub struct ServiceLevels {
-    services: IndexMap<ServiceName, IndexMap<NodeId, GuardLevel>>,
+    services: IndexMap<ServiceName, ServiceLevel>,
 }
 
 impl ServiceLevels {
@@ -35,30 +31,27 @@
         guard: NodeId,
         level: ShedLevel,
     ) {
-        if !self.services.contains_key(service) {
-            self.services.insert(service.clone(), IndexMap::new());
-        }
-        let Some(guards) = self.services.get_mut(service) else { return };
-        if let Some(known) = guards.get_mut(&guard) {
-            known.observe(now, level);
-            return;
+        match self.services.get_mut(service) {
+            Some(known) => known.observe(now, guard, level),
+            None => {
+                self.services.insert(service.clone(), ServiceLevel::new(now, guard, level));
+            }
         }
-        // A new guard is rare, which makes it the time to forget those long silent.
-        guards.retain(|_, known| known.age(now) < FORGET_AFTER);
-        guards.insert(guard, GuardLevel::new(now, level));
     }
 
     /// The level of `service` at `now`.
     pub fn level(&self, now: MonotonicTime, service: &ServiceName) -> ShedLevel {
-        let Some(guards) = self.services.get(service) else { return ShedLevel::OPEN };
-        let mut weights = 0.0;
-        let mut levels = 0.0;
-        for known in guards.values() {
-            let weight = known.weight(now);
-            weights += weight;
-            levels += weight * known.levels(now);
-        }
-        if weights > 0.0 { ShedLevel::from_levels(levels / weights) } else { ShedLevel::OPEN }
+        self.services.get(service).map_or(ShedLevel::OPEN, |known| known.overall(now))
+    }
+
+    /// The level of one guard of `service` at `now`, for the choice between guards.
+    pub fn guard_level(
+        &self,
+        now: MonotonicTime,
+        service: &ServiceName,
+        guard: NodeId,
+    ) -> ShedLevel {
+        self.services.get(service).map_or(ShedLevel::OPEN, |known| known.of_guard(now, guard))
     }
 
     /// Decides on a request that can reach `services`: admitted, or refused on behalf of the service
--- a/crates/coltsfootroute/tests/integration/admission/levels.rs
+++ b/crates/coltsfootroute/tests/integration/admission/levels.rs
@@ -67,6 +67,8 @@
 
     let severity = levels.level(at(0), &service()).severity();
     assert!((390..=410).contains(&severity), "{severity}");
+    assert_eq!(levels.guard_level(at(0), &service(), guard(2)).severity(), 4_000);
+    assert_eq!(levels.guard_level(at(0), &service(), guard(3)), ShedLevel::OPEN);
 }
 
 #[test]
