Calls given up count towards the service time

Cause: in a stalled service callers cancel at their deadlines, and no end told the guard that the service had become slow. Change: a call that timed out or was cancelled raises the estimate if it ran for longer.

--- a/crates/coltsfootroute/src/admission/admission_gate.rs
+++ b/crates/coltsfootroute/src/admission/admission_gate.rs
@@ -93,8 +93,13 @@
         let in_flight = self.in_flight();
         let Some(call) = self.running.swap_remove(&id) else { return verdicts };
         let service_time = now.since(call.started);
-        if matches!(finish, CallFinish::Succeeded | CallFinish::TimedOut) {
-            self.service_times[call.importance.index()].record(now, service_time);
+        let times = &mut self.service_times[call.importance.index()];
+        match finish {
+            CallFinish::Succeeded => times.record(now, service_time),
+            CallFinish::TimedOut | CallFinish::Cancelled => {
+                times.record_unfinished(now, service_time)
+            }
+            CallFinish::Failed | CallFinish::ShedByUpstream => (),
         }
         self.limit.on_finish(now, &FinishSample { finish, service_time, in_flight });
         self.start_waiting(now, &mut verdicts);
--- a/crates/coltsfootroute/src/admission/service_time.rs
+++ b/crates/coltsfootroute/src/admission/service_time.rs
@@ -35,6 +35,14 @@
         self.last_sample = Some(now);
     }
 
+    /// Takes in a call that was given up without an answer: its service time is longer than
+    /// `elapsed`, which tells something only if that is longer than the estimate.
+    pub fn record_unfinished(&mut self, now: MonotonicTime, elapsed: Duration) {
+        if elapsed > self.estimate(now) {
+            self.record(now, elapsed);
+        }
+    }
+
     /// The estimate; zero before the first sample.
     pub fn estimate(&self, now: MonotonicTime) -> Duration {
         Duration::from_micros(self.estimate_micros(now) as u64)
--- a/crates/coltsfootroute/tests/integration/admission/gate.rs
+++ b/crates/coltsfootroute/tests/integration/admission/gate.rs
@@ -71,3 +71,22 @@
     let level = gate.shed_level(MonotonicTime::from_millis(2_000));
     assert_eq!(level.severity(), 1_000);
 }
+
+#[test]
+fn calls_given_up_raise_the_estimate_but_never_lower_it() {
+    let mut gate = AdmissionGate::new(AdmissionSettings::new(1));
+    let at = MonotonicTime::from_millis;
+    let estimate = |gate: &AdmissionGate, now| gate.service_time(now, Importance::Normal);
+    gate.offer(at(0), call(1, 0, 60_000));
+    gate.finish(at(100), 1, CallFinish::Succeeded);
+
+    gate.offer(at(100), call(2, 0, 60_000));
+    gate.finish(at(101), 2, CallFinish::Cancelled);
+    let after_short = estimate(&gate, at(101));
+    gate.offer(at(101), call(3, 0, 60_000));
+    gate.finish(at(301), 3, CallFinish::Cancelled);
+    let after_long = estimate(&gate, at(301));
+
+    assert_eq!(after_short.as_millis(), 100);
+    assert_eq!(after_long.as_millis(), 110);
+}
