--- /dev/null
+++ b/crates/coltsfoot-node/src/config/config_thread.rs
@@ -0,0 +1,220 @@
+//! The thread of the configuration duty.
+
+use std::{io, pin::Pin, thread, time::Duration};
+
+use coltsfootroute::{
+    id::NodeId,
+    revision::{ConfigDelta, HeadReader, ReaderStep, Revision},
+};
+use futures_util::{StreamExt, stream::FuturesUnordered};
+use tokio::{
+    runtime,
+    sync::{mpsc, oneshot},
+    time::{Instant, sleep_until},
+};
+
+use super::{
+    ConfigCell, ConfigCommand, ConfigHandle,
+    config_book::ConfigBook,
+    config_replies,
+    submit_desk::{FinishedErrand, SubmitDesk},
+};
+use crate::{
+    dispatch::{DispatchCommand, DispatchHandle},
+    gossip::GossipCommand,
+    journal::EventSender,
+    store::StoreHandle,
+};
+
+/// Commands that wait at most.
+const COMMAND_RING: usize = 64;
+/// Pause between attempts to learn the first configuration.
+const FIRST_READ_PERIOD: Duration = Duration::from_secs(1);
+/// Pause between reads of the head once a configuration is in force: gossip is what spreads revisions.
+const HEAD_READ_PERIOD: Duration = Duration::from_secs(600);
+
+/// What the configuration duty is made of.
+pub struct ConfigParts {
+    /// The node.
+    pub node: NodeId,
+    /// Peers of the settings, asked at the start.
+    pub peers: Vec<NodeId>,
+    /// Where the configuration in force stands.
+    pub cell: ConfigCell,
+    /// The platform's table service.
+    pub store: StoreHandle,
+    /// The dispatch duty.
+    pub dispatch: DispatchHandle,
+    /// Commands to the gossip duty.
+    pub gossip: mpsc::Sender<GossipCommand>,
+    /// Events of the node.
+    pub events: EventSender,
+}
+
+/// The thread of the configuration duty.
+pub struct ConfigThread {
+    parts: ConfigParts,
+    book: ConfigBook,
+    /// Waits on the store that must not hold up what comes from peers.
+    errands: FuturesUnordered<Pin<Box<dyn Future<Output = FinishedErrand> + Send>>>,
+}
+
+impl ConfigThread {
+    /// The ring to the duty.
+    pub fn ring() -> (ConfigHandle, mpsc::Receiver<ConfigCommand>) {
+        let (sender, receiver) = mpsc::channel(COMMAND_RING);
+        (ConfigHandle::new(sender), receiver)
+    }
+
+    /// Starts the thread; it ends with the process.
+    ///
+    /// # Errors
+    ///
+    /// If the runtime or the thread cannot be created.
+    pub fn start(parts: ConfigParts, commands: mpsc::Receiver<ConfigCommand>) -> io::Result<()> {
+        let runtime = runtime::Builder::new_current_thread().enable_all().build()?;
+        let book = ConfigBook::new(parts.node, &parts.peers);
+        let duty = Self { parts, book, errands: FuturesUnordered::new() };
+        thread::Builder::new()
+            .name("config".to_owned())
+            .spawn(move || runtime.block_on(duty.run(commands)))?;
+        Ok(())
+    }
+
+    async fn run(mut self, mut commands: mpsc::Receiver<ConfigCommand>) {
+        let mut next_read = Instant::now();
+        loop {
+            tokio::select! {
+                command = commands.recv() => match command {
+                    Some(command) => self.obey(command).await,
+                    None => return,
+                },
+                Some(errand) = self.errands.next(), if !self.errands.is_empty() => {
+                    self.settle(errand).await;
+                }
+                () = sleep_until(next_read) => {
+                    self.learn().await;
+                    next_read = Instant::now() + self.pause();
+                }
+            }
+        }
+    }
+
+    fn pause(&self) -> Duration {
+        match self.parts.cell.load() {
+            Some(_) => HEAD_READ_PERIOD,
+            None => FIRST_READ_PERIOD,
+        }
+    }
+
+    async fn obey(&mut self, command: ConfigCommand) {
+        match command {
+            ConfigCommand::Submit(request, body, reply) => {
+                self.errands.push(Box::pin(self.desk().submit(request, body, reply)));
+            }
+            ConfigCommand::Show(reply) => {
+                // The asker may have gone away; nothing is owed to it then.
+                let _ = reply.send(config_replies::schema(self.parts.cell.load().as_deref()));
+            }
+            ConfigCommand::History(reply) => {
+                let recent = self.book.recent();
+                self.errands.push(Box::pin(self.desk().history(recent, reply)));
+            }
+            ConfigCommand::Behind { peer, revision } => {
+                if Revision(revision) > self.book.held() {
+                    self.pull(peer).await;
+                }
+            }
+        }
+    }
+
+    /// Learns the newest configuration: from the store, and before the first one from peers as well.
+    async fn learn(&mut self) {
+        self.read_head().await;
+        if self.parts.cell.load().is_some() {
+            return;
+        }
+        for peer in self.parts.peers.clone() {
+            self.pull(peer).await;
+        }
+    }
+
+    async fn read_head(&mut self) {
+        let mut reader = HeadReader::new();
+        let mut request = reader.start();
+        let newest = loop {
+            let reply = self.desk().ask_store(request).await;
+            match reader.take(&reply) {
+                ReaderStep::Send(next) => request = next,
+                ReaderStep::Done(newest) => break newest,
+                ReaderStep::Unavailable => return,
+                ReaderStep::Faulty(fault) => {
+                    log::error!("event=configuration-row-faulty error={:?}", fault.to_string());
+                    return;
+                }
+            }
+        };
+        let newest = newest.as_ref().map(|row| (&row.record, &row.document));
+        if let Err(fault) = self.book.hear_store(newest) {
+            log::error!("event=configuration-refused source=store error={:?}", fault.to_string());
+        }
+        self.put_in_force().await;
+    }
+
+    fn desk(&self) -> SubmitDesk {
+        SubmitDesk::new(self.parts.store.clone(), self.parts.events.clone())
+    }
+
+    /// Puts in force what the book holds, if it is newer and may be used.
+    async fn put_in_force(&mut self) {
+        let Some(config) = self.book.take_newer() else { return };
+        let revision = config.revision();
+        self.parts.cell.store(config.clone());
+        self.parts.events.emit(self.book.in_force_event());
+        self.parts.dispatch.tell(DispatchCommand::Configure(config)).await;
+        // A closed ring means that the process stops.
+        let _ = self.parts.gossip.send(GossipCommand::SetRevision(revision)).await;
+    }
+
+    /// Asks a peer for what changed since the revision held.
+    async fn pull(&mut self, peer: NodeId) {
+        let (reply, receiver) = oneshot::channel();
+        let since = self.book.held().0;
+        self.parts.dispatch.tell(DispatchCommand::PullConfig { peer, since, reply }).await;
+        match receiver.await {
+            Ok(Some(encoded)) => self.take_delta(peer, &encoded),
+            Ok(None) | Err(_) => self.book.give_up(peer),
+        }
+        self.put_in_force().await;
+    }
+
+    fn take_delta(&mut self, peer: NodeId, encoded: &[u8]) {
+        let delta = match encoded.is_empty() {
+            true => None,
+            false => match serde_json::from_slice::<ConfigDelta>(encoded) {
+                Ok(delta) => Some(delta),
+                Err(err) => {
+                    log::warn!("event=delta-malformed peer={peer} error={:?}", err.to_string());
+                    return;
+                }
+            },
+        };
+        if let Err(fault) = self.book.hear_peer(peer, delta.as_ref()) {
+            log::warn!("event=delta-refused peer={peer} error={:?}", fault.to_string());
+        }
+    }
+
+    /// Takes in what an errand brought, then answers its asker.
+    async fn settle(&mut self, errand: FinishedErrand) {
+        if let Some(accepted) = &errand.accepted {
+            let newest = Some((&accepted.record, &accepted.document));
+            if let Err(fault) = self.book.hear_store(newest) {
+                // The next read of the head brings what was accepted.
+                log::warn!("event=configuration-refused source=own error={:?}", fault.to_string());
+            }
+            self.put_in_force().await;
+        }
+        // The asker may have gone away; nothing is owed to it then.
+        let _ = errand.reply.send(errand.answer);
+    }
+}
