--- a/crates/coltsfootroute/examples/compare_admission/arrivals.rs
+++ b/crates/coltsfootroute/examples/compare_admission/arrivals.rs
@@ -41,7 +41,8 @@
     }
 
     fn rate(&self) -> f64 {
-        let mean = USUAL_LOAD * f64::from(SLOTS) / SERVICE_SECONDS;
+        let slots = f64::from(SLOTS) * self.scenario.upstreams() as f64;
+        let mean = USUAL_LOAD * slots / SERVICE_SECONDS;
         let demand = self.scenario.demand(Duration::from_secs_f64(self.now));
         if !self.scenario.is_bursty() {
             return mean * demand;
--- a/crates/coltsfootroute/examples/compare_admission/main.rs
+++ b/crates/coltsfootroute/examples/compare_admission/main.rs
@@ -4,6 +4,7 @@
 
 mod arrivals;
 mod burst_headroom;
+mod guard_choice;
 mod model;
 mod policy;
 mod report;
@@ -22,7 +23,7 @@
     let mut out = io::stdout().lock();
     for scenario in Scenario::ALL {
         writeln!(out, "\n### {}\n\n{}", scenario.title(), report::HEADER)?;
-        for policy in Policy::ALL {
+        for policy in Policy::ALL.into_iter().filter(|policy| policy.fits(scenario)) {
             let runs: Vec<_> = SEEDS.iter().map(|seed| policy.run(scenario, *seed)).collect();
             writeln!(out, "{}", Summary::new(policy.name(), &runs))?;
         }
--- a/crates/coltsfootroute/examples/compare_admission/model.rs
+++ b/crates/coltsfootroute/examples/compare_admission/model.rs
@@ -1,13 +1,12 @@
 //! Model of one upstream behind a gate: arrivals, slots with service times, retries.
 
-use std::{cmp::Reverse, collections::BinaryHeap, net::SocketAddr, ops::Range, time::Duration};
+use std::{cmp::Reverse, collections::BinaryHeap, ops::Range, time::Duration};
 
 use coltsfootroute::{
     admission::{
         AdmissionDecision, AdmissionGate, AdmissionVerdict, BreachCounter, CallFinish,
         ConcurrencyLimit, ServiceLevels, ShedLevel, WaitingCall,
     },
-    id::NodeId,
     importance::Importance,
     name::ServiceName,
     outcome::RefusalReason,
@@ -20,6 +19,7 @@
 use crate::{
     arrivals::{Arrivals, exponential},
     burst_headroom::BurstDetector,
+    guard_choice::{GuardChoice, guard_id},
     scenario::{END, SERVICE_SECONDS, Scenario, is_disturbed},
 };
 
@@ -60,7 +60,7 @@
     pub measured: Range<Duration>,
     /// When each run without a complete answer ended.
     pub wasted: Vec<Duration>,
-    /// Refusals out of order, as the guard counts them.
+    /// Refusals out of order, over the whole service.
     pub breaches: u64,
 }
 
@@ -69,7 +69,7 @@
     Arrival,
     Retry { root: usize, tries: u32 },
     End { id: u64, finish: u8 },
-    Level { severity: u16 },
+    Level { guard: usize, severity: u16 },
 }
 
 const FINISHES: [CallFinish; 3] =
@@ -79,13 +79,15 @@
 struct Offered {
     root: usize,
     tries: u32,
+    guard: usize,
     at: Duration,
     deadline: Duration,
 }
 
 /// The model.
 pub struct Model<L: ConcurrencyLimit> {
-    gate: AdmissionGate<L>,
+    gates: Vec<AdmissionGate<L>>,
+    choice: GuardChoice,
     scenario: Scenario,
     /// Draws what belongs to the offered load: the same for every policy.
     load_rng: Pcg64,
@@ -98,15 +100,15 @@
     offered: IndexMap<u64, Offered>,
     levels: ServiceLevels,
     service: ServiceName,
-    guard: NodeId,
     breaches: BreachCounter,
     result: RunResult,
 }
 
 impl<L: ConcurrencyLimit> Model<L> {
-    pub fn new(gate: AdmissionGate<L>, scenario: Scenario, seed: u64) -> Self {
+    pub fn new(gates: Vec<AdmissionGate<L>>, scenario: Scenario, seed: u64) -> Self {
         Self {
-            gate,
+            gates,
+            choice: GuardChoice::default(),
             scenario,
             load_rng: Pcg64::seed_from_u64(seed),
             rng: Pcg64::seed_from_u64(!seed),
@@ -117,7 +119,6 @@
             offered: IndexMap::new(),
             levels: ServiceLevels::new(),
             service: ServiceName::new("modelled"),
-            guard: NodeId(SocketAddr::from(([127, 0, 0, 1], 1))),
             breaches: BreachCounter::new().with_window(BREACH_WINDOW),
             result: RunResult { measured: scenario.measured(), ..RunResult::default() },
         }
@@ -127,6 +128,10 @@
         Self { detector: Some(detector), ..self }
     }
 
+    pub fn with_choice(self, choice: GuardChoice) -> Self {
+        Self { choice, ..self }
+    }
+
     pub fn run(mut self) -> RunResult {
         let first = self.arrivals.next(&mut self.load_rng);
         self.schedule(first, Event::Arrival);
@@ -139,20 +144,25 @@
     }
 
     fn wake_until(&mut self, until: Duration) {
-        while let Some(wakeup) = self.gate.next_wakeup().filter(|time| *time < clock(until)) {
-            let verdicts = self.gate.tick(wakeup);
+        while let Some((wakeup, guard)) = self.next_wakeup().filter(|next| next.0 < clock(until)) {
+            let verdicts = self.gates[guard].tick(wakeup);
             self.apply(Duration::from_micros(wakeup.0), verdicts);
         }
     }
 
+    fn next_wakeup(&self) -> Option<(MonotonicTime, usize)> {
+        let gates = self.gates.iter().enumerate();
+        gates.filter_map(|(guard, gate)| gate.next_wakeup().map(|time| (time, guard))).min()
+    }
+
     fn handle(&mut self, now: Duration, event: Event) {
         match event {
             Event::Arrival => self.arrive(now),
             Event::Retry { root, tries } => self.ask(now, root, tries),
             Event::End { id, finish } => self.end(now, id, FINISHES[usize::from(finish)]),
-            Event::Level { severity } => {
+            Event::Level { guard, severity } => {
                 let level = ShedLevel::from_severity(severity);
-                self.levels.observe(clock(now), &self.service, self.guard, level);
+                self.levels.observe(clock(now), &self.service, guard_id(guard), level);
             }
         }
     }
@@ -176,15 +186,19 @@
     fn ask(&mut self, now: Duration, root: usize, tries: u32) {
         let importance = self.result.calls[root].importance;
         if self.scenario.sheds_at_root() {
-            let services = std::slice::from_ref(&self.service);
-            if self.levels.admit(clock(now), services, importance, &mut self.rng).is_err() {
+            let level = self.choice.service_level(clock(now), &self.levels, &self.service);
+            if self.rng.random::<f64>() >= level.admitted_fraction(importance) {
+                self.breaches.on_refusal(clock(now), &self.service, importance);
                 return self.retry(now, root, tries);
             }
         }
+        let guard =
+            self.choice.pick(clock(now), &self.levels, &self.service, importance, &mut self.rng);
+        let guard = guard % self.gates.len();
         self.sequence += 1;
         let id = self.sequence;
         let deadline = now + Duration::from_millis(self.rng.random_range(DEADLINE_MILLIS));
-        self.offered.insert(id, Offered { root, tries, at: now, deadline });
+        self.offered.insert(id, Offered { root, tries, guard, at: now, deadline });
         let call = WaitingCall {
             id,
             importance,
@@ -192,7 +206,7 @@
             client: self.rng.random_range(0..CLIENTS),
             under_way: self.rng.random::<f64>() < NESTED,
         };
-        let verdicts = self.gate.offer(clock(now), call);
+        let verdicts = self.gates[guard].offer(clock(now), call);
         self.apply(now, verdicts);
     }
 
@@ -203,7 +217,7 @@
                 AdmissionDecision::Run => self.serve(now, verdict.id, offered),
                 AdmissionDecision::Refuse(reason) => {
                     self.note_refusal(now, offered, reason);
-                    self.tell_level(now);
+                    self.tell_level(now, offered.guard);
                     self.retry(now, offered.root, offered.tries);
                 }
             }
@@ -221,11 +235,12 @@
         let importance = self.result.calls[offered.root].importance;
         self.breaches.on_admission(clock(now), &self.service, importance);
         self.result.queue_delays.push((now - offered.at).as_micros() as u64);
-        let crowding = f64::from(self.gate.in_flight()) / f64::from(self.scenario.real_slots(now));
+        let crowding = f64::from(self.gates[offered.guard].in_flight())
+            / f64::from(self.scenario.real_slots(now));
         if crowding > SHED_AT {
             return self.schedule(now + SHED_TIME, Event::End { id, finish: 1 });
         }
-        let mean = SERVICE_SECONDS * self.scenario.slowness(now) * crowding.max(1.0);
+        let mean = SERVICE_SECONDS * self.scenario.slowness(now, offered.guard) * crowding.max(1.0);
         // Half fixed, half exponential: calls differ, but not wildly.
         let seconds = mean / 2.0 + exponential(&mut self.rng, mean / 2.0);
         let done = now + Duration::from_secs_f64(seconds);
@@ -235,14 +250,14 @@
 
     fn end(&mut self, now: Duration, id: u64, finish: CallFinish) {
         let offered = self.offered[&id];
-        self.tell_level(now);
+        self.tell_level(now, offered.guard);
         if finish == CallFinish::Succeeded {
             self.result.calls[offered.root].completed = true;
         } else {
             self.result.wasted.push(now);
             self.retry(now, offered.root, offered.tries);
         }
-        let verdicts = self.gate.finish(clock(now), id, finish);
+        let verdicts = self.gates[offered.guard].finish(clock(now), id, finish);
         self.apply(now, verdicts);
     }
 
@@ -253,10 +268,10 @@
         }
     }
 
-    fn tell_level(&mut self, now: Duration) {
+    fn tell_level(&mut self, now: Duration, guard: usize) {
         if self.scenario.sheds_at_root() {
-            let severity = self.gate.shed_level(clock(now)).severity();
-            self.schedule(now + ANSWER_DELAY, Event::Level { severity });
+            let severity = self.gates[guard].shed_level(clock(now)).severity();
+            self.schedule(now + ANSWER_DELAY, Event::Level { guard, severity });
         }
     }
 
--- a/crates/coltsfootroute/examples/compare_admission/policy.rs
+++ b/crates/coltsfootroute/examples/compare_admission/policy.rs
@@ -9,6 +9,7 @@
 
 use crate::{
     burst_headroom::{BurstDetector, HeadroomLimit},
+    guard_choice::GuardChoice,
     model::{Model, RunResult},
     scenario::{SLOTS, Scenario},
 };
@@ -26,10 +27,14 @@
     AimdLongQueue,
     AimdQueue200,
     AimdBurstHeadroom,
+    AimdHighest,
+    AimdTwoChoices,
+    AimdTwoChoicesHighest,
+    AimdTwoFractions,
 }
 
 impl Policy {
-    pub const ALL: [Self; 10] = [
+    pub const ALL: [Self; 14] = [
         Self::Fixed,
         Self::Aimd,
         Self::AimdTimeouts,
@@ -40,6 +45,10 @@
         Self::AimdLongQueue,
         Self::AimdQueue200,
         Self::AimdBurstHeadroom,
+        Self::AimdHighest,
+        Self::AimdTwoChoices,
+        Self::AimdTwoChoicesHighest,
+        Self::AimdTwoFractions,
     ];
 
     pub fn name(self) -> &'static str {
@@ -54,6 +63,22 @@
             Self::AimdLongQueue => "AIMD, queue 400 ms",
             Self::AimdQueue200 => "AIMD, queue 200 ms",
             Self::AimdBurstHeadroom => "AIMD, burst headroom",
+            Self::AimdHighest => "AIMD, highest guard counts",
+            Self::AimdTwoChoices => "AIMD, two choices by level",
+            Self::AimdTwoChoicesHighest => "AIMD, two choices, highest counts",
+            Self::AimdTwoFractions => "AIMD, two choices by fraction",
+        }
+    }
+
+    /// Whether the policy is worth a row in `scenario`.
+    pub fn fits(self, scenario: Scenario) -> bool {
+        match self {
+            Self::AimdHighest
+            | Self::AimdTwoChoices
+            | Self::AimdTwoChoicesHighest
+            | Self::AimdTwoFractions => scenario.upstreams() > 1,
+            Self::AimdBurstHeadroom => scenario.upstreams() == 1,
+            _ => true,
         }
     }
 
@@ -94,18 +119,36 @@
             Self::AimdBurstHeadroom => {
                 let detector = BurstDetector::new();
                 let limit = HeadroomLimit::new(aimd, detector.factor());
-                let gate = AdmissionGate::with_limit(settings, limit);
-                Model::new(gate, scenario, seed).with_detector(detector).run()
+                let gates = vec![AdmissionGate::with_limit(settings, limit)];
+                Model::new(gates, scenario, seed).with_detector(detector).run()
+            }
+            Self::AimdHighest => run_with(GuardChoice::default().with_highest(), scenario, seed),
+            Self::AimdTwoChoices => {
+                run_with(GuardChoice::default().with_two_choices(), scenario, seed)
+            }
+            Self::AimdTwoFractions => {
+                run_with(GuardChoice::default().with_two_fractions(), scenario, seed)
+            }
+            Self::AimdTwoChoicesHighest => {
+                let choice = GuardChoice::default().with_highest().with_two_choices();
+                run_with(choice, scenario, seed)
             }
         }
     }
 }
 
-fn run<L: ConcurrencyLimit>(
+fn run_with(choice: GuardChoice, scenario: Scenario, seed: u64) -> RunResult {
+    let gate = AdmissionGate::new(AdmissionSettings::new(SLOTS));
+    let gates = vec![gate; scenario.upstreams()];
+    Model::new(gates, scenario, seed).with_choice(choice).run()
+}
+
+fn run<L: ConcurrencyLimit + Clone>(
     settings: AdmissionSettings,
     limit: L,
     scenario: Scenario,
     seed: u64,
 ) -> RunResult {
-    Model::new(AdmissionGate::with_limit(settings, limit), scenario, seed).run()
+    let gates = vec![AdmissionGate::with_limit(settings, limit); scenario.upstreams()];
+    Model::new(gates, scenario, seed).run()
 }
--- a/crates/coltsfootroute/examples/compare_admission/scenario.rs
+++ b/crates/coltsfootroute/examples/compare_admission/scenario.rs
@@ -38,10 +38,12 @@
     CombinedRoot,
     /// As surge, while callers shed at the root by the levels that come back.
     SurgeRoot,
+    /// Three upstreams, one of them slowed, arrivals x3, callers shed at the root.
+    Uneven,
 }
 
 impl Scenario {
-    pub const ALL: [Self; 10] = [
+    pub const ALL: [Self; 11] = [
         Self::Steady,
         Self::Slowed,
         Self::Stalled,
@@ -52,6 +54,7 @@
         Self::Cold,
         Self::Combined,
         Self::CombinedRoot,
+        Self::Uneven,
     ];
 
     pub fn title(self) -> &'static str {
@@ -68,19 +71,35 @@
             Self::Cold => "A tenth of the declared slots work, contention and shedding, for 5 s",
             Self::Combined => "Service times x3, arrivals x3, 3 retries after 50 ms, for 5 s",
             Self::CombinedRoot => "The same, callers shed at the root",
+            Self::Uneven => {
+                "Three upstreams, service times of one x5, arrivals x3, callers shed at the root"
+            }
         }
     }
 
     /// Factor on the usual arrivals.
     pub fn demand(self, now: Duration) -> f64 {
-        let surges =
-            matches!(self, Self::Surge | Self::SurgeRoot | Self::Combined | Self::CombinedRoot);
+        let surges = !matches!(
+            self,
+            Self::Steady
+                | Self::Slowed
+                | Self::Stalled
+                | Self::Bursts
+                | Self::Overstated
+                | Self::Cold
+        );
         if surges && is_disturbed(now) { 3.0 } else { 1.0 }
     }
 
-    /// Factor on service times.
-    pub fn slowness(self, now: Duration) -> f64 {
+    /// Upstreams of the service.
+    pub fn upstreams(self) -> usize {
+        if self == Self::Uneven { 3 } else { 1 }
+    }
+
+    /// Factor on service times of one upstream.
+    pub fn slowness(self, now: Duration, upstream: usize) -> f64 {
         match self {
+            Self::Uneven if upstream == 0 && is_disturbed(now) => 5.0,
             Self::Slowed if is_disturbed(now) => 5.0,
             Self::Stalled if is_disturbed(now) => 30.0,
             Self::Combined | Self::CombinedRoot if is_disturbed(now) => 3.0,
@@ -104,7 +123,7 @@
 
     /// Whether callers shed by the levels that come back.
     pub fn sheds_at_root(self) -> bool {
-        matches!(self, Self::SurgeRoot | Self::CombinedRoot)
+        matches!(self, Self::SurgeRoot | Self::CombinedRoot | Self::Uneven)
     }
 
     /// Whether arrivals come in correlated bursts.
