Simpler rule for equals in a full queue

Cause: a condition that always held hid what the rule is. Change: newest first, or the client with fewer waiting.

--- a/crates/coltsfootroute/src/admission/admission_gate.rs
+++ b/crates/coltsfootroute/src/admission/admission_gate.rs
@@ -263,8 +263,7 @@
     /// the newest go first.
     fn beats_peers(&self, newest_first: bool, call: &WaitingCall) -> bool {
         let lane = self.queue.lane(call.rank());
-        let own = lane.count_of(call.client);
-        own + 1 < lane.longest() || (newest_first && own <= lane.longest())
+        newest_first || lane.count_of(call.client) + 1 < lane.longest()
     }
 
     fn queued_call(&self, now: MonotonicTime, call: WaitingCall) -> QueuedCall {
