--- a/crates/coltsfootroute/tests/integration/main.rs
+++ b/crates/coltsfootroute/tests/integration/main.rs
@@ -1,8 +1,8 @@
 //! Tests of the library, one file for each subject.
 
-mod revision;
 mod event;
 mod once;
+mod revision;
 mod schema;
 mod store_policy;
 mod util;
