--- a/crates/coltsfootctl/src/arguments.rs
+++ b/crates/coltsfootctl/src/arguments.rs
@@ -13,7 +13,7 @@
   4  another submission came first; nothing was changed
   5  no answer from the node or its table service: repeat the same command
   6  the history can't be trusted
-  7  the records shown are intact, but don't start at revision 1";
+  7  the records shown are intact, but what comes before them isn't at hand";
 
 /// Describes the command line; also the source of the shell completions.
 pub fn arguments() -> Command {
@@ -102,11 +102,11 @@
                 .help("Checks the chain of digests"),
         )
         .arg(
-            Arg::new("ends-with")
-                .long("ends-with")
+            Arg::new("contains")
+                .long("contains")
                 .requires("verify")
                 .value_parser(ChainDigest::from_str)
-                .help("Chain digest that the last record must have"),
+                .help("Chain digest of an earlier audit, which must be part of the history"),
         )
 }
 
--- a/crates/coltsfootctl/src/control_error.rs
+++ b/crates/coltsfootctl/src/control_error.rs
@@ -2,7 +2,7 @@
 
 use crate::exit_code::ExitCode;
 use coltsfootroute::{
-    revision::{ConflictBody, FailureBody, HistoryFault},
+    revision::{ChainDigest, ConflictBody, FailureBody, HistoryFault},
     schema::SchemaErrors,
 };
 
@@ -50,14 +50,9 @@
     /// The history can't be trusted.
     #[error("the history can't be trusted: {0}")]
     Untrusted(HistoryFault),
-    /// The history doesn't end with the record it should.
-    #[error("the history can't be trusted: it ends with chain digest {found}, not {expected}")]
-    OtherEnd {
-        /// Digest found.
-        found: String,
-        /// Digest expected.
-        expected: String,
-    },
+    /// The history lacks a record that an earlier audit saw.
+    #[error("the history can't be trusted: it doesn't contain chain digest {0}")]
+    Lacking(ChainDigest),
 }
 
 impl ControlError {
@@ -67,7 +62,7 @@
             Self::Schema(_) => ExitCode::Invalid,
             Self::Conflict(_) => ExitCode::Conflict,
             Self::Refused { status: 503, .. } | Self::Unreachable { .. } => ExitCode::Unavailable,
-            Self::Untrusted(_) | Self::OtherEnd { .. } => ExitCode::Untrusted,
+            Self::Untrusted(_) | Self::Lacking(_) => ExitCode::Untrusted,
             Self::File { .. } | Self::Refused { .. } | Self::Malformed { .. } => ExitCode::Failed,
         }
     }
--- a/crates/coltsfootctl/src/exit_code.rs
+++ b/crates/coltsfootctl/src/exit_code.rs
@@ -17,7 +17,7 @@
     Unavailable,
     /// The history can't be trusted.
     Untrusted,
-    /// The records shown are intact, but the history doesn't start at revision 1.
+    /// The records shown are intact, but what comes before them isn't at hand.
     PartlyVerified,
 }
 
--- a/crates/coltsfootctl/src/invocation/history_action.rs
+++ b/crates/coltsfootctl/src/invocation/history_action.rs
@@ -12,8 +12,8 @@
     pub source: InputSource,
     /// Whether to check the chain of digests.
     pub verify: bool,
-    /// Chain digest that the last record must have.
-    pub ends_with: Option<ChainDigest>,
+    /// Chain digest that must be part of the history.
+    pub contains: Option<ChainDigest>,
 }
 
 impl HistoryAction {
@@ -23,7 +23,7 @@
             Some(node) => InputSource::Node(*node),
             None => InputSource::File(text(matches, "file")),
         };
-        let ends_with = matches.get_one("ends-with").copied();
-        Self { source, verify: matches.get_flag("verify"), ends_with }
+        let contains = matches.get_one("contains").copied();
+        Self { source, verify: matches.get_flag("verify"), contains }
     }
 }
--- a/crates/coltsfootroute/benches/configuration.rs
+++ b/crates/coltsfootroute/benches/configuration.rs
@@ -1,6 +1,7 @@
 //! Cost of the configuration at the size planned for: 490 services.
 //!
 //! Prints the bytes of a delta and of a snapshot besides, as JSON.
+#![expect(clippy::print_stderr, reason = "sizes are part of a benchmark's output")]
 
 use coltsfootroute::{
     name::{OperatorName, ServiceName},
