--- a/crates/coltsfoot-node/src/process/node_process.rs
+++ b/crates/coltsfoot-node/src/process/node_process.rs
@@ -23,7 +23,6 @@
     http::{ClientState, HostState, HttpListener},
     journal::{EventJournal, JournalHandle},
     metrics::NodeMetrics,
-    once::OnceDesk,
     settings::NodeSettings,
     store::{StoreSettings, StoreThread},
 };
@@ -120,14 +119,23 @@
             config: cell.clone(),
             body_limit,
             drain_notice: Duration::from_millis(settings.limits.drain_notice_ms),
-            once: OnceDesk::new(store.clone()),
+            store: store.clone(),
+            nodes: u32::try_from(settings.store.nodes).unwrap_or(u32::MAX),
             gossip: gossip.clone(),
             metrics: metrics.clone(),
-            events,
+            events: events.clone(),
             seed,
         };
         DispatchThread::start(dispatch_parts, peer, dispatch_ring)?;
-        let config_parts = ConfigParts { cell, store, dispatch: dispatch.clone(), gossip };
+        let config_parts = ConfigParts {
+            node: NodeId(addresses.peer),
+            peers: settings.peers.iter().copied().map(NodeId).collect(),
+            cell,
+            store,
+            dispatch: dispatch.clone(),
+            gossip,
+            events: events.clone(),
+        };
         ConfigThread::start(config_parts, config_ring)?;
 
         let client_state = ClientState { clock, dispatch: dispatch.clone(), body_limit };
--- a/crates/coltsfootroute/src/membership/gossip_engine/announcing.rs
+++ b/crates/coltsfootroute/src/membership/gossip_engine/announcing.rs
@@ -34,6 +34,7 @@
         self.me.slots = offer.slots;
         self.me.connections = offer.connections;
         self.me.state = MemberState::Alive;
+        self.take_up_group(now);
         self.reincarnate(now, self.me.incarnation);
         self.push_eagerly(now, rng, self.me.node, self.settings.eager_fanout, false);
         std::mem::take(&mut self.effects)
@@ -117,7 +118,7 @@
         self.groups.insert(service.clone(), group);
         self.watches.insert(service.clone(), WatchState::new(now));
         for seed in self.seeds.take(now, &service) {
-            self.absorb(now, rng, seed);
+            self.absorb(now, rng, seed, false);
         }
     }
 
