--- a/crates/coltsfootroute/tests/integration/main.rs
+++ b/crates/coltsfootroute/tests/integration/main.rs
@@ -6,6 +6,7 @@
 mod event;
 mod membership;
 mod once;
+mod revision;
 mod retry;
 mod revision;
 mod routing;
