--- /dev/null
+++ b/crates/coltsfoot-node/src/dispatch/local_upstream.rs
@@ -0,0 +1,113 @@
+//! The upstream beside the node: announcements, leave, silence.
+
+use std::{net::SocketAddr, time::Duration};
+
+use coltsfootroute::{event::EventKind, membership::UpstreamOffer, name::ServiceName};
+use http::StatusCode;
+
+use super::{dispatcher::Dispatcher, guard::GuardedUpstream};
+use crate::{gossip::GossipCommand, http::HttpReply};
+
+/// An upstream that has not repeated its announcement for so long is taken as gone.
+const SILENCE_LIMIT: Duration = Duration::from_secs(5);
+
+/// What the upstream beside the node says of itself in `PUT /upstream`.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct UpstreamAnnouncement {
+    /// Service that the upstream is one of.
+    pub service: ServiceName,
+    /// Where it takes calls.
+    pub address: SocketAddr,
+    /// Calls it can work on at once; at least 1.
+    pub slots: u32,
+    /// Connections it takes; at least 1.
+    pub connections: u32,
+}
+
+impl Dispatcher {
+    /// Takes in an announcement, the first or a heartbeat.
+    pub(super) async fn announce_upstream(&self, announcement: UpstreamAnnouncement) -> HttpReply {
+        if announcement.slots == 0 || announcement.connections == 0 {
+            let body = serde_json::json!({ "message": "`slots` and `connections` are at least 1" });
+            return HttpReply::json(StatusCode::BAD_REQUEST, &body);
+        }
+        if self.drain.borrow().closes_connections() {
+            let body = serde_json::json!({ "message": "the node is leaving" });
+            return HttpReply::json(StatusCode::SERVICE_UNAVAILABLE, &body);
+        }
+        if self.take_in(&announcement) {
+            self.fit_gate(announcement.slots);
+            self.events.emit(EventKind::UpstreamAnnounced {
+                service: announcement.service.clone(),
+                upstream: announcement.address,
+                slots: announcement.slots,
+                connections: announcement.connections,
+            });
+            let command = GossipCommand::Announce(UpstreamOffer {
+                service: announcement.service.clone(),
+                slots: announcement.slots,
+                connections: announcement.connections,
+            });
+            // A closed ring means that the process stops.
+            let _ = self.gossip.send(command).await;
+            self.watch_callees(&announcement.service).await;
+        }
+        HttpReply::json(StatusCode::OK, &serde_json::json!({ "revision": self.revision() }))
+    }
+
+    /// Whether the announcement says anything new.
+    fn take_in(&self, announcement: &UpstreamAnnouncement) -> bool {
+        let heard = self.clock.now();
+        let mut upstream = self.guard.upstream.borrow_mut();
+        let same = upstream
+            .as_ref()
+            .is_some_and(|known| known.announcement == *announcement && !known.leaving);
+        *upstream =
+            Some(GuardedUpstream { announcement: announcement.clone(), heard, leaving: false });
+        !same
+    }
+
+    /// The upstream leaves: no new work from now on.
+    pub(super) async fn withdraw_upstream(&self) -> HttpReply {
+        let left = self.mark_leaving();
+        if let Some(left) = left {
+            self.events.emit(left);
+            // A closed ring means that the process stops.
+            let _ = self.gossip.send(GossipCommand::Leave).await;
+        }
+        HttpReply::json(StatusCode::OK, &serde_json::json!({ "leaving": true }))
+    }
+
+    fn mark_leaving(&self) -> Option<EventKind> {
+        let mut upstream = self.guard.upstream.borrow_mut();
+        let upstream = upstream.as_mut().filter(|upstream| !upstream.leaving)?;
+        upstream.leaving = true;
+        Some(EventKind::UpstreamLeft {
+            service: upstream.announcement.service.clone(),
+            upstream: upstream.announcement.address,
+        })
+    }
+
+    /// Takes an upstream that has fallen silent as gone.
+    pub(super) async fn notice_silence(&self) {
+        let now = self.clock.now();
+        let silent = self
+            .guard
+            .upstream
+            .borrow()
+            .as_ref()
+            .is_some_and(|known| !known.leaving && now.since(known.heard) > SILENCE_LIMIT);
+        if silent {
+            self.withdraw_upstream().await;
+        }
+    }
+
+    /// Watches what the upstream's operations call, so that members are known before the first call.
+    async fn watch_callees(&self, service: &ServiceName) {
+        let Some(config) = self.config.load() else { return };
+        for callee in config.callees(service) {
+            self.watch(&callee).await;
+        }
+    }
+}
