--- a/crates/coltsfootroute/tests/integration/main.rs
+++ b/crates/coltsfootroute/tests/integration/main.rs
@@ -1,4 +1,8 @@
 //! Integration tests of the library, one file for each subject.
+//! Integration tests of the library.
+
+mod membership;
+//! Tests of the library, one file for each subject.
 
 mod admission;
 mod deadline;
