--- a/crates/coltsfootroute/src/routing/latency_average.rs
+++ b/crates/coltsfootroute/src/routing/latency_average.rs
@@ -48,6 +48,18 @@
         self.record(now, latency.max(floor), window);
     }
 
+    /// Takes in a call that was given up after `latency`: it would have taken at least as long.
+    pub(super) fn record_at_least(
+        &mut self,
+        now: MonotonicTime,
+        latency: Duration,
+        window: Duration,
+    ) {
+        if self.samples > 0 && latency.as_micros() as f64 > self.micros {
+            self.record(now, latency, window);
+        }
+    }
+
     /// The average in microseconds, or `baseline` where there is no sample yet.
     pub(super) fn micros(&self, now: MonotonicTime, window: Duration, baseline: f64) -> f64 {
         if self.samples == 0 {
--- a/crates/coltsfootroute/src/routing/upstream_record.rs
+++ b/crates/coltsfootroute/src/routing/upstream_record.rs
@@ -114,7 +114,7 @@
         let latency = self.latency.micros(now, settings.latency_window, baseline).max(1.0);
         let slots = f64::from(self.info.slots.max(1));
         // Fewer calls than this caller's part of the slots tell little of the upstream's load.
-        let part = (slots / f64::from(settings.callers.max(1))).max(1.0);
+        let part = (slots / f64::from(settings.callers.max(1))).clamp(1.0, MOST_PART);
         let waiting = f64::from(self.in_flight) + part;
         let room = slots * self.weight(now, settings);
         let refusals = self.recent_refusals(now, settings);
@@ -181,7 +181,7 @@
             RouteResult::Unreachable => self.health.failed(now, settings),
             RouteResult::Refused => self.count_refusal(now, 1.0, settings),
             RouteResult::Leaving => self.info.leaving = true,
-            RouteResult::Cancelled => {}
+            RouteResult::Cancelled => self.latency.record_at_least(now, latency, window),
         }
     }
 
@@ -214,6 +214,8 @@
     }
 }
 
+/// Most calls in flight that tell little: keeps spill-over quick where the callers are not counted.
+const MOST_PART: f64 = 8.0;
 /// How much an upstream that refuses everything costs above one that refuses nothing.
 const REFUSAL_PENALTY: f64 = 10.0;
 /// Weight of one result in the share of refusals.
