--- a/crates/coltsfootroute/src/routing/upstream_pool.rs
+++ b/crates/coltsfootroute/src/routing/upstream_pool.rs
@@ -196,19 +196,24 @@
         }
     }
 
-    /// Trusted upstreams first, then suspects; ejected ones only where all are ejected.
+    /// Trusted upstreams first, then suspects and trials; ejected ones only where all are ejected.
     fn choose_position(
         &self,
         now: MonotonicTime,
         rng: &mut impl Rng,
         exclude: &[NodeId],
     ) -> Option<usize> {
-        let trusted = |record: &UpstreamRecord| record.takes_calls(now) && !record.info.suspect;
+        // A first attempt can still be retried, so it is the one to try an ejected upstream.
+        let may_try = exclude.is_empty();
+        let trusted = |record: &UpstreamRecord| {
+            let ready = !record.health.is_ejected() || may_try;
+            ready && record.takes_calls(now) && !record.info.suspect
+        };
         if let Some(position) = self.choose_where(now, rng, exclude, trusted) {
             return Some(position);
         }
-        let suspect = |record: &UpstreamRecord| record.takes_calls(now);
-        if let Some(position) = self.choose_where(now, rng, exclude, suspect) {
+        let any = |record: &UpstreamRecord| record.takes_calls(now);
+        if let Some(position) = self.choose_where(now, rng, exclude, any) {
             return Some(position);
         }
         let all_ejected = self.live().all(|record| record.health.is_ejected());
@@ -231,8 +236,7 @@
         for (index, tier) in self.tiers.iter().enumerate() {
             for position in self.two_of(tier, rng, takes).into_iter().flatten() {
                 let record = &self.records[position];
-                // A first attempt can still be retried, so it is the one to try an ejected upstream.
-                if exclude.is_empty() && record.wants_trial(now) {
+                if record.wants_trial(now) {
                     return Some(position);
                 }
                 let cost = record.cost(now, self.baseline, &self.settings) * self.reluctance(index);
@@ -253,13 +257,17 @@
     ) -> [Option<usize>; 2] {
         let first = self.draw(tier, rng, |record| takes(record));
         let Some(position) = first else { return [None, None] };
+        if tier.len() == 1 {
+            return [first, None];
+        }
         let second = self.draw(tier, rng, |record| {
             record.info.node != self.records[position].info.node && takes(record)
         });
         [first, second]
     }
 
-    /// The first upstream from a random place of `tier` onwards that `takes` a call.
+    /// An upstream of `tier` that `takes` a call, drawn at random. Where most do not, the first one
+    /// from a random place onwards.
     fn draw(
         &self,
         tier: &[usize],
@@ -269,6 +277,12 @@
         if tier.is_empty() {
             return None;
         }
+        for _ in 0..RANDOM_DRAWS {
+            let position = tier[rng.random_range(0..tier.len())];
+            if takes(&self.records[position]) {
+                return Some(position);
+            }
+        }
         let start = rng.random_range(0..tier.len());
         let order = tier[start..].iter().chain(&tier[..start]);
         order.copied().find(|&position| takes(&self.records[position]))
@@ -344,5 +358,7 @@
 
 /// Latency that the first upstream of a pool is taken to have: 10 ms.
 const INITIAL_BASELINE_MICROS: f64 = 10_000.0;
+/// Draws at random before a scan: a scan favours the upstream after one that takes no calls.
+const RANDOM_DRAWS: usize = 4;
 /// Least calls between two looks at the median.
 const LEAST_CALLS_PER_BASELINE: usize = 16;
