--- a/crates/coltsfoot-standin/src/bin/coltsfoot-load.rs
+++ b/crates/coltsfoot-standin/src/bin/coltsfoot-load.rs
@@ -89,6 +89,10 @@
             option("arrival-window", "BEGIN_MS:END_MS; outside of it arrivals are Poisson")
                 .value_parser(value_parser!(ArrivalWindow)),
         )
+        .arg(
+            option("focus", "BEGIN_MS:END_MS; the report counts what was due then apart")
+                .value_parser(value_parser!(ArrivalWindow)),
+        )
         .arg(
             option("surge", "BEGIN_MS:END_MS:FACTOR[:SERVICE/OPERATION]; several possible")
                 .action(ArgAction::Append)
@@ -146,6 +150,7 @@
     let mut settings = LoadSettings::new(targets, operations, duration, *take(arguments, "seed")?);
     settings.arrivals = read_arrivals(arguments)?;
     settings.arrival_window = arguments.get_one("arrival-window").copied();
+    settings.focus = arguments.get_one("focus").copied();
     settings.surges = take_all(arguments, "surge");
     settings.retry = RetryPolicy {
         max_retries: *take(arguments, "retries")?,
--- a/crates/coltsfoot-standin/src/load/load_report.rs
+++ b/crates/coltsfoot-standin/src/load/load_report.rs
@@ -49,6 +49,8 @@
     pub p99_ms: f64,
     /// Requests by importance.
     pub by_importance: IndexMap<Importance, ImportanceTally>,
+    /// Requests by importance that were due in the part asked for.
+    pub focus_by_importance: IndexMap<Importance, ImportanceTally>,
     /// Requests by operation.
     pub by_operation: IndexMap<String, ImportanceTally>,
     /// Paired probe, if there was one.
@@ -97,6 +99,13 @@
         }
     }
 
+    /// A request due in the part asked for ended.
+    pub(super) fn count_focus(&mut self, importance: Importance, outcome: CallOutcome) {
+        let tally = self.report.focus_by_importance.entry(importance).or_default();
+        tally.offered += 1;
+        tally.count(outcome);
+    }
+
     fn count_attempt(&mut self, result: AttemptResult) {
         let report = &mut self.report;
         report.attempts += 1;
--- a/crates/coltsfoot-standin/src/load/load_runner.rs
+++ b/crates/coltsfoot-standin/src/load/load_runner.rs
@@ -177,6 +177,10 @@
         let operation = Arc::clone(&self.operations[end.operation]);
         let outcome = end.outcome();
         self.report.count_outcome(&operation, end);
+        let focus = self.settings.focus;
+        if focus.is_some_and(|window| window.covers(end.due.saturating_duration_since(start))) {
+            self.report.count_focus(operation.importance, outcome);
+        }
         self.record.completed += u64::from(outcome == CallOutcome::Completed);
         self.record.tally(operation.importance).count(outcome);
         if let (Some(log), Some(key)) = (&mut self.key_log, &end.key) {
--- a/crates/coltsfoot-standin/src/load/load_settings.rs
+++ b/crates/coltsfoot-standin/src/load/load_settings.rs
@@ -23,6 +23,8 @@
     pub surges: Vec<SurgeWindow>,
     /// Behaviour after a failure.
     pub retry: RetryPolicy,
+    /// Part of the run whose requests the report counts apart, by when they were due.
+    pub focus: Option<ArrivalWindow>,
     /// Requests under way at once, hence connections; a request beyond it waits for its turn.
     pub max_in_flight: usize,
     /// Length of a record in the time series.
@@ -58,6 +60,7 @@
             arrival_window: None,
             surges: Vec::new(),
             retry: RetryPolicy::default(),
+            focus: None,
             max_in_flight: Self::DEFAULT_MAX_IN_FLIGHT,
             interval: Duration::from_secs(1),
             body_bytes: Self::DEFAULT_BODY_BYTES,
--- a/crates/coltsfoot-standin/src/load/request_outcome.rs
+++ b/crates/coltsfoot-standin/src/load/request_outcome.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use coltsfootroute::outcome::CallOutcome;
+use tokio::time::Instant;
 
 use super::attempt_result::AttemptResult;
 
@@ -13,6 +14,8 @@
     pub(super) operation: usize,
     /// Idempotency key, where it had one.
     pub(super) key: Option<String>,
+    /// When it was due.
+    pub(super) due: Instant,
     /// From the time it was due to its end.
     pub(super) latency: Duration,
     /// Each attempt's result, in order.
--- a/crates/coltsfoot-standin/src/load/request_sender.rs
+++ b/crates/coltsfoot-standin/src/load/request_sender.rs
@@ -67,7 +67,13 @@
             start = Instant::now();
         }
         let latency = request.due.elapsed();
-        RequestOutcome { operation: request.index, key: request.key, latency, attempts }
+        RequestOutcome {
+            operation: request.index,
+            key: request.key,
+            due: request.due,
+            latency,
+            attempts,
+        }
     }
 
     async fn attempt(&self, request: &ClientRequest, start: Instant) -> AttemptResult {
--- a/crates/coltsfoot-standin/tests/integration/load.rs
+++ b/crates/coltsfoot-standin/tests/integration/load.rs
@@ -41,6 +41,22 @@
     assert_eq!((counts.runs, counts.max_runs_per_key), (report.offered, 1));
 }
 
+#[test]
+fn focus_counts_what_was_due_in_it() {
+    let upstream = start(settings());
+    let mut whole = load(vec![upstream.address()], "stock/lookup");
+    whole.focus = Some("0:500".parse().expect("a window"));
+    let mut none = load(vec![upstream.address()], "stock/lookup");
+    none.focus = Some("500:900".parse().expect("a window"));
+
+    let (_, whole) = run(whole);
+    let (_, none) = run(none);
+
+    assert_eq!(whole.focus_by_importance, whole.by_importance);
+    assert!(none.focus_by_importance.is_empty());
+    upstream.stop();
+}
+
 #[test]
 fn hard_retrying_clients_use_up_their_attempts() {
     let upstream = start(settings());
