--- a/crates/coltsfoot-standin/src/lib.rs
+++ b/crates/coltsfoot-standin/src/lib.rs
@@ -7,5 +7,7 @@
 pub mod call_answer;
 pub mod http_client;
 pub mod load;
+pub mod objects;
+pub mod table;
 pub mod termination;
 pub mod upstream;
--- /dev/null
+++ b/crates/coltsfootroute/tests/integration/main.rs
@@ -0,0 +1,14 @@
+//! Integration tests of the library, one file for each subject.
+
+mod admission;
+mod deadline;
+mod drain;
+mod event;
+mod membership;
+mod once;
+mod retry;
+mod revision;
+mod routing;
+mod schema;
+mod store_policy;
+mod util;
