Refusals by importance and reason; the schema is read by its own parser

Cause: a share of completed requests does not tell whether the rest was refused for overload, for the store or for the deadline. The stand-ins read schemas by SchemaDocument::from_yaml.

--- a/crates/coltsfoot-standin/src/arguments.rs
+++ b/crates/coltsfoot-standin/src/arguments.rs
@@ -42,5 +42,5 @@
 pub fn read_schema(arguments: &ArgMatches) -> anyhow::Result<SchemaDocument> {
     let path: &PathBuf = take(arguments, "schema")?;
     let text = fs::read_to_string(path).with_context(|| format!("reading {}", path.display()))?;
-    serde_saphyr::from_str(&text).with_context(|| format!("parsing {}", path.display()))
+    SchemaDocument::from_yaml(&text).with_context(|| format!("parsing {}", path.display()))
 }
--- a/crates/coltsfoot-standin/src/load/attempt_result.rs
+++ b/crates/coltsfoot-standin/src/load/attempt_result.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use coltsfootroute::outcome::RefusalReason;
+
 /// What the client saw of one attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum AttemptResult {
@@ -12,11 +14,15 @@
     },
     /// Refused; no part ran.
     NotRun {
+        /// Why, where the body tells.
+        reason: Option<RefusalReason>,
         /// What `retry-after` asks.
         retry_after: Option<Duration>,
     },
     /// The node says that it may have run.
     Unknown {
+        /// Why, where the body tells.
+        reason: Option<RefusalReason>,
         /// What `retry-after` asks.
         retry_after: Option<Duration>,
     },
@@ -41,7 +47,7 @@
     /// What `retry-after` asks.
     pub(super) fn retry_after(self) -> Option<Duration> {
         match self {
-            Self::NotRun { retry_after } | Self::Unknown { retry_after } => retry_after,
+            Self::NotRun { retry_after, .. } | Self::Unknown { retry_after, .. } => retry_after,
             _ => None,
         }
     }
--- a/crates/coltsfoot-standin/src/load/load_client.rs
+++ b/crates/coltsfoot-standin/src/load/load_client.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use coltsfootroute::{
     constants::{DEADLINE_HEADER, IDEMPOTENCY_KEY_HEADER, OUTCOME_HEADER, RETRY_AFTER_HEADER},
-    outcome::CallOutcome,
+    outcome::{CallOutcome, RefusalReason},
 };
 use http::{HeaderMap, Request, Response, header::CONTENT_LENGTH};
 use http_body_util::{BodyExt, Full};
@@ -83,13 +83,25 @@
         Some(CallOutcome::Completed) if head.status.is_success() => {
             check_answer(&head.headers, &answer, attempt)
         }
-        Some(CallOutcome::NotRun) => AttemptResult::NotRun { retry_after },
-        Some(CallOutcome::Unknown) => AttemptResult::Unknown { retry_after },
+        Some(CallOutcome::NotRun) => AttemptResult::NotRun { reason: reason(&answer), retry_after },
+        Some(CallOutcome::Unknown) => {
+            AttemptResult::Unknown { reason: reason(&answer), retry_after }
+        }
         // A failure that calls itself completed tells as little as one without an outcome.
         Some(CallOutcome::Completed) | None => AttemptResult::WithoutOutcome,
     })
 }
 
+/// The part of a refusal's body that is read.
+#[derive(serde::Deserialize)]
+struct Refusal {
+    reason: RefusalReason,
+}
+
+fn reason(answer: &[u8]) -> Option<RefusalReason> {
+    serde_json::from_slice::<Refusal>(answer).ok().map(|refusal| refusal.reason)
+}
+
 fn check_answer(headers: &HeaderMap, answer: &[u8], attempt: &AttemptRequest<'_>) -> AttemptResult {
     let length = text(headers, CONTENT_LENGTH.as_str()).and_then(|digits| digits.parse().ok());
     if length.is_some_and(|length: usize| length != answer.len()) {
--- a/crates/coltsfoot-standin/src/load/load_report.rs
+++ b/crates/coltsfoot-standin/src/load/load_report.rs
@@ -2,7 +2,10 @@
 
 use std::time::Duration;
 
-use coltsfootroute::{importance::Importance, outcome::CallOutcome};
+use coltsfootroute::{
+    importance::Importance,
+    outcome::{CallOutcome, RefusalReason},
+};
 use hdrhistogram::Histogram;
 use indexmap::IndexMap;
 
@@ -13,6 +16,8 @@
 
 /// Longest latency that the histogram tells apart, microseconds.
 const MAX_LATENCY_US: u64 = 120_000_000;
+/// Name in [`LoadReport::refusals`] of what is no known reason.
+const OTHER_REASON: &str = "other";
 /// Significant digits of the histogram.
 const LATENCY_DIGITS: u8 = 3;
 
@@ -41,6 +46,9 @@
     pub wrong_answers: u64,
     /// Failures that named no outcome.
     pub without_outcome: u64,
+    /// Refused or failed attempts by importance and reason; `other` where the body names none
+    /// of the known reasons.
+    pub refusals: IndexMap<Importance, IndexMap<String, u64>>,
     /// Service time behind completed requests, milliseconds.
     pub useful_ms: u64,
     /// Median latency of completed requests from when they were due, milliseconds.
@@ -96,6 +104,7 @@
         }
         for result in &end.attempts {
             self.count_attempt(*result);
+            self.count_reason(operation.importance, *result);
         }
     }
 
@@ -106,6 +115,16 @@
         tally.count(outcome);
     }
 
+    fn count_reason(&mut self, importance: Importance, result: AttemptResult) {
+        let (AttemptResult::NotRun { reason, .. } | AttemptResult::Unknown { reason, .. }) = result
+        else {
+            return;
+        };
+        let reasons = self.report.refusals.entry(importance).or_default();
+        let name = reason.map_or(OTHER_REASON, RefusalReason::as_str);
+        *reasons.entry(name.to_owned()).or_default() += 1;
+    }
+
     fn count_attempt(&mut self, result: AttemptResult) {
         let report = &mut self.report;
         report.attempts += 1;
--- a/crates/coltsfoot-standin/tests/integration/load.rs
+++ b/crates/coltsfoot-standin/tests/integration/load.rs
@@ -6,6 +6,7 @@
     load::{IntervalRecord, LoadReport, LoadRunner, LoadSettings, OfferedOperation, RetryPolicy},
     upstream::ControlCommand,
 };
+use coltsfootroute::importance::Importance;
 use tokio::sync::watch;
 
 use crate::util::{runtime, schema, settings, start};
@@ -68,6 +69,7 @@
 
     assert_eq!(report.refused_not_run, report.offered);
     assert_eq!(report.attempts, 3 * report.offered);
+    assert_eq!(report.refusals[&Importance::Normal]["overload"], report.attempts);
     assert_eq!(upstream.stop().runs, 0);
 }
 
