Routing: an upstream that comes back beside its node is used again

Cause: a rejoin after a leave raises the incarnation by one, which the pool took for a refuted suspicion: it kept the upstream as leaving until the node itself restarted. Change: such a record begins a new life. Conclusion: mended; found by reading membership's rejoin.

--- a/crates/coltsfootroute/src/routing/upstream_record.rs
+++ b/crates/coltsfootroute/src/routing/upstream_record.rs
@@ -63,7 +63,7 @@
         if info.incarnation < self.info.incarnation {
             return;
         }
-        if is_new_life(self.info.incarnation, info.incarnation) {
+        if self.begins_new_life(&info) {
             let in_flight = self.in_flight;
             *self = Self::new(now, info, tier, settings);
             self.in_flight = in_flight;
@@ -77,6 +77,15 @@
         self.divide_connections(settings);
     }
 
+    /// Whether `info` tells of another life. A node's life starts at the wall clock's milliseconds; a
+    /// refuted suspicion raises the incarnation by one, and so does an upstream that comes back
+    /// beside a node that stayed, which shows by the leave being over.
+    fn begins_new_life(&self, info: &UpstreamInfo) -> bool {
+        let rise = info.incarnation.0.saturating_sub(self.info.incarnation.0);
+        let came_back = rise > 0 && self.info.leaving && !info.leaving;
+        came_back || rise >= LEAST_LIFE_MS
+    }
+
     /// Works out this caller's share anew.
     pub(super) fn divide_connections(&mut self, settings: &RoutingSettings) {
         let connections = self.info.connections;
@@ -221,11 +230,5 @@
 /// Weight of one result in the share of refusals.
 const REFUSAL_GAIN: f64 = 0.05;
 
-/// Whether `new` belongs to another life than `old`: a life starts at the wall clock's milliseconds,
-/// while a refuted suspicion raises the incarnation by one.
-fn is_new_life(old: Incarnation, new: Incarnation) -> bool {
-    new.0.saturating_sub(old.0) >= LEAST_LIFE_MS
-}
-
 /// No process starts, joins and starts again within this many milliseconds.
 const LEAST_LIFE_MS: u64 = 100;
