Routing prefers the guard that admits more of the call's importance

Change: of the two candidates the one whose guard admits more of the importance goes first, then cost.

--- a/crates/coltsfoot-node/src/dispatch/routed_call.rs
+++ b/crates/coltsfoot-node/src/dispatch/routed_call.rs
@@ -136,7 +136,7 @@
     }
 
     async fn attempt(self: &Rc<Self>, call: &RoutedCall, tried: &mut Vec<NodeId>) -> CallReply {
-        let Some(node) = self.choose(&call.service, tried) else {
+        let Some(node) = self.choose(call, tried) else {
             return self.refusal(RefusalReason::NoUpstream, CallOutcome::NotRun);
         };
         tried.push(node);
@@ -151,12 +151,19 @@
     }
 
     /// An upstream not tried yet; where all have been, any.
-    fn choose(&self, service: &ServiceName, tried: &[NodeId]) -> Option<NodeId> {
+    fn choose(&self, call: &RoutedCall, tried: &[NodeId]) -> Option<NodeId> {
         let now = self.clock.now();
         let mut rng = self.rng.borrow_mut();
-        self.with_pool(service, |pool| {
-            let fresh = pool.choose(now, &mut *rng, tried);
-            fresh.or_else(|| pool.choose(now, &mut *rng, &[]))
+        let levels = self.levels.borrow();
+        let admitted = |guard| match self.control.is_on() {
+            true => {
+                levels.guard_level(now, &call.service, guard).admitted_fraction(call.importance)
+            }
+            false => 1.0,
+        };
+        self.with_pool(&call.service, |pool| {
+            let fresh = pool.choose_admitted(now, &mut *rng, tried, admitted);
+            fresh.or_else(|| pool.choose_admitted(now, &mut *rng, &[], admitted))
         })
         .flatten()
     }
--- a/crates/coltsfootroute/src/routing/upstream_pool.rs
+++ b/crates/coltsfootroute/src/routing/upstream_pool.rs
@@ -7,7 +7,7 @@
 
 use super::{
     PoolStatus, RouteResult, RoutingSettings, UpstreamInfo, UpstreamStatus, UpstreamTier,
-    upstream_record::UpstreamRecord,
+    upstream_choice::UpstreamChoice, upstream_record::UpstreamRecord,
 };
 use crate::{
     id::NodeId,
@@ -94,7 +94,20 @@
         rng: &mut impl Rng,
         exclude: &[NodeId],
     ) -> Option<NodeId> {
-        let position = self.choose_position(now, rng, exclude)?;
+        self.choose_admitted(now, rng, exclude, |_| 1.0)
+    }
+
+    /// Chooses like [`UpstreamPool::choose`], but takes a guard that admits more of the call's importance
+    /// before one that costs less. `admitted` gives the share that a guard admits, 0 to 1, as this caller
+    /// last heard it.
+    pub fn choose_admitted(
+        &mut self,
+        now: MonotonicTime,
+        rng: &mut impl Rng,
+        exclude: &[NodeId],
+        admitted: impl Fn(NodeId) -> f64,
+    ) -> Option<NodeId> {
+        let position = self.choose_position(now, rng, exclude, admitted)?;
         let (node, record) = self.records.get_index(position)?;
         match record.tier {
             UpstreamTier::OwnDomain => self.chosen_near += 1,
@@ -202,6 +215,7 @@
         now: MonotonicTime,
         rng: &mut impl Rng,
         exclude: &[NodeId],
+        admitted: impl Fn(NodeId) -> f64,
     ) -> Option<usize> {
         // A first attempt can still be retried, so it is the one to try an ejected upstream.
         let may_try = exclude.is_empty();
@@ -209,18 +223,18 @@
             let ready = !record.health.is_ejected() || may_try;
             ready && record.takes_calls(now) && !record.info.suspect
         };
-        if let Some(position) = self.choose_where(now, rng, exclude, trusted) {
+        if let Some(position) = self.choose_where(now, rng, exclude, &admitted, trusted) {
             return Some(position);
         }
         let any = |record: &UpstreamRecord| record.takes_calls(now);
-        if let Some(position) = self.choose_where(now, rng, exclude, any) {
+        if let Some(position) = self.choose_where(now, rng, exclude, &admitted, any) {
             return Some(position);
         }
         let all_ejected = self.live().all(|record| record.health.is_ejected());
         if !all_ejected {
             return None;
         }
-        self.choose_where(now, rng, exclude, UpstreamRecord::has_room)
+        self.choose_where(now, rng, exclude, &admitted, UpstreamRecord::has_room)
     }
 
     /// The best of two upstreams of each tier that `takes` a call, nearer tiers preferred.
@@ -229,10 +243,11 @@
         now: MonotonicTime,
         rng: &mut impl Rng,
         exclude: &[NodeId],
+        admitted: impl Fn(NodeId) -> f64,
         takes: impl Fn(&UpstreamRecord) -> bool,
     ) -> Option<usize> {
         let takes = |record: &UpstreamRecord| !exclude.contains(&record.info.node) && takes(record);
-        let mut best: Option<(usize, f64)> = None;
+        let mut best: Option<UpstreamChoice> = None;
         for (index, tier) in self.tiers.iter().enumerate() {
             for position in self.two_of(tier, rng, takes).into_iter().flatten() {
                 let record = &self.records[position];
@@ -240,12 +255,14 @@
                     return Some(position);
                 }
                 let cost = record.cost(now, self.baseline, &self.settings) * self.reluctance(index);
-                if best.is_none_or(|(_, least)| cost < least) {
-                    best = Some((position, cost));
+                let choice =
+                    UpstreamChoice { position, admitted: admitted(record.info.node), cost };
+                if best.is_none_or(|best| choice.is_better_than(&best)) {
+                    best = Some(choice);
                 }
             }
         }
-        best.map(|(position, _)| position)
+        best.map(|choice| choice.position)
     }
 
     /// Up to two different upstreams of `tier` that take a call, drawn at random.
--- a/crates/coltsfootroute/tests/integration/main.rs
+++ b/crates/coltsfootroute/tests/integration/main.rs
@@ -1,8 +1,4 @@
 //! Integration tests of the library, one file for each subject.
-//! Integration tests of the library.
-
-mod membership;
-//! Tests of the library, one file for each subject.
 
 mod admission;
 mod deadline;
@@ -10,7 +6,6 @@
 mod event;
 mod membership;
 mod once;
-mod revision;
 mod retry;
 mod revision;
 mod routing;
