--- a/crates/coltsfootroute/src/routing/upstream_record.rs
+++ b/crates/coltsfootroute/src/routing/upstream_record.rs
@@ -6,7 +6,7 @@
     InFlightShare, RouteResult, RoutingSettings, UpstreamInfo, UpstreamPhase, UpstreamTier,
     latency_average::LatencyAverage, upstream_health::UpstreamHealth,
 };
-use crate::{id::Incarnation, time::MonotonicTime};
+use crate::time::MonotonicTime;
 
 /// State of one upstream in a pool.
 #[derive(Clone, Debug)]
