--- a/crates/coltsfootroute/src/revision.rs
+++ b/crates/coltsfootroute/src/revision.rs
@@ -7,6 +7,7 @@
 
 mod applied;
 mod chain_digest;
+mod changed_names;
 mod config_delta;
 mod config_entry;
 mod config_state;
--- a/crates/coltsfootroute/src/revision/config_state.rs
+++ b/crates/coltsfootroute/src/revision/config_state.rs
@@ -2,7 +2,7 @@
 
 use super::{
     Applied, ChainDigest, ConfigDelta, ConfigEntry, ContentDigest, DeltaFault, EntryChange,
-    Revision, RevisionRecord,
+    Revision, RevisionRecord, changed_names::changed_names,
 };
 use crate::{
     name::ServiceName,
@@ -206,20 +206,11 @@
             return Err(DeltaFault::Content(record.revision));
         }
         candidate.forget_old_tombstones();
-        let changed = self.changed(&candidate.entries);
+        let changed = changed_names(&self.entries, &candidate.entries, |entry| entry.digest);
         let Candidate { deployment, entries, tombstones, floor } = candidate;
         *self = Self { record: Some(record.clone()), deployment, entries, tombstones, floor };
         Ok(Applied::Raised { revision: record.revision, changed })
     }
-
-    fn changed(&self, entries: &IndexMap<ServiceName, ConfigEntry>) -> Vec<ServiceName> {
-        let mut names: Vec<_> = self.entries.keys().chain(entries.keys()).cloned().collect();
-        names.sort_unstable();
-        names.dedup();
-        let digest = |entry: &ConfigEntry| entry.digest;
-        names.retain(|name| self.entries.get(name).map(digest) != entries.get(name).map(digest));
-        names
-    }
 }
 
 impl Candidate {
--- a/crates/coltsfootroute/src/revision/submission.rs
+++ b/crates/coltsfootroute/src/revision/submission.rs
@@ -2,7 +2,8 @@
 
 use super::{
     ChainDigest, ContentDigest, HeadRow, KeyRow, Revision, RevisionDraft, RevisionRecord,
-    RevisionRow, RowFault, SubmissionRequest, SubmissionResult, SubmissionStep, schema_rows,
+    RevisionRow, RowFault, SubmissionRequest, SubmissionResult, SubmissionStep,
+    changed_names::changed_names, schema_rows,
 };
 use crate::{
     name::ServiceName,
@@ -256,9 +257,5 @@
         services.map(|service| (service.name.clone(), ContentDigest::of_service(service))).collect()
     };
     let (old, new) = (old.map(digests).unwrap_or_default(), digests(new));
-    let mut names: Vec<_> = old.keys().chain(new.keys()).cloned().collect();
-    names.sort_unstable();
-    names.dedup();
-    names.retain(|name| old.get(name) != new.get(name));
-    names
+    changed_names(&old, &new, |digest| *digest)
 }
--- a/crates/coltsfootroute/src/schema/schema_document.rs
+++ b/crates/coltsfootroute/src/schema/schema_document.rs
@@ -24,7 +24,8 @@
     }
 
     /// Services that a run of this operation may involve at any depth, its own first, each once; empty if
-    /// the operation is undeclared.
+    /// the operation is undeclared. Walks the whole document: for use when a configuration is put in force,
+    /// not for each call.
     pub fn reachable(
         &self,
         service: &ServiceName,
