--- a/crates/coltsfootctl/tests/integration/commands.rs
+++ b/crates/coltsfootctl/tests/integration/commands.rs
@@ -165,6 +165,12 @@
     ExitCode::Unavailable,
     "the node answers 503: table service down"
 )]
+#[case::bare_conflict(
+    "409 Conflict",
+    r#"{"reason":"key reused","outcome":"not-run"}"#,
+    ExitCode::Conflict,
+    "not accepted: key reused\n"
+)]
 #[case::plain_text("400 Bad Request", "no key", ExitCode::Failed, "the node answers 400: no key")]
 #[case::no_record("200 OK", "{}", ExitCode::Failed, "the node's answer 200 isn't understood")]
 fn a_refusal_gives_its_exit_code(
--- a/crates/coltsfootroute/src/revision/failure_body.rs
+++ b/crates/coltsfootroute/src/revision/failure_body.rs
@@ -1,9 +1,9 @@
 //! Body of a failure.
 
 record_type! {
-    /// Answer 4xx or 503 to an operator's RPC, where no other body is defined.
+    /// Answer 4xx or 503 to an operator's RPC, where no other body is defined. Clients
+    /// ignore fields that they don't know.
     #[derive(serde::Serialize, serde::Deserialize)]
-    #[serde(deny_unknown_fields)]
     pub struct FailureBody {
         /// Why, in words.
         pub reason: String,
--- a/crates/coltsfootroute/src/revision/submission.rs
+++ b/crates/coltsfootroute/src/revision/submission.rs
@@ -89,7 +89,7 @@
             Phase::ReadHead => self.take_head(row),
             Phase::ReadKey => self.take_key(row),
             Phase::ReadOwn(revision) => self.take_own(revision, row),
-            Phase::ReadCurrent(revision) => self.take_current(required(revision, row)?),
+            Phase::ReadCurrent(revision) => self.decide(Some(required(revision, row)?)),
             Phase::ReadExpected(current) => {
                 let expected = required(self.request.expected, row)?;
                 conflict(Some(current), &expected.document)
@@ -134,10 +134,6 @@
         })
     }
 
-    fn take_current(&mut self, current: RevisionRow) -> StepResult {
-        self.decide(Some(current))
-    }
-
     /// Writes if the newest revision is the one expected.
     fn decide(&mut self, current: Option<RevisionRow>) -> StepResult {
         let (newest, expected) = (self.head_revision(), self.request.expected);
