--- a/crates/coltsfoot-standin/src/load/load_runner.rs
+++ b/crates/coltsfoot-standin/src/load/load_runner.rs
@@ -101,6 +101,14 @@
             self.finish_request(start, &end, &mut emit);
         }
         emit(&self.record);
+        self.finish(sending_time, probe).await
+    }
+
+    async fn finish(
+        mut self,
+        sending_time: Duration,
+        probe: Option<JoinHandle<ProbeReport>>,
+    ) -> LoadReport {
         let probe = wait_for_probe(probe).await;
         if let Some(log) = &mut self.key_log {
             // A full disk costs a line of a development tool, not the report.
@@ -169,6 +177,10 @@
         let operation = Arc::clone(&self.operations[end.operation]);
         let outcome = end.outcome();
         self.report.count_outcome(&operation, end);
+        let focus = self.settings.focus;
+        if focus.is_some_and(|window| window.covers(end.due.saturating_duration_since(start))) {
+            self.report.count_focus(operation.importance, outcome);
+        }
         self.record.completed += u64::from(outcome == CallOutcome::Completed);
         self.record.tally(operation.importance).count(outcome);
         if let (Some(log), Some(key)) = (&mut self.key_log, &end.key) {
--- a/crates/coltsfootroute/src/once/once_guard.rs
+++ b/crates/coltsfootroute/src/once/once_guard.rs
@@ -5,13 +5,14 @@
 use indexmap::IndexMap;
 
 use super::{
-    AnswerMachine, ClaimHolder, ClaimId, ClaimMachine, ClaimNote, ClaimRecord, ClaimRefusal,
-    ClaimResult, ClaimRun, ClaimStep, ClaimTicket, DispatchVerdict, ErrandReply, ErrandRequest,
-    HolderAnswer, OnceCall, OnceKey, OnceSettings, ReleaseMachine, ReleaseStep, RunAnswer,
-    StoreErrand, WallTime,
-    answer_machine::AnswerProgress,
+    ClaimHolder, ClaimId, ClaimNote, ClaimRecord, ClaimRefusal, ClaimResult, ClaimRun, ClaimStep,
+    ClaimTicket, DispatchVerdict, ErrandReply, ErrandRequest, HolderAnswer, OnceCall, OnceKey,
+    OnceSettings, RunAnswer, StoreErrand, WallTime,
+    answer_machine::{AnswerMachine, AnswerProgress},
+    claim_machine::ClaimMachine,
     claim_refusal::ClaimTrace,
     open_claim::{ClaimStage, OpenClaim},
+    release_machine::{ReleaseMachine, ReleaseStep},
 };
 use crate::{
     outcome::RefusalReason,
@@ -19,20 +20,19 @@
     time::MonotonicTime,
 };
 
-record_type! {
-    /// The claims that one life of a node has begun and not settled.
-    ///
-    /// At most one of them is open for a key. A claim leaves only when it is settled in the table: its
-    /// end is stored, it is released, or it provably never got there.
-    pub struct OnceGuard {
-        holder: ClaimHolder,
-        settings: OnceSettings,
-        open: IndexMap<ClaimId, OpenClaim>,
-        by_key: IndexMap<OnceKey, ClaimId>,
-        /// Claims with an errand to be sent, by the time from which it may be; in that order, as all
-        /// pauses are equally long. A claim whose errand is under way isn't listed.
-        errands: VecDeque<(MonotonicTime, ClaimId)>,
-    }
+/// The claims that one life of a node has begun and not settled.
+///
+/// At most one of them is open for a key. A claim leaves only when it is settled in the table: its
+/// end is stored, it is released, or it provably never got there.
+#[derive(Debug, PartialEq, Eq)]
+pub struct OnceGuard {
+    holder: ClaimHolder,
+    settings: OnceSettings,
+    open: IndexMap<ClaimId, OpenClaim>,
+    by_key: IndexMap<OnceKey, ClaimId>,
+    /// Claims with an errand to be sent, by the time from which it may be; in that order, as all
+    /// pauses are equally long. A claim whose errand is under way isn't listed.
+    errands: VecDeque<(MonotonicTime, ClaimId)>,
 }
 
 impl OnceGuard {
@@ -49,8 +49,11 @@
 
     /// Begins to claim `call` under the fresh `claim_id`. To be called immediately before dispatch: after
     /// admission, with a slot of the upstream at hand.
+    ///
+    /// Each request that a step asks for must be followed by [`OnceGuard::on_reply`], or by
+    /// [`OnceGuard::cancel`] if its reply won't be waited for.
     pub fn begin(&mut self, call: OnceCall, claim_id: ClaimId, wall: WallTime) -> ClaimStep {
-        if let Some(result) = self.duplicate(&call) {
+        if let Some(result) = self.duplicate(&call, wall) {
             return ClaimStep::Done(result);
         }
         if self.open.len() >= self.settings.most_open {
@@ -113,21 +116,25 @@
     /// Uses up a ticket: the last check before the request goes to the upstream.
     pub fn dispatch(&mut self, ticket: ClaimTicket, now: MonotonicTime) -> DispatchVerdict {
         let (claim_id, version) = (ticket.claim_id, ticket.version);
+        let Some(open) = self.open.get_mut(&claim_id).filter(|open| open.is_ticketed()) else {
+            // The ticket of another guard: not for this one to run or release.
+            return DispatchVerdict::Lapsed;
+        };
         let verdict = ticket.dispatch(now, self.settings.longest_ticket);
-        match (&verdict, self.open.get_mut(&claim_id)) {
-            (DispatchVerdict::Run(_), Some(open)) => open.stage = ClaimStage::Running(version),
-            (DispatchVerdict::Lapsed, _) => {
+        match verdict {
+            DispatchVerdict::Run(_) => open.stage = ClaimStage::Running(version),
+            DispatchVerdict::Lapsed => {
                 self.release(claim_id, ClaimTrace::Standing(version), now);
             }
-            // The ticket of another guard.
-            (DispatchVerdict::Run(_), None) => return DispatchVerdict::Lapsed,
         }
         verdict
     }
 
     /// Gives back a ticket whose request won't be dispatched.
     pub fn abandon(&mut self, ticket: ClaimTicket, now: MonotonicTime) {
-        self.release(ticket.claim_id, ClaimTrace::Standing(ticket.version), now);
+        if self.open.get(&ticket.claim_id).is_some_and(OpenClaim::is_ticketed) {
+            self.release(ticket.claim_id, ClaimTrace::Standing(ticket.version), now);
+        }
     }
 
     /// The run ended with a complete answer. Its record is the next errand; the answer to the caller may
@@ -147,7 +154,18 @@
         });
     }
 
+    /// The upstream provably never began the run: the claim is released, so that a repeat can run.
+    pub fn withdraw(&mut self, run: ClaimRun, now: MonotonicTime) {
+        let stage = self.open.get(&run.claim_id).map(|open| &open.stage);
+        if let Some(&ClaimStage::Running(version)) = stage {
+            self.release(run.claim_id, ClaimTrace::Standing(version), now);
+        }
+    }
+
     /// The next request that may be sent at `now` for claims that nobody waits for.
+    ///
+    /// Must be followed by [`OnceGuard::on_errand_reply`], with an uncertain reply if there is none: until
+    /// then the claim has no further errand.
     pub fn next_errand(&mut self, now: MonotonicTime) -> Option<StoreErrand> {
         let (_, claim_id) = self.errands.pop_front_if(|(due, _)| *due <= now)?;
         let request = match &self.open.get(&claim_id)?.stage {
@@ -222,7 +240,7 @@
     }
 
     /// Answers a request whose key is open here, without the store.
-    fn duplicate(&self, call: &OnceCall) -> Option<ClaimResult> {
+    fn duplicate(&self, call: &OnceCall, wall: WallTime) -> Option<ClaimResult> {
         let open = self.open.get(self.by_key.get(&call.key)?)?;
         let is_same = open.claim.body_digest == call.body_digest;
         Some(match &open.stage {
@@ -231,6 +249,8 @@
                 RefusalReason::StoreUnavailable,
                 ClaimTrace::None,
             )),
+            // Its record may have been stored, and swept with its object, without an answer.
+            ClaimStage::Storing(_) if wall >= open.claim.until => ClaimResult::Expired,
             _ if !is_same => ClaimResult::Conflict,
             ClaimStage::Storing(machine) => match machine.replayable() {
                 Some(ClaimRecord::Finished { answer, .. }) => ClaimResult::Replay(answer.clone()),
--- a/crates/coltsfootroute/src/routing/upstream_pool.rs
+++ b/crates/coltsfootroute/src/routing/upstream_pool.rs
@@ -7,7 +7,7 @@
 
 use super::{
     PoolStatus, RouteResult, RoutingSettings, UpstreamInfo, UpstreamStatus, UpstreamTier,
-    upstream_record::UpstreamRecord,
+    upstream_choice::UpstreamChoice, upstream_record::UpstreamRecord,
 };
 use crate::{
     id::NodeId,
@@ -18,8 +18,9 @@
 /// The upstreams of one called service, as one caller sees them.
 ///
 /// Invariants: an upstream that is leaving is never chosen again in that life; no upstream has more
-/// calls in flight than its share, as long as each choice is followed by [`UpstreamPool::started`];
-/// at most [`RoutingSettings::most_ejected`] upstreams are ejected at a time.
+/// calls in flight than its share, as long as each choice is followed by [`UpstreamPool::started`]
+/// and the share does not shrink; no ejection brings more than [`RoutingSettings::most_ejected`] of
+/// the live upstreams out of use, and where all are ejected they are used all the same.
 #[derive(Clone, Debug)]
 pub struct UpstreamPool {
     own_domain: DomainName,
@@ -93,7 +94,20 @@
         rng: &mut impl Rng,
         exclude: &[NodeId],
     ) -> Option<NodeId> {
-        let position = self.choose_position(now, rng, exclude)?;
+        self.choose_admitted(now, rng, exclude, |_| 1.0)
+    }
+
+    /// Chooses like [`UpstreamPool::choose`], but takes a guard that admits more of the call's importance
+    /// before one that costs less. `admitted` gives the share that a guard admits, 0 to 1, as this caller
+    /// last heard it.
+    pub fn choose_admitted(
+        &mut self,
+        now: MonotonicTime,
+        rng: &mut impl Rng,
+        exclude: &[NodeId],
+        admitted: impl Fn(NodeId) -> f64,
+    ) -> Option<NodeId> {
+        let position = self.choose_position(now, rng, exclude, admitted)?;
         let (node, record) = self.records.get_index(position)?;
         match record.tier {
             UpstreamTier::OwnDomain => self.chosen_near += 1,
@@ -195,26 +209,32 @@
         }
     }
 
-    /// Trusted upstreams first, then suspects; ejected ones only where all are ejected.
+    /// Trusted upstreams first, then suspects and trials; ejected ones only where all are ejected.
     fn choose_position(
         &self,
         now: MonotonicTime,
         rng: &mut impl Rng,
         exclude: &[NodeId],
+        admitted: impl Fn(NodeId) -> f64,
     ) -> Option<usize> {
-        let trusted = |record: &UpstreamRecord| record.takes_calls(now) && !record.info.suspect;
-        if let Some(position) = self.choose_where(now, rng, exclude, trusted) {
+        // A first attempt can still be retried, so it is the one to try an ejected upstream.
+        let may_try = exclude.is_empty();
+        let trusted = |record: &UpstreamRecord| {
+            let ready = !record.health.is_ejected() || may_try;
+            ready && record.takes_calls(now) && !record.info.suspect
+        };
+        if let Some(position) = self.choose_where(now, rng, exclude, &admitted, trusted) {
             return Some(position);
         }
-        let suspect = |record: &UpstreamRecord| record.takes_calls(now);
-        if let Some(position) = self.choose_where(now, rng, exclude, suspect) {
+        let any = |record: &UpstreamRecord| record.takes_calls(now);
+        if let Some(position) = self.choose_where(now, rng, exclude, &admitted, any) {
             return Some(position);
         }
         let all_ejected = self.live().all(|record| record.health.is_ejected());
         if !all_ejected {
             return None;
         }
-        self.choose_where(now, rng, exclude, UpstreamRecord::has_room)
+        self.choose_where(now, rng, exclude, &admitted, UpstreamRecord::has_room)
     }
 
     /// The best of two upstreams of each tier that `takes` a call, nearer tiers preferred.
@@ -223,24 +243,26 @@
         now: MonotonicTime,
         rng: &mut impl Rng,
         exclude: &[NodeId],
+        admitted: impl Fn(NodeId) -> f64,
         takes: impl Fn(&UpstreamRecord) -> bool,
     ) -> Option<usize> {
         let takes = |record: &UpstreamRecord| !exclude.contains(&record.info.node) && takes(record);
-        let mut best: Option<(usize, f64)> = None;
+        let mut best: Option<UpstreamChoice> = None;
         for (index, tier) in self.tiers.iter().enumerate() {
             for position in self.two_of(tier, rng, takes).into_iter().flatten() {
                 let record = &self.records[position];
-                // A first attempt can still be retried, so it is the one to try an ejected upstream.
-                if exclude.is_empty() && record.wants_trial(now) {
+                if record.wants_trial(now) {
                     return Some(position);
                 }
                 let cost = record.cost(now, self.baseline, &self.settings) * self.reluctance(index);
-                if best.is_none_or(|(_, least)| cost < least) {
-                    best = Some((position, cost));
+                let choice =
+                    UpstreamChoice { position, admitted: admitted(record.info.node), cost };
+                if best.is_none_or(|best| choice.is_better_than(&best)) {
+                    best = Some(choice);
                 }
             }
         }
-        best.map(|(position, _)| position)
+        best.map(|choice| choice.position)
     }
 
     /// Up to two different upstreams of `tier` that take a call, drawn at random.
@@ -252,13 +274,17 @@
     ) -> [Option<usize>; 2] {
         let first = self.draw(tier, rng, |record| takes(record));
         let Some(position) = first else { return [None, None] };
+        if tier.len() == 1 {
+            return [first, None];
+        }
         let second = self.draw(tier, rng, |record| {
             record.info.node != self.records[position].info.node && takes(record)
         });
         [first, second]
     }
 
-    /// The first upstream from a random place of `tier` onwards that `takes` a call.
+    /// An upstream of `tier` that `takes` a call, drawn at random. Where most do not, the first one
+    /// from a random place onwards.
     fn draw(
         &self,
         tier: &[usize],
@@ -268,6 +294,12 @@
         if tier.is_empty() {
             return None;
         }
+        for _ in 0..RANDOM_DRAWS {
+            let position = tier[rng.random_range(0..tier.len())];
+            if takes(&self.records[position]) {
+                return Some(position);
+            }
+        }
         let start = rng.random_range(0..tier.len());
         let order = tier[start..].iter().chain(&tier[..start]);
         order.copied().find(|&position| takes(&self.records[position]))
@@ -343,5 +375,7 @@
 
 /// Latency that the first upstream of a pool is taken to have: 10 ms.
 const INITIAL_BASELINE_MICROS: f64 = 10_000.0;
+/// Draws at random before a scan: a scan favours the upstream after one that takes no calls.
+const RANDOM_DRAWS: usize = 4;
 /// Least calls between two looks at the median.
 const LEAST_CALLS_PER_BASELINE: usize = 16;
