--- a/scripts/lib/coltsfoot_bench/recovery.py
+++ b/scripts/lib/coltsfoot_bench/recovery.py
@@ -1,7 +1,13 @@
 """Recovery time from a series of goodput."""
 
+import math
+import random
+
 THRESHOLD = 0.95
 STEADY_MS = 1000
+# Undisturbed streams: the part that gives the normal goodput, and the whole.
+NOISE_NORMAL_MS = 4000
+NOISE_STREAM_MS = 35000
 
 
 def mean_completed(records, begin_ms, end_ms):
@@ -29,3 +35,25 @@
         if is_steady([record["completed"] for record in later[start : start + needed]]):
             return later[start]["t_ms"] - begin_ms
     return None
+
+
+def noise(rate, interval_ms, streams, seed):
+    """What both measures give for undisturbed Poisson streams: sorted lists, never as infinity."""
+    rng = random.Random(seed)
+    by_window, by_mean = [], []
+    for _ in range(streams):
+        records = _undisturbed(rate, interval_ms, rng)
+        normal = mean_completed(records, 0, NOISE_NORMAL_MS)
+        span = (records, NOISE_NORMAL_MS, NOISE_STREAM_MS, normal, interval_ms)
+        by_window.append(each_window(*span))
+        by_mean.append(mean_of_second(*span))
+    return tuple(sorted(math.inf if ms is None else ms for ms in values) for values in (by_window, by_mean))
+
+
+def _undisturbed(rate, interval_ms, rng):
+    records = [{"t_ms": t_ms, "completed": 0} for t_ms in range(0, NOISE_STREAM_MS, interval_ms)]
+    time_ms = rng.expovariate(rate / 1000)
+    while time_ms < NOISE_STREAM_MS:
+        records[int(time_ms // interval_ms)]["completed"] += 1
+        time_ms += rng.expovariate(rate / 1000)
+    return records
