Failed runs print the last output of processes that ended on their own

Cause: the output folder is gone after a run, and with it the reason of a failure. Change: ProcessGroup prints it on an error.

--- a/scripts/lib/coltsfoot_bench/processes.py
+++ b/scripts/lib/coltsfoot_bench/processes.py
@@ -95,8 +95,10 @@
     def __enter__(self):
         return self
 
-    def __exit__(self, *_):
+    def __exit__(self, kind, *_):
         try:
+            if kind is not None and issubclass(kind, BenchError):
+                self._show_failed()
             self.kill_all()
         finally:
             self._folder.cleanup()
@@ -107,6 +109,12 @@
         self.processes.append(process)
         return process
 
+    def _show_failed(self):
+        """Prints the last output of processes that ended on their own, which explains most failures."""
+        for process in self.processes:
+            if not process.is_running() and process.popen.returncode != 0:
+                print(f"{process.name} ended with {process.popen.returncode}:\n{process.tail()}", flush=True)
+
     def kill_all(self):
         """Ends what still runs: first by asking, then at once."""
         running = [process for process in self.processes if process.is_running()]
