--- a/crates/coltsfootroute/tests/integration/once/fuzz.rs
+++ b/crates/coltsfootroute/tests/integration/once/fuzz.rs
@@ -171,7 +171,7 @@
 }
 
 fn config() -> Config {
-    // `scripts/fuzz` and long runs by hand set the number of cases and the seed.
+    // Long runs set the number of cases and the seed.
     let number = |name: &str| std::env::var(name).ok().and_then(|text| text.parse::<u64>().ok());
     Config {
         cases: number("COLTSFOOT_FUZZ_CASES").map_or(CASES, |cases| cases as u32),
