--- /dev/null
+++ b/crates/coltsfoot-node/src/http/listener_state.rs
@@ -0,0 +1,37 @@
+//! What the listeners share with the other duties of the process.
+
+use crate::{
+    clock::MonotonicClock, config::ConfigHandle, dispatch::DispatchHandle, journal::EventReader,
+    metrics::NodeMetrics, process::DrainSwitch,
+};
+use std::sync::Arc;
+
+/// State of the listener for clients.
+#[derive(Clone)]
+pub struct ClientState {
+    /// Clock of the process.
+    pub clock: MonotonicClock,
+    /// The dispatch duty.
+    pub dispatch: DispatchHandle,
+    /// Most bytes of a body.
+    pub body_limit: usize,
+}
+
+/// State of the listener on the host's own address.
+#[derive(Clone)]
+pub struct HostState {
+    /// Clock of the process.
+    pub clock: MonotonicClock,
+    /// The dispatch duty.
+    pub dispatch: DispatchHandle,
+    /// The configuration duty.
+    pub config: ConfigHandle,
+    /// Events of this node.
+    pub events: EventReader,
+    /// Metrics of this node.
+    pub metrics: Arc<NodeMetrics>,
+    /// Begins a planned stop.
+    pub drain: DrainSwitch,
+    /// Most bytes of a body.
+    pub body_limit: usize,
+}
