--- a/crates/coltsfoot-node/src/dispatch/dispatcher.rs
+++ b/crates/coltsfoot-node/src/dispatch/dispatcher.rs
@@ -15,6 +15,7 @@
     id::{Incarnation, NodeId},
     importance::Importance,
     name::{DomainName, RegionName, ServiceName},
+    once::ClaimHolder,
     outcome::{CallOutcome, RefusalReason},
     retry::{AccountLedger, LedgerSettings, RetryPolicy, ServiceThrottle},
 };
@@ -25,12 +26,12 @@
 
 use super::{
     calls_in_flight::CallsInFlight, dispatch_thread::DispatchParts, guard::GuardState,
-    incoming_call::IncomingCall, peer_links::PeerLinks, service_pool::ServicePool,
-    upstream_client::UpstreamClient,
+    incoming_call::IncomingCall, once_desk::OnceDesk, peer_links::PeerLinks,
+    service_pool::ServicePool, upstream_client::UpstreamClient,
 };
 use crate::{
     clock::MonotonicClock, config::ConfigCell, gossip::GossipCommand, journal::EventSender,
-    metrics::NodeMetrics, once::OnceDesk, settings::ControlMode,
+    metrics::NodeMetrics, settings::ControlMode,
 };
 
 /// What the dispatch duty knows of its own node; immutable.
@@ -78,6 +79,17 @@
     next_call: Cell<u64>,
 }
 
+/// What a leaving node distinguishes when it takes calls.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CallKind {
+    /// A client's request, to be routed from here.
+    Client,
+    /// A call for the upstream beside the node.
+    Guarded,
+    /// A call nested below work under way beside the node.
+    Nested,
+}
+
 /// A call that counts as in flight until it is dropped.
 pub struct StartedCall {
     dispatcher: Rc<Dispatcher>,
@@ -93,6 +105,8 @@
 impl Dispatcher {
     /// The state of a node that has just started.
     pub fn new(parts: DispatchParts) -> Self {
+        let holder =
+            ClaimHolder { node: parts.identity.node, incarnation: parts.identity.incarnation };
         let drain = DrainSettings::default().with_notice(parts.drain_notice);
         Self {
             clock: parts.clock,
@@ -114,7 +128,7 @@
             upstream_client: UpstreamClient::new(parts.body_limit),
             drain: RefCell::new(DrainState::new(drain)),
             call_ended: Notify::new(),
-            once: parts.once,
+            once: OnceDesk::new(holder, parts.store, parts.nodes),
             gossip: parts.gossip,
             metrics: parts.metrics,
             events: parts.events,
@@ -135,11 +149,14 @@
         self.config.load().map_or(0, |config| config.revision())
     }
 
-    /// Counts a call as in flight; `None` while the node leaves. Calls nested below work under way are
-    /// taken until the last of that work has ended.
-    pub(super) fn start_call(self: &Rc<Self>, under_way: bool) -> Option<StartedCall> {
+    /// Counts a call as in flight; `None` if a leaving node no longer takes its kind.
+    pub(super) fn start_call(self: &Rc<Self>, kind: CallKind) -> Option<StartedCall> {
         let mut drain = self.drain.borrow_mut();
-        let answer = if under_way { drain.nested_started() } else { drain.started() };
+        let answer = match kind {
+            CallKind::Client => drain.client_started(self.clock.now()),
+            CallKind::Guarded => drain.started(),
+            CallKind::Nested => drain.nested_started(),
+        };
         (answer == StartAnswer::Started).then(|| StartedCall { dispatcher: self.clone() })
     }
 
--- a/crates/coltsfootroute/src/membership/gossip_engine/pulling.rs
+++ b/crates/coltsfootroute/src/membership/gossip_engine/pulling.rs
@@ -20,10 +20,10 @@
 const MAX_WANTED_BUCKETS: usize = 8;
 /// A pull that brought nothing, or not all, is followed by the next after this part of the interval.
 const EAGER_PULL_DIVISOR: u32 = 4;
+/// A group of which nobody answers is pulled this many times slower.
+const LOST_PULL_FACTOR: u32 = 3;
 /// Wait before a pull is tried again for which there were no bytes.
 const DEFERRED_PULL_DELAY: Duration = Duration::from_millis(200);
-/// Most members remembered after they were forgotten for silence.
-const MAX_LOST: usize = 32;
 
 impl GossipEngine {
     /// Pulls the groups that are due.
@@ -126,12 +126,12 @@
     }
 
     /// The node asked last has not answered: it is asked less, and a group of which nobody answers
-    /// for long is forgotten.
+    /// for long is hidden.
     fn note_silence(&mut self, now: MonotonicTime, service: &ServiceName) {
         let Some(watch) = self.watches.get_mut(service) else { return };
         let Some(target) = watch.waiting.take() else { return };
         watch.silent.insert(target);
-        let long = now.since(watch.answered) >= self.settings.forget_after;
+        let long = now.since(watch.answered) >= self.settings.hide_after;
         if !long || self.is_member_of(service) {
             return;
         }
@@ -139,31 +139,23 @@
         let watch = &self.watches[service];
         let all_silent = group.live().all(|record| watch.silent.contains(&record.node));
         if all_silent {
-            self.forget_group(service);
+            self.hide_group(now, service);
         }
     }
 
-    /// Drops the live members of a group that does not answer. Nothing is said to others about them:
+    /// Hides the live members of a group that does not answer. Nothing is said to others about them:
     /// this node's own link may be what is down.
-    fn forget_group(&mut self, service: &ServiceName) {
-        let (Some(group), Some(watch)) =
-            (self.groups.get_mut(service), self.watches.get_mut(service))
-        else {
-            return;
-        };
+    fn hide_group(&mut self, now: MonotonicTime, service: &ServiceName) {
+        let Some(group) = self.groups.get_mut(service) else { return };
         let nodes: Vec<_> = group.live().map(|record| record.node).collect();
         if nodes.is_empty() {
             return;
         }
         for node in nodes {
-            group.forget(node);
-            if watch.lost.len() < MAX_LOST {
-                watch.lost.insert(node);
-            }
+            group.hide(now, node);
             let state = MemberState::Dead;
             self.effects.push(GossipEffect::MemberDown { service: service.clone(), node, state });
         }
-        watch.silent.clear();
         self.effects.push(GossipEffect::Changed { service: service.clone() });
     }
 
@@ -184,24 +176,49 @@
         let members = if elsewhere { None } else { others().choose(rng) };
         answering
             .or(members)
-            .or_else(|| watch.lost.iter().copied().filter(|_| !elsewhere).choose(rng))
+            .or_else(|| group.lost().filter(|_| !elsewhere).choose(rng))
             .or_else(|| self.cross_target(now, rng))
             .or_else(|| others().choose(rng))
-            .or_else(|| watch.lost.iter().copied().choose(rng))
+            .or_else(|| group.lost().choose(rng))
     }
 
+    /// Short after an unanswered pull if there is another member to ask; long for a group of which
+    /// nobody answers, so that the search for it doesn't eat the bytes of everything else.
     fn pull_interval(&self, now: MonotonicTime, service: &ServiceName) -> Duration {
-        let Some(watch) = self.watches.get(service) else { return self.settings.pull_interval };
-        let empty = self.groups.get(service).is_none_or(|group| group.live_count() <= 1);
-        let interval = if self.is_member_of(service) {
-            if empty { self.settings.cross_interval } else { self.settings.sync_interval }
-        } else if self.is_cold(now, watch) {
-            self.settings.cold_pull_interval
-        } else {
-            self.settings.pull_interval
+        let (Some(watch), Some(group)) = (self.watches.get(service), self.groups.get(service))
+        else {
+            return self.settings.pull_interval;
         };
-        let unanswered = !watch.silent.is_empty();
-        if unanswered { interval / EAGER_PULL_DIVISOR } else { interval }
+        let interval = self.calm_interval(now, service, watch);
+        let others = group.live().filter(|record| record.node != self.me.node);
+        let (mut unasked, mut members) = (false, false);
+        for member in others {
+            members = true;
+            unasked |= !watch.silent.contains(&member.node);
+        }
+        let lost = !members && now.since(watch.answered) >= self.settings.hide_after;
+        if lost {
+            interval.max(self.settings.pull_interval * LOST_PULL_FACTOR)
+        } else if unasked && !watch.silent.is_empty() {
+            interval / EAGER_PULL_DIVISOR
+        } else {
+            interval
+        }
+    }
+
+    fn calm_interval(
+        &self,
+        now: MonotonicTime,
+        service: &ServiceName,
+        watch: &WatchState,
+    ) -> Duration {
+        let alone = self.groups.get(service).is_none_or(|group| group.live_count() <= 1);
+        match self.is_member_of(service) {
+            true if alone => self.settings.cross_interval,
+            true => self.settings.sync_interval,
+            false if self.is_cold(now, watch) => self.settings.cold_pull_interval,
+            false => self.settings.pull_interval,
+        }
     }
 
     fn pull_priority(&self, now: MonotonicTime, service: &ServiceName) -> SendPriority {
--- a/crates/coltsfootroute/src/once/once_guard.rs
+++ b/crates/coltsfootroute/src/once/once_guard.rs
@@ -154,6 +154,14 @@
         });
     }
 
+    /// The upstream provably never began the run: the claim is released, so that a repeat can run.
+    pub fn withdraw(&mut self, run: ClaimRun, now: MonotonicTime) {
+        let stage = self.open.get(&run.claim_id).map(|open| &open.stage);
+        if let Some(&ClaimStage::Running(version)) = stage {
+            self.release(run.claim_id, ClaimTrace::Standing(version), now);
+        }
+    }
+
     /// The next request that may be sent at `now` for claims that nobody waits for.
     ///
     /// Must be followed by [`OnceGuard::on_errand_reply`], with an uncertain reply if there is none: until
