Slopes by one command; the head is read alone, history in small pages, gossip bytes are counted

Each node read the whole newest revision every 600 s (366 kB at 490 services, 30 times a second over 18,000 nodes); a page of the history held 32 whole configurations, above the 4 MiB bound of a reply from 175 services on; what an operation reaches was found by a graph whose every vertex wrote out its path; coltsfoot_control_bytes_total stayed 0.

--- a/crates/coltsfoot-node/src/config/config_book.rs
+++ b/crates/coltsfoot-node/src/config/config_book.rs
@@ -6,8 +6,8 @@
     event::EventKind,
     id::NodeId,
     revision::{
-        Applied, ConfigDelta, ConfigState, DeltaFault, HistoryRecord, InForceRecord, RecentHistory,
-        Revision, RevisionRecord, StartGate,
+        Applied, ChainDigest, ConfigDelta, ConfigState, DeltaFault, HistoryRecord, InForceRecord,
+        RecentHistory, Revision, RevisionRecord, StartGate,
     },
     schema::SchemaDocument,
 };
@@ -48,6 +48,11 @@
         self.state.revision()
     }
 
+    /// Chain digest of the revision held.
+    pub fn held_chain(&self) -> Option<ChainDigest> {
+        self.state.record().map(|record| record.chain)
+    }
+
     /// Takes in what a peer sent; an empty answer says that it holds nothing newer.
     ///
     /// # Errors
@@ -71,7 +76,7 @@
         self.gate.give_up(peer);
     }
 
-    /// Takes in what the table service holds, `None` if it holds no configuration.
+    /// Takes in what the table service holds, `None` if it holds none or the one held here.
     ///
     /// # Errors
     ///
--- a/crates/coltsfoot-node/src/config/config_thread.rs
+++ b/crates/coltsfoot-node/src/config/config_thread.rs
@@ -140,7 +140,7 @@
     }
 
     async fn read_head(&mut self) {
-        let mut reader = HeadReader::new();
+        let mut reader = HeadReader::new().with_held(self.book.held_chain());
         let mut request = reader.start();
         let newest = loop {
             let reply = self.desk().ask_store(request).await;
--- a/crates/coltsfoot-node/src/gossip/gossip_thread.rs
+++ b/crates/coltsfoot-node/src/gossip/gossip_thread.rs
@@ -1,13 +1,13 @@
 //! The thread of the gossip duty.
 
-use std::{io, net::UdpSocket, thread, time::Duration};
+use std::{io, net::UdpSocket, sync::Arc, thread, time::Duration};
 
 use coltsfoot_wire::gossip::{decode, encode};
 use coltsfootroute::{
     id::NodeId,
     membership::{
-        GossipEffect, GossipEngine, GossipMessage, GossipSettings, MAX_DATAGRAM_BYTES,
-        MemberRecord, MemberState,
+        DATAGRAM_OVERHEAD_BYTES, GossipEffect, GossipEngine, GossipMessage, GossipSettings,
+        MAX_DATAGRAM_BYTES, MemberRecord, MemberState,
     },
     name::ServiceName,
 };
@@ -25,6 +25,7 @@
     clock::MonotonicClock,
     config::{ConfigCommand, ConfigHandle},
     dispatch::{DispatchCommand, DispatchHandle},
+    metrics::{ControlKind, NodeMetrics, TrafficDirection},
 };
 
 /// Commands that wait at most.
@@ -44,6 +45,8 @@
     pub dispatch: DispatchHandle,
     /// The configuration duty, told of peers that are ahead.
     pub config: ConfigHandle,
+    /// Counts the bytes of gossip.
+    pub metrics: Arc<NodeMetrics>,
     /// Seed of the random generator.
     pub seed: u64,
 }
@@ -56,6 +59,7 @@
     socket: tokio::net::UdpSocket,
     dispatch: DispatchHandle,
     config: ConfigHandle,
+    metrics: Arc<NodeMetrics>,
 }
 
 impl GossipThread {
@@ -88,6 +92,7 @@
             socket,
             dispatch: parts.dispatch,
             config: parts.config,
+            metrics: parts.metrics,
         };
         thread::Builder::new()
             .name("gossip".to_owned())
@@ -117,6 +122,7 @@
     }
 
     fn receive(&mut self, datagram: &[u8], from: NodeId) -> Vec<GossipEffect> {
+        self.count(TrafficDirection::Received, datagram);
         match decode(datagram) {
             Ok(message) => self.engine.receive(self.clock.now(), &mut self.rng, from, message),
             Err(err) => {
@@ -179,11 +185,20 @@
     async fn send(&self, to: NodeId, message: &GossipMessage) {
         match encode(message) {
             // A datagram that cannot be sent is as good as lost, which the engine expects.
-            Ok(datagram) => drop(self.socket.send_to(&datagram, to.0).await),
+            Ok(datagram) => {
+                self.count(TrafficDirection::Sent, &datagram);
+                drop(self.socket.send_to(&datagram, to.0).await);
+            }
             Err(err) => log::warn!("event=gossip-unsendable error={:?}", err.to_string()),
         }
     }
 
+    /// Counts a datagram with its headers.
+    fn count(&self, direction: TrafficDirection, datagram: &[u8]) {
+        let bytes = datagram.len() + DATAGRAM_OVERHEAD_BYTES;
+        self.metrics.control.add_bytes(ControlKind::Gossip, direction, bytes);
+    }
+
     async fn publish(&self, service: ServiceName) {
         let members = self.engine.records(service.as_str()).cloned().collect();
         self.dispatch.tell(DispatchCommand::Members(service, members)).await;
--- a/crates/coltsfoot-node/src/process/node_process.rs
+++ b/crates/coltsfoot-node/src/process/node_process.rs
@@ -109,6 +109,7 @@
             record,
             dispatch: dispatch.clone(),
             config: config.clone(),
+            metrics: metrics.clone(),
             seed: seed.wrapping_add(1),
         };
         GossipThread::start(gossip_parts, gossip_socket, gossip_ring)?;
--- a/crates/coltsfoot-slopes/src/mesh/gossip_mesh.rs
+++ b/crates/coltsfoot-slopes/src/mesh/gossip_mesh.rs
@@ -6,8 +6,8 @@
 use coltsfootroute::{
     id::{Incarnation, NodeId},
     membership::{
-        DATAGRAM_OVERHEAD_BYTES, GossipEffect, GossipEngine, GossipSettings, MemberRecord,
-        UpstreamOffer,
+        DATAGRAM_OVERHEAD_BYTES, GossipEffect, GossipEngine, GossipMessage, GossipPayload,
+        GossipSettings, MemberRecord, MemberUpdate, UpstreamOffer,
     },
     name::{DomainName, RegionName, ServiceName},
     time::MonotonicTime,
@@ -26,6 +26,7 @@
 /// Addresses of the settings: members of the own group, and of any.
 const OWN_PEERS: usize = 3;
 const OTHER_PEERS: usize = 2;
+const RECORDS_PER_DATAGRAM: usize = 8;
 const SLOTS: u32 = 120;
 const CONNECTIONS: u32 = 800;
 const DOMAINS: usize = 23;
@@ -140,6 +141,32 @@
         self.carry_out(index, effects);
     }
 
+    /// Tells every node of all members of its own and its watched groups, as if it had run for long.
+    pub fn acquaint(&mut self) {
+        for index in 0..self.nodes.len() {
+            let own = service_name(self.nodes[index].group);
+            let services: Vec<_> = self.nodes[index].watched.iter().cloned().chain([own]).collect();
+            for service in services {
+                self.tell_members(index, &service);
+            }
+        }
+    }
+
+    fn tell_members(&mut self, index: usize, service: &ServiceName) {
+        let members = self.members[group_of(service)].clone();
+        for part in members.chunks(RECORDS_PER_DATAGRAM) {
+            let records = part.iter().map(|member| self.nodes[*member].engine.own_record().clone());
+            let service = service.clone();
+            let payload = GossipPayload::Records { service, bucket_count: 1, complete: Vec::new() };
+            let mut message = GossipMessage::new(0, payload);
+            message.updates = records.map(MemberUpdate::new).collect();
+            let Ok(bytes) = encode(&message) else { continue };
+            // Only members speak for a group.
+            let Some(from) = members.iter().find(|member| **member != index) else { continue };
+            self.arrive(&Datagram { from: node_id(*from), to: index, bytes });
+        }
+    }
+
     /// Number of nodes.
     pub fn len(&self) -> usize {
         self.nodes.len()
--- a/crates/coltsfoot-slopes/src/report/measured_slope.rs
+++ b/crates/coltsfoot-slopes/src/report/measured_slope.rs
@@ -29,6 +29,18 @@
         self.points.push((x, y));
     }
 
+    /// Reads what [`to_csv`](Self::to_csv) writes; `None` if it has another form.
+    pub fn from_csv(name: &str, text: &str) -> Option<Self> {
+        let mut lines = text.lines();
+        let (x_label, y_label) = lines.next()?.split_once(',')?;
+        let mut slope = Self::new(name, x_label, y_label);
+        for line in lines {
+            let (x, y) = line.split_once(',')?;
+            slope.push(x.parse().ok()?, y.parse().ok()?);
+        }
+        Some(slope)
+    }
+
     /// The points as CSV with a head line.
     pub fn to_csv(&self) -> String {
         let mut text = format!("{},{}\n", self.x_label, self.y_label);
--- a/crates/coltsfoot-slopes/src/slopes.rs
+++ b/crates/coltsfoot-slopes/src/slopes.rs
@@ -49,21 +49,39 @@
 ///
 /// If the measurement fails, or its files can't be written.
 pub fn run(arguments: &SlopeArguments, output: &mut impl Write) -> anyhow::Result<()> {
+    for slope in slopes_of(arguments, output)? {
+        write!(output, "{}", slope.to_lines())?;
+        if let Some(directory) = &arguments.out {
+            write_files(&slope, directory)?;
+        }
+    }
+    Ok(())
+}
+
+fn slopes_of(
+    arguments: &SlopeArguments,
+    output: &mut impl Write,
+) -> anyhow::Result<Vec<MeasuredSlope>> {
+    if let Some(file) = &arguments.csv {
+        let name = file.file_stem().context("a file name")?.to_string_lossy();
+        let slope = MeasuredSlope::from_csv(&name, &fs::read_to_string(file)?);
+        return Ok(vec![slope.context("not a table of points")?]);
+    }
     let Some(wanted) = &arguments.name else {
         for (name, about, _) in MEASUREMENTS {
             writeln!(output, "{name}: {about}")?;
         }
-        return Ok(());
+        return Ok(Vec::new());
     };
     let found = MEASUREMENTS.iter().find(|(name, ..)| name == wanted);
     let (.., measure) = found.context("no such measurement")?;
-    for slope in measure()? {
-        write!(output, "{}", slope.to_lines())?;
-        if let Some(directory) = &arguments.out {
-            write_files(&slope, directory)?;
-        }
-    }
-    Ok(())
+    measure()
+}
+
+/// Tells of a point on the way: some measurements take minutes.
+fn note(name: &str, x: f64, y: f64) {
+    // Progress that can't be shown is no reason to stop.
+    let _ = writeln!(std::io::stderr(), "{name}: {x}: {y:.3}");
 }
 
 fn write_files(slope: &MeasuredSlope, directory: &Path) -> anyhow::Result<()> {
--- a/crates/coltsfoot-slopes/src/slopes/gossip.rs
+++ b/crates/coltsfoot-slopes/src/slopes/gossip.rs
@@ -5,6 +5,7 @@
 use anyhow::ensure;
 use coltsfootroute::membership::GossipSettings;
 
+use super::note;
 use crate::{mesh::GossipMesh, processor_clock::timed, report::MeasuredSlope};
 
 /// Members of a group at the size that the page works out.
@@ -43,7 +44,9 @@
         let mesh = mesh.with_groups(groups, GROUP, WATCHED);
         let begin = mesh.now();
         let mesh = converged(mesh)?;
-        slope.push((groups * GROUP) as f64, mesh.now().since(begin).as_secs_f64());
+        let seconds = mesh.now().since(begin).as_secs_f64();
+        note(&slope.name, (groups * GROUP) as f64, seconds);
+        slope.push((groups * GROUP) as f64, seconds);
     }
     Ok(vec![slope])
 }
@@ -111,7 +114,7 @@
 
 /// A mesh whose nodes all know each other.
 pub fn started(groups: usize, size: usize, watched: usize) -> anyhow::Result<GossipMesh> {
-    converged(GossipMesh::new(roomy_settings(), SEED).with_groups(groups, size, watched))
+    acquainted(GossipMesh::new(roomy_settings(), SEED).with_groups(groups, size, watched))
 }
 
 /// With the bytes of the whole control traffic, so that what is wanted is seen and not the bound.
@@ -119,8 +122,15 @@
     GossipSettings::new().with_bandwidth(CONTROL_BYTES_PER_S, BURST_BYTES)
 }
 
+/// As after a long run: all nodes are told of each other, and go on until they agree.
+pub fn acquainted(mut mesh: GossipMesh) -> anyhow::Result<GossipMesh> {
+    mesh.acquaint();
+    mesh.run(Duration::from_secs(SETTLE_S));
+    converged(mesh)
+}
+
 /// Runs until all nodes know each other. Nothing is in use meanwhile.
-pub fn converged(mut mesh: GossipMesh) -> anyhow::Result<GossipMesh> {
+fn converged(mut mesh: GossipMesh) -> anyhow::Result<GossipMesh> {
     let limit = mesh.now() + LONGEST_START;
     while !mesh.is_converged() {
         ensure!(mesh.now() < limit, "{} nodes did not come to know each other", mesh.len());
@@ -170,6 +180,7 @@
     }
 
     fn push(&mut self, x: f64, bytes: f64, used: Duration) {
+        note(&self.bytes.name, x, bytes);
         self.bytes.push(x, bytes);
         self.time.push(x, used.as_secs_f64() * 1e6);
     }
--- a/crates/coltsfoot-slopes/src/slopes/news.rs
+++ b/crates/coltsfoot-slopes/src/slopes/news.rs
@@ -4,7 +4,10 @@
 
 use anyhow::ensure;
 
-use super::gossip::{GROUP, WATCHED, converged, roomy_settings, started};
+use super::{
+    gossip::{GROUP, WATCHED, acquainted, roomy_settings, started},
+    note,
+};
 use crate::{
     mesh::{GossipMesh, STEP},
     report::MeasuredSlope,
@@ -54,10 +57,11 @@
         let mut worst = Duration::ZERO;
         for trial in 0..TRIALS {
             let mesh = GossipMesh::new(roomy_settings(), trial).with_watchers(size, watchers);
-            let mut mesh = converged(mesh)?;
+            let mut mesh = acquainted(mesh)?;
             settle(&mut mesh);
             worst = worst.max(time_to_know(&mut mesh, &[0], end)?);
         }
+        note(&slope.name, x_of((size, watchers)) as f64, worst.as_secs_f64());
         slope.push(x_of((size, watchers)) as f64, worst.as_secs_f64());
     }
     Ok(vec![slope])
@@ -73,6 +77,7 @@
         settle(&mut mesh);
         let lost: Vec<_> = (0..mesh.len()).step_by(every).collect();
         let took = time_to_know(&mut mesh, &lost, End::Death)?;
+        note(&slope.name, 100.0 / every as f64, took.as_secs_f64());
         slope.push(100.0 / every as f64, took.as_secs_f64());
     }
     Ok(vec![slope])
--- a/crates/coltsfoot-slopes/src/slopes/spread.rs
+++ b/crates/coltsfoot-slopes/src/slopes/spread.rs
@@ -4,7 +4,10 @@
 
 use anyhow::Context as _;
 
-use super::gossip::{GROUP, WATCHED, started};
+use super::{
+    gossip::{GROUP, WATCHED, started},
+    note,
+};
 use crate::report::MeasuredSlope;
 
 const REVISION: u64 = 1;
@@ -32,6 +35,7 @@
         }
         let x = (count as f64).log2();
         let took = mesh.now().since(begin);
+        note(&all.name, count as f64, took.as_secs_f64());
         all.push(x, took.as_secs_f64());
         most.push(x, most_after.unwrap_or(took).as_secs_f64());
     }
--- /dev/null
+++ b/crates/coltsfoot-slopes/tests/integration/main.rs
@@ -0,0 +1,4 @@
+//! Tests of the measurements' own arithmetic.
+
+mod mesh;
+mod report;
--- a/crates/coltsfootroute/src/revision/head_reader.rs
+++ b/crates/coltsfootroute/src/revision/head_reader.rs
@@ -1,11 +1,14 @@
 //! Reads the newest configuration.
 
-use super::{HeadRow, ReaderStep, RevisionRow, RowFault, schema_rows};
+use super::{ChainDigest, HeadRow, ReaderStep, RevisionRow, RowFault, schema_rows};
 use crate::table::{StoredRow, TableReply, TableRequest};
 
-/// Reads `schema/head`, then the revision that it names. Gives `None` if there is no configuration yet.
+/// Reads `schema/head`, then the revision that it names. Gives `None` if there is no configuration yet, or
+/// none but the one held.
 #[derive(Clone, Debug, Default)]
 pub struct HeadReader {
+    /// Chain digest of the revision held, whose row need not be read again.
+    held: Option<ChainDigest>,
     head: Option<HeadRow>,
 }
 
@@ -15,6 +18,11 @@
         Self::default()
     }
 
+    /// Leaves out the row of the revision held: it is by far the larger of the two.
+    pub fn with_held(self, held: Option<ChainDigest>) -> Self {
+        Self { held, ..self }
+    }
+
     /// The first request.
     pub fn start(&mut self) -> TableRequest {
         self.head = None;
@@ -41,6 +49,9 @@
             return Ok(ReaderStep::Done(None));
         };
         let head: HeadRow = schema_rows::decoded(row)?;
+        if self.held == Some(head.chain) {
+            return Ok(ReaderStep::Done(None));
+        }
         let key = schema_rows::revision_key(head.revision);
         self.head = Some(head);
         Ok(ReaderStep::Send(TableRequest::Read(key)))
--- a/crates/coltsfootroute/src/revision/history_reader.rs
+++ b/crates/coltsfootroute/src/revision/history_reader.rs
@@ -3,8 +3,9 @@
 use super::{ReaderStep, Revision, RevisionRecord, RowFault, schema_rows};
 use crate::table::{StoredRow, TableReply, TableRequest};
 
-/// Rows of a page; each holds a whole configuration.
-const PAGE_ROWS: usize = 32;
+/// Rows of a page. Each holds a whole configuration, of up to [`MAX_SCHEMA_BYTES`](crate::schema) as
+/// submitted, and a reply of the table service is bounded to four times as much.
+const PAGE_ROWS: usize = 4;
 
 /// Reads records page by page, oldest first.
 #[derive(Clone, Debug)]
--- a/crates/coltsfootroute/src/schema/call_graph.rs
+++ b/crates/coltsfootroute/src/schema/call_graph.rs
@@ -11,10 +11,19 @@
 }
 
 struct Vertex<'a> {
-    path: String,
+    /// Place of the service in the document, and of the operation in the service.
+    place: (usize, usize),
     operation: &'a OperationEntry,
 }
 
+impl Vertex<'_> {
+    /// Written out for faults only: a graph is also built to find what an operation reaches.
+    fn path(&self) -> String {
+        let (service, operation) = self.place;
+        format!("services[{service}].operations[{operation}]")
+    }
+}
+
 /// What one walk over the whole graph finds.
 pub(super) struct GraphSurvey {
     /// One entry for each edge that closes a cycle.
@@ -52,9 +61,8 @@
         let mut vertices = IndexMap::new();
         for (i, service) in document.services.iter().enumerate() {
             for (j, operation) in service.operations.iter().enumerate() {
-                let path = format!("services[{i}].operations[{j}]");
                 let key = (&service.name, &operation.name);
-                vertices.entry(key).or_insert(Vertex { path, operation });
+                vertices.entry(key).or_insert(Vertex { place: (i, j), operation });
             }
         }
         Self { vertices }
@@ -125,7 +133,10 @@
         let on_cycle = stack[from..].iter().map(|frame| frame.vertex).chain([callee]);
         let chain = on_cycle.map(|vertex| self.label(vertex)).collect();
         let caller = stack.last().map_or(callee, |frame| frame.vertex);
-        CallCycle { closing_edge: format!("{}.calls[{index}]", self.vertices[caller].path), chain }
+        CallCycle {
+            closing_edge: format!("{}.calls[{index}]", self.vertices[caller].path()),
+            chain,
+        }
     }
 
     fn client_depths(&self, marks: &[Mark]) -> Vec<(String, usize)> {
@@ -133,7 +144,7 @@
         vertices
             .filter_map(|(vertex, mark)| match mark {
                 Mark::Depth(depth) if vertex.operation.client.is_some() => {
-                    Some((format!("{}.client", vertex.path), *depth))
+                    Some((format!("{}.client", vertex.path()), *depth))
                 }
                 _ => None,
             })
--- a/crates/coltsfootroute/tests/integration/revision.rs
+++ b/crates/coltsfootroute/tests/integration/revision.rs
@@ -2,6 +2,7 @@
 
 mod fake_table;
 mod fuzz;
+mod head;
 mod history;
 mod scenarios;
 mod state;
