Configuration keeps a small store budget of its own where many nodes share the rates

Cause: an equal share of 1,000 reads a second over 18,000 nodes holds one token and refills in 18 s; a submission takes three reads and a write within 2 s each, a start two reads. Change: RateBudget gives StoreUse::Config a bucket of 4 tokens, 1 a second, where the share is smaller.

--- a/crates/coltsfootroute/src/table/rate_budget.rs
+++ b/crates/coltsfootroute/src/table/rate_budget.rs
@@ -26,6 +26,10 @@
 
 /// One node's budget: an equal share of each rate. Requests without a waiting caller leave a reserve
 /// for claims.
+///
+/// Where many nodes share, an equal share would not carry one change of the configuration, which takes
+/// three reads and a write within seconds, nor one start. Few nodes do either at a time, so those requests
+/// have a small budget of their own there.
 #[derive(Clone, Debug, PartialEq)]
 pub struct RateBudget {
     writes: TokenBucket,
@@ -34,8 +38,15 @@
     write_reserve: f64,
     /// Read tokens that only claims may use.
     read_reserve: f64,
+    /// For configuration, where the share is too small for it.
+    config_writes: Option<TokenBucket>,
+    config_reads: Option<TokenBucket>,
 }
 
+/// Requests for configuration that a node may always send at once.
+const CONFIG_BURST: f64 = 4.0;
+/// Requests for configuration that it may always send in a second.
+const CONFIG_RATE: f64 = 1.0;
 /// Part of the burst that is kept for claims.
 const CLAIM_RESERVE: f64 = 0.5;
 
@@ -45,7 +56,9 @@
         let nodes = f64::from(share.nodes.max(1));
         let (writes, write_reserve) = bucket(share.writes_per_s / nodes, share.burst_s);
         let (reads, read_reserve) = bucket(share.reads_per_s / nodes, share.burst_s);
-        Self { writes, reads, write_reserve, read_reserve }
+        let config_writes = config_bucket(share.writes_per_s / nodes, share.burst_s);
+        let config_reads = config_bucket(share.reads_per_s / nodes, share.burst_s);
+        Self { writes, reads, write_reserve, read_reserve, config_writes, config_reads }
     }
 
     /// Takes one request from the budget. Gives the time to wait before it may be sent, or `None`,
@@ -58,6 +71,10 @@
         longest_wait: Duration,
     ) -> Option<Duration> {
         let is_write = request.is_write();
+        let config = if is_write { &mut self.config_writes } else { &mut self.config_reads };
+        if let Some(bucket) = config.as_mut().filter(|_| store_use == StoreUse::Config) {
+            return bucket.take(now, 0.0, longest_wait);
+        }
         let (bucket, reserve) = if is_write {
             (&mut self.writes, self.write_reserve)
         } else {
@@ -74,3 +91,9 @@
     let reserve = ((burst - 1.0) * CLAIM_RESERVE).max(0.0);
     (TokenBucket::new(rate, burst), reserve)
 }
+
+/// A bucket of its own for configuration, unless the share holds as much.
+fn config_bucket(rate: f64, burst_s: f64) -> Option<TokenBucket> {
+    (rate * burst_s < CONFIG_BURST && rate < CONFIG_RATE)
+        .then(|| TokenBucket::new(CONFIG_RATE, CONFIG_BURST))
+}
--- a/crates/coltsfootroute/tests/integration/store_policy.rs
+++ b/crates/coltsfootroute/tests/integration/store_policy.rs
@@ -129,6 +129,29 @@
     assert_eq!(drain(StoreUse::Claim), 5);
 }
 
+/// A submission takes three reads and a write; the next may come seconds later.
+#[rstest]
+#[case(2_000)]
+#[case(18_000)]
+fn many_nodes_leave_each_enough_for_a_change_of_configuration(#[case] nodes: u32) {
+    let share = RateShare { nodes, ..RateShare::default() };
+    let mut budget = RateBudget::new(&share);
+    let mut take = |millis, request: &TableRequest, store_use| {
+        budget.take(at(millis), request, store_use, Duration::ZERO).is_some()
+    };
+
+    for submission in 0..3 {
+        let now = submission * 4_000;
+        let reads = (0..3).filter(|_| take(now, &read(), StoreUse::Config)).count();
+        assert_eq!((reads, take(now, &write(), StoreUse::Config)), (3, true));
+    }
+
+    assert!(take(0, &write(), StoreUse::Claim), "one claim of its own share");
+    assert!(!take(2_000, &write(), StoreUse::Claim), "and no more for long");
+    let extra = (0..20).filter(|_| take(9_000, &read(), StoreUse::Config)).count();
+    assert!(extra <= 4, "{extra}");
+}
+
 #[test]
 fn budget_says_how_long_to_wait() {
     let share = RateShare { writes_per_s: 10.0, nodes: 1, burst_s: 0.1, ..RateShare::default() };
