--- a/crates/coltsfootroute/tests/integration/admission/fuzz.rs
+++ b/crates/coltsfootroute/tests/integration/admission/fuzz.rs
@@ -11,7 +11,9 @@
     time::MonotonicTime,
 };
 use indexmap::IndexMap;
-use proptest::{prelude::*, test_runner::RngSeed};
+use proptest::prelude::*;
+
+use crate::util::fuzz_config::fuzz_config;
 
 #[derive(Clone, Debug)]
 enum Step {
@@ -215,12 +217,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig {
-        cases: 400,
-        rng_seed: RngSeed::Fixed(4),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    })]
+    #![proptest_config(fuzz_config(400, 4))]
 
     #[test]
     fn gate_keeps_its_promises(steps in prop::collection::vec(step(), 1..300)) {
--- a/crates/coltsfootroute/tests/integration/drain/drain_fuzz.rs
+++ b/crates/coltsfootroute/tests/integration/drain/drain_fuzz.rs
@@ -4,9 +4,11 @@
     drain::{DrainPhase, DrainSettings, DrainState, StartAnswer},
     time::MonotonicTime,
 };
-use proptest::{prelude::*, test_runner::RngSeed};
+use proptest::prelude::*;
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
 
+use crate::util::fuzz_config::fuzz_config;
+
 #[derive(Clone, Debug)]
 enum Step {
     Begin,
@@ -108,12 +110,7 @@
 }
 
 prop_state_machine! {
-    #![proptest_config(ProptestConfig {
-        cases: 256,
-        rng_seed: RngSeed::Fixed(0x0d4a_1417),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    })]
+    #![proptest_config(fuzz_config(256, 0x0d4a_1417))]
 
     #[test]
     fn nothing_starts_after_a_leave_and_nothing_is_cut_off(sequential 1..120 => DrainFuzz);
--- a/crates/coltsfootroute/tests/integration/membership/fuzz.rs
+++ b/crates/coltsfootroute/tests/integration/membership/fuzz.rs
@@ -12,9 +12,11 @@
     membership::{MemberRecord, MemberState},
 };
 use indexmap::IndexMap;
-use proptest::{prelude::*, strategy::Union, test_runner::RngSeed};
+use proptest::{prelude::*, strategy::Union};
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
 
+use crate::util::fuzz_config::fuzz_config;
+
 use super::network::{GossipNetwork, Life, node_id};
 
 const NODES: usize = 7;
@@ -246,21 +248,8 @@
     }
 }
 
-/// Cases of one run: few in CI, as many as `FUZZ_CASES` says otherwise.
-fn config() -> ProptestConfig {
-    let cases = std::env::var("FUZZ_CASES").ok().and_then(|cases| cases.parse().ok());
-    let seed = std::env::var("FUZZ_SEED").ok().and_then(|seed| seed.parse().ok());
-    ProptestConfig {
-        cases: cases.unwrap_or(48),
-        rng_seed: RngSeed::Fixed(seed.unwrap_or(17)),
-        failure_persistence: None,
-        max_shrink_iters: 400,
-        ..ProptestConfig::default()
-    }
-}
-
 prop_state_machine! {
-    #![proptest_config(config())]
+    #![proptest_config(ProptestConfig { max_shrink_iters: 400, ..fuzz_config(48, 17) })]
 
     #[test]
     fn membership_agrees_with_the_oracle(sequential 1..40 => MembershipFuzz);
--- a/crates/coltsfootroute/tests/integration/once/fuzz.rs
+++ b/crates/coltsfootroute/tests/integration/once/fuzz.rs
@@ -3,13 +3,13 @@
 use std::time::Duration;
 
 use coltsfootroute::once::{ClaimId, ClaimRecord};
-use proptest::{
-    prelude::*,
-    test_runner::{Config, RngSeed},
-};
+use proptest::prelude::*;
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
 
-use crate::util::once_world::{OnceWorld, RETENTION, StoreFate};
+use crate::util::{
+    fuzz_config::fuzz_config,
+    once_world::{OnceWorld, RETENTION, StoreFate},
+};
 
 const GUARDS: usize = 3;
 const KEYS: [&str; 2] = ["k1", "k2"];
@@ -170,20 +170,11 @@
     if count == 0 { None } else { ids.nth(pick % count).copied() }
 }
 
-fn config() -> Config {
-    // `scripts/fuzz` and long runs by hand set the number of cases and the seed.
-    let number = |name: &str| std::env::var(name).ok().and_then(|text| text.parse::<u64>().ok());
-    Config {
-        cases: number("COLTSFOOT_FUZZ_CASES").map_or(CASES, |cases| cases as u32),
-        rng_seed: RngSeed::Fixed(number("COLTSFOOT_FUZZ_SEED").unwrap_or(0x5eed)),
-        failure_persistence: None,
-        max_shrink_iters: 20_000,
-        ..Config::default()
-    }
-}
-
 prop_state_machine! {
-    #![proptest_config(config())]
+    #![proptest_config(ProptestConfig {
+        max_shrink_iters: 20_000,
+        ..fuzz_config(CASES, 0x5eed)
+    })]
 
     #[test]
     fn no_key_runs_twice(sequential 1..STEPS => OnceFuzz);
--- a/crates/coltsfootroute/tests/integration/retry/account_fuzz.rs
+++ b/crates/coltsfootroute/tests/integration/retry/account_fuzz.rs
@@ -9,9 +9,11 @@
     time::MonotonicTime,
 };
 use indexmap::IndexMap;
-use proptest::{prelude::*, test_runner::RngSeed};
+use proptest::prelude::*;
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
 
+use crate::util::fuzz_config::fuzz_config;
+
 /// One step; an index picks among what there is, modulo its number.
 #[derive(Clone, Debug)]
 enum Step {
@@ -266,12 +268,7 @@
 }
 
 prop_state_machine! {
-    #![proptest_config(ProptestConfig {
-        cases: 256,
-        rng_seed: RngSeed::Fixed(0x0acc_0417),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    })]
+    #![proptest_config(fuzz_config(256, 0x0acc_0417))]
 
     #[test]
     fn retries_stay_within_the_budget(sequential 1..200 => AccountFuzz);
--- a/crates/coltsfootroute/tests/integration/revision/fuzz.rs
+++ b/crates/coltsfootroute/tests/integration/revision/fuzz.rs
@@ -4,9 +4,11 @@
 use coltsfootroute::revision::{
     Applied, ConfigState, ContentDigest, Revision, SubmissionResult, verify_history,
 };
-use proptest::{prelude::*, test_runner::RngSeed};
+use proptest::prelude::*;
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
 
+use crate::util::fuzz_config::fuzz_config;
+
 const NODES: usize = 4;
 const SEED: u64 = 0x5eed_c017;
 
@@ -303,19 +305,8 @@
     }
 }
 
-/// Cases of a run; `COLTSFOOT_FUZZ_CASES` asks for more.
-fn cases() -> u32 {
-    let text = std::env::var("COLTSFOOT_FUZZ_CASES").ok();
-    text.and_then(|text| text.parse().ok()).unwrap_or(64)
-}
-
 prop_state_machine! {
-    #![proptest_config(ProptestConfig {
-        cases: cases(),
-        rng_seed: RngSeed::Fixed(SEED),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    })]
+    #![proptest_config(fuzz_config(64, SEED))]
 
     #[test]
     fn submission_and_spread_follow_the_oracle(sequential 1..160 => Trial);
--- a/crates/coltsfootroute/tests/integration/routing/pool_fuzz.rs
+++ b/crates/coltsfootroute/tests/integration/routing/pool_fuzz.rs
@@ -8,10 +8,12 @@
     routing::{RouteResult, RoutingSettings, UpstreamInfo, UpstreamPhase, UpstreamPool},
     time::MonotonicTime,
 };
-use proptest::{prelude::*, test_runner::RngSeed};
+use proptest::prelude::*;
 use rand::SeedableRng;
 use rand_pcg::Pcg64;
 
+use crate::util::fuzz_config::fuzz_config;
+
 use super::scenarios::node;
 
 #[derive(Clone, Debug)]
@@ -154,12 +156,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig {
-        cases: 256,
-        rng_seed: RngSeed::Fixed(0x0401_0417),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    })]
+    #![proptest_config(fuzz_config(256, 0x0401_0417))]
 
     #[test]
     fn the_invariants_hold(steps in prop::collection::vec(step(), 1..300)) {
--- a/crates/coltsfootroute/tests/integration/util.rs
+++ b/crates/coltsfootroute/tests/integration/util.rs
@@ -1,3 +1,4 @@
 //! Fixtures shared by the tests.
 
+pub mod fuzz_config;
 pub mod once_world;
