Whole nodes by scripted scenarios

Cause: what must always hold was proved for the library's decisions, not for the node that carries them out. Scenarios for: one's own complete answer, cut-off answers, honest refusals, at most once (concurrent keys, lost acknowledgements, kills before and after dispatch and before the answer is stored), bounded retries, forged contexts, deadlines, stops, configuration, rough peers.

--- a/crates/coltsfoot-node/tests/integration/main.rs
+++ b/crates/coltsfoot-node/tests/integration/main.rs
@@ -3,6 +3,7 @@
 mod args;
 mod journal;
 mod metrics;
+mod scenarios;
 mod settings;
 mod store;
 mod store_claims;
--- /dev/null
+++ b/crates/coltsfoot-node/tests/integration/util/stub_upstream.rs
@@ -0,0 +1,166 @@
+//! An upstream that tells what it was sent, or answers in a way that a sound upstream would not.
+
+use std::{
+    io::{BufRead, BufReader, Read, Write},
+    net::{SocketAddr, TcpListener, TcpStream},
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    thread,
+    time::Duration,
+};
+
+use super::caller::EchoedHeaders;
+
+/// How the stub answers.
+#[derive(Clone, Copy, Debug)]
+pub enum StubMode {
+    /// With the headers it was sent.
+    Echo,
+    /// Without a stated length, ended by the end of the connection.
+    NoLength,
+    /// With fewer bytes than it stated.
+    CutOff,
+    /// With half a chunk.
+    CutChunk,
+    /// That it sheds the call and ran nothing, right after it has sent a nested call of it.
+    ShedNested,
+    /// Never, until the caller closes the connection.
+    Hang,
+}
+
+impl StubMode {
+    pub fn parse(text: &str) -> Self {
+        match text {
+            "echo" => Self::Echo,
+            "no-length" => Self::NoLength,
+            "cut-off" => Self::CutOff,
+            "cut-chunk" => Self::CutChunk,
+            "shed-nested" => Self::ShedNested,
+            "hang" => Self::Hang,
+            other => panic!("unknown stub {other}"),
+        }
+    }
+}
+
+/// The stub; it ends with the process.
+pub struct StubUpstream {
+    pub address: SocketAddr,
+    runs: Arc<AtomicUsize>,
+    running: Arc<AtomicUsize>,
+}
+
+impl StubUpstream {
+    /// A stub beside the node with the host listener `host`.
+    pub fn start(mode: StubMode, host: SocketAddr) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("loopback");
+        let address = listener.local_addr().expect("bound");
+        let (runs, running) = (Arc::<AtomicUsize>::default(), Arc::<AtomicUsize>::default());
+        let counters = (runs.clone(), running.clone());
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let (runs, running) = counters.clone();
+                thread::spawn(move || serve(stream, mode, host, &runs, &running));
+            }
+        });
+        Self { address, runs, running }
+    }
+
+    pub fn runs(&self) -> usize {
+        self.runs.load(Ordering::SeqCst)
+    }
+
+    pub fn running(&self) -> usize {
+        self.running.load(Ordering::SeqCst)
+    }
+}
+
+fn serve(
+    stream: TcpStream,
+    mode: StubMode,
+    host: SocketAddr,
+    runs: &AtomicUsize,
+    running: &AtomicUsize,
+) {
+    let mut reader = BufReader::new(stream);
+    while let Some(headers) = read_request(&mut reader) {
+        runs.fetch_add(1, Ordering::SeqCst);
+        running.fetch_add(1, Ordering::SeqCst);
+        let goes_on = answer(&mut reader, mode, host, &headers);
+        running.fetch_sub(1, Ordering::SeqCst);
+        if !goes_on {
+            return;
+        }
+    }
+}
+
+fn read_request(reader: &mut BufReader<TcpStream>) -> Option<Vec<(String, String)>> {
+    let mut headers = Vec::new();
+    let mut line = String::new();
+    reader.read_line(&mut line).ok().filter(|read| *read > 0)?;
+    loop {
+        line.clear();
+        reader.read_line(&mut line).ok().filter(|read| *read > 0)?;
+        let Some((name, value)) = line.trim_end().split_once(':') else { break };
+        headers.push((name.to_ascii_lowercase(), value.trim().to_owned()));
+    }
+    let length = header(&headers, "content-length").and_then(|text| text.parse().ok()).unwrap_or(0);
+    let mut body = vec![0; length];
+    reader.read_exact(&mut body).ok()?;
+    Some(headers)
+}
+
+fn header<'a>(headers: &'a [(String, String)], name: &str) -> Option<&'a str> {
+    headers.iter().find(|(known, _)| known == name).map(|(_, value)| value.as_str())
+}
+
+/// Sends a call of `leaf` and waits until it runs there, not for its answer.
+fn send_nested(host: SocketAddr, context: &str) {
+    let Ok(mut stream) = TcpStream::connect(host) else { return };
+    let head = "POST /call/leaf/read HTTP/1.1\r\nhost: node\r\ncontent-length: 0\r\n";
+    let _ = write!(stream, "{head}coltsfoot-context: {context}\r\n\r\n");
+    // Long enough to be taken in; the answer takes longer than that.
+    let _ = stream.set_read_timeout(Some(Duration::from_millis(300)));
+    let _ = stream.read(&mut [0; 1]);
+}
+
+/// Whether the connection can carry another request.
+fn answer(
+    reader: &mut BufReader<TcpStream>,
+    mode: StubMode,
+    host: SocketAddr,
+    headers: &[(String, String)],
+) -> bool {
+    let stream = reader.get_mut();
+    let text = match mode {
+        StubMode::Echo => {
+            let told = EchoedHeaders {
+                deadline_ms: header(headers, "coltsfoot-deadline-ms").and_then(|t| t.parse().ok()),
+                context: header(headers, "coltsfoot-context").map(str::to_owned),
+            };
+            let body = serde_json::to_string(&told).expect("plain data");
+            format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{body}", body.len())
+        }
+        StubMode::NoLength => "HTTP/1.1 200 OK\r\n\r\nhalf of an ans".to_owned(),
+        StubMode::CutOff => {
+            "HTTP/1.1 200 OK\r\ncontent-length: 28\r\n\r\nhalf of an ans".to_owned()
+        }
+        StubMode::CutChunk => {
+            "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n1c\r\nhalf of an ans".to_owned()
+        }
+        StubMode::ShedNested => {
+            let context = header(headers, "coltsfoot-context").unwrap_or_default();
+            send_nested(host, context);
+            "HTTP/1.1 503 Shed\r\ncoltsfoot-outcome: not-run\r\ncontent-length: 0\r\n\r\n"
+                .to_owned()
+        }
+        StubMode::Hang => {
+            // Ends when the caller closes its side, which is how a call is cancelled.
+            let _ = stream.set_read_timeout(Some(Duration::from_secs(60)));
+            let _ = stream.read(&mut [0; 1]);
+            return false;
+        }
+    };
+    stream.write_all(text.as_bytes()).is_ok() && matches!(mode, StubMode::Echo)
+}
