A run whose caller's node is gone counts as in flight

Cause: the count of calls in flight was held by the peer's call, which is dropped with its connection, while a run that must not be repeated goes on as a task of its own. A planned stop of the guard did not wait for it: the run was interrupted, and its key answered unknown for good. Change: the task holds the count. Conclusion: a planned stop also waits for runs that nobody waits for.

--- a/crates/coltsfoot-node/src/dispatch/guard.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard.rs
@@ -105,7 +105,7 @@
         deadline: MonotonicTime,
         span: &Rc<CallSpan>,
     ) -> CallReply {
-        let Some(_started) = self.start_call(CallKind::Guarded) else {
+        let Some(started) = self.start_call(CallKind::Guarded) else {
             return self.refuse(call.importance, RefusalReason::Leaving);
         };
         let repeatable = match self.check_guarded(&call) {
@@ -119,9 +119,13 @@
         if repeatable {
             return self.run(&call, deadline, span, permit).await;
         }
-        // A run that must not be repeated goes on when its caller is gone, so that its answer is kept.
+        // A run that must not be repeated goes on when its caller is gone, so that its answer is kept; it
+        // counts as in flight until then.
         let (dispatcher, span) = (self.clone(), span.clone());
-        let run = async move { dispatcher.run_once(&call, deadline, &span, permit).await };
+        let run = async move {
+            let _started = started;
+            dispatcher.run_once(&call, deadline, &span, permit).await
+        };
         match tokio::task::spawn_local(run).await {
             Ok(reply) => reply,
             Err(_) => self.refusal(RefusalReason::UpstreamFailed, CallOutcome::Unknown),
