A leave of the upstream holds for work that waits, and ends when it is back

Cause: two faults. (1) The guard asked whether the upstream leaves when a call came in, not when it was dispatched; behind a slow store the claim can take seconds, so that work reached an upstream long after its leave. (2) An upstream that announced itself again after a leave, beside the same node, was never called again by anyone: the new announcement raised the incarnation by one, which callers take for a refutation in the life that left. Change: (1) the guard asks again just before dispatch and refuses as leaving, not-run; the claim is given back. A planned stop of the node alone lets what it took in run. (2) An announcement after a leave begins a new life: Incarnation::next_life, the rule that routing had to itself before. Conclusion: the rule that a refuted suspicion does not undo a leave stands, and its test is unchanged.

--- a/crates/coltsfoot-node/src/dispatch/dispatch_thread.rs
+++ b/crates/coltsfoot-node/src/dispatch/dispatch_thread.rs
@@ -167,7 +167,7 @@
         self.drain.borrow_mut().begin(begun);
         let in_flight = u32::try_from(self.drain.borrow().in_flight()).unwrap_or(u32::MAX);
         self.events.emit(EventKind::DrainBegun { in_flight });
-        self.withdraw_upstream().await;
+        self.announce_leave().await;
         while !self.is_drained() {
             sleep(DRAIN_POLL).await;
         }
--- a/crates/coltsfoot-node/src/dispatch/guard.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard.rs
@@ -36,8 +36,11 @@
     pub announcement: UpstreamAnnouncement,
     /// When it said so.
     pub heard: MonotonicTime,
-    /// Whether it has said that it leaves.
+    /// Whether it leaves, or its node does: no new work.
     pub leaving: bool,
+    /// Whether it has said itself that it leaves, or fallen silent: also work taken in before that is
+    /// not dispatched any more. A leave of the node alone lets such work run.
+    pub has_withdrawn: bool,
 }
 
 /// Admission in front of the upstream beside the node.
@@ -210,6 +213,10 @@
             permit.finish(CallFinish::Failed);
             return self.refusal(RefusalReason::NoUpstream, CallOutcome::NotRun);
         };
+        // The wait for a slot or a claim may have been long.
+        if self.has_withdrawn() {
+            return self.refusal(RefusalReason::Leaving, CallOutcome::NotRun);
+        }
         let context = self.spans.enter(&mut *self.rng.borrow_mut(), span.clone());
         let _entered = EnteredSpan { dispatcher: self, context };
         let upstream_call = UpstreamCall {
@@ -253,6 +260,10 @@
         self.guard.upstream.borrow().as_ref().map(|upstream| upstream.announcement.address)
     }
 
+    fn has_withdrawn(&self) -> bool {
+        self.guard.upstream.borrow().as_ref().is_some_and(|upstream| upstream.has_withdrawn)
+    }
+
     /// Creates the gate, or adapts it to what the upstream says of itself.
     pub(super) fn fit_gate(&self, slots: u32) {
         let now = self.clock.now();
--- a/crates/coltsfoot-node/src/dispatch/local_upstream.rs
+++ b/crates/coltsfoot-node/src/dispatch/local_upstream.rs
@@ -63,20 +63,32 @@
         let same = upstream
             .as_ref()
             .is_some_and(|known| known.announcement == *announcement && !known.leaving);
-        *upstream =
-            Some(GuardedUpstream { announcement: announcement.clone(), heard, leaving: false });
+        *upstream = Some(GuardedUpstream {
+            announcement: announcement.clone(),
+            heard,
+            leaving: false,
+            has_withdrawn: false,
+        });
         !same
     }
 
-    /// The upstream leaves: no new work from now on.
+    /// The upstream leaves: nothing is dispatched to it from now on.
     pub(super) async fn withdraw_upstream(&self) -> HttpReply {
+        if let Some(upstream) = self.guard.upstream.borrow_mut().as_mut() {
+            upstream.has_withdrawn = true;
+        }
+        self.announce_leave().await;
+        HttpReply::json(StatusCode::OK, &serde_json::json!({ "leaving": true }))
+    }
+
+    /// Takes no new work for the upstream from now on, and tells everyone.
+    pub(super) async fn announce_leave(&self) {
         let left = self.mark_leaving();
         if let Some(left) = left {
             self.events.emit(left);
             // A closed ring means that the process stops.
             let _ = self.gossip.send(GossipCommand::Leave).await;
         }
-        HttpReply::json(StatusCode::OK, &serde_json::json!({ "leaving": true }))
     }
 
     fn mark_leaving(&self) -> Option<EventKind> {
--- a/crates/coltsfootroute/src/membership/gossip_engine/announcing.rs
+++ b/crates/coltsfootroute/src/membership/gossip_engine/announcing.rs
@@ -30,6 +30,10 @@
             self.hold(now, rng, offer.service.clone());
         }
         self.leave_repeats = 0;
+        if self.me.state == MemberState::Left {
+            // Callers never choose an upstream again in the life that it left in.
+            self.me.incarnation = self.me.incarnation.next_life();
+        }
         self.me.service = Some(offer.service);
         self.me.slots = offer.slots;
         self.me.connections = offer.connections;
--- a/crates/coltsfootroute/src/routing/upstream_record.rs
+++ b/crates/coltsfootroute/src/routing/upstream_record.rs
@@ -6,7 +6,7 @@
     InFlightShare, RouteResult, RoutingSettings, UpstreamInfo, UpstreamPhase, UpstreamTier,
     latency_average::LatencyAverage, upstream_health::UpstreamHealth,
 };
-use crate::{id::Incarnation, time::MonotonicTime};
+use crate::time::MonotonicTime;
 
 /// State of one upstream in a pool.
 #[derive(Clone, Debug)]
@@ -63,7 +63,7 @@
         if info.incarnation < self.info.incarnation {
             return;
         }
-        if is_new_life(self.info.incarnation, info.incarnation) {
+        if info.incarnation.is_later_life(self.info.incarnation) {
             let in_flight = self.in_flight;
             *self = Self::new(now, info, tier, settings);
             self.in_flight = in_flight;
@@ -218,12 +218,3 @@
 const REFUSAL_PENALTY: f64 = 10.0;
 /// Weight of one result in the share of refusals.
 const REFUSAL_GAIN: f64 = 0.05;
-
-/// Whether `new` belongs to another life than `old`: a life starts at the wall clock's milliseconds,
-/// while a refuted suspicion raises the incarnation by one.
-fn is_new_life(old: Incarnation, new: Incarnation) -> bool {
-    new.0.saturating_sub(old.0) >= LEAST_LIFE_MS
-}
-
-/// No process starts, joins and starts again within this many milliseconds.
-const LEAST_LIFE_MS: u64 = 100;
