An upstream with a nested call under way is not believed that it ran nothing

Cause: an upstream's answer 503 not-run was set against nested calls that had ended, not against those under way, nor those whose handler was dropped. The caller was told not-run while a part ran, and the key of an operation that must not be repeated was given back. Change: a nested call counts from its start; dropped without an outcome it may have run. Conclusion: the guard believes an upstream that sheds only if it has seen nothing of the call.

--- a/crates/coltsfoot-node/src/dispatch/calls_in_flight.rs
+++ b/crates/coltsfoot-node/src/dispatch/calls_in_flight.rs
@@ -10,6 +10,7 @@
 use coltsfootroute::{
     id::{NodeId, RequestId},
     importance::Importance,
+    outcome::CallOutcome,
     time::MonotonicTime,
 };
 use indexmap::IndexMap;
@@ -30,8 +31,10 @@
     pub account: Option<NodeId>,
     /// Hash of the client.
     pub client: u64,
-    /// Whether a nested call may have reached an upstream; then the call itself has run in part.
-    pub nested_ran: Cell<bool>,
+    /// Whether a nested call may have reached an upstream.
+    nested_ran: Cell<bool>,
+    /// Nested calls that have no outcome yet.
+    nested_open: Cell<u32>,
     /// Levels of the services below, to travel back with the reply. At most [`MAX_LEVELS`].
     levels: RefCell<Vec<LevelNote>>,
 }
@@ -52,10 +55,16 @@
             account,
             client,
             nested_ran: Cell::new(false),
+            nested_open: Cell::new(0),
             levels: RefCell::new(Vec::new()),
         }
     }
 
+    /// Whether a nested call has reached an upstream or may yet; then the call itself has run in part.
+    pub fn may_have_nested(&self) -> bool {
+        self.nested_ran.get() || self.nested_open.get() > 0
+    }
+
     /// Keeps `notes`, each in place of an older note of the same guard.
     pub fn note_levels(&self, notes: &[LevelNote]) {
         let mut levels = self.levels.borrow_mut();
@@ -73,6 +82,33 @@
     }
 }
 
+/// A nested call under way; dropped without [`NestedMark::end`] it may have run.
+pub struct NestedMark {
+    span: Rc<CallSpan>,
+    ran: bool,
+}
+
+impl NestedMark {
+    /// Marks a nested call of `span` as under way.
+    pub fn begin(span: Rc<CallSpan>) -> Self {
+        span.nested_open.set(span.nested_open.get() + 1);
+        Self { span, ran: true }
+    }
+
+    /// The nested call has ended.
+    pub fn end(mut self, outcome: CallOutcome) {
+        self.ran = outcome != CallOutcome::NotRun;
+    }
+}
+
+impl Drop for NestedMark {
+    fn drop(&mut self) {
+        let span = &self.span;
+        span.nested_open.set(span.nested_open.get() - 1);
+        span.nested_ran.set(span.nested_ran.get() || self.ran);
+    }
+}
+
 /// The calls that the upstream works on, by their context.
 ///
 /// A context is random, so that it cannot be guessed, and known only while its call is in flight.
--- a/crates/coltsfoot-node/src/dispatch/guard.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard.rs
@@ -249,7 +249,7 @@
             Ok(answer) => return answer_reply(answer, upstream_time),
             Err(UpstreamError::Unreachable) => (RefusalReason::NoUpstream, false),
             // An upstream that made nested calls has run the request in part, whatever it says.
-            Err(UpstreamError::Shed) => (RefusalReason::Overload, span.nested_ran.get()),
+            Err(UpstreamError::Shed) => (RefusalReason::Overload, span.may_have_nested()),
             Err(UpstreamError::CutOff) => (RefusalReason::UpstreamFailed, true),
         };
         let outcome = if ran { CallOutcome::Unknown } else { CallOutcome::NotRun };
--- a/crates/coltsfoot-node/src/dispatch/nested_request.rs
+++ b/crates/coltsfoot-node/src/dispatch/nested_request.rs
@@ -13,7 +13,7 @@
 use rand::RngExt;
 
 use super::{
-    calls_in_flight::CallSpan,
+    calls_in_flight::{CallSpan, NestedMark},
     client_request::check_key,
     dispatcher::{CallKind, Dispatcher},
     incoming_call::IncomingCall,
@@ -36,11 +36,13 @@
             Some(span) => span.request,
             None => RequestId(self.rng.borrow_mut().random()),
         };
+        let mark = span.clone().map(NestedMark::begin);
         let reply = self.serve_in_span(request, call, span.as_deref()).await;
         if let Some(span) = span {
             span.note_levels(&reply.levels);
-            let ran = reply.outcome != CallOutcome::NotRun;
-            span.nested_ran.set(span.nested_ran.get() || ran);
+        }
+        if let Some(mark) = mark {
+            mark.end(reply.outcome);
         }
         HttpReply::from_call(request, reply)
     }
