A link is forgotten when its connection ends

Cause: a link stayed in the table after the peer had closed it, until a call over it failed. That call was never sent, but answered unknown, and if it must not be repeated its key was lost to the client. Change: the task that runs the connection removes the link when it ends. Conclusion: unknown is left to calls that were under way when the connection broke.

--- a/crates/coltsfoot-node/src/dispatch/peer_links.rs
+++ b/crates/coltsfoot-node/src/dispatch/peer_links.rs
@@ -43,17 +43,19 @@
     link: Rc<OnceCell<PeerLink>>,
 }
 
+type LinkSlots = Rc<RefCell<IndexMap<NodeId, LinkSlot>>>;
+
 /// Connections to other nodes, one a node, opened on first use.
 pub struct PeerLinks {
     clock: MonotonicClock,
-    slots: RefCell<IndexMap<NodeId, LinkSlot>>,
+    slots: LinkSlots,
     next_serial: RefCell<u64>,
 }
 
 impl PeerLinks {
     /// No connections yet.
     pub fn new(clock: MonotonicClock) -> Self {
-        Self { clock, slots: RefCell::default(), next_serial: RefCell::new(0) }
+        Self { clock, slots: Rc::default(), next_serial: RefCell::new(0) }
     }
 
     /// The connection to `node`; concurrent callers share one attempt to open it.
@@ -63,9 +65,9 @@
     /// [`LinkError`] if the node does not accept it in time.
     pub async fn get(&self, node: NodeId) -> Result<PeerLink, LinkError> {
         let (cell, serial) = self.slot(node);
-        let link = cell.get_or_try_init(|| connect(node, serial)).await;
+        let link = cell.get_or_try_init(|| self.open(node, serial)).await;
         if link.is_err() {
-            self.forget(node, serial);
+            forget(&self.slots, node, serial);
         }
         link.cloned()
     }
@@ -84,14 +86,19 @@
 
     /// Drops a connection that failed, unless it has been replaced since.
     pub fn failed(&self, node: NodeId, link: &PeerLink) {
-        self.forget(node, link.serial);
+        forget(&self.slots, node, link.serial);
     }
 
-    fn forget(&self, node: NodeId, serial: u64) {
-        let mut slots = self.slots.borrow_mut();
-        if slots.get(&node).is_some_and(|slot| slot.serial == serial) {
-            slots.swap_remove(&node);
-        }
+    async fn open(&self, node: NodeId, serial: u64) -> Result<PeerLink, LinkError> {
+        let (client, system) = connect(node).await?;
+        let slots = self.slots.clone();
+        tokio::task::spawn_local(async move {
+            // Ends when the connection fails or its last user drops the client. The table forgets it at
+            // once: a call sent over it later would be lost with an unknown outcome.
+            let _ = system.await;
+            forget(&slots, node, serial);
+        });
+        Ok(PeerLink { client, serial })
     }
 
     /// Closes connections that have been idle for long.
@@ -107,7 +114,14 @@
     }
 }
 
-async fn connect(node: NodeId, serial: u64) -> Result<PeerLink, LinkError> {
+fn forget(slots: &LinkSlots, node: NodeId, serial: u64) {
+    let mut slots = slots.borrow_mut();
+    if slots.get(&node).is_some_and(|slot| slot.serial == serial) {
+        slots.swap_remove(&node);
+    }
+}
+
+async fn connect(node: NodeId) -> Result<(peer::Client, RpcSystem<Side>), LinkError> {
     let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(node.0))
         .await
         .map_err(|_| LinkError)?
@@ -117,7 +131,5 @@
     let network = VatNetwork::new(reader, writer, Side::Client, Default::default());
     let mut system = RpcSystem::new(Box::new(network), None);
     let client = system.bootstrap(Side::Server);
-    // Ends when the connection fails or its last user drops the client.
-    tokio::task::spawn_local(system);
-    Ok(PeerLink { client, serial })
+    Ok((client, system))
 }
