A call refused by a leaving upstream goes to another one without a retry's token

Cause: callers hear of a leave after the guard refuses new work. Their calls in that window were refused, 503 not-run leaving, if the operation had no retry budget: a planned stop cost client requests. Change: up to two refusals as leaving, not-run, are followed by another upstream at once. Nothing was sent on, so this cannot multiply down the chain; the pool never chooses the leaving one again.

--- a/crates/coltsfoot-node/src/dispatch/routed_call.rs
+++ b/crates/coltsfoot-node/src/dispatch/routed_call.rs
@@ -23,6 +23,9 @@
 /// Longest wait for the first members of a service that this node has not called before.
 const FIRST_MEMBERS_WAIT: Duration = Duration::from_millis(1_500);
 
+/// Upstreams that may refuse one call as leaving before a further attempt counts as a retry.
+const MAX_REROUTES: usize = 2;
+
 /// A call on its way to an upstream, with what the client request brings along.
 #[derive(Clone, Debug)]
 pub struct RoutedCall {
@@ -105,6 +108,7 @@
         self.await_first_members(call).await;
         let mut tried = Vec::new();
         let mut may_have_run = false;
+        let mut reroutes = 0;
         loop {
             let mut reply = self.attempt(call, &mut tried).await;
             self.learn_levels(&reply.levels);
@@ -112,7 +116,11 @@
             if reply.outcome == CallOutcome::Completed {
                 return reply;
             }
-            if !self.retry_after_failure(call, &reply, tried.len()).await {
+            if reroutes < MAX_REROUTES && left_before_run(&reply) {
+                reroutes += 1;
+                continue;
+            }
+            if !self.retry_after_failure(call, &reply, tried.len() - reroutes).await {
                 if may_have_run {
                     reply.outcome = CallOutcome::Unknown;
                 }
@@ -222,6 +230,12 @@
     }
 }
 
+/// Whether the upstream left before the call reached it. A planned stop must not cost the request, and
+/// nothing was sent on, so that this neither multiplies down the chain nor takes a token.
+fn left_before_run(reply: &CallReply) -> bool {
+    reply.reason() == Some(RefusalReason::Leaving) && reply.outcome == CallOutcome::NotRun
+}
+
 fn route_result(reply: &CallReply) -> RouteResult {
     match (&reply.body, reply.outcome) {
         (ReplyBody::Answer { .. }, CallOutcome::Completed) => RouteResult::Succeeded,
