The store's rates of the settings are in force

Cause: store.writes_per_s, reads_per_s and nodes were read and checked, but the store's client used its defaults. Change: the node passes them on. Figures: scenario store-rates with 1 write a second and 2 saved up: 2 of 6 claims run, 4 are refused not-run; with the defaults all 6 would. Conclusion: limits.header_bytes, connections, queue and drain_max_s are still read and not used.

--- a/crates/coltsfoot-node/src/process/node_process.rs
+++ b/crates/coltsfoot-node/src/process/node_process.rs
@@ -10,6 +10,7 @@
     event::EventKind,
     id::{Incarnation, NodeId},
     membership::{GossipSettings, MemberRecord},
+    table::RateShare,
 };
 use rand::RngExt;
 use tokio::sync::oneshot;
@@ -204,5 +205,11 @@
     let mut store = StoreSettings::new(settings.store.table);
     store.objects = settings.store.objects.unwrap_or(settings.store.table);
     store.seed = seed.wrapping_add(2);
+    store.share = RateShare {
+        writes_per_s: settings.store.writes_per_s as f64,
+        reads_per_s: settings.store.reads_per_s as f64,
+        nodes: u32::try_from(settings.store.nodes).unwrap_or(u32::MAX),
+        ..RateShare::default()
+    };
     store
 }
