Admission: a withdrawn call gets no verdict, also when its time is up at that moment

Change: the withdrawn call is removed first. Conclusion: the contract of cancel holds for every call that waits.

--- a/crates/coltsfootroute/src/admission/admission_gate.rs
+++ b/crates/coltsfootroute/src/admission/admission_gate.rs
@@ -104,10 +104,9 @@
     /// Withdraws a call that waits; it gets no verdict. A call in flight keeps its slot until
     /// [`AdmissionGate::finish`] reports that the upstream has let go of it.
     pub fn cancel(&mut self, now: MonotonicTime, id: u64) -> Vec<AdmissionVerdict> {
-        let verdicts = self.advanced(now);
+        // First, since its time may be up at this very moment.
         self.queue.remove(id);
-        self.note_queue(now);
-        verdicts
+        self.advanced(now)
     }
 
     /// Refuses the waiting calls whose time is up.
