A call that is given up takes its nested calls with it

Cause: the HTTP server does not watch a connection while its handler runs, so a nested call whose upstream had stopped went on to its end: work for nobody crowded out other work. Ruled out: the peer links, whose dropped promises do stop the guard's run. Change: the guard cancels the span of a call that ends without its answer; nested calls of that span are dropped, all the way down. Conclusion: below the ingress, cancellation holds; a client that goes away is noticed only at its deadline (listener's limit).

--- a/crates/coltsfoot-node/src/config/config_thread.rs
+++ b/crates/coltsfoot-node/src/config/config_thread.rs
@@ -176,31 +176,46 @@
         let _ = self.parts.gossip.send(GossipCommand::SetRevision(revision)).await;
     }
 
-    /// Asks a peer for what changed since the revision held.
+    /// Asks a peer for what changed since the revision held; for all, if that does not fit.
     async fn pull(&mut self, peer: NodeId) {
+        let held = self.book.held().0;
+        if !self.pull_since(peer, held).await && held > 0 {
+            self.pull_since(peer, 0).await;
+        }
+        self.put_in_force().await;
+    }
+
+    /// Whether there is nothing more to ask this peer.
+    async fn pull_since(&mut self, peer: NodeId, since: u64) -> bool {
         let (reply, receiver) = oneshot::channel();
-        let since = self.book.held().0;
         self.parts.dispatch.tell(DispatchCommand::PullConfig { peer, since, reply }).await;
         match receiver.await {
             Ok(Some(encoded)) => self.take_delta(peer, &encoded),
-            Ok(None) | Err(_) => self.book.give_up(peer),
+            Ok(None) | Err(_) => {
+                self.book.give_up(peer);
+                true
+            }
         }
-        self.put_in_force().await;
     }
 
-    fn take_delta(&mut self, peer: NodeId, encoded: &[u8]) {
+    /// Whether the delta was taken in, or there was none.
+    fn take_delta(&mut self, peer: NodeId, encoded: &[u8]) -> bool {
         let delta = match encoded.is_empty() {
             true => None,
             false => match serde_json::from_slice::<ConfigDelta>(encoded) {
                 Ok(delta) => Some(delta),
                 Err(err) => {
                     log::warn!("event=delta-malformed peer={peer} error={:?}", err.to_string());
-                    return;
+                    return false;
                 }
             },
         };
-        if let Err(fault) = self.book.hear_peer(peer, delta.as_ref()) {
-            log::warn!("event=delta-refused peer={peer} error={:?}", fault.to_string());
+        match self.book.hear_peer(peer, delta.as_ref()) {
+            Ok(()) => true,
+            Err(fault) => {
+                log::warn!("event=delta-refused peer={peer} error={:?}", fault.to_string());
+                false
+            }
         }
     }
 
--- a/crates/coltsfoot-node/src/dispatch/calls_in_flight.rs
+++ b/crates/coltsfoot-node/src/dispatch/calls_in_flight.rs
@@ -15,6 +15,7 @@
 };
 use indexmap::IndexMap;
 use rand::{Rng, RngExt};
+use tokio::sync::Notify;
 
 /// Admission levels kept for one call at most; the most severe stay.
 const MAX_LEVELS: usize = 16;
@@ -35,6 +36,9 @@
     nested_ran: Cell<bool>,
     /// Nested calls that have no outcome yet.
     nested_open: Cell<u32>,
+    /// Whether the call was given up before its answer was complete.
+    cancelled: Cell<bool>,
+    cancellation: Notify,
     /// Levels of the services below, to travel back with the reply. At most [`MAX_LEVELS`].
     levels: RefCell<Vec<LevelNote>>,
 }
@@ -56,6 +60,8 @@
             client,
             nested_ran: Cell::new(false),
             nested_open: Cell::new(0),
+            cancelled: Cell::new(false),
+            cancellation: Notify::new(),
             levels: RefCell::new(Vec::new()),
         }
     }
@@ -65,6 +71,20 @@
         self.nested_ran.get() || self.nested_open.get() > 0
     }
 
+    /// The call is given up: nobody waits for its nested calls any more.
+    pub fn cancel(&self) {
+        self.cancelled.set(true);
+        self.cancellation.notify_waiters();
+    }
+
+    /// Waits until the call is given up; for ever if it ends with its answer.
+    pub async fn cancelled(&self) {
+        let cancellation = self.cancellation.notified();
+        if !self.cancelled.get() {
+            cancellation.await;
+        }
+    }
+
     /// Keeps `notes`, each in place of an older note of the same guard.
     pub fn note_levels(&self, notes: &[LevelNote]) {
         let mut levels = self.levels.borrow_mut();
--- a/crates/coltsfoot-node/src/dispatch/dispatch_thread.rs
+++ b/crates/coltsfoot-node/src/dispatch/dispatch_thread.rs
@@ -157,6 +157,7 @@
             period.tick().await;
             self.links.close_idle();
             self.notice_silence().await;
+            self.forget_unused().await;
             self.report_gauges();
         }
     }
--- a/crates/coltsfoot-node/src/dispatch/guard.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard.rs
@@ -218,7 +218,7 @@
             return self.refusal(RefusalReason::Leaving, CallOutcome::NotRun);
         }
         let context = self.spans.enter(&mut *self.rng.borrow_mut(), span.clone());
-        let _entered = EnteredSpan { dispatcher: self, context };
+        let mut entered = EnteredSpan { dispatcher: self, context, span, answered: false };
         let upstream_call = UpstreamCall {
             path: format!("{CALL_PATH_PREFIX}{}/{}", call.service, call.operation),
             context: context_text(context),
@@ -231,6 +231,7 @@
         let until = self.clock.instant_at(deadline).into();
         let result = timeout_at(until, self.upstream_client.send(address, upstream_call)).await;
         let upstream_time = self.clock.now().since(started);
+        entered.answered = result.is_ok();
         let Ok(result) = result else {
             permit.finish(CallFinish::TimedOut);
             return self.refusal(RefusalReason::Deadline, CallOutcome::Unknown);
@@ -294,14 +295,20 @@
     }
 }
 
+/// A call that the upstream works on; dropped before its answer, its nested calls are given up too.
 struct EnteredSpan<'a> {
     dispatcher: &'a Dispatcher,
     context: u128,
+    span: &'a CallSpan,
+    answered: bool,
 }
 
 impl Drop for EnteredSpan<'_> {
     fn drop(&mut self) {
         self.dispatcher.spans.leave(self.context);
+        if !self.answered {
+            self.span.cancel();
+        }
     }
 }
 
--- a/crates/coltsfoot-node/src/dispatch/nested_request.rs
+++ b/crates/coltsfoot-node/src/dispatch/nested_request.rs
@@ -37,7 +37,7 @@
             None => RequestId(self.rng.borrow_mut().random()),
         };
         let mark = span.clone().map(NestedMark::begin);
-        let reply = self.serve_in_span(request, call, span.as_deref()).await;
+        let reply = self.serve_unless_cancelled(request, call, span.as_deref()).await;
         if let Some(span) = span {
             span.note_levels(&reply.levels);
         }
@@ -47,6 +47,25 @@
         HttpReply::from_call(request, reply)
     }
 
+    /// Serves a nested call until the call above it is given up: then its own work is given up too, all
+    /// the way down. The listener does not tell when a caller has gone, but the guard does.
+    async fn serve_unless_cancelled(
+        self: &Rc<Self>,
+        request: RequestId,
+        call: IncomingCall,
+        span: Option<&CallSpan>,
+    ) -> CallReply {
+        let Some(above) = span else {
+            return self.serve_in_span(request, call, None).await;
+        };
+        tokio::select! {
+            reply = self.serve_in_span(request, call, span) => reply,
+            () = above.cancelled() => {
+                self.refusal(RefusalReason::UpstreamFailed, CallOutcome::Unknown)
+            }
+        }
+    }
+
     async fn serve_in_span(
         self: &Rc<Self>,
         request: RequestId,
--- a/crates/coltsfoot-node/src/dispatch/node_state.rs
+++ b/crates/coltsfoot-node/src/dispatch/node_state.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use coltsfootroute::{drain::DrainPhase, id::NodeId};
+use coltsfootroute::{drain::DrainPhase, id::NodeId, name::ServiceName};
 use http::StatusCode;
 
 use super::dispatcher::Dispatcher;
@@ -46,21 +46,23 @@
     /// A configuration is in force from now on.
     pub(super) async fn configure(&self, config: &Arc<ConfigInForce>) {
         self.metrics.control.set_revision(config.revision());
-        let own = self
-            .guard
-            .upstream
-            .borrow()
-            .as_ref()
-            .map(|upstream| upstream.announcement.service.clone());
-        let watched = match config.service_count() {
-            count if count <= EAGER_SERVICES => config.services(),
-            _ => own.map(|service| config.callees(&service)).unwrap_or_default(),
-        };
-        for service in watched {
+        for service in self.pinned_services() {
             self.watch(&service).await;
         }
     }
 
+    /// Services watched whether they are called or not: all of a small schema, else what the upstream
+    /// beside the node calls.
+    pub(super) fn pinned_services(&self) -> Vec<ServiceName> {
+        let Some(config) = self.config.load() else { return Vec::new() };
+        if config.service_count() <= EAGER_SERVICES {
+            return config.services();
+        }
+        let upstream = self.guard.upstream.borrow();
+        let own = upstream.as_ref().map(|upstream| &upstream.announcement.service);
+        own.map(|service| config.callees(service)).unwrap_or_default()
+    }
+
     /// Asks a peer for what changed since revision `since`.
     pub(super) async fn pull_config(&self, peer: NodeId, since: u64) -> Option<Vec<u8>> {
         let link = self.links.get(peer).await.ok()?;
--- a/crates/coltsfoot-node/src/dispatch/service_pool.rs
+++ b/crates/coltsfoot-node/src/dispatch/service_pool.rs
@@ -1,6 +1,6 @@
 //! The upstreams of a called service, and since when they are watched.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use coltsfootroute::{
     membership::{MemberRecord, MemberState},
@@ -20,8 +20,15 @@
     pub watched_since: MonotonicTime,
     /// When the service was last called.
     pub called: MonotonicTime,
+    /// When the gossip duty was last told that the service is in use.
+    told: MonotonicTime,
 }
 
+/// How often the gossip duty is told that a service is in use.
+const TELL_PERIOD: Duration = Duration::from_secs(5);
+/// A service that has not been called for so long is no longer watched.
+const FORGET_AFTER: Duration = Duration::from_secs(600);
+
 impl Dispatcher {
     /// Acts on the pool of `service`, if the node watches it.
     pub(super) fn with_pool<T>(
@@ -35,21 +42,49 @@
     /// Watches `service` from now on. Returns since when it has been watched.
     pub(super) async fn watch(&self, service: &ServiceName) -> MonotonicTime {
         let now = self.clock.now();
-        if let Some(entry) = self.pools.borrow_mut().get_mut(service) {
-            entry.called = now;
-            return entry.watched_since;
+        if let Some((watched_since, was_cold)) = self.note_use(service, now) {
+            if was_cold {
+                // A closed ring means that the process stops.
+                let _ = self.gossip.send(GossipCommand::Touch(service.clone())).await;
+            }
+            return watched_since;
         }
         let pool = UpstreamPool::new(
             self.identity.domain.clone(),
             self.identity.region.clone(),
             RoutingSettings::default(),
         );
-        let entry = ServicePool { pool, watched_since: now, called: now };
+        let entry = ServicePool { pool, watched_since: now, called: now, told: now };
         self.pools.borrow_mut().insert(service.clone(), entry);
         self.send_watches().await;
         now
     }
 
+    /// Since when `service` is watched, and whether it was last called a while ago.
+    fn note_use(&self, service: &ServiceName, now: MonotonicTime) -> Option<(MonotonicTime, bool)> {
+        let mut pools = self.pools.borrow_mut();
+        let entry = pools.get_mut(service)?;
+        let was_cold = now.since(entry.told) >= TELL_PERIOD;
+        if was_cold {
+            entry.told = now;
+        }
+        entry.called = now;
+        Some((entry.watched_since, was_cold))
+    }
+
+    /// Stops watching services that have not been called for long, unless they are pinned.
+    pub(super) async fn forget_unused(&self) {
+        let now = self.clock.now();
+        let pinned = self.pinned_services();
+        let before = self.pools.borrow().len();
+        self.pools.borrow_mut().retain(|service, entry| {
+            now.since(entry.called) < FORGET_AFTER || pinned.contains(service)
+        });
+        if self.pools.borrow().len() < before {
+            self.send_watches().await;
+        }
+    }
+
     async fn send_watches(&self) {
         let services = self.pools.borrow().keys().cloned().collect();
         // A closed ring means that the process stops.
--- a/crates/coltsfoot-node/src/gossip/gossip_command.rs
+++ b/crates/coltsfoot-node/src/gossip/gossip_command.rs
@@ -15,6 +15,8 @@
     Leave,
     /// Hold the members of these services, and of no others but the own one.
     Watch(Vec<ServiceName>),
+    /// A watched service is in use.
+    Touch(ServiceName),
     /// A configuration revision is in force here.
     SetRevision(u64),
     /// Addresses of nodes read from the table service.
--- a/crates/coltsfoot-node/src/gossip/gossip_thread.rs
+++ b/crates/coltsfoot-node/src/gossip/gossip_thread.rs
@@ -144,6 +144,10 @@
                 }
                 Vec::new()
             }
+            GossipCommand::Touch(service) => {
+                self.engine.touch(now, service.as_str());
+                Vec::new()
+            }
             GossipCommand::SetRevision(revision) => {
                 self.engine.set_revision(revision);
                 Vec::new()
