Admission: a queue that absorbs bursts, cut short once it stands

Ruled out: the adaptive limit (the upstream did not shed) and the shed level's target. Change: eight places a slot and 400 ms, 100 ms once the queue has stood for 500 ms (was two places, 100 ms, 50 ms after 100 ms). Conclusion: goodput and order over latency within the deadline; kept.

--- a/crates/coltsfootroute/src/admission/admission_settings.rs
+++ b/crates/coltsfootroute/src/admission/admission_settings.rs
@@ -5,13 +5,13 @@
 use super::QueueOrder;
 
 /// Default bound on the wait in the queue.
-const MAX_QUEUE_DELAY: Duration = Duration::from_millis(100);
+const MAX_QUEUE_DELAY: Duration = Duration::from_millis(400);
 /// Default bound on the wait of a call that joins while a queue stands.
-const OVERLOAD_QUEUE_DELAY: Duration = Duration::from_millis(50);
+const OVERLOAD_QUEUE_DELAY: Duration = Duration::from_millis(100);
 /// Default time for which a queue has to stand until the gate counts as overloaded.
-const OVERLOAD_INTERVAL: Duration = Duration::from_millis(100);
+const OVERLOAD_INTERVAL: Duration = Duration::from_millis(500);
 /// Default places in the queue for each slot.
-const QUEUE_PER_SLOT: u32 = 2;
+const QUEUE_PER_SLOT: u32 = 8;
 
 value_type! {
     /// How a gate limits, queues and refuses.
