A client has 5 s to send its body

Cause: the head of a request had a time limit, its body none: a half-sent request kept its connection and its task for good. Change: reading a body ends after 5 s, as for the head; the caller is answered 400 and its connection closed. Conclusion: a slow client costs its own connection, and that for 5 s.

--- a/crates/coltsfoot-node/src/http/request_parts.rs
+++ b/crates/coltsfoot-node/src/http/request_parts.rs
@@ -7,8 +7,12 @@
     CONTEXT_HEADER, DEADLINE_HEADER, IDEMPOTENCY_KEY_HEADER, MAX_KEY_BYTES,
 };
 use http::{HeaderMap, header::CONTENT_TYPE};
+use tokio::time::timeout;
 use xitca_web::body::{BodyExt, RequestBody};
 
+/// Time a caller has to send the whole body of its request.
+const BODY_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// A request that cannot be read.
 #[derive(Debug, thiserror::Error)]
 pub enum RequestError {
@@ -18,7 +22,7 @@
     /// The body is larger than the settings allow.
     #[error("body is larger than {0} bytes")]
     BodyTooLarge(usize),
-    /// The connection failed before the body was complete.
+    /// The connection failed, or the time was over, before the body was complete.
     #[error("body was cut off")]
     BodyCutOff,
 }
@@ -76,6 +80,11 @@
 ///
 /// [`RequestError::BodyTooLarge`] or [`RequestError::BodyCutOff`].
 pub async fn read_body(body: RequestBody, limit: usize) -> Result<Bytes, RequestError> {
+    let read = timeout(BODY_TIMEOUT, read_whole(body, limit)).await;
+    read.unwrap_or(Err(RequestError::BodyCutOff))
+}
+
+async fn read_whole(body: RequestBody, limit: usize) -> Result<Bytes, RequestError> {
     let mut body = pin!(body);
     let mut buffer = BytesMut::new();
     while let Some(chunk) = body.as_mut().data().await {
