--- a/crates/coltsfoot-standin/src/load/load_report.rs
+++ b/crates/coltsfoot-standin/src/load/load_report.rs
@@ -2,7 +2,10 @@
 
 use std::time::Duration;
 
-use coltsfootroute::{importance::Importance, outcome::CallOutcome};
+use coltsfootroute::{
+    importance::Importance,
+    outcome::{CallOutcome, RefusalReason},
+};
 use hdrhistogram::Histogram;
 use indexmap::IndexMap;
 
@@ -13,6 +16,8 @@
 
 /// Longest latency that the histogram tells apart, microseconds.
 const MAX_LATENCY_US: u64 = 120_000_000;
+/// Name in [`LoadReport::refusals`] of what is no known reason.
+const OTHER_REASON: &str = "other";
 /// Significant digits of the histogram.
 const LATENCY_DIGITS: u8 = 3;
 
@@ -41,6 +46,9 @@
     pub wrong_answers: u64,
     /// Failures that named no outcome.
     pub without_outcome: u64,
+    /// Refused or failed attempts by importance and reason; `other` where the body names none
+    /// of the known reasons.
+    pub refusals: IndexMap<Importance, IndexMap<String, u64>>,
     /// Service time behind completed requests, milliseconds.
     pub useful_ms: u64,
     /// Median latency of completed requests from when they were due, milliseconds.
@@ -49,6 +57,8 @@
     pub p99_ms: f64,
     /// Requests by importance.
     pub by_importance: IndexMap<Importance, ImportanceTally>,
+    /// Requests by importance that were due in the part asked for.
+    pub focus_by_importance: IndexMap<Importance, ImportanceTally>,
     /// Requests by operation.
     pub by_operation: IndexMap<String, ImportanceTally>,
     /// Paired probe, if there was one.
@@ -94,9 +104,27 @@
         }
         for result in &end.attempts {
             self.count_attempt(*result);
+            self.count_reason(operation.importance, *result);
         }
     }
 
+    /// A request due in the part asked for ended.
+    pub(super) fn count_focus(&mut self, importance: Importance, outcome: CallOutcome) {
+        let tally = self.report.focus_by_importance.entry(importance).or_default();
+        tally.offered += 1;
+        tally.count(outcome);
+    }
+
+    fn count_reason(&mut self, importance: Importance, result: AttemptResult) {
+        let (AttemptResult::NotRun { reason, .. } | AttemptResult::Unknown { reason, .. }) = result
+        else {
+            return;
+        };
+        let reasons = self.report.refusals.entry(importance).or_default();
+        let name = reason.map_or(OTHER_REASON, RefusalReason::as_str);
+        *reasons.entry(name.to_owned()).or_default() += 1;
+    }
+
     fn count_attempt(&mut self, result: AttemptResult) {
         let report = &mut self.report;
         report.attempts += 1;
--- a/crates/coltsfootroute/src/routing/upstream_record.rs
+++ b/crates/coltsfootroute/src/routing/upstream_record.rs
@@ -63,7 +63,7 @@
         if info.incarnation < self.info.incarnation {
             return;
         }
-        if info.incarnation.is_later_life(self.info.incarnation) {
+        if self.begins_new_life(&info) {
             let in_flight = self.in_flight;
             *self = Self::new(now, info, tier, settings);
             self.in_flight = in_flight;
@@ -77,6 +77,15 @@
         self.divide_connections(settings);
     }
 
+    /// Whether `info` tells of another life. A node's life starts at the wall clock's milliseconds; a
+    /// refuted suspicion raises the incarnation by one, and so does an upstream that comes back
+    /// beside a node that stayed, which shows by the leave being over.
+    fn begins_new_life(&self, info: &UpstreamInfo) -> bool {
+        let rise = info.incarnation.0.saturating_sub(self.info.incarnation.0);
+        let came_back = rise > 0 && self.info.leaving && !info.leaving;
+        came_back || rise >= LEAST_LIFE_MS
+    }
+
     /// Works out this caller's share anew.
     pub(super) fn divide_connections(&mut self, settings: &RoutingSettings) {
         let connections = self.info.connections;
@@ -114,7 +123,7 @@
         let latency = self.latency.micros(now, settings.latency_window, baseline).max(1.0);
         let slots = f64::from(self.info.slots.max(1));
         // Fewer calls than this caller's part of the slots tell little of the upstream's load.
-        let part = (slots / f64::from(settings.callers.max(1))).max(1.0);
+        let part = (slots / f64::from(settings.callers.max(1))).clamp(1.0, MOST_PART);
         let waiting = f64::from(self.in_flight) + part;
         let room = slots * self.weight(now, settings);
         let refusals = self.recent_refusals(now, settings);
@@ -181,7 +190,7 @@
             RouteResult::Unreachable => self.health.failed(now, settings),
             RouteResult::Refused => self.count_refusal(now, 1.0, settings),
             RouteResult::Leaving => self.info.leaving = true,
-            RouteResult::Cancelled => {}
+            RouteResult::Cancelled => self.latency.record_at_least(now, latency, window),
         }
     }
 
@@ -214,7 +223,12 @@
     }
 }
 
+/// Most calls in flight that tell little: keeps spill-over quick where the callers are not counted.
+const MOST_PART: f64 = 8.0;
 /// How much an upstream that refuses everything costs above one that refuses nothing.
 const REFUSAL_PENALTY: f64 = 10.0;
 /// Weight of one result in the share of refusals.
 const REFUSAL_GAIN: f64 = 0.05;
+
+/// No process starts, joins and starts again within this many milliseconds.
+const LEAST_LIFE_MS: u64 = 100;
