--- a/crates/coltsfoot-node/tests/integration/scenarios.rs
+++ b/crates/coltsfoot-node/tests/integration/scenarios.rs
@@ -39,6 +39,7 @@
     match case.directive.as_str() {
         "node" => start_node(world, case),
         "submit" => submit(world, case),
+        "submit-both" => submit_both(world, case),
         "call" => call(world, case),
         "start-call" => start_call(world, case),
         "await-call" => await_call(world, &take::<String>(case, "id")),
@@ -68,6 +69,10 @@
             world.node_mut(&name(case)).kill();
             ok()
         }
+        "pause" | "resume" => {
+            world.node(&name(case)).pause(case.directive == "pause");
+            ok()
+        }
         "restart" => {
             world.node_mut(&name(case)).restart();
             ok()
@@ -145,6 +150,26 @@
     world.submit(&name(case), &schema, &headers)
 }
 
+/// Two operators submit different schemas at the same moment, at the first and the last node named.
+fn submit_both(world: &mut World, case: &mut TestCase) -> String {
+    let (nodes, if_match) = (names(case), take::<String>(case, "if-match"));
+    let submissions = ["asha", "juma"].map(|operator| {
+        let key = format!("{operator}-{if_match}");
+        [("if-match", &*if_match), ("idempotency-key", &key), ("coltsfoot-operator", operator)]
+            .map(|(name, value)| (name.to_owned(), value.to_owned()))
+    });
+    let (first, last) = (nodes.first().expect("a node"), nodes.last().expect("a node"));
+    let world = &*world;
+    let mut answers = std::thread::scope(|scope| {
+        let other = scope.spawn(|| world.submit(first, "chain", &submissions[0]));
+        [world.submit(last, "chain-smaller", &submissions[1]), other.join().expect("a submission")]
+    });
+    answers.sort();
+    // Who comes first varies; that one is accepted and one is shown what changed does not.
+    let heads = answers.iter().map(|answer| answer.split(" operator").next().unwrap_or_default());
+    heads.map(|head| head.lines().next().unwrap_or_default()).collect::<Vec<_>>().join("\n")
+}
+
 fn planned(case: &mut TestCase) -> PlannedCall {
     let mut headers = Vec::new();
     for (argument, header) in [
--- a/crates/coltsfoot-node/tests/integration/util/test_node.rs
+++ b/crates/coltsfoot-node/tests/integration/util/test_node.rs
@@ -16,6 +16,7 @@
 use coltsfoot_standin::upstream::{UpstreamHandle, UpstreamServer, UpstreamSettings};
 use coltsfootroute::{name::ServiceName, schema::SchemaDocument};
 use http::Method;
+use rustix::process::{Pid, Signal, kill_process};
 
 use super::{
     caller::{Reply, send},
@@ -67,7 +68,7 @@
 
     /// The settings file; a node that starts again takes the `addresses` of its life before.
     fn settings(&self, addresses: Option<Addresses>) -> String {
-        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let any = SocketAddr::from((own_loopback(), 0));
         let Addresses { client, host, peer } =
             addresses.unwrap_or(Addresses { client: any, host: any, peer: any });
         let peers: Vec<_> = self.peers.iter().map(|peer| format!("\"{peer}\"")).collect();
@@ -170,21 +171,28 @@
     }
 
     /// Begins a planned stop: by signal for a process, by its own thread otherwise.
-    pub fn begin_stop(&mut self) -> Box<dyn FnOnce() -> bool + Send> {
+    pub fn begin_stop(&mut self) -> Box<dyn FnOnce() -> bool + Send + Sync> {
         match self.running.take() {
             Some(Running::Threads(process)) => {
                 let thread = std::thread::spawn(move || process.stop());
                 Box::new(move || thread.join().is_ok())
             }
             Some(Running::Process(mut child)) => {
-                let pid = rustix::process::Pid::from_child(&child);
-                rustix::process::kill_process(pid, rustix::process::Signal::TERM).expect("own");
+                signal(&child, Signal::TERM);
                 Box::new(move || child.wait().is_ok_and(|status| status.success()))
             }
             None => Box::new(|| true),
         }
     }
 
+    /// SIGSTOP or SIGCONT; only for a process.
+    pub fn pause(&self, is_paused: bool) {
+        let Some(Running::Process(child)) = &self.running else {
+            panic!("only a process can be paused")
+        };
+        signal(child, if is_paused { Signal::STOP } else { Signal::CONT });
+    }
+
     /// SIGKILL; only for a process.
     pub fn kill(&mut self) {
         let Some(Running::Process(mut child)) = self.running.take() else {
@@ -205,6 +213,10 @@
     }
 }
 
+fn signal(child: &Child, signal: Signal) {
+    kill_process(Pid::from_child(child), signal).expect("own process");
+}
+
 fn run(plan: &NodePlan, addresses: Option<Addresses>) -> (Running, Addresses) {
     let settings = plan.settings(addresses);
     if plan.is_process {
@@ -239,10 +251,22 @@
     (Running::Process(child), Addresses { client, host, peer })
 }
 
+/// An address of the loopback network for one node: while it is down, no other test may take its ports.
+fn own_loopback() -> [u8; 4] {
+    let [.., second] = std::process::id().to_be_bytes();
+    let [.., third, fourth] = next_serial().to_be_bytes();
+    // Neither 127.0.x.x, where the other parts are, nor an address that ends in 0.
+    [127, second.max(1), third, fourth.clamp(1, 254)]
+}
+
+fn next_serial() -> usize {
+    static NEXT: AtomicUsize = AtomicUsize::new(0);
+    NEXT.fetch_add(1, Ordering::Relaxed)
+}
+
 /// A file name that no other test uses.
 pub fn temp_file(name: &str) -> PathBuf {
-    static NEXT: AtomicUsize = AtomicUsize::new(0);
-    let serial = NEXT.fetch_add(1, Ordering::Relaxed);
+    let serial = next_serial();
     PathBuf::from(env!("CARGO_TARGET_TMPDIR"))
         .join(format!("{}-{serial}-{name}", std::process::id()))
 }
--- a/crates/coltsfoot-node/tests/integration/util/world.rs
+++ b/crates/coltsfoot-node/tests/integration/util/world.rs
@@ -24,7 +24,7 @@
     test_node::{Beside, NodePlan, TestNode, temp_file},
 };
 
-type EndOfStop = Box<dyn FnOnce() -> bool + Send>;
+type EndOfStop = Box<dyn FnOnce() -> bool + Send + Sync>;
 
 /// A deployment on loopback.
 pub struct World {
@@ -85,7 +85,7 @@
     }
 
     /// Submits a schema of `tests/schemas`; tells the status, and what the answer says.
-    pub fn submit(&mut self, node: &str, schema: &str, headers: &[(String, String)]) -> String {
+    pub fn submit(&self, node: &str, schema: &str, headers: &[(String, String)]) -> String {
         let (text, _) = read_schema(schema);
         let request = self.node(node).ask(Method::PUT, "/schema", headers, text);
         let reply = match self.runtime.block_on(request) {
