--- a/crates/coltsfoot-node/tests/integration/scenarios.rs
+++ b/crates/coltsfoot-node/tests/integration/scenarios.rs
@@ -9,7 +9,7 @@
 
 use crate::util::{
     caller::{PlannedCall, until},
-    load_loop::LoadLoop,
+    load_loop::{LoadLoop, LoadPlan, falsehoods, kinds},
     raw_peer::send_raw,
     test_node::NodePlan,
     world::World,
@@ -39,15 +39,20 @@
     match case.directive.as_str() {
         "node" => start_node(world, case),
         "submit" => submit(world, case),
+        "submit-both" => submit_both(world, case),
         "call" => call(world, case),
         "start-call" => start_call(world, case),
         "await-call" => await_call(world, &take::<String>(case, "id")),
         "drop-call" => drop_call(world, &take::<String>(case, "id")),
         "load" => start_load(world, case),
-        "stop-load" => stop_load(world, &take::<String>(case, "id")),
+        "stop-load" => stop_load(world, case),
         "raw" => raw(world, case),
         "fault" => fault(world, case),
         "runs" => runs(world, case),
+        "new-runs" => {
+            let time = Duration::from_millis(take(case, "ms"));
+            world.new_runs(&name(case), time).to_string()
+        }
         "wait" => wait(world, case),
         "stop-upstream" => world.stop_upstream(&name(case)),
         "start-upstream" => start_upstream(world, case),
@@ -64,6 +69,10 @@
             world.node_mut(&name(case)).kill();
             ok()
         }
+        "pause" | "resume" => {
+            world.node(&name(case)).pause(case.directive == "pause");
+            ok()
+        }
         "restart" => {
             world.node_mut(&name(case)).restart();
             ok()
@@ -141,6 +150,26 @@
     world.submit(&name(case), &schema, &headers)
 }
 
+/// Two operators submit different schemas at the same moment, at the first and the last node named.
+fn submit_both(world: &mut World, case: &mut TestCase) -> String {
+    let (nodes, if_match) = (names(case), take::<String>(case, "if-match"));
+    let submissions = ["asha", "juma"].map(|operator| {
+        let key = format!("{operator}-{if_match}");
+        [("if-match", &*if_match), ("idempotency-key", &key), ("coltsfoot-operator", operator)]
+            .map(|(name, value)| (name.to_owned(), value.to_owned()))
+    });
+    let (first, last) = (nodes.first().expect("a node"), nodes.last().expect("a node"));
+    let world = &*world;
+    let mut answers = std::thread::scope(|scope| {
+        let other = scope.spawn(|| world.submit(first, "chain", &submissions[0]));
+        [world.submit(last, "chain-smaller", &submissions[1]), other.join().expect("a submission")]
+    });
+    answers.sort();
+    // Who comes first varies; that one is accepted and one is shown what changed does not.
+    let heads = answers.iter().map(|answer| answer.split(" operator").next().unwrap_or_default());
+    heads.map(|head| head.lines().next().unwrap_or_default()).collect::<Vec<_>>().join("\n")
+}
+
 fn planned(case: &mut TestCase) -> PlannedCall {
     let mut headers = Vec::new();
     for (argument, header) in [
@@ -229,20 +258,34 @@
 fn start_load(world: &mut World, case: &mut TestCase) -> String {
     let (id, call) = (take::<String>(case, "id"), planned(case));
     let nodes = names(case);
-    let targets: Vec<_> = nodes.iter().map(|node| world.target(node, false)).collect();
-    let load = LoadLoop::start(&world.runtime, &targets, &call, take(case, "callers"));
+    let plan = LoadPlan {
+        targets: nodes.iter().map(|node| world.target(node, false)).collect(),
+        call,
+        callers: take(case, "callers"),
+        repeats: try_take(case, "repeats").unwrap_or(0),
+    };
+    let load = LoadLoop::start(&world.runtime, &plan);
     world.loads.insert(id, load);
     ok()
 }
 
-/// Counts vary from run to run, so they are told as some or none. Connections refused by a node that
-/// has stopped are no requests.
-fn stop_load(world: &mut World, id: &str) -> String {
-    let load = world.loads.swap_remove(id).expect("a load that was started");
-    let mut tally = world.runtime.block_on(load.stop());
-    tally.swap_remove("refused");
-    tally.sort_keys();
-    tally.into_keys().map(|text| format!("some {text}")).collect::<Vec<_>>().join("\n")
+/// Counts vary from run to run, so replies are told by their kinds, or not at all where those vary too.
+/// With `judge` the replies are held against the runs of their keys.
+fn stop_load(world: &mut World, case: &mut TestCase) -> String {
+    let load = world.loads.swap_remove(&take::<String>(case, "id")).expect("a load under way");
+    let replies = world.runtime.block_on(load.stop());
+    let mut lines = Vec::new();
+    if !case.take_flag("no-kinds").expect("flag") {
+        lines.extend(kinds(&replies));
+    }
+    if case.take_flag("no-refusals").expect("flag") {
+        lines.retain(|line| !line.contains(" not-run "));
+    }
+    if case.take_flag("judge").expect("flag") {
+        let found = falsehoods(&replies, |key| world.runs_of(key));
+        lines.extend(if found.is_empty() { vec!["no falsehood".to_owned()] } else { found });
+    }
+    lines.join("\n")
 }
 
 fn raw(world: &mut World, case: &mut TestCase) -> String {
@@ -279,7 +322,7 @@
     world.runs_at(&take::<String>(case, "service"), false).to_string()
 }
 
-fn wait(world: &World, case: &mut TestCase) -> String {
+fn wait(world: &mut World, case: &mut TestCase) -> String {
     if let Some(revision) = try_take(case, "revision") {
         world.await_ready(revision);
     } else if let Some(phase) = try_take::<String>(case, "phase") {
@@ -293,6 +336,8 @@
     } else if let Some(count) = try_take::<usize>(case, "runs") {
         let service: String = take(case, "service");
         world.await_condition("runs", || world.runs_at(&service, false) >= count);
+    } else if case.take_flag("held-closed").expect("flag") {
+        world.await_held_closed();
     } else {
         std::thread::sleep(Duration::from_millis(take(case, "ms")));
     }
