Metrics: control bytes, members, duties and the store are fed

Two enumerations of the uses of the store existed.

Change: the gossip thread counts datagrams with 28 bytes of headers and, once a second, the members by state. Questions between nodes about tokens, claims and configuration are counted by the layout of their messages, the store's and the operators' traffic by its bodies. Each thread reports its processor time (`DutyMeter`), the listeners' workers as requests come. The store's requests are counted by use and result; `store_up` follows the breaker. Dropped events are read at each scrape. The label `kind="claim"` is new. The node's own `StoreUse` is gone; the library's carries the labels (`answer` is new among them).

The test `totals_read_elsewhere_never_fall` goes through `DutyMeter`, since `set_duty_processor_time` is gone; it asks the same, and a new test asks that several threads of a duty add up.

--- a/crates/coltsfoot-node/src/config/config_thread.rs
+++ b/crates/coltsfoot-node/src/config/config_thread.rs
@@ -1,6 +1,6 @@
 //! The thread of the configuration duty.
 
-use std::{io, pin::Pin, thread, time::Duration};
+use std::{io, pin::Pin, sync::Arc, thread, time::Duration};
 
 use coltsfootroute::{
     id::NodeId,
@@ -10,7 +10,7 @@
 use tokio::{
     runtime,
     sync::{mpsc, oneshot},
-    time::{Instant, sleep_until},
+    time::{Instant, interval, sleep_until},
 };
 
 use super::{
@@ -23,6 +23,7 @@
     dispatch::{DispatchCommand, DispatchHandle},
     gossip::GossipCommand,
     journal::EventSender,
+    metrics::{DutyMeter, NodeDuty, NodeMetrics},
     store::StoreHandle,
 };
 
@@ -49,6 +50,8 @@
     pub gossip: mpsc::Sender<GossipCommand>,
     /// Events of the node.
     pub events: EventSender,
+    /// Metrics of the node.
+    pub metrics: Arc<NodeMetrics>,
 }
 
 /// The thread of the configuration duty.
@@ -83,6 +86,8 @@
 
     async fn run(mut self, mut commands: mpsc::Receiver<ConfigCommand>) {
         let mut next_read = Instant::now();
+        let mut meter = DutyMeter::new(self.parts.metrics.clone(), NodeDuty::Config);
+        let mut reports = interval(DutyMeter::IDLE_PERIOD);
         loop {
             tokio::select! {
                 command = commands.recv() => match command {
@@ -92,6 +97,7 @@
                 Some(errand) = self.errands.next(), if !self.errands.is_empty() => {
                     self.settle(errand).await;
                 }
+                _ = reports.tick() => meter.report(),
                 () = sleep_until(next_read) => {
                     self.learn().await;
                     next_read = Instant::now() + self.pause();
--- a/crates/coltsfoot-node/src/dispatch.rs
+++ b/crates/coltsfoot-node/src/dispatch.rs
@@ -3,6 +3,7 @@
 
 mod calls_in_flight;
 mod client_request;
+mod control_traffic;
 mod dispatch_command;
 mod dispatch_handle;
 mod dispatch_thread;
--- a/crates/coltsfoot-node/src/dispatch/dispatch_thread.rs
+++ b/crates/coltsfoot-node/src/dispatch/dispatch_thread.rs
@@ -18,8 +18,14 @@
     peer_server::accept_peers,
 };
 use crate::{
-    clock::MonotonicClock, config::ConfigCell, gossip::GossipCommand, http::HttpReply,
-    journal::EventSender, metrics::NodeMetrics, settings::ControlMode, store::StoreHandle,
+    clock::MonotonicClock,
+    config::ConfigCell,
+    gossip::GossipCommand,
+    http::HttpReply,
+    journal::EventSender,
+    metrics::{DutyMeter, NodeDuty, NodeMetrics},
+    settings::ControlMode,
+    store::StoreHandle,
 };
 
 /// Commands that wait for the dispatch duty at most; beyond them calls are refused.
@@ -153,8 +159,10 @@
 
     async fn upkeep(self: Rc<Self>) {
         let mut period = interval(UPKEEP_PERIOD);
+        let mut meter = DutyMeter::new(self.metrics.clone(), NodeDuty::Dispatch);
         loop {
             period.tick().await;
+            meter.report();
             self.links.close_idle();
             self.notice_silence().await;
             self.report_gauges();
--- a/crates/coltsfoot-node/src/dispatch/node_state.rs
+++ b/crates/coltsfoot-node/src/dispatch/node_state.rs
@@ -5,8 +5,8 @@
 use coltsfootroute::{drain::DrainPhase, id::NodeId};
 use http::StatusCode;
 
-use super::dispatcher::Dispatcher;
-use crate::{config::ConfigInForce, http::HttpReply};
+use super::{control_traffic::SINCE_BYTES, dispatcher::Dispatcher};
+use crate::{config::ConfigInForce, http::HttpReply, metrics::ControlKind};
 
 /// Schemas of at most so many services are watched whole, so that no client's first call waits.
 const EAGER_SERVICES: usize = 32;
@@ -67,7 +67,11 @@
         let mut request = link.client().config_since_request();
         request.get().set_revision(since);
         match request.send().promise.await {
-            Ok(response) => Some(response.get().ok()?.get_delta().ok()?.to_vec()),
+            Ok(response) => {
+                let delta = response.get().ok()?.get_delta().ok()?.to_vec();
+                self.count_asked(ControlKind::Configuration, SINCE_BYTES, delta.len());
+                Some(delta)
+            }
             Err(_) => {
                 self.links.failed(peer, &link);
                 None
--- a/crates/coltsfoot-node/src/dispatch/once_desk.rs
+++ b/crates/coltsfoot-node/src/dispatch/once_desk.rs
@@ -18,8 +18,11 @@
     time::{sleep, sleep_until, timeout},
 };
 
-use super::dispatcher::Dispatcher;
-use crate::{clock::wall_millis, store::StoreHandle};
+use super::{
+    control_traffic::{CLAIM_BYTES, WORD_BYTES},
+    dispatcher::Dispatcher,
+};
+use crate::{clock::wall_millis, metrics::ControlKind, store::StoreHandle};
 
 /// Time for one errand to the store.
 const ERRAND_DEADLINE: Duration = Duration::from_secs(2);
@@ -147,6 +150,7 @@
         let (high, low) = split_id(RequestId(claim.0));
         request.get().set_claim_high(high);
         request.get().set_claim_low(low);
+        self.count_asked(ControlKind::Claim, CLAIM_BYTES, WORD_BYTES);
         let response = request.send().promise.await.ok()?;
         let state = read_claim_state(response.get().ok()?.get_state()).ok()?;
         Some(match state {
--- a/crates/coltsfoot-node/src/dispatch/peer_server.rs
+++ b/crates/coltsfoot-node/src/dispatch/peer_server.rs
@@ -12,7 +12,11 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::compat::TokioAsyncReadCompatExt as _;
 
-use super::dispatcher::Dispatcher;
+use super::{
+    control_traffic::{CLAIM_BYTES, SINCE_BYTES, TAKE_BYTES, WORD_BYTES},
+    dispatcher::Dispatcher,
+};
+use crate::metrics::ControlKind;
 
 /// The interface as other nodes see it.
 struct PeerServer {
@@ -40,6 +44,7 @@
         let request = join_id(params.get_request_high(), params.get_request_low());
         let answer = self.dispatcher.take_own_token(request, params.get_take_id());
         results.get().set_answer(write_take_answer(answer));
+        self.dispatcher.count_answered(ControlKind::Account, TAKE_BYTES, WORD_BYTES);
         Ok(())
     }
 
@@ -50,6 +55,7 @@
     ) -> Result<(), Error> {
         let delta = self.dispatcher.config_since(params.get()?.get_revision())?;
         results.get().set_delta(&delta);
+        self.dispatcher.count_answered(ControlKind::Configuration, SINCE_BYTES, delta.len());
         Ok(())
     }
 
@@ -61,6 +67,7 @@
         let params = params.get()?;
         let claim = join_id(params.get_claim_high(), params.get_claim_low());
         results.get().set_state(write_claim_state(self.dispatcher.claim_state(claim)));
+        self.dispatcher.count_answered(ControlKind::Claim, CLAIM_BYTES, WORD_BYTES);
         Ok(())
     }
 }
--- a/crates/coltsfoot-node/src/dispatch/retry_tokens.rs
+++ b/crates/coltsfoot-node/src/dispatch/retry_tokens.rs
@@ -12,7 +12,12 @@
 use rand::RngExt;
 use tokio::time::timeout;
 
-use super::{dispatcher::Dispatcher, routed_call::RoutedCall};
+use super::{
+    control_traffic::{TAKE_BYTES, WORD_BYTES},
+    dispatcher::Dispatcher,
+    routed_call::RoutedCall,
+};
+use crate::metrics::ControlKind;
 
 fn denial_reason(denial: TakeDenial) -> DenialReason {
     match denial {
@@ -83,6 +88,7 @@
         take.get().set_request_high(high);
         take.get().set_request_low(low);
         take.get().set_take_id(take_id);
+        self.count_asked(ControlKind::Account, TAKE_BYTES, WORD_BYTES);
         match take.send().promise.await {
             Ok(response) => read_take_answer(response.get().ok()?.get_answer()).ok(),
             Err(_) => {
--- a/crates/coltsfoot-node/src/gossip/gossip_thread.rs
+++ b/crates/coltsfoot-node/src/gossip/gossip_thread.rs
@@ -1,6 +1,6 @@
 //! The thread of the gossip duty.
 
-use std::{io, net::UdpSocket, thread, time::Duration};
+use std::{io, net::UdpSocket, sync::Arc, thread, time::Duration};
 
 use coltsfoot_wire::gossip::{decode, encode};
 use coltsfootroute::{
@@ -25,12 +25,19 @@
     clock::MonotonicClock,
     config::{ConfigCommand, ConfigHandle},
     dispatch::{DispatchCommand, DispatchHandle},
+    metrics::{
+        ControlKind, DutyMeter, MemberState as MemberLabel, NodeDuty, NodeMetrics, TrafficDirection,
+    },
 };
 
 /// Commands that wait at most.
 const COMMAND_RING: usize = 256;
 /// How often the engine looks what is due.
 const TICK_PERIOD: Duration = Duration::from_millis(50);
+/// How often the members are counted.
+const COUNT_PERIOD: Duration = Duration::from_secs(1);
+/// Bytes of the IP and UDP headers of a datagram.
+const HEADER_BYTES: usize = 28;
 
 /// What the gossip duty is made of.
 pub struct GossipParts {
@@ -44,6 +51,8 @@
     pub dispatch: DispatchHandle,
     /// The configuration duty, told of peers that are ahead.
     pub config: ConfigHandle,
+    /// Metrics of the node.
+    pub metrics: Arc<NodeMetrics>,
     /// Seed of the random generator.
     pub seed: u64,
 }
@@ -56,6 +65,7 @@
     socket: tokio::net::UdpSocket,
     dispatch: DispatchHandle,
     config: ConfigHandle,
+    metrics: Arc<NodeMetrics>,
 }
 
 impl GossipThread {
@@ -88,6 +98,7 @@
             socket,
             dispatch: parts.dispatch,
             config: parts.config,
+            metrics: parts.metrics,
         };
         thread::Builder::new()
             .name("gossip".to_owned())
@@ -98,10 +109,18 @@
     async fn run(mut self, mut commands: mpsc::Receiver<GossipCommand>) {
         let mut ticks = interval(TICK_PERIOD);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Skip);
+        let mut counts = interval(COUNT_PERIOD);
+        counts.set_missed_tick_behavior(MissedTickBehavior::Skip);
+        let mut meter = DutyMeter::new(self.metrics.clone(), NodeDuty::Gossip);
         let mut buffer = [0; MAX_DATAGRAM_BYTES + 1];
         loop {
             let effects = tokio::select! {
                 _ = ticks.tick() => self.engine.tick(self.clock.now(), &mut self.rng),
+                _ = counts.tick() => {
+                    self.count_members();
+                    meter.report();
+                    continue;
+                }
                 command = commands.recv() => match command {
                     Some(command) => self.obey(command).await,
                     None => return,
@@ -116,7 +135,25 @@
         }
     }
 
+    fn count_members(&self) {
+        let status = self.engine.status();
+        let counts = [
+            (MemberLabel::Up, status.alive),
+            (MemberLabel::Suspect, status.suspect),
+            (MemberLabel::Down, status.dead),
+            (MemberLabel::Left, status.left),
+        ];
+        for (state, count) in counts {
+            self.metrics.control.set_members(state, count);
+        }
+    }
+
+    fn count_datagram(&self, direction: TrafficDirection, length: usize) {
+        self.metrics.control.add_bytes(ControlKind::Gossip, direction, length + HEADER_BYTES);
+    }
+
     fn receive(&mut self, datagram: &[u8], from: NodeId) -> Vec<GossipEffect> {
+        self.count_datagram(TrafficDirection::Received, datagram.len());
         match decode(datagram) {
             Ok(message) => self.engine.receive(self.clock.now(), &mut self.rng, from, message),
             Err(err) => {
@@ -178,8 +215,11 @@
 
     async fn send(&self, to: NodeId, message: &GossipMessage) {
         match encode(message) {
-            // A datagram that cannot be sent is as good as lost, which the engine expects.
-            Ok(datagram) => drop(self.socket.send_to(&datagram, to.0).await),
+            Ok(datagram) => {
+                self.count_datagram(TrafficDirection::Sent, datagram.len());
+                // A datagram that cannot be sent is as good as lost, which the engine expects.
+                let _ = self.socket.send_to(&datagram, to.0).await;
+            }
             Err(err) => log::warn!("event=gossip-unsendable error={:?}", err.to_string()),
         }
     }
--- a/crates/coltsfoot-node/src/http.rs
+++ b/crates/coltsfoot-node/src/http.rs
@@ -7,6 +7,7 @@
 mod listener_state;
 mod request_parts;
 mod serve;
+mod worker_meter;
 
 pub use http_reply::HttpReply;
 pub use listener_state::{ClientState, HostState};
--- a/crates/coltsfoot-node/src/http/client_listener.rs
+++ b/crates/coltsfoot-node/src/http/client_listener.rs
@@ -12,11 +12,13 @@
     http_reply::{HttpReply, TEXT},
     listener_state::ClientState,
     request_parts::{CallHeaders, RequestError, read_body},
+    worker_meter::report_worker,
 };
 use crate::dispatch::{CallOrigin, IncomingCall};
 
 /// Serves one request of a client.
 pub async fn handle(ctx: &WebContext<'_, ClientState>) -> WebResponse {
+    report_worker(&ctx.state().metrics);
     let reply = match CallPath::parse(ctx.req().uri().path()) {
         Some(_) if ctx.req().method() != Method::POST => {
             HttpReply::new(StatusCode::METHOD_NOT_ALLOWED, TEXT, "calls are POST requests\n")
--- a/crates/coltsfoot-node/src/http/host_listener.rs
+++ b/crates/coltsfoot-node/src/http/host_listener.rs
@@ -11,39 +11,60 @@
     http_reply::{HttpReply, JSON, TEXT},
     listener_state::HostState,
     request_parts::{CallHeaders, RequestError, read_body, text},
+    worker_meter::report_worker,
 };
 use crate::{
     config::SubmitRequest,
     dispatch::{CallOrigin, IncomingCall, UpstreamAnnouncement},
+    metrics::{ControlKind, TrafficDirection},
 };
 
 /// Request header: the revision that a submission builds on.
 const IF_MATCH_HEADER: &str = "if-match";
 /// Request header: the operator who submits.
 const OPERATOR_HEADER: &str = "coltsfoot-operator";
+/// Path that begins a planned stop.
+const DRAIN_PATH: &str = "/drain";
 /// Events in one page of `GET /events`.
 const EVENTS_PAGE: usize = 10_000;
 
 /// Serves one request on the host's own address.
 pub async fn handle(ctx: &WebContext<'_, HostState>) -> WebResponse {
+    report_worker(&ctx.state().metrics);
     let path = ctx.req().uri().path().to_owned();
     let reply = match (ctx.req().method().clone(), path.as_str()) {
         (Method::PUT, "/upstream") => announce(ctx).await,
         (Method::DELETE, "/upstream") => withdraw(ctx).await,
+        (Method::POST, path) if path != DRAIN_PATH => match CallPath::parse(path) {
+            Some(path) => nested_call(ctx, path).await,
+            None => not_found(),
+        },
+        (method, path) => {
+            let reply = operate(ctx, &method, path).await;
+            count_operator(ctx, TrafficDirection::Sent, reply.body_bytes());
+            reply
+        }
+    };
+    reply.into_response()
+}
+
+/// Serves an operator.
+async fn operate(ctx: &WebContext<'_, HostState>, method: &Method, path: &str) -> HttpReply {
+    match (method.clone(), path) {
         (Method::PUT, "/schema") => submit(ctx).await,
         (Method::GET, "/schema") => ctx.state().config.show().await,
         (Method::GET, "/schema/history") => ctx.state().config.history().await,
         (Method::GET, "/status") => status(ctx).await,
         (Method::GET, "/events") => events(ctx),
         (Method::GET, "/metrics") => metrics(ctx),
-        (Method::POST, "/drain") => drain(ctx),
-        (Method::POST, path) => match CallPath::parse(path) {
-            Some(path) => nested_call(ctx, path).await,
-            None => not_found(),
-        },
+        (Method::POST, DRAIN_PATH) => drain(ctx),
         _ => not_found(),
-    };
-    reply.into_response()
+    }
+}
+
+/// Bodies only, as with the store.
+fn count_operator(ctx: &WebContext<'_, HostState>, direction: TrafficDirection, bytes: usize) {
+    ctx.state().metrics.control.add_bytes(ControlKind::Operator, direction, bytes);
 }
 
 fn not_found() -> HttpReply {
@@ -108,7 +129,10 @@
         Err(err) => return bad_request(err),
     };
     match body_of(ctx).await {
-        Ok(body) => ctx.state().config.submit(request, body).await,
+        Ok(body) => {
+            count_operator(ctx, TrafficDirection::Received, body.len());
+            ctx.state().config.submit(request, body).await
+        }
         Err(err) => bad_request(err),
     }
 }
@@ -118,7 +142,9 @@
 }
 
 fn metrics(ctx: &WebContext<'_, HostState>) -> HttpReply {
-    match ctx.state().metrics.render() {
+    let state = ctx.state();
+    state.metrics.process.set_events_dropped(state.events.dropped());
+    match state.metrics.render() {
         Ok(text) => HttpReply::new(StatusCode::OK, TEXT, text),
         Err(err) => HttpReply::new(StatusCode::INTERNAL_SERVER_ERROR, TEXT, err.to_string()),
     }
--- a/crates/coltsfoot-node/src/http/http_reply.rs
+++ b/crates/coltsfoot-node/src/http/http_reply.rs
@@ -101,6 +101,11 @@
         self.with_header(CONNECTION, HeaderValue::from_static("close"))
     }
 
+    /// Length of the body.
+    pub fn body_bytes(&self) -> usize {
+        self.body.len()
+    }
+
     /// The server's form of the reply.
     pub fn into_response(self) -> WebResponse {
         let mut response = WebResponse::new(ResponseBody::from(self.body));
--- a/crates/coltsfoot-node/src/http/listener_state.rs
+++ b/crates/coltsfoot-node/src/http/listener_state.rs
@@ -13,6 +13,8 @@
     pub clock: MonotonicClock,
     /// The dispatch duty.
     pub dispatch: DispatchHandle,
+    /// Metrics of this node.
+    pub metrics: Arc<NodeMetrics>,
     /// Most bytes of a body.
     pub body_limit: usize,
 }
--- a/crates/coltsfoot-node/src/journal/event_journal.rs
+++ b/crates/coltsfoot-node/src/journal/event_journal.rs
@@ -18,6 +18,7 @@
     EventReader, EventSender, JournalHandle, journal_gate::JournalGate,
     journal_message::JournalMessage, journal_thread::JournalThread,
 };
+use crate::metrics::{DutyMeter, NodeDuty, NodeMetrics};
 
 /// Name of the journal's thread.
 const THREAD_NAME: &str = "journal";
@@ -66,15 +67,16 @@
         EventReader::new(Arc::clone(&self.gate), Arc::clone(&self.ring))
     }
 
-    /// Starts the journal's thread.
+    /// Starts the journal's thread, which reports its processor time to `metrics`.
     ///
     /// # Errors
     ///
     /// The system's, if it starts no thread.
-    pub fn spawn(self) -> io::Result<JournalHandle> {
+    pub fn spawn(self, metrics: Arc<NodeMetrics>) -> io::Result<JournalHandle> {
         let journal = JournalThread::new(self.receiver, self.ring);
         let thread = thread::Builder::new().name(THREAD_NAME.to_owned());
-        let thread = thread.spawn(move || journal.run())?;
+        let thread =
+            thread.spawn(move || journal.run(DutyMeter::new(metrics, NodeDuty::Journal)))?;
         Ok(JournalHandle::new(self.sender, thread))
     }
 }
--- a/crates/coltsfoot-node/src/journal/journal_thread.rs
+++ b/crates/coltsfoot-node/src/journal/journal_thread.rs
@@ -1,10 +1,14 @@
 //! The journal's thread.
 
-use std::sync::{Arc, Mutex, PoisonError, mpsc::Receiver};
+use std::sync::{
+    Arc, Mutex, PoisonError,
+    mpsc::{Receiver, RecvTimeoutError},
+};
 
 use coltsfootroute::event::{EventRecord, EventRing};
 
 use super::{event_logger, journal_message::JournalMessage};
+use crate::metrics::DutyMeter;
 
 /// The journal's thread: logs each record and keeps it.
 pub(super) struct JournalThread {
@@ -19,10 +23,15 @@
         Self { queue, ring, expected: 0 }
     }
 
-    /// Runs until stopped or until nobody can send any more.
-    pub(super) fn run(mut self) {
-        while let Ok(JournalMessage::Record(record)) = self.queue.recv() {
-            self.take(record);
+    /// Runs until stopped or until nobody can send any more; `meter` takes its processor time.
+    pub(super) fn run(mut self, mut meter: DutyMeter) {
+        loop {
+            match self.queue.recv_timeout(DutyMeter::IDLE_PERIOD) {
+                Ok(JournalMessage::Record(record)) => self.take(record),
+                Err(RecvTimeoutError::Timeout) => {}
+                Ok(JournalMessage::Stop) | Err(RecvTimeoutError::Disconnected) => return,
+            }
+            meter.report();
         }
     }
 
--- a/crates/coltsfoot-node/src/metrics.rs
+++ b/crates/coltsfoot-node/src/metrics.rs
@@ -3,6 +3,7 @@
 mod control_kind;
 mod control_metrics;
 mod counter_family;
+mod duty_meter;
 mod host_usage;
 mod latency_histogram;
 mod member_state;
@@ -16,12 +17,11 @@
 mod retry_metrics;
 mod store_metrics;
 mod store_result;
-mod store_use;
 mod traffic_direction;
 
 pub use control_kind::ControlKind;
 pub use control_metrics::ControlMetrics;
-pub use host_usage::thread_processor_time;
+pub use duty_meter::DutyMeter;
 pub use member_state::MemberState;
 pub use metrics_error::MetricsError;
 pub use node_duty::NodeDuty;
@@ -31,5 +31,4 @@
 pub use retry_metrics::RetryMetrics;
 pub use store_metrics::StoreMetrics;
 pub use store_result::StoreResult;
-pub use store_use::StoreUse;
 pub use traffic_direction::TrafficDirection;
--- a/crates/coltsfoot-node/src/metrics/control_kind.rs
+++ b/crates/coltsfoot-node/src/metrics/control_kind.rs
@@ -11,6 +11,8 @@
         Configuration => "configuration",
         /// Retry accounts.
         Account => "account",
+        /// Questions to the holder of a claim.
+        Claim => "claim",
         /// The platform's store.
         Store => "store",
         /// Operators, metrics and events.
--- /dev/null
+++ b/crates/coltsfoot-node/src/metrics/duty_meter.rs
@@ -0,0 +1,46 @@
+//! Processor time of a duty's thread.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use super::{NodeDuty, NodeMetrics, host_usage::thread_processor_time};
+
+/// Shortest time between two reports of a thread: reading its clock is a system call.
+const REPORT_PERIOD: Duration = Duration::from_secs(1);
+
+/// Reports the processor time of one thread of a duty. A duty may have several threads.
+pub struct DutyMeter {
+    metrics: Arc<NodeMetrics>,
+    duty: NodeDuty,
+    /// Reported so far.
+    reported: Duration,
+    due: Instant,
+}
+
+impl DutyMeter {
+    /// How often a thread reports that has nothing else to do.
+    pub const IDLE_PERIOD: Duration = Duration::from_secs(5);
+
+    /// The meter of one thread of `duty`.
+    pub fn new(metrics: Arc<NodeMetrics>, duty: NodeDuty) -> Self {
+        Self { metrics, duty, reported: Duration::ZERO, due: Instant::now() }
+    }
+
+    /// Reports the calling thread, at most once a second. Always to be called by the same thread.
+    pub fn report(&mut self) {
+        let now = Instant::now();
+        if now >= self.due {
+            self.due = now + REPORT_PERIOD;
+            self.note(thread_processor_time());
+        }
+    }
+
+    /// Reports that the thread has taken `total` so far; less than before changes nothing.
+    pub fn note(&mut self, total: Duration) {
+        let increment = total.saturating_sub(self.reported);
+        self.metrics.process.add_duty_processor_time(self.duty, increment);
+        self.reported += increment;
+    }
+}
--- a/crates/coltsfoot-node/src/metrics/host_usage.rs
+++ b/crates/coltsfoot-node/src/metrics/host_usage.rs
@@ -12,9 +12,8 @@
     to_duration(clock_gettime(ClockId::ProcessCPUTime))
 }
 
-/// Processor time of the calling thread so far, for
-/// [`ProcessMetrics::set_duty_processor_time`](super::ProcessMetrics::set_duty_processor_time).
-pub fn thread_processor_time() -> Duration {
+/// Processor time of the calling thread so far.
+pub(super) fn thread_processor_time() -> Duration {
     to_duration(clock_gettime(ClockId::ThreadCPUTime))
 }
 
--- a/crates/coltsfoot-node/src/metrics/metric_label.rs
+++ b/crates/coltsfoot-node/src/metrics/metric_label.rs
@@ -6,6 +6,7 @@
     event::{ClaimOutcome, DenialReason},
     importance::Importance,
     outcome::CallOutcome,
+    table::StoreUse,
 };
 
 /// A label with a bounded set of values, all exported from the start.
@@ -53,7 +54,7 @@
     };
 }
 
-library_label!(ClaimOutcome, DenialReason, Importance);
+library_label!(ClaimOutcome, DenialReason, Importance, StoreUse);
 
 impl MetricLabel for CallOutcome {
     const ALL: &'static [Self] = &[Self::Completed, Self::NotRun, Self::Unknown];
--- a/crates/coltsfoot-node/src/metrics/process_metrics.rs
+++ b/crates/coltsfoot-node/src/metrics/process_metrics.rs
@@ -12,8 +12,6 @@
 };
 
 /// Metrics of the process: what it takes of its host, and what its journal lost.
-///
-/// Each series is written by one thread only.
 pub struct ProcessMetrics {
     processor: Counter,
     duty_processor: CounterVec,
@@ -38,15 +36,15 @@
             )?,
         };
         for duty in NodeDuty::ALL {
-            metrics.set_duty_processor_time(*duty, Duration::ZERO);
+            metrics.add_duty_processor_time(*duty, Duration::ZERO);
         }
         Ok(metrics)
     }
 
-    /// Processor time of a duty's thread so far; each thread reports its own by
-    /// [`thread_processor_time`](super::thread_processor_time).
-    pub fn set_duty_processor_time(&self, duty: NodeDuty, time: Duration) {
-        raise_to(&self.duty_processor.with_label_values(&[duty.as_str()]), time);
+    /// A thread of `duty` took this much processor time more; see [`DutyMeter`](super::DutyMeter).
+    pub fn add_duty_processor_time(&self, duty: NodeDuty, increment: Duration) {
+        let counter = self.duty_processor.with_label_values(&[duty.as_str()]);
+        counter.inc_by(increment.as_secs_f64());
     }
 
     /// Events dropped so far, as [`EventReader::dropped`](crate::journal::EventReader::dropped) tells.
--- a/crates/coltsfoot-node/src/metrics/store_metrics.rs
+++ b/crates/coltsfoot-node/src/metrics/store_metrics.rs
@@ -1,10 +1,10 @@
 //! Metrics of the platform's store as the node uses it.
 
-use coltsfootroute::event::ClaimOutcome;
+use coltsfootroute::{event::ClaimOutcome, table::StoreUse};
 use prometheus::{IntCounterVec, IntGauge};
 
 use super::{
-    MetricsError, StoreResult, StoreUse, counter_family::CounterFamily, metric_label::MetricLabel,
+    MetricsError, StoreResult, counter_family::CounterFamily, metric_label::MetricLabel,
     metric_registry::MetricRegistry,
 };
 
@@ -46,7 +46,7 @@
         self.requests.with_label_values(&[store_use.as_str(), result.as_str()]).inc();
     }
 
-    /// Whether the store answers, now.
+    /// Whether the store answered when it was last asked.
     pub fn set_up(&self, is_up: bool) {
         self.up.set(i64::from(is_up));
     }
--- a/crates/coltsfoot-node/src/metrics/store_result.rs
+++ b/crates/coltsfoot-node/src/metrics/store_result.rs
@@ -9,11 +9,11 @@
         Done => "done",
         /// Answered; a condition did not hold.
         Conflict => "conflict",
-        /// Not answered, or with an error.
+        /// Refused, or could not be sent; it took no effect.
         Unavailable => "unavailable",
-        /// Not answered in time; a write may have taken effect.
+        /// No usable answer in time; a write may have taken effect.
         TimedOut => "timed-out",
-        /// Not sent: this node's share of the rate is used up, or the breaker is open.
+        /// Not sent: this node's share of the rate is used up, the breaker is open, or the time was over.
         Limited => "limited",
     }
 }
--- a/crates/coltsfoot-node/src/process/node_process.rs
+++ b/crates/coltsfoot-node/src/process/node_process.rs
@@ -76,9 +76,10 @@
         };
         let seed = settings.limits.seed.unwrap_or_else(|| rand::rng().random());
 
+        let metrics = Arc::new(NodeMetrics::new()?);
         let journal = EventJournal::new(identity.node, identity.incarnation);
         let (events, reader) = (journal.sender(), journal.reader());
-        let journal = journal.spawn()?;
+        let journal = journal.spawn(metrics.clone())?;
         events.emit(EventKind::Started {
             incarnation: identity.incarnation,
             region: identity.region.clone(),
@@ -89,8 +90,7 @@
             host: addresses.host,
             peer: addresses.peer,
         });
-        let metrics = Arc::new(NodeMetrics::new()?);
-        let store = StoreThread::start(store_settings(&settings, seed))?;
+        let store = StoreThread::start(store_settings(&settings, seed), metrics.clone())?;
         let (dispatch, dispatch_ring) = DispatchThread::ring();
         let (config, config_ring) = ConfigThread::ring();
         let (gossip, gossip_ring) = GossipThread::ring();
@@ -109,6 +109,7 @@
             record,
             dispatch: dispatch.clone(),
             config: config.clone(),
+            metrics: metrics.clone(),
             seed: seed.wrapping_add(1),
         };
         GossipThread::start(gossip_parts, gossip_socket, gossip_ring)?;
@@ -135,10 +136,12 @@
             dispatch: dispatch.clone(),
             gossip,
             events: events.clone(),
+            metrics: metrics.clone(),
         };
         ConfigThread::start(config_parts, config_ring)?;
 
-        let client_state = ClientState { clock, dispatch: dispatch.clone(), body_limit };
+        let client_state =
+            ClientState { clock, dispatch: dispatch.clone(), metrics: metrics.clone(), body_limit };
         let host_state = HostState {
             clock,
             dispatch: dispatch.clone(),
--- a/crates/coltsfoot-node/src/store.rs
+++ b/crates/coltsfoot-node/src/store.rs
@@ -7,6 +7,7 @@
 mod store_command;
 mod store_error;
 mod store_handle;
+mod store_reports;
 mod store_settings;
 mod store_thread;
 mod store_worker;
--- a/crates/coltsfoot-node/src/store/http_client.rs
+++ b/crates/coltsfoot-node/src/store/http_client.rs
@@ -1,6 +1,6 @@
 //! Requests to the platform over HTTP, each sent once.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, sync::Arc};
 
 use bytes::Bytes;
 use coltsfootroute::table::{ObjectReply, StoreHealth, TableReply, TableRequest};
@@ -12,6 +12,7 @@
 };
 
 use super::StoreSettings;
+use crate::metrics::{ControlKind, NodeMetrics, TrafficDirection};
 
 /// Largest reply taken, in bytes.
 const MAX_REPLY_BYTES: usize = 4 << 20;
@@ -20,11 +21,11 @@
 const IDLE_TIMEOUT: std::time::Duration = std::time::Duration::from_secs(3);
 
 /// HTTP client of the table service and the object store.
-#[derive(Debug)]
 pub(super) struct HttpClient {
     client: Client<HttpConnector, Full<Bytes>>,
     table: SocketAddr,
     objects: SocketAddr,
+    metrics: Arc<NodeMetrics>,
 }
 
 /// What came of one request.
@@ -50,7 +51,7 @@
 }
 
 impl HttpClient {
-    pub(super) fn new(settings: &StoreSettings) -> Self {
+    pub(super) fn new(settings: &StoreSettings, metrics: Arc<NodeMetrics>) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(settings.connect_timeout));
@@ -60,7 +61,7 @@
             // The default repeats a request on a new connection: a write could run twice.
             .retry_canceled_requests(false)
             .build(connector);
-        Self { client, table: settings.table, objects: settings.objects }
+        Self { client, table: settings.table, objects: settings.objects, metrics }
     }
 
     pub(super) async fn table(&self, request: &TableRequest) -> HttpReply<TableReply> {
@@ -108,6 +109,7 @@
         uri: String,
         body: Bytes,
     ) -> HttpReply<(StatusCode, Bytes)> {
+        let sent_bytes = body.len();
         let Ok(request) = Request::builder().method(method).uri(uri).body(Full::new(body)) else {
             return HttpReply::Refused;
         };
@@ -116,6 +118,7 @@
             Err(error) if error.is_connect() => return HttpReply::Refused,
             Err(_) => return HttpReply::Lost,
         };
+        self.count_bytes(TrafficDirection::Sent, sent_bytes);
         let status = response.status();
         match status {
             StatusCode::TOO_MANY_REQUESTS => return HttpReply::RateLimited,
@@ -123,10 +126,19 @@
             _ => {}
         }
         match Limited::new(response.into_body(), MAX_REPLY_BYTES).collect().await {
-            Ok(body) => HttpReply::Answer((status, body.to_bytes())),
+            Ok(body) => {
+                let body = body.to_bytes();
+                self.count_bytes(TrafficDirection::Received, body.len());
+                HttpReply::Answer((status, body))
+            }
             Err(_) => HttpReply::Lost,
         }
     }
+
+    /// Bodies only: heads and connections are the HTTP client's own.
+    fn count_bytes(&self, direction: TrafficDirection, bytes: usize) {
+        self.metrics.control.add_bytes(ControlKind::Store, direction, bytes);
+    }
 }
 
 impl<T> HttpReply<T> {
--- a/crates/coltsfoot-node/src/store/store_worker.rs
+++ b/crates/coltsfoot-node/src/store/store_worker.rs
@@ -1,11 +1,11 @@
 //! One request at a time through budget, breaker, client and retry.
 
-use std::{cell::RefCell, future::Future};
+use std::{cell::RefCell, future::Future, sync::Arc};
 
 use coltsfootroute::{
     table::{
-        CircuitBreaker, ObjectReply, RateBudget, StoreBackoff, StoreHealth, StoreUse, TableReply,
-        TableRequest,
+        BreakerState, CircuitBreaker, ObjectReply, RateBudget, StoreBackoff, StoreHealth, StoreUse,
+        TableReply, TableRequest,
     },
     time::MonotonicTime,
 };
@@ -17,15 +17,17 @@
     StoreSettings,
     http_client::{HttpClient, HttpReply},
     store_command::{ObjectAction, StoreCommand},
+    store_reports::{object_result, store_result},
 };
+use crate::metrics::NodeMetrics;
 
 /// What the requests of the store thread share.
-#[derive(Debug)]
 pub(super) struct StoreWorker {
     client: HttpClient,
     backoff: StoreBackoff,
     started: Instant,
     policy: RefCell<StorePolicy>,
+    metrics: Arc<NodeMetrics>,
 }
 
 #[derive(Debug)]
@@ -48,16 +50,17 @@
 struct NotSent;
 
 impl StoreWorker {
-    pub(super) fn new(settings: StoreSettings) -> Self {
+    pub(super) fn new(settings: StoreSettings, metrics: Arc<NodeMetrics>) -> Self {
         let policy = StorePolicy {
             budget: RateBudget::new(&settings.share),
             table_breaker: CircuitBreaker::new(settings.breaker.clone()),
             object_breaker: CircuitBreaker::new(settings.breaker.clone()),
             rng: Pcg64::seed_from_u64(settings.seed),
         };
-        let client = HttpClient::new(&settings);
+        let client = HttpClient::new(&settings, metrics.clone());
         let backoff = settings.backoff;
-        Self { client, backoff, started: Instant::now(), policy: RefCell::new(policy) }
+        let policy = RefCell::new(policy);
+        Self { client, backoff, started: Instant::now(), policy, metrics }
     }
 
     pub(super) async fn carry_out(&self, command: StoreCommand) {
@@ -80,9 +83,9 @@
     ) -> TableReply {
         let mut attempt = 1;
         loop {
-            let Ok(reply) = self.attempt_table(request, store_use, deadline).await else {
-                return TableReply::Unavailable;
-            };
+            let reply = self.attempt_table(request, store_use, deadline).await;
+            self.metrics.store.requested(store_use, store_result(reply.as_ref().ok()));
+            let Ok(reply) = reply else { return TableReply::Unavailable };
             let pause = {
                 let rng = &mut self.policy.borrow_mut().rng;
                 self.backoff.pause(request, &reply, attempt, rng)
@@ -122,6 +125,8 @@
                 self.guarded(StoreService::Objects, deadline, get).await
             }
         };
+        // Objects are parts of answers.
+        self.metrics.store.requested(StoreUse::Answer, object_result(sent.as_ref().ok()));
         match sent {
             Ok(HttpReply::Answer(reply)) => reply,
             Ok(HttpReply::Lost) => ObjectReply::Uncertain,
@@ -170,9 +175,24 @@
         let reply = timeout_at(deadline, sending).await.unwrap_or(HttpReply::Lost);
         let now = self.now();
         self.policy.borrow_mut().record(service, now, reply.health());
+        self.note_health(service, reply.health());
         Ok(reply)
     }
 
+    /// The table service is what the node depends on; it is up again with its first answer, and down
+    /// once the breaker has opened.
+    fn note_health(&self, service: StoreService, health: StoreHealth) {
+        if !matches!(service, StoreService::Table) {
+            return;
+        }
+        let closed = matches!(self.policy.borrow().table_breaker.state(), BreakerState::Closed(_));
+        match health {
+            StoreHealth::Answering => self.metrics.store.set_up(true),
+            StoreHealth::Failing if !closed => self.metrics.store.set_up(false),
+            StoreHealth::Failing => {}
+        }
+    }
+
     fn now(&self) -> MonotonicTime {
         MonotonicTime::ZERO + self.started.elapsed()
     }
--- a/crates/coltsfoot-node/tests/integration/journal.rs
+++ b/crates/coltsfoot-node/tests/integration/journal.rs
@@ -16,6 +16,8 @@
 use log::{Level, LevelFilter, Log, Record};
 use rstest::rstest;
 
+use crate::util::node_metrics::node_metrics;
+
 /// Output that a test can read.
 #[derive(Clone, Default)]
 struct SharedOutput(Arc<Mutex<Vec<u8>>>);
@@ -54,7 +56,7 @@
     let journal = journal();
     let reader = journal.reader();
     let senders: Vec<_> = (0..4).map(|_| journal.sender()).collect();
-    let handle = journal.spawn().unwrap();
+    let handle = journal.spawn(node_metrics()).unwrap();
 
     std::thread::scope(|scope| {
         for sender in &senders {
@@ -76,7 +78,7 @@
     // Nothing takes from the queue yet: events 2, 3 and 4 don't fit.
     (0..5).for_each(|_| sender.emit(event()));
 
-    let handle = journal.spawn().unwrap();
+    let handle = journal.spawn(node_metrics()).unwrap();
     while reader.read_since(0, 2).len() < 2 {
         std::thread::yield_now();
     }
@@ -91,7 +93,7 @@
 fn records_are_read_as_json_lines() {
     let journal = journal().with_ring_records(2);
     let (sender, reader) = (journal.sender(), journal.reader());
-    let handle = journal.spawn().unwrap();
+    let handle = journal.spawn(node_metrics()).unwrap();
     (0..3).for_each(|_| sender.emit(event()));
     handle.stop();
 
@@ -106,7 +108,7 @@
 fn events_are_stamped_after_what_was_observed() {
     let journal = journal();
     let (sender, reader) = (journal.sender(), journal.reader());
-    let handle = journal.spawn().unwrap();
+    let handle = journal.spawn(node_metrics()).unwrap();
     let own = sender.stamp();
     let ahead = HybridStamp::new(own.wall_ms + 2_000, 0);
 
--- a/crates/coltsfoot-node/tests/integration/metrics.rs
+++ b/crates/coltsfoot-node/tests/integration/metrics.rs
@@ -1,14 +1,15 @@
 //! Metrics: names and labels are stable, values arrive where they belong.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use coltsfoot_node::metrics::{
-    ControlKind, MemberState, NodeDuty, NodeMetrics, StoreResult, StoreUse, TrafficDirection,
+    ControlKind, DutyMeter, MemberState, NodeDuty, NodeMetrics, StoreResult, TrafficDirection,
 };
 use coltsfootroute::{
     event::{ClaimOutcome, DenialReason},
     importance::Importance,
     outcome::{CallOutcome, RefusalReason},
+    table::StoreUse,
 };
 
 /// Every metric and its type, sorted. Dashboards and alarms rely on these: a change goes into
@@ -91,19 +92,32 @@
 
 #[test]
 fn totals_read_elsewhere_never_fall() {
-    let metrics = metrics();
+    let metrics = Arc::new(metrics());
+    let mut meter = DutyMeter::new(metrics.clone(), NodeDuty::Gossip);
 
     for dropped in [2, 5, 4] {
         metrics.process.set_events_dropped(dropped);
     }
     for millis in [1_500, 500] {
-        metrics.process.set_duty_processor_time(NodeDuty::Gossip, Duration::from_millis(millis));
+        meter.note(Duration::from_millis(millis));
     }
 
     assert!(has_line(&metrics, "coltsfoot_events_dropped_total 5"));
     assert!(has_line(&metrics, r#"coltsfoot_duty_processor_seconds_total{duty="gossip"} 1.5"#));
 }
 
+#[test]
+fn the_threads_of_a_duty_add_up() {
+    let metrics = Arc::new(metrics());
+
+    for millis in [500, 250] {
+        let mut meter = DutyMeter::new(metrics.clone(), NodeDuty::Http);
+        meter.note(Duration::from_millis(millis));
+    }
+
+    assert!(has_line(&metrics, r#"coltsfoot_duty_processor_seconds_total{duty="http"} 0.75"#));
+}
+
 #[test]
 fn latencies_fall_into_their_bucket() {
     let metrics = metrics();
--- a/crates/coltsfoot-node/tests/integration/store.rs
+++ b/crates/coltsfoot-node/tests/integration/store.rs
@@ -9,7 +9,10 @@
     BreakerSettings, ObjectReply, RateShare, StoreBackoff, StoreUse, TableReply, TableRequest,
 };
 
-use crate::util::store_fixture::{LONG, StoreFixture, insert, read};
+use crate::util::{
+    node_metrics::{node_metrics, value_of as series},
+    store_fixture::{LONG, StoreFixture, insert, read},
+};
 
 const NEVER: Duration = Duration::from_secs(3_600);
 
@@ -100,7 +103,7 @@
     let fixture = StoreFixture::new();
     let settings = StoreSettings::new(fixture.table.address());
     fixture.table.stop();
-    let store = StoreThread::start(settings).expect("thread");
+    let store = StoreThread::start(settings, node_metrics()).expect("thread");
 
     let reply = store.request(insert("once/a", "1"), LONG, StoreUse::Claim).await;
 
@@ -208,3 +211,44 @@
 fn no_counts() -> TableCounts {
     TableCounts::default()
 }
+
+#[tokio::test]
+async fn requests_are_counted_by_use_and_result() {
+    let fixture = StoreFixture::with_settings(|settings| {
+        settings.with_breaker(breaker_after(2)).with_backoff(no_retry())
+    });
+
+    fixture.claim(insert("once/a", "1")).await;
+    fixture.claim(insert("once/a", "2")).await;
+    fixture.fault(FaultCommand::new(FaultMode::AckLost).with_count(1));
+    fixture.claim(insert("once/b", "1")).await;
+    fixture.fault(FaultCommand::new(FaultMode::Down));
+    fixture.claim(insert("once/c", "1")).await;
+    fixture.claim(insert("once/d", "1")).await;
+
+    for result in ["done", "conflict", "timed-out", "unavailable", "limited"] {
+        let name = format!(r#"coltsfoot_store_requests_total{{result="{result}",use="claim"}}"#);
+        assert_eq!(series(&fixture.metrics, &name), 1.0, "{name}");
+    }
+    for direction in ["sent", "received"] {
+        let name =
+            format!(r#"coltsfoot_control_bytes_total{{direction="{direction}",kind="store"}}"#);
+        assert!(series(&fixture.metrics, &name) > 0.0, "{name}");
+    }
+}
+
+#[tokio::test]
+async fn the_store_is_up_from_its_first_answer_until_the_breaker_opens() {
+    let fixture = StoreFixture::with_settings(|settings| {
+        settings.with_breaker(breaker_after(1)).with_backoff(no_retry())
+    });
+    let up = || series(&fixture.metrics, "coltsfoot_store_up");
+    assert_eq!(up(), 0.0);
+
+    fixture.claim(read("once/a")).await;
+    assert_eq!(up(), 1.0);
+
+    fixture.fault(FaultCommand::new(FaultMode::Down));
+    fixture.claim(read("once/a")).await;
+    assert_eq!(up(), 0.0);
+}
--- a/crates/coltsfoot-node/tests/integration/util.rs
+++ b/crates/coltsfoot-node/tests/integration/util.rs
@@ -1,4 +1,5 @@
 //! Fixtures shared by the tests.
 
 pub mod claim_driver;
+pub mod node_metrics;
 pub mod store_fixture;
--- a/crates/coltsfoot-node/tests/integration/util/store_fixture.rs
+++ b/crates/coltsfoot-node/tests/integration/util/store_fixture.rs
@@ -1,17 +1,23 @@
 //! A table stand-in and a store thread in front of it.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
-use coltsfoot_node::store::{StoreHandle, StoreSettings, StoreThread};
+use coltsfoot_node::{
+    metrics::NodeMetrics,
+    store::{StoreHandle, StoreSettings, StoreThread},
+};
 use coltsfoot_standin::table::{FaultCommand, TableHandle, TableServer, TableSettings};
 use coltsfootroute::table::{RowCondition, RowKey, RowWrite, StoreUse, TableReply, TableRequest};
 
+use super::node_metrics::node_metrics;
+
 /// Far more than any request takes: a test that reaches it has failed.
 pub const LONG: Duration = Duration::from_secs(30);
 
 pub struct StoreFixture {
     pub table: TableHandle,
     pub store: StoreHandle,
+    pub metrics: Arc<NodeMetrics>,
 }
 
 impl StoreFixture {
@@ -22,8 +28,9 @@
     pub fn with_settings(change: impl FnOnce(StoreSettings) -> StoreSettings) -> Self {
         let table = TableServer::start(&TableSettings::default()).expect("loopback");
         let settings = change(StoreSettings::new(table.address()));
-        let store = StoreThread::start(settings).expect("thread");
-        Self { table, store }
+        let metrics = node_metrics();
+        let store = StoreThread::start(settings, metrics.clone()).expect("thread");
+        Self { table, store, metrics }
     }
 
     pub fn fault(&self, command: FaultCommand) {
--- a/crates/coltsfootroute/src/table/store_use.rs
+++ b/crates/coltsfootroute/src/table/store_use.rs
@@ -15,6 +15,19 @@
 }
 
 impl StoreUse {
+    /// All uses.
+    pub const ALL: [Self; 4] = [Self::Claim, Self::Answer, Self::Config, Self::Introduction];
+
+    /// The use's name in metric labels.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Claim => "claim",
+            Self::Answer => "answer",
+            Self::Config => "configuration",
+            Self::Introduction => "introduction",
+        }
+    }
+
     /// Whether a caller waits for the request.
     pub fn is_urgent(self) -> bool {
         self == Self::Claim
