Events: every kind is emitted; the time line follows cause over hosts

Cause: fourteen kinds of events were declared and not emitted, and the messages between nodes carried no stamp, so that the time line over hosts was as good as their clocks.

Change: emitted now are request-admitted, attempt-started and -finished, retry-granted and -denied, importance-breached, member-up, -suspect, -down and -left, store-up and -down, limit-changed (once a second) and stopped. `CallRequest` and `CallReply` carry the hybrid stamp; both ends take it over, and a stamp too far ahead is said once a minute. The answer about a token tells what is left and whether the deadline has passed. The count of an attempt moves to a file of its own.

--- a/crates/coltsfoot-node/src/dispatch.rs
+++ b/crates/coltsfoot-node/src/dispatch.rs
@@ -1,8 +1,10 @@
 //! The dispatch duty: one thread that takes calls in, routes them, guards the upstream beside the node
 //! and talks to the other nodes.
 
+mod attempt_count;
 mod calls_in_flight;
 mod client_request;
+mod clock_drift;
 mod control_traffic;
 mod dispatch_command;
 mod dispatch_handle;
--- a/crates/coltsfoot-node/src/dispatch/dispatcher.rs
+++ b/crates/coltsfoot-node/src/dispatch/dispatcher.rs
@@ -12,7 +12,7 @@
     admission::{BreachCounter, RetryAfter, ServiceLevels, ShedLevel},
     deadline::{DeadlineCheck, ServiceTimes},
     drain::{DrainSettings, DrainState, StartAnswer},
-    id::{Incarnation, NodeId},
+    id::{Incarnation, NodeId, RequestId},
     importance::Importance,
     name::{DomainName, RegionName, ServiceName},
     once::ClaimHolder,
@@ -25,8 +25,8 @@
 use tokio::sync::{Notify, mpsc};
 
 use super::{
-    calls_in_flight::CallsInFlight, dispatch_thread::DispatchParts, guard::GuardState,
-    incoming_call::IncomingCall, once_desk::OnceDesk, peer_links::PeerLinks,
+    calls_in_flight::CallsInFlight, clock_drift::DriftReport, dispatch_thread::DispatchParts,
+    guard::GuardState, incoming_call::IncomingCall, once_desk::OnceDesk, peer_links::PeerLinks,
     service_pool::ServicePool, upstream_client::UpstreamClient,
 };
 use crate::{
@@ -75,6 +75,7 @@
     pub(super) gossip: mpsc::Sender<GossipCommand>,
     pub(super) metrics: Arc<NodeMetrics>,
     pub(super) events: EventSender,
+    pub(super) drift: DriftReport,
     pub(super) rng: RefCell<Pcg64>,
     next_call: Cell<u64>,
 }
@@ -132,6 +133,7 @@
             gossip: parts.gossip,
             metrics: parts.metrics,
             events: parts.events,
+            drift: DriftReport::default(),
             rng: RefCell::new(Pcg64::seed_from_u64(parts.seed)),
             next_call: Cell::new(0),
         }
@@ -190,7 +192,12 @@
     }
 
     /// Seconds to come back after, if work that would be refused deeper down is refused here.
-    pub(super) fn shed_at_root(&self, call: &IncomingCall, importance: Importance) -> Option<u32> {
+    pub(super) fn shed_at_root(
+        &self,
+        request: RequestId,
+        call: &IncomingCall,
+        importance: Importance,
+    ) -> Option<u32> {
         if !self.control.is_on() {
             return None;
         }
@@ -208,9 +215,7 @@
                 None
             }
             Err(refusal) => {
-                if breaches.on_refusal(now, &refusal.service, importance) {
-                    self.metrics.requests.importance_breached();
-                }
+                self.note_refusal(&mut breaches, request, &refusal.service, importance);
                 Some(refusal.retry_after.0)
             }
         }
--- a/crates/coltsfoot-node/src/dispatch/guard.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard.rs
@@ -1,6 +1,10 @@
 //! The guard: admission in front of the upstream beside the node, and the run itself.
 
-use std::{cell::RefCell, rc::Rc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    time::Duration,
+};
 
 use bytes::Bytes;
 use coltsfoot_wire::peer::{CallReply, CallRequest, LevelNote, ReplyBody};
@@ -10,6 +14,10 @@
         CallFinish, ShedLevel, WaitingCall,
     },
     constants::CALL_PATH_PREFIX,
+    event::{EventKind, HybridStamp},
+    id::RequestId,
+    importance::Importance,
+    name::ServiceName,
     outcome::{CallOutcome, RefusalReason},
     time::MonotonicTime,
 };
@@ -48,6 +56,8 @@
     /// Calls offered to the gate that have no verdict yet.
     pub(super) waiting: RefCell<IndexMap<u64, oneshot::Sender<AdmissionDecision>>>,
     pub(super) breaches: RefCell<BreachCounter>,
+    /// Limit of the gate that was reported last, 0 before the first.
+    pub(super) reported_limit: Cell<u32>,
     /// Woken when the gate's next wake-up may have changed.
     pub(super) queue_changed: Notify,
 }
@@ -184,16 +194,48 @@
             Some(AdmissionDecision::Run) => {
                 breaches.on_admission(now, &call.service, call.importance);
                 self.metrics.requests.admitted(call.importance);
+                self.emit_admitted(call);
             }
-            Some(AdmissionDecision::Refuse(RefusalReason::Overload))
-                if breaches.on_refusal(now, &call.service, call.importance) =>
-            {
-                self.metrics.requests.importance_breached();
+            Some(AdmissionDecision::Refuse(RefusalReason::Overload)) => {
+                self.note_refusal(&mut breaches, call.request, &call.service, call.importance);
             }
             _ => {}
         }
     }
 
+    fn emit_admitted(&self, call: &CallRequest) {
+        let gate = self.guard.gate.borrow();
+        let Some(gate) = gate.as_ref() else { return };
+        self.events.emit(EventKind::RequestAdmitted {
+            request: call.request,
+            service: call.service.clone(),
+            operation: call.operation.clone(),
+            importance: call.importance,
+            in_flight: gate.in_flight(),
+            limit: gate.limit(),
+        });
+    }
+
+    /// Takes note of a refusal for overload, and reports it if it is out of the order of importance.
+    pub(super) fn note_refusal(
+        &self,
+        breaches: &mut BreachCounter,
+        request: RequestId,
+        service: &ServiceName,
+        refused: Importance,
+    ) {
+        let now = self.clock.now();
+        let admitted = breaches.admitted_below(now, service, refused);
+        if !breaches.on_refusal(now, service, refused) {
+            return;
+        }
+        self.metrics.requests.importance_breached();
+        if let Some(admitted) = admitted {
+            let service = service.clone();
+            self.events.emit(EventKind::ImportanceBreached { request, service, refused, admitted });
+        }
+    }
+
     /// Runs a call on the upstream. Dropping the future stops the upstream's work.
     pub(super) async fn run(
         self: &Rc<Self>,
@@ -306,6 +348,7 @@
         },
         levels: Vec::new(),
         upstream_time,
+        stamp: HybridStamp::default(),
     }
 }
 
--- a/crates/coltsfoot-node/src/dispatch/node_state.rs
+++ b/crates/coltsfoot-node/src/dispatch/node_state.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use coltsfootroute::{drain::DrainPhase, id::NodeId};
+use coltsfootroute::{drain::DrainPhase, event::EventKind, id::NodeId};
 use http::StatusCode;
 
 use super::{control_traffic::SINCE_BYTES, dispatcher::Dispatcher};
@@ -140,5 +140,18 @@
         let Some(gate) = gate.as_ref() else { return };
         self.metrics.requests.set_load(gate.in_flight() as usize, gate.queued() as usize);
         self.metrics.requests.set_limit(gate.limit() as usize);
+        self.report_limit(gate.limit());
+    }
+
+    /// Reports a changed limit. Looked at with the gauges: the limit may move with each call.
+    fn report_limit(&self, limit: u32) {
+        let previous = self.guard.reported_limit.replace(limit);
+        if previous == limit || previous == 0 {
+            return;
+        }
+        let upstream = self.guard.upstream.borrow();
+        let Some(upstream) = upstream.as_ref() else { return };
+        let service = upstream.announcement.service.clone();
+        self.events.emit(EventKind::LimitChanged { service, previous, limit });
     }
 }
--- a/crates/coltsfoot-node/src/dispatch/once_run.rs
+++ b/crates/coltsfoot-node/src/dispatch/once_run.rs
@@ -4,7 +4,7 @@
 
 use coltsfoot_wire::peer::{CallReply, CallRequest, ReplyBody};
 use coltsfootroute::{
-    event::{ClaimOutcome, EventKind},
+    event::{ClaimOutcome, EventKind, HybridStamp},
     once::{
         AnswerBody, AnswerHeader, BodyDigest, BusyVerdict, ClaimId, ClaimResult, ClaimRun,
         ClaimStep, ClientKey, DispatchVerdict, OnceCall, OnceKey, RunAnswer, StoredAnswer,
@@ -158,6 +158,7 @@
             },
             levels: Vec::new(),
             upstream_time: Duration::ZERO,
+            stamp: HybridStamp::default(),
         }
     }
 
--- a/crates/coltsfoot-node/src/dispatch/peer_server.rs
+++ b/crates/coltsfoot-node/src/dispatch/peer_server.rs
@@ -30,7 +30,9 @@
         mut results: peer::CallResults,
     ) -> Result<(), Error> {
         let call = CallRequest::read(params.get()?.get_request()?)?;
-        let reply = self.dispatcher.guard_call(call).await;
+        self.dispatcher.observe(call.stamp);
+        let mut reply = self.dispatcher.guard_call(call).await;
+        reply.stamp = self.dispatcher.events.stamp();
         reply.write(results.get().init_reply());
         Ok(())
     }
@@ -42,8 +44,9 @@
     ) -> Result<(), Error> {
         let params = params.get()?;
         let request = join_id(params.get_request_high(), params.get_request_low());
-        let answer = self.dispatcher.take_own_token(request, params.get_take_id());
-        results.get().set_answer(write_take_answer(answer));
+        let token = self.dispatcher.take_own_token(request, params.get_take_id());
+        results.get().set_answer(write_take_answer(token.answer));
+        results.get().set_remaining(token.remaining);
         self.dispatcher.count_answered(ControlKind::Account, TAKE_BYTES, WORD_BYTES);
         Ok(())
     }
--- a/crates/coltsfoot-node/src/dispatch/retry_tokens.rs
+++ b/crates/coltsfoot-node/src/dispatch/retry_tokens.rs
@@ -4,10 +4,12 @@
 
 use coltsfoot_wire::peer::{TakeAnswer, read_take_answer, split_id};
 use coltsfootroute::{
-    event::DenialReason,
+    event::{DenialReason, EventKind},
     id::{NodeId, RequestId},
     name::ServiceName,
-    retry::{ServiceThrottle, TakeAnswer as LedgerAnswer, TakeDenial, ThrottleSettings},
+    retry::{
+        GiveUpCause, ServiceThrottle, TakeAnswer as LedgerAnswer, TakeDenial, ThrottleSettings,
+    },
 };
 use rand::RngExt;
 use tokio::time::timeout;
@@ -27,26 +29,40 @@
     }
 }
 
+fn take_answer(denial: TakeDenial) -> TakeAnswer {
+    match denial {
+        TakeDenial::UnknownAccount => TakeAnswer::NoAccount,
+        TakeDenial::BudgetSpent => TakeAnswer::Denied,
+        TakeDenial::DeadlinePassed => TakeAnswer::Late,
+    }
+}
+
+/// What the account's node said.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct TokenAnswer {
+    pub(super) answer: TakeAnswer,
+    /// Tokens left in the account.
+    pub(super) remaining: u32,
+}
+
 /// Longest wait for the account's node; after it there is no retry.
 const TAKE_TIMEOUT: Duration = Duration::from_millis(250);
 
 impl Dispatcher {
     /// Takes a token from a retry account kept at this node.
-    pub(super) fn take_own_token(&self, request: RequestId, take_id: u64) -> TakeAnswer {
+    pub(super) fn take_own_token(&self, request: RequestId, take_id: u64) -> TokenAnswer {
         let mut accounts = self.accounts.borrow_mut();
-        match accounts.take(self.clock.now(), request, take_id) {
+        let answer = match accounts.take(self.clock.now(), request, take_id) {
             LedgerAnswer::Granted => {
                 self.metrics.retries.granted(accounts.granted(request).unwrap_or_default());
                 TakeAnswer::Granted
             }
             LedgerAnswer::Denied(denial) => {
                 self.metrics.retries.denied(denial_reason(denial));
-                match denial {
-                    TakeDenial::UnknownAccount => TakeAnswer::NoAccount,
-                    _ => TakeAnswer::Denied,
-                }
+                take_answer(denial)
             }
-        }
+        };
+        TokenAnswer { answer, remaining: accounts.remaining(request).unwrap_or_default() }
     }
 
     /// Takes a token for one retry of `call`, from the service's throttle and from the account.
@@ -55,20 +71,63 @@
             // The uncontrolled half of a measurement retries at each hop, bounded by its policy.
             return true;
         }
-        let Some(account) = call.account else { return false };
+        let Some(account) = call.account else {
+            self.deny_retry(call, DenialReason::NoAccount);
+            return false;
+        };
         let now = self.clock.now();
         if !self.with_throttle(&call.service, |throttle| throttle.try_retry(now)) {
-            self.metrics.retries.denied(DenialReason::Throttled);
+            self.deny_retry(call, DenialReason::Throttled);
             return false;
         }
-        let granted = self.ask_token(account, call.request).await == Some(TakeAnswer::Granted);
+        let token = self.ask_token(account, call.request).await;
+        self.note_token(call, token);
+        let granted = token.is_some_and(|token| token.answer == TakeAnswer::Granted);
         if !granted {
             self.with_throttle(&call.service, ServiceThrottle::give_back);
         }
         granted
     }
 
-    async fn ask_token(&self, account: NodeId, request: RequestId) -> Option<TakeAnswer> {
+    /// Takes note that a failed attempt is not repeated, where the cause is a limit and not the answer.
+    pub(super) fn note_give_up(&self, call: &RoutedCall, cause: GiveUpCause) {
+        match cause {
+            GiveUpCause::NotRepeatable => self.deny_retry(call, DenialReason::NonRepeatable),
+            GiveUpCause::TooLate => self.deny_retry(call, DenialReason::Deadline),
+            GiveUpCause::Shedding => self.deny_retry(call, DenialReason::Shedding),
+            GiveUpCause::Completed | GiveUpCause::Final | GiveUpCause::AttemptsSpent => {}
+        }
+    }
+
+    /// A denial by this node and not by the account, which counts its own.
+    fn deny_retry(&self, call: &RoutedCall, reason: DenialReason) {
+        self.metrics.retries.denied(reason);
+        self.emit_denied(call, reason);
+    }
+
+    fn emit_denied(&self, call: &RoutedCall, reason: DenialReason) {
+        let (request, service) = (call.request, call.service.clone());
+        self.events.emit(EventKind::RetryDenied { request, service, reason });
+    }
+
+    fn note_token(&self, call: &RoutedCall, token: Option<TokenAnswer>) {
+        let Some(token) = token else {
+            self.deny_retry(call, DenialReason::Unreachable);
+            return;
+        };
+        match token.answer {
+            TakeAnswer::Granted => self.events.emit(EventKind::RetryGranted {
+                request: call.request,
+                service: call.service.clone(),
+                remaining: token.remaining,
+            }),
+            TakeAnswer::Denied => self.emit_denied(call, DenialReason::Exhausted),
+            TakeAnswer::NoAccount => self.emit_denied(call, DenialReason::NoAccount),
+            TakeAnswer::Late => self.emit_denied(call, DenialReason::Deadline),
+        }
+    }
+
+    async fn ask_token(&self, account: NodeId, request: RequestId) -> Option<TokenAnswer> {
         let take_id = self.rng.borrow_mut().random::<u64>();
         if account == self.identity.node {
             return Some(self.take_own_token(request, take_id));
@@ -81,7 +140,7 @@
         account: NodeId,
         request: RequestId,
         take_id: u64,
-    ) -> Option<TakeAnswer> {
+    ) -> Option<TokenAnswer> {
         let link = self.links.get(account).await.ok()?;
         let mut take = link.client().take_retry_request();
         let (high, low) = split_id(request);
@@ -90,7 +149,11 @@
         take.get().set_take_id(take_id);
         self.count_asked(ControlKind::Account, TAKE_BYTES, WORD_BYTES);
         match take.send().promise.await {
-            Ok(response) => read_take_answer(response.get().ok()?.get_answer()).ok(),
+            Ok(response) => {
+                let response = response.get().ok()?;
+                let answer = read_take_answer(response.get_answer()).ok()?;
+                Some(TokenAnswer { answer, remaining: response.get_remaining() })
+            }
             Err(_) => {
                 self.links.failed(account, &link);
                 None
--- a/crates/coltsfoot-node/src/dispatch/routed_call.rs
+++ b/crates/coltsfoot-node/src/dispatch/routed_call.rs
@@ -6,6 +6,7 @@
 use coltsfoot_wire::peer::{CallReply, CallRequest, ReplyBody};
 use coltsfootroute::{
     deadline::Remaining,
+    event::HybridStamp,
     id::{NodeId, RequestId},
     importance::Importance,
     name::{OperationName, ServiceName},
@@ -16,7 +17,7 @@
 };
 use tokio::time::{sleep, timeout_at};
 
-use super::{dispatcher::Dispatcher, peer_links::PeerLink};
+use super::{attempt_count::AttemptCount, dispatcher::Dispatcher, peer_links::PeerLink};
 
 /// Taken off the remaining time at each hop, so that a refusal from further down arrives in time.
 const HOP_MARGIN: Duration = Duration::from_millis(2);
@@ -53,7 +54,7 @@
 }
 
 impl RoutedCall {
-    fn to_request(&self, now: MonotonicTime, revision: u64) -> CallRequest {
+    fn to_request(&self, now: MonotonicTime, revision: u64, stamp: HybridStamp) -> CallRequest {
         CallRequest {
             request: self.request,
             service: self.service.clone(),
@@ -67,36 +68,11 @@
             content_type: self.content_type.clone(),
             body: self.body.to_vec(),
             revision,
+            stamp,
         }
     }
 }
 
-/// Counts an attempt in its pool from start to end, also when its future is dropped.
-struct AttemptCount<'a> {
-    dispatcher: &'a Dispatcher,
-    service: &'a ServiceName,
-    node: NodeId,
-    started: MonotonicTime,
-    result: RouteResult,
-}
-
-impl<'a> AttemptCount<'a> {
-    fn start(dispatcher: &'a Dispatcher, service: &'a ServiceName, node: NodeId) -> Self {
-        let started = dispatcher.clock.now();
-        dispatcher.with_pool(service, |pool| pool.started(started, node));
-        Self { dispatcher, service, node, started, result: RouteResult::Cancelled }
-    }
-}
-
-impl Drop for AttemptCount<'_> {
-    fn drop(&mut self) {
-        let now = self.dispatcher.clock.now();
-        let latency = now.since(self.started);
-        let (node, result) = (self.node, self.result);
-        self.dispatcher.with_pool(self.service, |pool| pool.finished(now, node, latency, result));
-    }
-}
-
 impl Dispatcher {
     /// Sends a call to upstreams of its service until one answers, the retries end or the deadline
     /// passes. The outcome speaks of all attempts together.
@@ -140,13 +116,14 @@
             return self.refusal(RefusalReason::NoUpstream, CallOutcome::NotRun);
         };
         tried.push(node);
-        let mut count = AttemptCount::start(self, &call.service, node);
+        let mut count = AttemptCount::start(self, call, node, tried.len());
         let until = self.clock.instant_at(call.deadline).into();
         let reply = match timeout_at(until, self.send(node, call)).await {
             Ok(reply) => reply,
             Err(_) => self.refusal(RefusalReason::Deadline, CallOutcome::Unknown),
         };
         count.result = route_result(&reply);
+        count.outcome = reply.outcome;
         reply
     }
 
@@ -170,7 +147,7 @@
 
     async fn send(self: &Rc<Self>, node: NodeId, call: &RoutedCall) -> CallReply {
         if node == self.identity.node {
-            let request = call.to_request(self.clock.now(), self.revision());
+            let request = call.to_request(self.clock.now(), self.revision(), self.events.stamp());
             return self.guard_call(request).await;
         }
         let Ok(link) = self.links.get(node).await else {
@@ -191,10 +168,12 @@
         call: &RoutedCall,
     ) -> Result<CallReply, capnp::Error> {
         let mut request = link.client().call_request();
-        let body = call.to_request(self.clock.now(), self.revision());
+        let body = call.to_request(self.clock.now(), self.revision(), self.events.stamp());
         body.write(request.get().init_request());
         let response = request.send().promise.await?;
-        Ok(CallReply::read(response.get()?.get_reply()?)?)
+        let reply = CallReply::read(response.get()?.get_reply()?)?;
+        self.observe(reply.stamp);
+        Ok(reply)
     }
 
     /// Whether the call is tried again; waits for the backoff and takes a token before it says so.
@@ -215,7 +194,13 @@
             expected: self.times.borrow_mut().needed(now, &call.service, &call.operation),
         };
         let decision = self.policy.decide(now, &mut *self.rng.borrow_mut(), &failed);
-        let RetryDecision::Ask { backoff } = decision else { return false };
+        let backoff = match decision {
+            RetryDecision::Ask { backoff } => backoff,
+            RetryDecision::GiveUp(cause) => {
+                self.note_give_up(call, cause);
+                return false;
+            }
+        };
         if !self.take_token(call).await {
             return false;
         }
--- a/crates/coltsfoot-node/src/gossip/gossip_thread.rs
+++ b/crates/coltsfoot-node/src/gossip/gossip_thread.rs
@@ -4,7 +4,8 @@
 
 use coltsfoot_wire::gossip::{decode, encode};
 use coltsfootroute::{
-    id::NodeId,
+    event::EventKind,
+    id::{Incarnation, NodeId},
     membership::{
         GossipEffect, GossipEngine, GossipMessage, GossipSettings, MAX_DATAGRAM_BYTES,
         MemberRecord, MemberState,
@@ -25,6 +26,7 @@
     clock::MonotonicClock,
     config::{ConfigCommand, ConfigHandle},
     dispatch::{DispatchCommand, DispatchHandle},
+    journal::EventSender,
     metrics::{
         ControlKind, DutyMeter, MemberState as MemberLabel, NodeDuty, NodeMetrics, TrafficDirection,
     },
@@ -53,6 +55,8 @@
     pub config: ConfigHandle,
     /// Metrics of the node.
     pub metrics: Arc<NodeMetrics>,
+    /// Events of the node.
+    pub events: EventSender,
     /// Seed of the random generator.
     pub seed: u64,
 }
@@ -66,6 +70,7 @@
     dispatch: DispatchHandle,
     config: ConfigHandle,
     metrics: Arc<NodeMetrics>,
+    events: EventSender,
 }
 
 impl GossipThread {
@@ -99,6 +104,7 @@
             dispatch: parts.dispatch,
             config: parts.config,
             metrics: parts.metrics,
+            events: parts.events,
         };
         thread::Builder::new()
             .name("gossip".to_owned())
@@ -202,8 +208,15 @@
                 GossipEffect::RevisionBehind { peer, revision } => {
                     self.config.behind(ConfigCommand::Behind { peer, revision });
                 }
-                GossipEffect::MemberDown { service, node, state: MemberState::Dead } => {
-                    log::info!("event=member-dead service={service} node={node}");
+                GossipEffect::MemberUp { node, incarnation, .. } => {
+                    self.events.emit(EventKind::MemberUp { member: node, incarnation });
+                }
+                GossipEffect::MemberDown { service, node, state } => {
+                    self.events.emit(self.down_event(&service, node, state));
+                }
+                GossipEffect::MemberLeft { service, node } => {
+                    let incarnation = self.incarnation(&service, node);
+                    self.events.emit(EventKind::MemberLeft { member: node, incarnation });
                 }
                 _ => {}
             }
@@ -213,6 +226,20 @@
         }
     }
 
+    fn down_event(&self, service: &ServiceName, member: NodeId, state: MemberState) -> EventKind {
+        let incarnation = self.incarnation(service, member);
+        match state {
+            MemberState::Suspect => EventKind::MemberSuspect { member, incarnation },
+            _ => EventKind::MemberDown { member, incarnation },
+        }
+    }
+
+    /// Life of a member that something was just said of; 0 if the member was forgotten at once.
+    fn incarnation(&self, service: &ServiceName, member: NodeId) -> Incarnation {
+        let record = self.engine.record(service.as_str(), member);
+        record.map_or(Incarnation(0), |record| record.incarnation)
+    }
+
     async fn send(&self, to: NodeId, message: &GossipMessage) {
         match encode(message) {
             Ok(datagram) => {
--- a/crates/coltsfoot-node/src/process/node_process.rs
+++ b/crates/coltsfoot-node/src/process/node_process.rs
@@ -21,7 +21,7 @@
     dispatch::{DispatchCommand, DispatchHandle, DispatchParts, DispatchThread, NodeIdentity},
     gossip::{GossipParts, GossipThread},
     http::{ClientState, HostState, HttpListener},
-    journal::{EventJournal, JournalHandle},
+    journal::{EventJournal, EventSender, JournalHandle},
     metrics::NodeMetrics,
     settings::NodeSettings,
     store::{StoreSettings, StoreThread},
@@ -49,6 +49,7 @@
     client: HttpListener,
     host: HttpListener,
     dispatch: DispatchHandle,
+    events: EventSender,
     journal: JournalHandle,
 }
 
@@ -90,7 +91,8 @@
             host: addresses.host,
             peer: addresses.peer,
         });
-        let store = StoreThread::start(store_settings(&settings, seed), metrics.clone())?;
+        let store =
+            StoreThread::start(store_settings(&settings, seed), metrics.clone(), events.clone())?;
         let (dispatch, dispatch_ring) = DispatchThread::ring();
         let (config, config_ring) = ConfigThread::ring();
         let (gossip, gossip_ring) = GossipThread::ring();
@@ -110,6 +112,7 @@
             dispatch: dispatch.clone(),
             config: config.clone(),
             metrics: metrics.clone(),
+            events: events.clone(),
             seed: seed.wrapping_add(1),
         };
         GossipThread::start(gossip_parts, gossip_socket, gossip_ring)?;
@@ -156,6 +159,7 @@
             client: HttpListener::start_client(client, client_state)?,
             host: HttpListener::start_host(host, host_state)?,
             dispatch,
+            events,
             journal,
         })
     }
@@ -180,6 +184,8 @@
         std::thread::sleep(ANSWER_GRACE);
         self.client.stop();
         self.host.stop();
+        // Nothing was in flight any more: `Drain` waits for it, however long.
+        self.events.emit(EventKind::Stopped { interrupted: 0 });
         self.journal.stop();
     }
 }
--- a/crates/coltsfoot-node/src/store/store_reports.rs
+++ b/crates/coltsfoot-node/src/store/store_reports.rs
@@ -25,3 +25,13 @@
         None => StoreResult::Limited,
     }
 }
+
+/// What went wrong, in the event that says that the store is down.
+pub(super) fn failure_text<T>(reply: &HttpReply<T>) -> &'static str {
+    match reply {
+        HttpReply::Refused => "refused or not reachable",
+        HttpReply::Lost => "no usable answer in time",
+        HttpReply::RateLimited => "over its rate",
+        HttpReply::Answer(_) => "answered",
+    }
+}
--- a/crates/coltsfoot-node/src/store/store_thread.rs
+++ b/crates/coltsfoot-node/src/store/store_thread.rs
@@ -3,7 +3,7 @@
 use std::{rc::Rc, sync::Arc, thread};
 
 use tokio::{
-    runtime::{Builder, Runtime},
+    runtime::Builder,
     sync::mpsc,
     task::{JoinSet, LocalSet, spawn_local},
     time::interval,
@@ -12,7 +12,10 @@
 use super::{
     StoreError, StoreHandle, StoreSettings, store_command::StoreCommand, store_worker::StoreWorker,
 };
-use crate::metrics::{DutyMeter, NodeDuty, NodeMetrics};
+use crate::{
+    journal::EventSender,
+    metrics::{DutyMeter, NodeDuty, NodeMetrics},
+};
 
 /// Starts the store thread.
 #[derive(Debug)]
@@ -27,33 +30,29 @@
     pub fn start(
         settings: StoreSettings,
         metrics: Arc<NodeMetrics>,
+        events: EventSender,
     ) -> Result<StoreHandle, StoreError> {
         let (sender, receiver) = mpsc::channel(settings.queue);
         let runtime = Builder::new_current_thread().enable_all().build()?;
-        thread::Builder::new()
-            .name("store".to_owned())
-            .spawn(move || run(&runtime, settings, metrics, receiver))?;
+        thread::Builder::new().name("store".to_owned()).spawn(move || {
+            let meter = DutyMeter::new(metrics.clone(), NodeDuty::Store);
+            let worker = StoreWorker::new(&settings, metrics, events);
+            let most = settings.in_flight;
+            LocalSet::new().block_on(&runtime, serve(worker, most, meter, receiver));
+        })?;
         Ok(StoreHandle::new(sender))
     }
 }
 
-fn run(
-    runtime: &Runtime,
-    settings: StoreSettings,
-    metrics: Arc<NodeMetrics>,
-    receiver: mpsc::Receiver<StoreCommand>,
-) {
-    LocalSet::new().block_on(runtime, serve(settings, metrics, receiver));
-}
-
+/// Carries out commands, at most `most` at once.
 async fn serve(
-    settings: StoreSettings,
-    metrics: Arc<NodeMetrics>,
+    worker: StoreWorker,
+    most: usize,
+    meter: DutyMeter,
     mut receiver: mpsc::Receiver<StoreCommand>,
 ) {
-    let most = settings.in_flight;
-    spawn_local(report_duty(metrics.clone()));
-    let worker = Rc::new(StoreWorker::new(settings, metrics));
+    spawn_local(report_duty(meter));
+    let worker = Rc::new(worker);
     let mut tasks = JoinSet::new();
     while let Some(command) = receiver.recv().await {
         while tasks.len() >= most {
@@ -67,8 +66,7 @@
     while tasks.join_next().await.is_some() {}
 }
 
-async fn report_duty(metrics: Arc<NodeMetrics>) {
-    let mut meter = DutyMeter::new(metrics, NodeDuty::Store);
+async fn report_duty(mut meter: DutyMeter) {
     let mut reports = interval(DutyMeter::IDLE_PERIOD);
     loop {
         reports.tick().await;
--- a/crates/coltsfoot-node/src/store/store_worker.rs
+++ b/crates/coltsfoot-node/src/store/store_worker.rs
@@ -3,6 +3,7 @@
 use std::{cell::RefCell, future::Future, sync::Arc};
 
 use coltsfootroute::{
+    event::EventKind,
     table::{
         BreakerState, CircuitBreaker, ObjectReply, RateBudget, StoreBackoff, StoreHealth, StoreUse,
         TableReply, TableRequest,
@@ -17,9 +18,9 @@
     StoreSettings,
     http_client::{HttpClient, HttpReply},
     store_command::{ObjectAction, StoreCommand},
-    store_reports::{object_result, store_result},
+    store_reports::{failure_text, object_result, store_result},
 };
-use crate::metrics::NodeMetrics;
+use crate::{journal::EventSender, metrics::NodeMetrics};
 
 /// What the requests of the store thread share.
 pub(super) struct StoreWorker {
@@ -28,6 +29,7 @@
     started: Instant,
     policy: RefCell<StorePolicy>,
     metrics: Arc<NodeMetrics>,
+    events: EventSender,
 }
 
 #[derive(Debug)]
@@ -35,6 +37,8 @@
     budget: RateBudget,
     table_breaker: CircuitBreaker,
     object_breaker: CircuitBreaker,
+    /// Since when the table service does not answer.
+    down_since: Option<MonotonicTime>,
     rng: Pcg64,
 }
 
@@ -50,17 +54,22 @@
 struct NotSent;
 
 impl StoreWorker {
-    pub(super) fn new(settings: StoreSettings, metrics: Arc<NodeMetrics>) -> Self {
+    pub(super) fn new(
+        settings: &StoreSettings,
+        metrics: Arc<NodeMetrics>,
+        events: EventSender,
+    ) -> Self {
         let policy = StorePolicy {
             budget: RateBudget::new(&settings.share),
             table_breaker: CircuitBreaker::new(settings.breaker.clone()),
             object_breaker: CircuitBreaker::new(settings.breaker.clone()),
+            down_since: None,
             rng: Pcg64::seed_from_u64(settings.seed),
         };
-        let client = HttpClient::new(&settings, metrics.clone());
-        let backoff = settings.backoff;
+        let client = HttpClient::new(settings, metrics.clone());
+        let backoff = settings.backoff.clone();
         let policy = RefCell::new(policy);
-        Self { client, backoff, started: Instant::now(), policy, metrics }
+        Self { client, backoff, started: Instant::now(), policy, metrics, events }
     }
 
     pub(super) async fn carry_out(&self, command: StoreCommand) {
@@ -175,20 +184,31 @@
         let reply = timeout_at(deadline, sending).await.unwrap_or(HttpReply::Lost);
         let now = self.now();
         self.policy.borrow_mut().record(service, now, reply.health());
-        self.note_health(service, reply.health());
+        if matches!(service, StoreService::Table) {
+            self.note_health(now, &reply);
+        }
         Ok(reply)
     }
 
-    /// The table service is what the node depends on; it is up again with its first answer, and down
-    /// once the breaker has opened.
-    fn note_health(&self, service: StoreService, health: StoreHealth) {
-        if !matches!(service, StoreService::Table) {
-            return;
-        }
-        let closed = matches!(self.policy.borrow().table_breaker.state(), BreakerState::Closed(_));
-        match health {
-            StoreHealth::Answering => self.metrics.store.set_up(true),
-            StoreHealth::Failing if !closed => self.metrics.store.set_up(false),
+    /// The table service is what the node depends on: it is up with its first answer, and down once
+    /// the breaker has opened.
+    fn note_health<T>(&self, now: MonotonicTime, reply: &HttpReply<T>) {
+        let mut policy = self.policy.borrow_mut();
+        let is_closed = matches!(policy.table_breaker.state(), BreakerState::Closed(_));
+        match reply.health() {
+            StoreHealth::Answering => {
+                self.metrics.store.set_up(true);
+                if let Some(since) = policy.down_since.take() {
+                    let down_ms = now.since(since).as_millis();
+                    let down_ms = u64::try_from(down_ms).unwrap_or(u64::MAX);
+                    self.events.emit(EventKind::StoreUp { down_ms });
+                }
+            }
+            StoreHealth::Failing if !is_closed && policy.down_since.is_none() => {
+                policy.down_since = Some(now);
+                self.metrics.store.set_up(false);
+                self.events.emit(EventKind::StoreDown { error: failure_text(reply).to_owned() });
+            }
             StoreHealth::Failing => {}
         }
     }
--- a/crates/coltsfoot-node/tests/integration/main.rs
+++ b/crates/coltsfoot-node/tests/integration/main.rs
@@ -1,6 +1,7 @@
 //! Integration tests of the node.
 
 mod args;
+mod events;
 mod journal;
 mod metrics;
 mod settings;
--- a/crates/coltsfoot-node/tests/integration/store.rs
+++ b/crates/coltsfoot-node/tests/integration/store.rs
@@ -11,7 +11,7 @@
 
 use crate::util::{
     node_metrics::{node_metrics, value_of as series},
-    store_fixture::{LONG, StoreFixture, insert, read},
+    store_fixture::{LONG, StoreFixture, event_log, insert, read},
 };
 
 const NEVER: Duration = Duration::from_secs(3_600);
@@ -103,7 +103,9 @@
     let fixture = StoreFixture::new();
     let settings = StoreSettings::new(fixture.table.address());
     fixture.table.stop();
-    let store = StoreThread::start(settings, node_metrics()).expect("thread");
+    let metrics = node_metrics();
+    let (events, _) = event_log(&metrics);
+    let store = StoreThread::start(settings, metrics, events).expect("thread");
 
     let reply = store.request(insert("once/a", "1"), LONG, StoreUse::Claim).await;
 
@@ -252,3 +254,28 @@
     fixture.claim(read("once/a")).await;
     assert_eq!(up(), 0.0);
 }
+
+#[tokio::test]
+async fn an_outage_is_reported_once_from_start_to_end() {
+    let short = BreakerSettings { shortest_open: Duration::from_millis(1), ..breaker_after(1) };
+    let fixture = StoreFixture::with_settings(|settings| {
+        settings.with_breaker(short).with_backoff(no_retry())
+    });
+    fixture.fault(FaultCommand::new(FaultMode::Down).with_count(2));
+
+    for _ in 0..2 {
+        while fixture.table.counts().refused_down < 2 {
+            fixture.claim(read("once/a")).await;
+        }
+        while fixture.claim(read("once/a")).await == TableReply::Unavailable {}
+    }
+
+    let names = || -> Vec<_> {
+        let records = fixture.events.read_since(0, 10);
+        records.iter().map(|record| record.kind.name()).collect()
+    };
+    while names().len() < 2 {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+    assert_eq!(names(), ["store-down", "store-up"]);
+}
--- /dev/null
+++ b/crates/coltsfoot-node/tests/integration/util/fake_peer.rs
@@ -0,0 +1,53 @@
+//! A peer that is no node.
+
+use std::{net::SocketAddr, time::Duration};
+
+use capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side, twoparty::VatNetwork};
+use coltsfoot_wire::{
+    peer::{CallReply, CallRequest},
+    peer_capnp::peer,
+};
+use coltsfootroute::{
+    event::HybridStamp,
+    id::RequestId,
+    importance::Importance,
+    name::{OperationName, ServiceName},
+};
+use futures_util::AsyncReadExt as _;
+use tokio::{net::TcpStream, runtime::Builder, task::LocalSet};
+use tokio_util::compat::TokioAsyncReadCompatExt as _;
+
+/// Calls the guard at `address` as a node whose clock shows `stamp`.
+pub fn call_with_stamp(address: SocketAddr, stamp: HybridStamp) -> CallReply {
+    let runtime = Builder::new_current_thread().enable_all().build().expect("runtime");
+    LocalSet::new().block_on(&runtime, async move {
+        let stream = TcpStream::connect(address).await.expect("connect");
+        let (reader, writer) = stream.compat().split();
+        let network = VatNetwork::new(reader, writer, Side::Client, Default::default());
+        let mut system = RpcSystem::new(Box::new(network), None);
+        let client: peer::Client = system.bootstrap(Side::Server);
+        tokio::task::spawn_local(system);
+        let mut request = client.call_request();
+        call(stamp).write(request.get().init_request());
+        let response = request.send().promise.await.expect("reply");
+        CallReply::read(response.get().expect("result").get_reply().expect("reply")).expect("form")
+    })
+}
+
+fn call(stamp: HybridStamp) -> CallRequest {
+    CallRequest {
+        request: RequestId(7),
+        service: ServiceName::new("stock"),
+        operation: OperationName::new("look"),
+        importance: Importance::Normal,
+        remaining: Duration::from_secs(5),
+        account: None,
+        client: 0,
+        under_way: false,
+        key: None,
+        content_type: String::new(),
+        body: Vec::new(),
+        revision: 0,
+        stamp,
+    }
+}
--- a/crates/coltsfoot-node/tests/integration/util/store_fixture.rs
+++ b/crates/coltsfoot-node/tests/integration/util/store_fixture.rs
@@ -3,11 +3,15 @@
 use std::{sync::Arc, time::Duration};
 
 use coltsfoot_node::{
+    journal::{EventJournal, EventReader, EventSender},
     metrics::NodeMetrics,
     store::{StoreHandle, StoreSettings, StoreThread},
 };
 use coltsfoot_standin::table::{FaultCommand, TableHandle, TableServer, TableSettings};
-use coltsfootroute::table::{RowCondition, RowKey, RowWrite, StoreUse, TableReply, TableRequest};
+use coltsfootroute::{
+    id::{Incarnation, NodeId},
+    table::{RowCondition, RowKey, RowWrite, StoreUse, TableReply, TableRequest},
+};
 
 use super::node_metrics::node_metrics;
 
@@ -18,6 +22,7 @@
     pub table: TableHandle,
     pub store: StoreHandle,
     pub metrics: Arc<NodeMetrics>,
+    pub events: EventReader,
 }
 
 impl StoreFixture {
@@ -29,8 +34,9 @@
         let table = TableServer::start(&TableSettings::default()).expect("loopback");
         let settings = change(StoreSettings::new(table.address()));
         let metrics = node_metrics();
-        let store = StoreThread::start(settings, metrics.clone()).expect("thread");
-        Self { table, store, metrics }
+        let (sender, events) = event_log(&metrics);
+        let store = StoreThread::start(settings, metrics.clone(), sender).expect("thread");
+        Self { table, store, metrics, events }
     }
 
     pub fn fault(&self, command: FaultCommand) {
@@ -42,6 +48,15 @@
     }
 }
 
+/// A running journal; it ends with its senders.
+pub fn event_log(metrics: &Arc<NodeMetrics>) -> (EventSender, EventReader) {
+    let journal =
+        EventJournal::new(NodeId("127.0.0.1:4711".parse().expect("address")), Incarnation(1));
+    let (sender, reader) = (journal.sender(), journal.reader());
+    journal.spawn(metrics.clone()).expect("thread");
+    (sender, reader)
+}
+
 pub fn insert(key: &str, value: &str) -> TableRequest {
     TableRequest::Transact(vec![RowWrite {
         key: RowKey::new(key),
--- /dev/null
+++ b/crates/coltsfoot-node/tests/integration/util/test_node.rs
@@ -0,0 +1,106 @@
+//! A node in the test's own process, with a table stand-in behind it.
+
+use std::{net::SocketAddr, sync::mpsc, time::Duration};
+
+use coltsfoot_node::{
+    process::{DrainSwitch, NodeAddresses, NodeProcess},
+    settings::NodeSettings,
+};
+use coltsfoot_standin::upstream::{UpstreamHandle, UpstreamServer, UpstreamSettings};
+use coltsfootroute::{
+    event::{EventKind, EventRecord},
+    name::ServiceName,
+    schema::SchemaDocument,
+};
+
+use super::http_call::{HttpAnswer, http_call};
+
+/// One service with one operation that a client may call and that may run again.
+pub const SCHEMA: &str = "
+deployment: test
+services:
+  - name: stock
+    slots: 4
+    connections: 16
+    operations:
+      - name: look
+        client: {importance: normal, deadline_ms: 5000, retry_budget: 1}
+";
+
+pub struct TestNode {
+    process: NodeProcess,
+    pub addresses: NodeAddresses,
+}
+
+impl TestNode {
+    pub fn start(table: SocketAddr, peers: &[SocketAddr], limits: &str) -> Self {
+        let peers: Vec<String> = peers.iter().map(|peer| format!("\"{peer}\"")).collect();
+        let text = format!(
+            "listen: {{client: \"127.0.0.1:0\", host: \"127.0.0.1:0\", peer: \"127.0.0.1:0\"}}\n\
+             region: dar\ndomain: dar-a\npeers: [{}]\nstore: {{table: \"{table}\"}}\n\
+             limits: {{drain_notice_ms: 0{limits}}}\n",
+            peers.join(", "),
+        );
+        let settings = NodeSettings::from_yaml(&text).expect("settings");
+        let (sender, _) = mpsc::sync_channel(1);
+        let process = NodeProcess::start(settings, DrainSwitch::new(sender)).expect("node");
+        let addresses = process.addresses();
+        Self { process, addresses }
+    }
+
+    /// Submits [`SCHEMA`] and waits until it is in force here.
+    pub fn configure(&self) {
+        let headers = [("if-match", "0"), ("idempotency-key", "first")];
+        let answer = self.host_call("PUT", "/schema", &headers, SCHEMA);
+        assert_eq!(answer.status, 200, "{}", answer.body);
+    }
+
+    pub fn host_call(
+        &self,
+        method: &str,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: &str,
+    ) -> HttpAnswer {
+        http_call(self.addresses.host, method, path, headers, body)
+    }
+
+    /// Starts an upstream of `stock` beside the node.
+    pub fn start_upstream(&self) -> UpstreamHandle {
+        let schema = SchemaDocument::from_yaml(SCHEMA).expect("schema");
+        let mut settings = UpstreamSettings::new(ServiceName::new("stock"), schema);
+        settings.node = Some(self.addresses.host);
+        settings.service_time = Duration::from_millis(1);
+        UpstreamServer::start(settings).expect("upstream")
+    }
+
+    pub fn call(&self) -> HttpAnswer {
+        http_call(self.addresses.client, "POST", "/call/stock/look", &[], "{}")
+    }
+
+    pub fn events(&self) -> Vec<EventRecord> {
+        let answer = self.host_call("GET", "/events", &[], "");
+        answer.body.lines().map(|line| EventRecord::from_json(line).expect("record")).collect()
+    }
+
+    /// Waits until an event that `wanted` picks has happened, and gives what it picks.
+    pub fn await_event<T>(&self, wanted: impl Fn(&EventRecord) -> Option<T>) -> T {
+        loop {
+            if let Some(found) = self.events().iter().find_map(&wanted) {
+                return found;
+            }
+            std::thread::sleep(Duration::from_millis(20));
+        }
+    }
+
+    pub fn await_member(&self, member: SocketAddr) {
+        self.await_event(|record| match &record.kind {
+            EventKind::MemberUp { member: up, .. } if up.0 == member => Some(()),
+            _ => None,
+        });
+    }
+
+    pub fn stop(self) {
+        self.process.stop();
+    }
+}
--- a/crates/coltsfoot-wire/schema/peer.capnp
+++ b/crates/coltsfoot-wire/schema/peer.capnp
@@ -20,6 +20,8 @@
   contentType @10 :Text;
   body @11 :Data;
   revision @12 :UInt64;       # configuration in force at the caller
+  stampMillis @13 :UInt64;    # caller's hybrid clock
+  stampCounter @14 :UInt32;
 }
 
 enum Outcome { completed @0; notRun @1; unknown @2; }
@@ -46,15 +48,18 @@
   outcome @6 :Outcome;
   levels @7 :List(LevelNote);
   upstreamMicros @8 :UInt64;  # time the upstream took
+  stampMillis @9 :UInt64;     # guard's hybrid clock
+  stampCounter @10 :UInt32;
 }
 
-enum TakeAnswer { granted @0; denied @1; noAccount @2; }
+enum TakeAnswer { granted @0; denied @1; noAccount @2; late @3; }
 
 enum ClaimState { notMine @0; neverDispatched @1; running @2; finished @3; }
 
 interface Peer {
   call @0 (request :CallRequest) -> (reply :CallReply);
-  takeRetry @1 (requestHigh :UInt64, requestLow :UInt64, takeId :UInt64) -> (answer :TakeAnswer);
+  takeRetry @1 (requestHigh :UInt64, requestLow :UInt64, takeId :UInt64)
+      -> (answer :TakeAnswer, remaining :UInt32);
   configSince @2 (revision :UInt64) -> (delta :Data);  # JSON of a configuration delta
   claimState @3 (claimHigh :UInt64, claimLow :UInt64) -> (state :ClaimState);
 }
--- a/crates/coltsfoot-wire/src/peer/call_reply.rs
+++ b/crates/coltsfoot-wire/src/peer/call_reply.rs
@@ -2,7 +2,10 @@
 
 use std::time::Duration;
 
-use coltsfootroute::outcome::{CallOutcome, RefusalReason};
+use coltsfootroute::{
+    event::HybridStamp,
+    outcome::{CallOutcome, RefusalReason},
+};
 
 use super::LevelNote;
 use crate::{
@@ -21,6 +24,8 @@
     pub levels: Vec<LevelNote>,
     /// Time the upstream took, zero if it was not called.
     pub upstream_time: Duration,
+    /// The guard's hybrid clock; zero until the reply leaves its node.
+    pub stamp: HybridStamp,
 }
 
 /// The upstream's answer, or the refusal.
@@ -54,6 +59,7 @@
             outcome,
             levels: Vec::new(),
             upstream_time: Duration::ZERO,
+            stamp: HybridStamp::default(),
         }
     }
 
@@ -88,6 +94,8 @@
         });
         builder
             .set_upstream_micros(u64::try_from(self.upstream_time.as_micros()).unwrap_or(u64::MAX));
+        builder.set_stamp_millis(self.stamp.wall_ms);
+        builder.set_stamp_counter(self.stamp.counter);
         let count = u32::try_from(self.levels.len()).unwrap_or(u32::MAX);
         let mut list = builder.init_levels(count);
         for (index, note) in (0..count).zip(&self.levels) {
@@ -121,7 +129,8 @@
         let levels =
             reader.get_levels()?.iter().map(LevelNote::read).collect::<Result<Vec<_>, _>>()?;
         let upstream_time = Duration::from_micros(reader.get_upstream_micros());
-        Ok(Self { body, outcome, levels, upstream_time })
+        let stamp = HybridStamp::new(reader.get_stamp_millis(), reader.get_stamp_counter());
+        Ok(Self { body, outcome, levels, upstream_time, stamp })
     }
 }
 
--- a/crates/coltsfoot-wire/src/peer/call_request.rs
+++ b/crates/coltsfoot-wire/src/peer/call_request.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use coltsfootroute::{
+    event::HybridStamp,
     id::{NodeId, RequestId},
     importance::Importance,
     name::{OperationName, ServiceName},
@@ -42,6 +43,8 @@
     pub body: Vec<u8>,
     /// Configuration revision in force at the calling node.
     pub revision: u64,
+    /// The calling node's hybrid clock.
+    pub stamp: HybridStamp,
 }
 
 impl CallRequest {
@@ -63,6 +66,8 @@
         builder.set_content_type(self.content_type.as_str());
         builder.set_body(&self.body);
         builder.set_revision(self.revision);
+        builder.set_stamp_millis(self.stamp.wall_ms);
+        builder.set_stamp_counter(self.stamp.counter);
     }
 
     /// Reads a call.
@@ -89,6 +94,7 @@
             content_type: reader.get_content_type()?.to_str()?.to_owned(),
             body: reader.get_body()?.to_vec(),
             revision: reader.get_revision(),
+            stamp: HybridStamp::new(reader.get_stamp_millis(), reader.get_stamp_counter()),
         })
     }
 }
--- a/crates/coltsfoot-wire/src/peer/take_answer.rs
+++ b/crates/coltsfoot-wire/src/peer/take_answer.rs
@@ -11,6 +11,8 @@
     Denied,
     /// The node keeps no such account: the request has ended, or the node was restarted.
     NoAccount,
+    /// The request's deadline has passed.
+    Late,
 }
 
 /// The answer's enumerant.
@@ -19,6 +21,7 @@
         TakeAnswer::Granted => peer_capnp::TakeAnswer::Granted,
         TakeAnswer::Denied => peer_capnp::TakeAnswer::Denied,
         TakeAnswer::NoAccount => peer_capnp::TakeAnswer::NoAccount,
+        TakeAnswer::Late => peer_capnp::TakeAnswer::Late,
     }
 }
 
@@ -34,5 +37,6 @@
         peer_capnp::TakeAnswer::Granted => TakeAnswer::Granted,
         peer_capnp::TakeAnswer::Denied => TakeAnswer::Denied,
         peer_capnp::TakeAnswer::NoAccount => TakeAnswer::NoAccount,
+        peer_capnp::TakeAnswer::Late => TakeAnswer::Late,
     })
 }
--- a/crates/coltsfootroute/src/admission/breach_counter.rs
+++ b/crates/coltsfootroute/src/admission/breach_counter.rs
@@ -62,14 +62,25 @@
         service: &ServiceName,
         importance: Importance,
     ) -> bool {
-        let Some(times) = self.admissions.get(service) else { return false };
-        let in_window = |time: &MonotonicTime| now.since(*time) <= self.window;
-        let lower = &times[..importance.index()];
-        let is_breach = lower.iter().flatten().any(in_window);
+        let is_breach = self.admitted_below(now, service, importance).is_some();
         self.breaches += u64::from(is_breach);
         is_breach
     }
 
+    /// The least importance below `importance` that was admitted for `service` within the window.
+    pub fn admitted_below(
+        &self,
+        now: MonotonicTime,
+        service: &ServiceName,
+        importance: Importance,
+    ) -> Option<Importance> {
+        let times = self.admissions.get(service)?;
+        let in_window =
+            |time: &Option<MonotonicTime>| time.is_some_and(|time| now.since(time) <= self.window);
+        let index = times[..importance.index()].iter().position(in_window)?;
+        Importance::from_index(index)
+    }
+
     /// Breaches counted so far.
     pub fn breaches(&self) -> u64 {
         self.breaches
--- a/crates/coltsfootroute/src/membership/gossip_engine.rs
+++ b/crates/coltsfootroute/src/membership/gossip_engine.rs
@@ -157,6 +157,11 @@
         self.groups.get(service).into_iter().flat_map(GroupView::live)
     }
 
+    /// What is known of one member of a group held in detail, hidden or gone ones included.
+    pub fn record(&self, service: &str, node: NodeId) -> Option<&MemberRecord> {
+        self.groups.get(service)?.get(node)
+    }
+
     /// All that is known of a service, departed and dead members included.
     pub fn records(&self, service: &str) -> impl Iterator<Item = &MemberRecord> {
         self.groups.get(service).into_iter().flat_map(GroupView::records)
--- a/crates/coltsfootroute/src/retry/account_ledger.rs
+++ b/crates/coltsfootroute/src/retry/account_ledger.rs
@@ -79,6 +79,11 @@
         self.accounts.get(&request).map(|entry| entry.account.granted_count())
     }
 
+    /// Tokens left to `request`; `None` where no account is open.
+    pub fn remaining(&self, request: RequestId) -> Option<u32> {
+        self.accounts.get(&request).map(|entry| entry.account.remaining())
+    }
+
     /// Number of open accounts.
     pub fn len(&self) -> usize {
         self.accounts.len()
--- a/crates/coltsfootroute/src/retry/retry_account.rs
+++ b/crates/coltsfootroute/src/retry/retry_account.rs
@@ -34,6 +34,10 @@
         TakeAnswer::Granted
     }
 
+    pub(super) fn remaining(&self) -> u32 {
+        self.budget.saturating_sub(self.granted_count())
+    }
+
     pub(super) fn granted_count(&self) -> u32 {
         // Bounded by `budget`, which is a `u32`.
         self.granted.len() as u32
