Store test: the late write is held back instead of raced

Cause: `a_write_past_its_deadline_is_uncertain_and_lands_late` failed 1 of 200 with `Unavailable`. The only way to that reply in the test is a deadline (20 ms) that has passed before the request is sent, which the client says rightly: nothing was sent. A host under load does not always start a thread and send within 20 ms. The test also raced a delay of 200 ms against the deadline, and took a write cut off while connecting for sent.

Change: the stand-in can hold requests back until the next command and counts them (`held`). The test holds all back, asks until one that arrived is `Uncertain`, sees that nothing is written yet, lets go and sees the held ones land; each `Unavailable` on the way must never land. Any other reply fails. A new test asks that a request whose deadline has passed is not sent.

Conclusion: the reply no longer depends on how fast the host is.

--- a/crates/coltsfoot-node/tests/integration/store.rs
+++ b/crates/coltsfoot-node/tests/integration/store.rs
@@ -63,16 +63,45 @@
 
 #[tokio::test]
 async fn a_write_past_its_deadline_is_uncertain_and_lands_late() {
+    let never_open = breaker_after(u32::MAX);
+    let fixture = StoreFixture::with_settings(|settings| settings.with_breaker(never_open));
+    fixture.fault(FaultCommand::new(FaultMode::Held));
+    let mut unsent = Vec::new();
+
+    // A host under load may not get a request out in time: that is no fault, and said as such.
+    for round in 0.. {
+        let key = format!("once/{round}");
+        let deadline = Duration::from_millis(20);
+        let reply = fixture.store.request(insert(&key, "1"), deadline, StoreUse::Claim).await;
+        match reply {
+            TableReply::Uncertain if fixture.table.counts().held > 0 => break,
+            TableReply::Uncertain => {}
+            TableReply::Unavailable => unsent.push(key),
+            other => panic!("{other:?} from a store that holds back"),
+        }
+    }
+
+    let held = fixture.table.counts().held;
+    assert_eq!(fixture.table.counts().writes, 0);
+    fixture.fault(FaultCommand::new(FaultMode::Up));
+    while fixture.table.counts().writes < held {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+    for key in unsent {
+        assert_eq!(value_of(&fixture.claim(read(&key)).await), None, "{key} was sent");
+    }
+}
+
+#[tokio::test]
+async fn a_request_whose_deadline_has_passed_is_not_sent() {
     let fixture = StoreFixture::new();
-    fixture.fault(FaultCommand::slow(200).with_count(1));
 
-    let deadline = Duration::from_millis(20);
-    let reply = fixture.store.request(insert("once/a", "1"), deadline, StoreUse::Claim).await;
+    let write = insert("once/a", "1");
+    let reply = fixture.store.request(write, Duration::ZERO, StoreUse::Claim).await;
 
-    assert_eq!(reply, TableReply::Uncertain);
-    while value_of(&fixture.claim(read("once/a")).await).is_none() {
-        tokio::time::sleep(Duration::from_millis(10)).await;
-    }
+    assert_eq!(reply, TableReply::Unavailable);
+    assert_eq!(value_of(&fixture.claim(read("once/a")).await), None);
+    assert_eq!(fixture.table.counts(), TableCounts { reads: 1, ..no_counts() });
 }
 
 #[tokio::test]
--- a/crates/coltsfoot-standin/src/table/fault_command.rs
+++ b/crates/coltsfoot-standin/src/table/fault_command.rs
@@ -13,6 +13,8 @@
     Down,
     /// Carries out a request only after a delay, also when the caller has gone meanwhile.
     Slow,
+    /// Carries out a request only after the next command, also when the caller has gone meanwhile.
+    Held,
     /// Carries out writes, then answers 504 as a gateway that lost the answer would.
     AckLost,
 }
--- a/crates/coltsfoot-standin/src/table/table_counts.rs
+++ b/crates/coltsfoot-standin/src/table/table_counts.rs
@@ -17,6 +17,8 @@
     pub refused_by_rate: u64,
     /// Requests refused while down.
     pub refused_down: u64,
+    /// Requests that arrived while they are held back, whatever became of them later.
+    pub held: u64,
     /// Requests to the object store carried out.
     pub objects: u64,
 }
--- a/crates/coltsfoot-standin/src/table/table_service.rs
+++ b/crates/coltsfoot-standin/src/table/table_service.rs
@@ -11,6 +11,8 @@
     time::MonotonicTime,
 };
 
+use tokio::sync::watch;
+
 use super::{
     FaultCommand, FaultMode, TableCounts, TableSettings,
     fault_state::{FaultState, FaultVerdict},
@@ -22,6 +24,8 @@
 pub(super) struct TableService {
     started: Instant,
     inner: Mutex<ServiceState>,
+    /// Number of commands so far; what is held back waits for the next.
+    commands: watch::Sender<u64>,
 }
 
 #[derive(Debug)]
@@ -55,7 +59,8 @@
             writes: TokenBucket::new(settings.writes_per_s, settings.writes_per_s),
             reads: TokenBucket::new(settings.reads_per_s, settings.reads_per_s),
         };
-        Self { started: Instant::now(), inner: Mutex::new(state) }
+        let commands = watch::Sender::new(0);
+        Self { started: Instant::now(), inner: Mutex::new(state), commands }
     }
 
     pub(super) fn fault(&self, command: &FaultCommand) {
@@ -67,6 +72,8 @@
         if let Some(rate) = command.reads_per_s {
             state.reads = TokenBucket::new(rate, rate);
         }
+        drop(state);
+        self.commands.send_modify(|commands| *commands += 1);
     }
 
     pub(super) fn counts(&self) -> TableCounts {
@@ -100,8 +107,14 @@
 
     /// Lets the fault and the rate limits meet a request.
     async fn pass(&self, is_write: bool, is_table: bool) -> Result<FaultVerdict, ServiceError> {
+        // Before the fault is looked at: no command between the two may be missed.
+        let mut commands = self.commands.subscribe();
         let now = MonotonicTime::ZERO + self.started.elapsed();
         let verdict = self.lock().meet(now, is_write, is_table)?;
+        if verdict.mode == FaultMode::Held {
+            // An error means that the stand-in is gone, and this request with it.
+            let _ = commands.changed().await;
+        }
         if !verdict.delay.is_zero() {
             tokio::time::sleep(verdict.delay).await;
         }
@@ -134,6 +147,7 @@
             self.counts.refused_by_rate += 1;
             return Err(ServiceError::RateLimited);
         }
+        self.counts.held += u64::from(verdict.mode == FaultMode::Held);
         Ok(verdict)
     }
 
