Settings: every limit is in force, or gone

Cause: `limits.header_bytes`, `connections`, `queue` and `drain_max_s` and the store's rates were checked when the settings were read, and had no effect.

Change: a head beyond `header_bytes` (now at most 64 KiB, the listeners' buffer) gets 431; `queue` bounds the gate's queue, which stays at two places a slot where that is less (`GET /status` shows it); a stop that takes longer than `drain_max_s` emits the new `drain-overdue` with what is in flight, once in each such period, and waits on; the store's rates and nodes make up the node's share. `connections` is removed: the server gives no place to count a connection's end, and the process's limit on open files bounds them.

Conclusion: no setting is without effect. A bound on connections for memory's sake is still wanted.

--- a/crates/coltsfoot-node/src/dispatch/dispatch_thread.rs
+++ b/crates/coltsfoot-node/src/dispatch/dispatch_thread.rs
@@ -3,7 +3,11 @@
 use std::sync::Arc;
 use std::{io, net::TcpListener, rc::Rc, thread, time::Duration};
 
-use coltsfootroute::{event::EventKind, time::MonotonicTime};
+use coltsfootroute::{
+    drain::{DrainReport, DrainSettings},
+    event::EventKind,
+    time::MonotonicTime,
+};
 use tokio::{
     runtime,
     sync::{mpsc, oneshot},
@@ -47,8 +51,10 @@
     pub config: ConfigCell,
     /// Most bytes of a body.
     pub body_limit: usize,
-    /// How long a leaving node waits for callers to learn of it.
-    pub drain_notice: Duration,
+    /// Most calls waiting in front of the upstream.
+    pub queue: u32,
+    /// How a planned stop goes.
+    pub drain: DrainSettings,
     /// The platform's services.
     pub store: StoreHandle,
     /// Nodes that share the platform's rates.
@@ -169,6 +175,23 @@
         }
     }
 
+    /// Reports what keeps a planned stop from its end, once in each period. Nothing is cut off: whoever
+    /// stops the process decides.
+    fn report_overdue(&self, reported: &mut MonotonicTime) {
+        let now = self.clock.now();
+        let Some(DrainReport { in_flight, waited }) = self.drain.borrow().overdue(now) else {
+            return;
+        };
+        if now.since(*reported) < self.drain_period {
+            return;
+        }
+        *reported = now;
+        self.events.emit(EventKind::DrainOverdue {
+            in_flight: u32::try_from(in_flight).unwrap_or(u32::MAX),
+            waited_ms: u64::try_from(waited.as_millis()).unwrap_or(u64::MAX),
+        });
+    }
+
     /// A planned stop: refuse new work, tell everyone, end when nothing is in flight.
     async fn leave(self: Rc<Self>, done: oneshot::Sender<()>) {
         let begun: MonotonicTime = self.clock.now();
@@ -176,8 +199,10 @@
         let in_flight = u32::try_from(self.drain.borrow().in_flight()).unwrap_or(u32::MAX);
         self.events.emit(EventKind::DrainBegun { in_flight });
         self.withdraw_upstream().await;
+        let mut reported = begun;
         while !self.is_drained() {
             sleep(DRAIN_POLL).await;
+            self.report_overdue(&mut reported);
         }
         let elapsed = self.clock.now().since(begun).as_millis();
         let elapsed_ms = u64::try_from(elapsed).unwrap_or(u64::MAX);
--- a/crates/coltsfoot-node/src/dispatch/dispatcher.rs
+++ b/crates/coltsfoot-node/src/dispatch/dispatcher.rs
@@ -11,7 +11,7 @@
 use coltsfootroute::{
     admission::{BreachCounter, RetryAfter, ServiceLevels, ShedLevel},
     deadline::{DeadlineCheck, ServiceTimes},
-    drain::{DrainSettings, DrainState, StartAnswer},
+    drain::{DrainState, StartAnswer},
     id::{Incarnation, NodeId, RequestId},
     importance::Importance,
     name::{DomainName, RegionName, ServiceName},
@@ -69,6 +69,10 @@
     pub(super) guard: GuardState,
     pub(super) upstream_client: UpstreamClient,
     pub(super) drain: RefCell<DrainState>,
+    /// Time between two reports of a planned stop that does not end.
+    pub(super) drain_period: Duration,
+    /// Most calls waiting in front of the upstream.
+    pub(super) queue: u32,
     /// Woken when a call has ended while the node leaves.
     pub(super) call_ended: Notify,
     pub(super) once: OnceDesk,
@@ -108,7 +112,6 @@
     pub fn new(parts: DispatchParts) -> Self {
         let holder =
             ClaimHolder { node: parts.identity.node, incarnation: parts.identity.incarnation };
-        let drain = DrainSettings::default().with_notice(parts.drain_notice);
         Self {
             clock: parts.clock,
             identity: parts.identity,
@@ -127,7 +130,9 @@
             links: PeerLinks::new(parts.clock),
             guard: GuardState::default(),
             upstream_client: UpstreamClient::new(parts.body_limit),
-            drain: RefCell::new(DrainState::new(drain)),
+            drain_period: parts.drain.report_after,
+            drain: RefCell::new(DrainState::new(parts.drain)),
+            queue: parts.queue,
             call_ended: Notify::new(),
             once: OnceDesk::new(holder, parts.store, parts.nodes),
             gossip: parts.gossip,
--- a/crates/coltsfoot-node/src/dispatch/guard.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard.rs
@@ -296,7 +296,9 @@
         let now = self.clock.now();
         let fresh = self.guard.gate.borrow().is_none();
         if fresh {
-            let gate = AdmissionGate::new(AdmissionSettings::new(slots));
+            let settings = AdmissionSettings::new(slots);
+            let queue = settings.queue_length.min(self.queue);
+            let gate = AdmissionGate::new(settings.with_queue_length(queue));
             *self.guard.gate.borrow_mut() = Some(gate);
         } else {
             self.guard.with_gate(|gate| gate.set_slots(now, slots));
--- a/crates/coltsfoot-node/src/dispatch/node_state.rs
+++ b/crates/coltsfoot-node/src/dispatch/node_state.rs
@@ -33,6 +33,8 @@
     limit: u32,
     in_flight: u32,
     queued: u32,
+    /// Most calls that may wait.
+    queue: u32,
     severity: u16,
 }
 
@@ -130,6 +132,7 @@
             limit: gate.limit(),
             in_flight: gate.in_flight(),
             queued: gate.queued(),
+            queue: gate.queue_length(),
             severity: gate.shed_level(self.clock.now()).severity(),
         })
     }
--- a/crates/coltsfoot-node/src/http.rs
+++ b/crates/coltsfoot-node/src/http.rs
@@ -11,5 +11,5 @@
 
 pub use http_reply::HttpReply;
 pub use listener_state::{ClientState, HostState};
-pub use request_parts::RequestError;
+pub use request_parts::{PartLimits, RequestError};
 pub use serve::{HttpListener, ListenerError};
--- a/crates/coltsfoot-node/src/http/client_listener.rs
+++ b/crates/coltsfoot-node/src/http/client_listener.rs
@@ -11,7 +11,7 @@
     call_path::CallPath,
     http_reply::{HttpReply, TEXT},
     listener_state::ClientState,
-    request_parts::{CallHeaders, RequestError, read_body},
+    request_parts::{CallHeaders, RequestError, head_fits, read_body},
     worker_meter::report_worker,
 };
 use crate::dispatch::{CallOrigin, IncomingCall};
@@ -19,6 +19,11 @@
 /// Serves one request of a client.
 pub async fn handle(ctx: &WebContext<'_, ClientState>) -> WebResponse {
     report_worker(&ctx.state().metrics);
+    let request = ctx.req();
+    let most = ctx.state().limits.head_bytes;
+    if !head_fits(request.method(), request.uri(), request.headers(), most) {
+        return head_too_large().into_response();
+    }
     let reply = match CallPath::parse(ctx.req().uri().path()) {
         Some(_) if ctx.req().method() != Method::POST => {
             HttpReply::new(StatusCode::METHOD_NOT_ALLOWED, TEXT, "calls are POST requests\n")
@@ -35,7 +40,7 @@
     let read = async {
         let headers = CallHeaders::read(ctx.req().headers())?;
         let body = std::mem::take(&mut *ctx.body_borrow_mut());
-        Ok::<_, RequestError>((headers, read_body(body, state.body_limit).await?))
+        Ok::<_, RequestError>((headers, read_body(body, state.limits.body_bytes).await?))
     };
     let (headers, body) = match read.await {
         Ok(parts) => parts,
@@ -55,6 +60,14 @@
     state.dispatch.call(call).await
 }
 
+/// The reply to a request whose head is too large; its body is not read.
+pub fn head_too_large() -> HttpReply {
+    let status = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
+    HttpReply::new(status, TEXT, "the head of the request is too large\n")
+        .with_outcome(CallOutcome::NotRun)
+        .with_close()
+}
+
 /// The reply to a call that cannot be read; it ran nowhere.
 pub fn malformed(err: &RequestError) -> HttpReply {
     let reply = HttpReply::refusal(RequestId(0), RefusalReason::BadRequest, CallOutcome::NotRun, 0);
--- a/crates/coltsfoot-node/src/http/host_listener.rs
+++ b/crates/coltsfoot-node/src/http/host_listener.rs
@@ -7,10 +7,10 @@
 
 use super::{
     call_path::CallPath,
-    client_listener::malformed,
+    client_listener::{head_too_large, malformed},
     http_reply::{HttpReply, JSON, TEXT},
     listener_state::HostState,
-    request_parts::{CallHeaders, RequestError, read_body, text},
+    request_parts::{CallHeaders, RequestError, head_fits, read_body, text},
     worker_meter::report_worker,
 };
 use crate::{
@@ -31,6 +31,11 @@
 /// Serves one request on the host's own address.
 pub async fn handle(ctx: &WebContext<'_, HostState>) -> WebResponse {
     report_worker(&ctx.state().metrics);
+    let request = ctx.req();
+    let most = ctx.state().limits.head_bytes;
+    if !head_fits(request.method(), request.uri(), request.headers(), most) {
+        return head_too_large().into_response();
+    }
     let path = ctx.req().uri().path().to_owned();
     let reply = match (ctx.req().method().clone(), path.as_str()) {
         (Method::PUT, "/upstream") => announce(ctx).await,
@@ -77,7 +82,7 @@
 
 async fn body_of(ctx: &WebContext<'_, HostState>) -> Result<bytes::Bytes, RequestError> {
     let body = std::mem::take(&mut *ctx.body_borrow_mut());
-    read_body(body, ctx.state().body_limit).await
+    read_body(body, ctx.state().limits.body_bytes).await
 }
 
 async fn nested_call(ctx: &WebContext<'_, HostState>, path: CallPath) -> HttpReply {
--- a/crates/coltsfoot-node/src/http/listener_state.rs
+++ b/crates/coltsfoot-node/src/http/listener_state.rs
@@ -1,5 +1,6 @@
 //! What the listeners share with the other duties of the process.
 
+use super::request_parts::PartLimits;
 use crate::{
     clock::MonotonicClock, config::ConfigHandle, dispatch::DispatchHandle, journal::EventReader,
     metrics::NodeMetrics, process::DrainSwitch,
@@ -15,8 +16,8 @@
     pub dispatch: DispatchHandle,
     /// Metrics of this node.
     pub metrics: Arc<NodeMetrics>,
-    /// Most bytes of a body.
-    pub body_limit: usize,
+    /// Bounds on requests.
+    pub limits: PartLimits,
 }
 
 /// State of the listener on the host's own address.
@@ -34,6 +35,6 @@
     pub metrics: Arc<NodeMetrics>,
     /// Begins a planned stop.
     pub drain: DrainSwitch,
-    /// Most bytes of a body.
-    pub body_limit: usize,
+    /// Bounds on requests.
+    pub limits: PartLimits,
 }
--- a/crates/coltsfoot-node/src/http/request_parts.rs
+++ b/crates/coltsfoot-node/src/http/request_parts.rs
@@ -6,9 +6,30 @@
 use coltsfootroute::constants::{
     CONTEXT_HEADER, DEADLINE_HEADER, IDEMPOTENCY_KEY_HEADER, MAX_KEY_BYTES,
 };
-use http::{HeaderMap, header::CONTENT_TYPE};
+use http::{HeaderMap, Method, Uri, header::CONTENT_TYPE};
 use xitca_web::body::{BodyExt, RequestBody};
 
+/// Bounds on the parts of a request.
+#[derive(Clone, Copy, Debug)]
+pub struct PartLimits {
+    /// Most bytes of the head, request line and header lines.
+    pub head_bytes: usize,
+    /// Most bytes of a body.
+    pub body_bytes: usize,
+}
+
+/// Whether the head is at most `most` bytes long.
+pub fn head_fits(method: &Method, uri: &Uri, headers: &HeaderMap, most: usize) -> bool {
+    let path = uri.path_and_query().map_or(0, |path| path.as_str().len());
+    let lines = headers.iter().map(|(name, value)| name.as_str().len() + value.len() + LINE_BYTES);
+    method.as_str().len() + path + REQUEST_LINE_BYTES + lines.sum::<usize>() <= most
+}
+
+/// Separators of a header line.
+const LINE_BYTES: usize = ": \r\n".len();
+/// What the request line and the end of the head hold beside method and path.
+const REQUEST_LINE_BYTES: usize = "  HTTP/1.1\r\n\r\n".len();
+
 /// A request that cannot be read.
 #[derive(Debug, thiserror::Error)]
 pub enum RequestError {
--- a/crates/coltsfoot-node/src/process/node_process.rs
+++ b/crates/coltsfoot-node/src/process/node_process.rs
@@ -7,9 +7,11 @@
 };
 
 use coltsfootroute::{
+    drain::DrainSettings,
     event::EventKind,
     id::{Incarnation, NodeId},
     membership::{GossipSettings, MemberRecord},
+    table::RateShare,
 };
 use rand::RngExt;
 use tokio::sync::oneshot;
@@ -20,10 +22,10 @@
     config::{ConfigCell, ConfigParts, ConfigThread},
     dispatch::{DispatchCommand, DispatchHandle, DispatchParts, DispatchThread, NodeIdentity},
     gossip::{GossipParts, GossipThread},
-    http::{ClientState, HostState, HttpListener},
+    http::{ClientState, HostState, HttpListener, PartLimits},
     journal::{EventJournal, EventSender, JournalHandle},
     metrics::NodeMetrics,
-    settings::NodeSettings,
+    settings::{LimitSettings, NodeSettings},
     store::{StoreSettings, StoreThread},
 };
 
@@ -97,7 +99,7 @@
         let (config, config_ring) = ConfigThread::ring();
         let (gossip, gossip_ring) = GossipThread::ring();
         let cell = ConfigCell::default();
-        let body_limit = usize::try_from(settings.limits.body_bytes).unwrap_or(usize::MAX);
+        let limits = part_limits(&settings.limits);
 
         let record = MemberRecord::new(
             identity.node,
@@ -121,8 +123,11 @@
             identity,
             control: settings.control,
             config: cell.clone(),
-            body_limit,
-            drain_notice: Duration::from_millis(settings.limits.drain_notice_ms),
+            body_limit: limits.body_bytes,
+            queue: u32::try_from(settings.limits.queue).unwrap_or(u32::MAX),
+            drain: DrainSettings::default()
+                .with_notice(Duration::from_millis(settings.limits.drain_notice_ms))
+                .with_report_after(Duration::from_secs(settings.limits.drain_max_s)),
             store: store.clone(),
             nodes: u32::try_from(settings.store.nodes).unwrap_or(u32::MAX),
             gossip: gossip.clone(),
@@ -144,7 +149,7 @@
         ConfigThread::start(config_parts, config_ring)?;
 
         let client_state =
-            ClientState { clock, dispatch: dispatch.clone(), metrics: metrics.clone(), body_limit };
+            ClientState { clock, dispatch: dispatch.clone(), metrics: metrics.clone(), limits };
         let host_state = HostState {
             clock,
             dispatch: dispatch.clone(),
@@ -152,7 +157,7 @@
             events: reader,
             metrics,
             drain,
-            body_limit,
+            limits,
         };
         Ok(Self {
             addresses,
@@ -213,5 +218,16 @@
     let mut store = StoreSettings::new(settings.store.table);
     store.objects = settings.store.objects.unwrap_or(settings.store.table);
     store.seed = seed.wrapping_add(2);
-    store
+    // Rates are whole numbers of at most a million, which a double holds exactly.
+    store.with_share(RateShare {
+        writes_per_s: settings.store.writes_per_s as f64,
+        reads_per_s: settings.store.reads_per_s as f64,
+        nodes: u32::try_from(settings.store.nodes).unwrap_or(u32::MAX),
+        ..RateShare::default()
+    })
+}
+
+fn part_limits(limits: &LimitSettings) -> PartLimits {
+    let bytes = |most| usize::try_from(most).unwrap_or(usize::MAX);
+    PartLimits { head_bytes: bytes(limits.header_bytes), body_bytes: bytes(limits.body_bytes) }
 }
--- a/crates/coltsfoot-node/src/settings/limit_settings.rs
+++ b/crates/coltsfoot-node/src/settings/limit_settings.rs
@@ -5,25 +5,25 @@
 use super::field_reader::FieldReader;
 
 const DEFAULT_HEADER_BYTES: u64 = 16 * 1024;
-const DEFAULT_CONNECTIONS: u64 = 1_024;
 const DEFAULT_QUEUE: u64 = 256;
 const DEFAULT_DRAIN_NOTICE_MS: u64 = 3_000;
 const DEFAULT_DRAIN_MAX_S: u64 = 60;
 
+/// Largest bound on the head of a request, in bytes: the listeners' buffer.
+pub const MAX_HEADER_BYTES: u64 = 64 * 1024;
+
 /// Bounds on what a node takes and keeps.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct LimitSettings {
     /// Largest body of a call or an answer, in bytes; at most [`MAX_BODY_BYTES`].
     pub body_bytes: u64,
-    /// Largest head of a request, in bytes.
+    /// Largest head of a request, in bytes; at most [`MAX_HEADER_BYTES`].
     pub header_bytes: u64,
-    /// Most open connections of a listener.
-    pub connections: u64,
-    /// Most calls waiting in front of the upstream.
+    /// Most calls waiting in front of the upstream; fewer where twice its slots are fewer.
     pub queue: u64,
     /// Time callers get to learn that the node leaves, in milliseconds.
     pub drain_notice_ms: u64,
-    /// Longest wait for requests in flight at a planned stop, in seconds.
+    /// Time in seconds after which a planned stop reports what is still in flight; it waits on.
     pub drain_max_s: u64,
     /// Seed of the random generator; drawn from the system where absent.
     pub seed: Option<u64>,
@@ -34,8 +34,11 @@
         let max_body = MAX_BODY_BYTES as u64;
         Self {
             body_bytes: reader.number("body_bytes", max_body, 1..=max_body),
-            header_bytes: reader.number("header_bytes", DEFAULT_HEADER_BYTES, 1_024..=1 << 20),
-            connections: reader.number("connections", DEFAULT_CONNECTIONS, 1..=65_535),
+            header_bytes: reader.number(
+                "header_bytes",
+                DEFAULT_HEADER_BYTES,
+                1_024..=MAX_HEADER_BYTES,
+            ),
             queue: reader.number("queue", DEFAULT_QUEUE, 1..=65_536),
             drain_notice_ms: reader.number("drain_notice_ms", DEFAULT_DRAIN_NOTICE_MS, 0..=60_000),
             drain_max_s: reader.number("drain_max_s", DEFAULT_DRAIN_MAX_S, 1..=3_600),
--- a/crates/coltsfoot-node/tests/integration/events.rs
+++ b/crates/coltsfoot-node/tests/integration/events.rs
@@ -31,7 +31,7 @@
 #[test]
 fn what_a_message_causes_is_ordered_after_it() {
     let table = TableServer::start(&TableSettings::default()).unwrap();
-    let node = TestNode::start(table.address(), &[], "");
+    let node = TestNode::start(table.address(), &[], "", "");
     let stamp = stamp_ahead(AHEAD);
 
     let reply = call_with_stamp(node.addresses.peer, stamp);
@@ -47,7 +47,7 @@
 #[test]
 fn a_clock_that_is_far_ahead_is_not_followed() {
     let table = TableServer::start(&TableSettings::default()).unwrap();
-    let node = TestNode::start(table.address(), &[], "");
+    let node = TestNode::start(table.address(), &[], "", "");
     let stamp = stamp_ahead(TOO_FAR);
 
     let reply = call_with_stamp(node.addresses.peer, stamp);
@@ -59,8 +59,8 @@
 #[test]
 fn a_call_over_two_hosts_is_ordered_by_cause_though_their_clocks_differ() {
     let table = TableServer::start(&TableSettings::default()).unwrap();
-    let entry = TestNode::start(table.address(), &[], "");
-    let guard = TestNode::start(table.address(), &[entry.addresses.peer], "");
+    let entry = TestNode::start(table.address(), &[], "", "");
+    let guard = TestNode::start(table.address(), &[entry.addresses.peer], "", "");
     entry.configure();
     let upstream = guard.start_upstream();
     entry.await_member(guard.addresses.peer);
@@ -88,7 +88,7 @@
 #[test]
 fn attempts_and_retries_are_reported() {
     let table = TableServer::start(&TableSettings::default()).unwrap();
-    let node = TestNode::start(table.address(), &[], "");
+    let node = TestNode::start(table.address(), &[], "", "");
     node.configure();
     let upstream = node.start_upstream();
     node.await_event(|record| (record.kind.name() == "upstream-announced").then_some(()));
--- /dev/null
+++ b/crates/coltsfoot-node/tests/integration/limits.rs
@@ -0,0 +1,93 @@
+//! Limits of the settings are in force.
+
+use std::{net::TcpListener, thread};
+
+use coltsfoot_standin::table::{TableHandle, TableServer, TableSettings};
+use coltsfootroute::event::EventKind;
+use rstest::rstest;
+
+use crate::util::test_node::{SCHEMA, TestNode};
+
+fn table() -> TableHandle {
+    TableServer::start(&TableSettings::default()).unwrap()
+}
+
+fn announce(node: &TestNode, upstream: &TcpListener) {
+    let address = upstream.local_addr().unwrap();
+    let body = format!(r#"{{"service":"stock","address":"{address}","slots":4,"connections":4}}"#);
+    assert_eq!(node.host_call("PUT", "/upstream", &[], &body).status, 200);
+}
+
+#[rstest]
+#[case(500, 200)]
+#[case(1_100, 431)]
+fn a_head_beyond_its_limit_is_refused(#[case] header_bytes: usize, #[case] status: u16) {
+    let table = table();
+    let node = TestNode::start(table.address(), &[], ", header_bytes: 1024", "");
+
+    let value = "x".repeat(header_bytes);
+    let answer = node.host_call("GET", "/status", &[("x-long", &value)], "");
+
+    assert_eq!(answer.status, status);
+    node.stop();
+}
+
+#[rstest]
+#[case(", queue: 3", 3)]
+#[case("", 8)]
+fn no_more_calls_wait_than_the_limit_says(#[case] limit: &str, #[case] expected: u64) {
+    let table = table();
+    let node = TestNode::start(table.address(), &[], limit, "");
+    announce(&node, &TcpListener::bind("127.0.0.1:0").unwrap());
+
+    let status: serde_json::Value =
+        serde_json::from_str(&node.host_call("GET", "/status", &[], "").body).unwrap();
+
+    assert_eq!(status["upstream"]["queue"], expected);
+    node.stop();
+}
+
+#[test]
+fn a_stop_that_takes_long_is_reported_and_waits_on() {
+    let table = table();
+    let node = TestNode::start(table.address(), &[], ", drain_max_s: 1", "");
+    node.configure();
+    let upstream = TcpListener::bind("127.0.0.1:0").unwrap();
+    announce(&node, &upstream);
+    let (client, host) = (node.addresses.client, node.addresses.host);
+    let call = thread::spawn(move || crate::util::test_node::call(client));
+    // The connection is kept open and never answered.
+    let (connection, _) = upstream.accept().unwrap();
+
+    let stopping = thread::spawn(move || node.stop());
+    let (in_flight, waited_ms) =
+        crate::util::test_node::await_event(host, |record| match record.kind {
+            EventKind::DrainOverdue { in_flight, waited_ms } => Some((in_flight, waited_ms)),
+            _ => None,
+        });
+
+    assert!(in_flight >= 1);
+    assert!(waited_ms >= 1_000);
+    assert!(!stopping.is_finished());
+    drop((connection, upstream));
+    // The upstream may have worked on it, and the node said so instead of cutting the caller off.
+    let body = call.join().unwrap().body;
+    assert!(body.contains(r#""outcome":"unknown""#), "{body}");
+    stopping.join().unwrap();
+}
+
+#[test]
+fn the_share_of_the_stores_rates_is_kept() {
+    let table = table();
+    let store = ", writes_per_s: 1, reads_per_s: 100000, nodes: 1000";
+    let node = TestNode::start(table.address(), &[], "", store);
+    node.configure();
+
+    let headers = [("if-match", "1"), ("idempotency-key", "second")];
+    let schema = SCHEMA.replace("5000", "4000");
+    let answer = node.host_call("PUT", "/schema", &headers, &schema);
+
+    assert_eq!(answer.status, 503, "{}", answer.body);
+    assert_eq!(table.counts().writes, 1);
+    node.stop();
+}
--- a/crates/coltsfoot-node/tests/integration/main.rs
+++ b/crates/coltsfoot-node/tests/integration/main.rs
@@ -3,6 +3,7 @@
 mod args;
 mod events;
 mod journal;
+mod limits;
 mod metrics;
 mod settings;
 mod store;
--- a/crates/coltsfoot-node/tests/integration/util/test_node.rs
+++ b/crates/coltsfoot-node/tests/integration/util/test_node.rs
@@ -33,11 +33,12 @@
 }
 
 impl TestNode {
-    pub fn start(table: SocketAddr, peers: &[SocketAddr], limits: &str) -> Self {
+    /// `limits` is added to the limits of the settings, `store` to the settings of the store.
+    pub fn start(table: SocketAddr, peers: &[SocketAddr], limits: &str, store: &str) -> Self {
         let peers: Vec<String> = peers.iter().map(|peer| format!("\"{peer}\"")).collect();
         let text = format!(
             "listen: {{client: \"127.0.0.1:0\", host: \"127.0.0.1:0\", peer: \"127.0.0.1:0\"}}\n\
-             region: dar\ndomain: dar-a\npeers: [{}]\nstore: {{table: \"{table}\"}}\n\
+             region: dar\ndomain: dar-a\npeers: [{}]\nstore: {{table: \"{table}\"{store}}}\n\
              limits: {{drain_notice_ms: 0{limits}}}\n",
             peers.join(", "),
         );
@@ -75,22 +76,16 @@
     }
 
     pub fn call(&self) -> HttpAnswer {
-        http_call(self.addresses.client, "POST", "/call/stock/look", &[], "{}")
+        call(self.addresses.client)
     }
 
     pub fn events(&self) -> Vec<EventRecord> {
-        let answer = self.host_call("GET", "/events", &[], "");
-        answer.body.lines().map(|line| EventRecord::from_json(line).expect("record")).collect()
+        events(self.addresses.host)
     }
 
     /// Waits until an event that `wanted` picks has happened, and gives what it picks.
     pub fn await_event<T>(&self, wanted: impl Fn(&EventRecord) -> Option<T>) -> T {
-        loop {
-            if let Some(found) = self.events().iter().find_map(&wanted) {
-                return found;
-            }
-            std::thread::sleep(Duration::from_millis(20));
-        }
+        await_event(self.addresses.host, wanted)
     }
 
     pub fn await_member(&self, member: SocketAddr) {
@@ -104,3 +99,23 @@
         self.process.stop();
     }
 }
+
+/// Calls the operation of [`SCHEMA`] through the node whose clients' listener is `client`.
+pub fn call(client: SocketAddr) -> HttpAnswer {
+    http_call(client, "POST", "/call/stock/look", &[], "{}")
+}
+
+/// [`TestNode::await_event`] for a node that is being stopped.
+pub fn await_event<T>(host: SocketAddr, wanted: impl Fn(&EventRecord) -> Option<T>) -> T {
+    loop {
+        if let Some(found) = events(host).iter().find_map(&wanted) {
+            return found;
+        }
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
+
+fn events(host: SocketAddr) -> Vec<EventRecord> {
+    let answer = http_call(host, "GET", "/events", &[], "");
+    answer.body.lines().map(|line| EventRecord::from_json(line).expect("record")).collect()
+}
--- a/crates/coltsfootroute/src/admission/admission_gate.rs
+++ b/crates/coltsfootroute/src/admission/admission_gate.rs
@@ -155,6 +155,11 @@
         self.limit.limit()
     }
 
+    /// Most calls that may wait.
+    pub fn queue_length(&self) -> u32 {
+        self.settings.queue_length
+    }
+
     /// The observed median time from dispatch to answer, zero before the first answer.
     pub fn service_time(&self, now: MonotonicTime, importance: Importance) -> Duration {
         self.service_times[importance.index()].estimate(now)
--- a/crates/coltsfootroute/src/event/event_kind.rs
+++ b/crates/coltsfootroute/src/event/event_kind.rs
@@ -239,6 +239,13 @@
         /// Requests in flight.
         in_flight: u32,
     }
+    /// A graceful shutdown takes longer than its bound; it waits on.
+    DrainOverdue("drain-overdue", Warn) {
+        /// Requests in flight.
+        in_flight: u32,
+        /// Time since the drain began.
+        waited_ms: u64,
+    }
     /// Nothing is in flight any more.
     Drained("drained", Info) {
         /// Time since the drain began.
