Introductions: nodes find one another through the table service

Cause: `GossipCommand::Introduce` was never sent. A node whose settings name no peers stayed alone.

Change: a node with an announced upstream keeps one row `introduction/{service}/{node}` (value: incarnation, any condition, `StoreUse::Introduction`), once in its life; a write without an answer is repeated after half a minute, and the row is removed at the leave, which waits up to 0.5 s for it. A node that no other has answered scans the rows, 32 at a time from a random start and round and round, and hands the addresses to gossip. Both are tasks of the dispatch duty beside the calls. The library has the row and the scan (`IntroductionRow`, `IntroductionScan`).

Conclusion: settings need no peers while the store is up.

--- a/crates/coltsfoot-node/src/dispatch.rs
+++ b/crates/coltsfoot-node/src/dispatch.rs
@@ -12,6 +12,7 @@
 mod dispatcher;
 mod guard;
 mod incoming_call;
+mod introduction_desk;
 mod local_upstream;
 mod nested_request;
 mod node_state;
--- a/crates/coltsfoot-node/src/dispatch/dispatch_thread.rs
+++ b/crates/coltsfoot-node/src/dispatch/dispatch_thread.rs
@@ -112,6 +112,8 @@
     spawn_local(dispatcher.clone().upkeep());
     spawn_local(dispatcher.clone().run_errands());
     spawn_local(dispatcher.clone().sweep_records());
+    spawn_local(dispatcher.clone().keep_introduced());
+    spawn_local(dispatcher.clone().find_others());
     while let Some(command) = commands.recv().await {
         // Each command is a task of its own: none may hold up the ring.
         spawn_local(dispatcher.clone().obey(command));
@@ -204,6 +206,7 @@
             sleep(DRAIN_POLL).await;
             self.report_overdue(&mut reported);
         }
+        self.introduction.settle().await;
         let elapsed = self.clock.now().since(begun).as_millis();
         let elapsed_ms = u64::try_from(elapsed).unwrap_or(u64::MAX);
         self.events.emit(EventKind::Drained { elapsed_ms });
--- a/crates/coltsfoot-node/src/dispatch/dispatcher.rs
+++ b/crates/coltsfoot-node/src/dispatch/dispatcher.rs
@@ -26,8 +26,9 @@
 
 use super::{
     calls_in_flight::CallsInFlight, clock_drift::DriftReport, dispatch_thread::DispatchParts,
-    guard::GuardState, incoming_call::IncomingCall, once_desk::OnceDesk, peer_links::PeerLinks,
-    service_pool::ServicePool, upstream_client::UpstreamClient,
+    guard::GuardState, incoming_call::IncomingCall, introduction_desk::IntroductionDesk,
+    once_desk::OnceDesk, peer_links::PeerLinks, service_pool::ServicePool,
+    upstream_client::UpstreamClient,
 };
 use crate::{
     clock::MonotonicClock, config::ConfigCell, gossip::GossipCommand, journal::EventSender,
@@ -76,6 +77,7 @@
     /// Woken when a call has ended while the node leaves.
     pub(super) call_ended: Notify,
     pub(super) once: OnceDesk,
+    pub(super) introduction: IntroductionDesk,
     pub(super) gossip: mpsc::Sender<GossipCommand>,
     pub(super) metrics: Arc<NodeMetrics>,
     pub(super) events: EventSender,
@@ -135,6 +137,7 @@
             queue: parts.queue,
             call_ended: Notify::new(),
             once: OnceDesk::new(holder, parts.store, parts.nodes),
+            introduction: IntroductionDesk::default(),
             gossip: parts.gossip,
             metrics: parts.metrics,
             events: parts.events,
--- a/crates/coltsfoot-node/src/dispatch/local_upstream.rs
+++ b/crates/coltsfoot-node/src/dispatch/local_upstream.rs
@@ -51,6 +51,7 @@
             });
             // A closed ring means that the process stops.
             let _ = self.gossip.send(command).await;
+            self.introduction.want(Some(announcement.service.clone()));
             self.watch_callees(&announcement.service).await;
         }
         HttpReply::json(StatusCode::OK, &serde_json::json!({ "revision": self.revision() }))
@@ -73,6 +74,7 @@
         let left = self.mark_leaving();
         if let Some(left) = left {
             self.events.emit(left);
+            self.introduction.want(None);
             // A closed ring means that the process stops.
             let _ = self.gossip.send(GossipCommand::Leave).await;
         }
--- a/crates/coltsfoot-node/tests/integration/main.rs
+++ b/crates/coltsfoot-node/tests/integration/main.rs
@@ -2,6 +2,7 @@
 
 mod args;
 mod events;
+mod introduction;
 mod journal;
 mod limits;
 mod metrics;
--- a/crates/coltsfootroute/src/membership.rs
+++ b/crates/coltsfootroute/src/membership.rs
@@ -13,6 +13,8 @@
 mod gossip_payload;
 mod gossip_settings;
 mod group_view;
+mod introduction_row;
+mod introduction_scan;
 mod member_record;
 mod member_state;
 mod member_update;
@@ -32,6 +34,8 @@
 pub use gossip_payload::GossipPayload;
 pub use gossip_settings::GossipSettings;
 pub use group_view::{GroupView, MAX_BUCKETS, MergeOutcome};
+pub use introduction_row::IntroductionRow;
+pub use introduction_scan::IntroductionScan;
 pub use member_record::MemberRecord;
 pub use member_state::MemberState;
 pub use member_update::MemberUpdate;
--- a/crates/coltsfootroute/tests/integration/membership.rs
+++ b/crates/coltsfootroute/tests/integration/membership.rs
@@ -1,6 +1,7 @@
 //! Membership: merge order, scripted scenarios, fuzz against an oracle.
 
 mod fuzz;
+mod introduction;
 mod merge;
 mod network;
 mod scenario;
--- /dev/null
+++ b/crates/coltsfootroute/tests/integration/membership/introduction.rs
@@ -0,0 +1,84 @@
+//! Rows by which newcomers find other nodes.
+
+use std::{collections::BTreeSet, net::SocketAddr};
+
+use coltsfootroute::{
+    id::{Incarnation, NodeId},
+    membership::{IntroductionRow, IntroductionScan},
+    name::ServiceName,
+    table::{MemoryTable, RowCondition, RowKey, RowWrite, TableReply, TableRequest},
+};
+use rand::SeedableRng;
+use rand_pcg::Pcg64;
+use rstest::rstest;
+
+/// Pages that hold all rows of [`filled`], and one more for the part before the start.
+const ROUNDS: usize = 5;
+
+fn node(index: u16) -> NodeId {
+    NodeId(SocketAddr::from(([10, 0, 0, 1], 1_000 + index)))
+}
+
+fn row(service: &str, node: NodeId) -> IntroductionRow {
+    IntroductionRow { service: ServiceName::new(service), node, incarnation: Incarnation(1) }
+}
+
+fn filled() -> MemoryTable {
+    let mut table = MemoryTable::default();
+    for index in 0..100 {
+        let service = if index % 2 == 0 { "anchor" } else { "medicals" };
+        assert_eq!(table.apply(&row(service, node(index)).write()), TableReply::Committed);
+    }
+    table
+}
+
+#[rstest]
+#[case(1)]
+#[case(2)]
+#[case(3)]
+fn a_scan_comes_by_every_node_from_any_start(#[case] seed: u64) {
+    let mut table = filled();
+    let mut scan = IntroductionScan::new(&mut Pcg64::seed_from_u64(seed));
+
+    let mut found = BTreeSet::new();
+    for _ in 0..ROUNDS {
+        let reply = table.apply(&scan.request());
+        found.extend(scan.take(&reply));
+    }
+
+    assert_eq!(found, (0..100).map(node).collect());
+}
+
+#[test]
+fn a_removed_row_is_not_found_and_a_foreign_one_is_skipped() {
+    let mut table = MemoryTable::default();
+    let [stays, leaves] = [node(1), NodeId("[::1]:4711".parse().unwrap())];
+    for node in [stays, leaves] {
+        table.apply(&row("anchor", node).write());
+    }
+    table.apply(&TableRequest::Transact(vec![RowWrite {
+        key: RowKey::new("introduction/anchor/nobody"),
+        condition: RowCondition::Any,
+        value: Some("1".to_owned()),
+    }]));
+    let mut scan = IntroductionScan::new(&mut Pcg64::seed_from_u64(1));
+    scan.take(&TableReply::Rows(Vec::new()));
+    assert!(scan.is_at_start());
+
+    let both = table.apply(&scan.request());
+    table.apply(&row("anchor", leaves).remove());
+    let one = table.apply(&scan.request());
+
+    assert_eq!(scan.take(&both), [stays, leaves]);
+    assert_eq!(scan.take(&one), [stays]);
+}
+
+#[test]
+fn a_store_that_does_not_answer_leaves_the_scan_where_it_is() {
+    let mut scan = IntroductionScan::new(&mut Pcg64::seed_from_u64(1));
+    let before = scan.request();
+
+    assert_eq!(scan.take(&TableReply::Unavailable), []);
+
+    assert_eq!(scan.request(), before);
+}
