Status: members by service and state, pools by phase, overdue stops

Cause: `GET /status` showed a count of upstreams a service and neither members nor what routing makes of them, so that an operator could not tell an ejected upstream from a lost one.

Change: typed bodies (`StatusBody` and its parts) show the members of the own service and of those called by state, what gossip knows (joined, incarnation, entry points), each pool's upstreams by phase with those not serving by name (32 at most), calls near and far, ejections, and what keeps a stop that takes too long from its end. All fields of before stay.

Conclusion: `coltsfootctl status`, which shows any JSON, needed no change.

--- a/crates/coltsfoot-node/src/dispatch.rs
+++ b/crates/coltsfoot-node/src/dispatch.rs
@@ -14,8 +14,10 @@
 mod incoming_call;
 mod introduction_desk;
 mod local_upstream;
+mod member_counts;
 mod nested_request;
 mod node_state;
+mod node_status;
 mod once_desk;
 mod once_run;
 mod peer_links;
@@ -24,6 +26,7 @@
 mod routed_call;
 mod run_permit;
 mod service_pool;
+mod status_body;
 mod upstream_client;
 
 pub use dispatch_command::DispatchCommand;
--- a/crates/coltsfoot-node/src/dispatch/dispatch_thread.rs
+++ b/crates/coltsfoot-node/src/dispatch/dispatch_thread.rs
@@ -137,7 +137,7 @@
                 let _ = reply.send(self.pull_config(peer, since).await);
             }
             DispatchCommand::Status(reply) => {
-                let _ = reply.send(self.status());
+                let _ = reply.send(self.status().await);
             }
             DispatchCommand::Drain(done) => self.leave(done).await,
         }
--- a/crates/coltsfoot-node/src/dispatch/dispatcher.rs
+++ b/crates/coltsfoot-node/src/dispatch/dispatcher.rs
@@ -27,8 +27,8 @@
 use super::{
     calls_in_flight::CallsInFlight, clock_drift::DriftReport, dispatch_thread::DispatchParts,
     guard::GuardState, incoming_call::IncomingCall, introduction_desk::IntroductionDesk,
-    once_desk::OnceDesk, peer_links::PeerLinks, service_pool::ServicePool,
-    upstream_client::UpstreamClient,
+    member_counts::MemberCounts, once_desk::OnceDesk, peer_links::PeerLinks,
+    service_pool::ServicePool, upstream_client::UpstreamClient,
 };
 use crate::{
     clock::MonotonicClock, config::ConfigCell, gossip::GossipCommand, journal::EventSender,
@@ -55,6 +55,8 @@
     pub(super) control: ControlMode,
     pub(super) config: ConfigCell,
     pub(super) pools: RefCell<IndexMap<ServiceName, ServicePool>>,
+    /// Members of the own service and of the watched ones.
+    pub(super) member_counts: RefCell<IndexMap<ServiceName, MemberCounts>>,
     /// Woken whenever the members of some service changed.
     pub(super) members_changed: Notify,
     pub(super) accounts: RefCell<AccountLedger>,
@@ -120,6 +122,7 @@
             control: parts.control,
             config: parts.config,
             pools: RefCell::default(),
+            member_counts: RefCell::default(),
             members_changed: Notify::new(),
             accounts: RefCell::new(AccountLedger::new(LedgerSettings::default())),
             policy: RetryPolicy::default(),
--- a/crates/coltsfoot-node/src/dispatch/introduction_desk.rs
+++ b/crates/coltsfoot-node/src/dispatch/introduction_desk.rs
@@ -15,7 +15,7 @@
 };
 use rand::RngExt;
 use tokio::{
-    sync::{Notify, oneshot},
+    sync::Notify,
     time::{sleep, timeout},
 };
 
@@ -154,10 +154,8 @@
     }
 
     async fn has_joined(&self) -> bool {
-        let (reply, status) = oneshot::channel();
-        // A closed ring means that the process stops: there is nothing to join.
-        let _ = self.gossip.send(GossipCommand::Status(reply)).await;
-        status.await.map_or(true, |status| status.joined)
+        // Without the gossip duty the process stops: there is nothing to join.
+        self.ask_gossip().await.is_none_or(|status| status.joined)
     }
 
     /// `pause`, up to half of it shorter or longer: nodes that start together must not ask together.
--- a/crates/coltsfoot-node/src/dispatch/node_state.rs
+++ b/crates/coltsfoot-node/src/dispatch/node_state.rs
@@ -1,49 +1,15 @@
-//! Configuration changes, status and the end of a planned stop, as the dispatch duty sees them.
+//! Configuration changes, gauges and the end of a planned stop, as the dispatch duty sees them.
 
 use std::sync::Arc;
 
 use coltsfootroute::{drain::DrainPhase, event::EventKind, id::NodeId};
-use http::StatusCode;
 
 use super::{control_traffic::SINCE_BYTES, dispatcher::Dispatcher};
-use crate::{config::ConfigInForce, http::HttpReply, metrics::ControlKind};
+use crate::{config::ConfigInForce, metrics::ControlKind};
 
 /// Schemas of at most so many services are watched whole, so that no client's first call waits.
 const EAGER_SERVICES: usize = 32;
 
-#[derive(serde::Serialize)]
-struct StatusBody {
-    node: String,
-    incarnation: u64,
-    domain: String,
-    region: String,
-    revision: u64,
-    ready: bool,
-    phase: &'static str,
-    in_flight: u64,
-    links: usize,
-    upstream: Option<UpstreamBody>,
-    pools: Vec<PoolBody>,
-}
-
-#[derive(serde::Serialize)]
-struct UpstreamBody {
-    service: String,
-    leaving: bool,
-    limit: u32,
-    in_flight: u32,
-    queued: u32,
-    /// Most calls that may wait.
-    queue: u32,
-    severity: u16,
-}
-
-#[derive(serde::Serialize)]
-struct PoolBody {
-    service: String,
-    upstreams: usize,
-}
-
 impl Dispatcher {
     /// A configuration is in force from now on.
     pub(super) async fn configure(&self, config: &Arc<ConfigInForce>) {
@@ -92,51 +58,6 @@
         self.drain.borrow().phase(self.clock.now()) == DrainPhase::Drained
     }
 
-    /// The state of the node, for operators.
-    pub(super) fn status(&self) -> HttpReply {
-        let now = self.clock.now();
-        let drain = self.drain.borrow();
-        let revision = self.revision();
-        let pools = self.pools.borrow();
-        let pools: Vec<_> = pools
-            .iter()
-            .map(|(service, entry)| PoolBody {
-                service: service.to_string(),
-                upstreams: entry.pool.status(now).upstreams.len(),
-            })
-            .collect();
-        let body = StatusBody {
-            node: self.identity.node.to_string(),
-            incarnation: self.identity.incarnation.0,
-            domain: self.identity.domain.to_string(),
-            region: self.identity.region.to_string(),
-            revision,
-            ready: revision > 0 && !drain.closes_connections(),
-            phase: drain.phase(now).as_str(),
-            in_flight: drain.in_flight(),
-            links: self.links.len(),
-            upstream: self.upstream_body(),
-            pools,
-        };
-        HttpReply::json(StatusCode::OK, &body)
-    }
-
-    fn upstream_body(&self) -> Option<UpstreamBody> {
-        let upstream = self.guard.upstream.borrow();
-        let upstream = upstream.as_ref()?;
-        let gate = self.guard.gate.borrow();
-        let gate = gate.as_ref()?;
-        Some(UpstreamBody {
-            service: upstream.announcement.service.to_string(),
-            leaving: upstream.leaving,
-            limit: gate.limit(),
-            in_flight: gate.in_flight(),
-            queued: gate.queued(),
-            queue: gate.queue_length(),
-            severity: gate.shed_level(self.clock.now()).severity(),
-        })
-    }
-
     /// Copies the gate's numbers into the metrics.
     pub(super) fn report_gauges(&self) {
         let gate = self.guard.gate.borrow();
--- a/crates/coltsfoot-node/src/dispatch/service_pool.rs
+++ b/crates/coltsfoot-node/src/dispatch/service_pool.rs
@@ -9,7 +9,7 @@
     time::MonotonicTime,
 };
 
-use super::dispatcher::Dispatcher;
+use super::{dispatcher::Dispatcher, member_counts::MemberCounts};
 use crate::gossip::GossipCommand;
 
 /// The upstreams of a called service.
@@ -59,6 +59,7 @@
     /// Takes in the members of a watched service.
     pub(super) fn update_members(&self, service: &ServiceName, members: &Arc<[MemberRecord]>) {
         let now = self.clock.now();
+        self.member_counts.borrow_mut().insert(service.clone(), MemberCounts::of(members));
         let infos = members.iter().filter_map(upstream_info);
         self.with_pool(service, |pool| pool.update(now, infos));
         self.members_changed.notify_waiters();
--- /dev/null
+++ b/crates/coltsfoot-node/src/dispatch/status_body.rs
@@ -0,0 +1,163 @@
+//! What `GET /status` answers.
+
+use coltsfootroute::{
+    drain::DrainReport,
+    membership::MembershipStatus,
+    routing::{PoolStatus, UpstreamPhase, UpstreamStatus},
+};
+
+use super::member_counts::MemberCounts;
+
+/// Upstreams named one by one in a pool, at most.
+const MAX_NAMED: usize = 32;
+
+/// The state of a node.
+#[derive(serde::Serialize)]
+pub struct StatusBody {
+    pub node: String,
+    pub incarnation: u64,
+    pub domain: String,
+    pub region: String,
+    pub revision: u64,
+    /// Whether the node takes calls.
+    pub ready: bool,
+    pub phase: &'static str,
+    pub in_flight: u64,
+    /// What keeps a stop that takes too long from its end.
+    pub overdue: Option<OverdueBody>,
+    /// Connections to other nodes.
+    pub links: usize,
+    /// Absent while the gossip duty does not answer.
+    pub membership: Option<MembershipBody>,
+    /// Members of the own service and of those called.
+    pub services: Vec<ServiceBody>,
+    pub upstream: Option<UpstreamBody>,
+    /// Upstreams of the services called, as this node's routing sees them.
+    pub pools: Vec<PoolBody>,
+}
+
+/// A stop that takes longer than its bound.
+#[derive(serde::Serialize)]
+pub struct OverdueBody {
+    in_flight: u64,
+    waited_ms: u64,
+}
+
+impl From<DrainReport> for OverdueBody {
+    fn from(report: DrainReport) -> Self {
+        let waited_ms = u64::try_from(report.waited.as_millis()).unwrap_or(u64::MAX);
+        Self { in_flight: report.in_flight, waited_ms }
+    }
+}
+
+/// What the gossip duty knows.
+#[derive(serde::Serialize)]
+pub struct MembershipBody {
+    /// Whether another node has answered.
+    joined: bool,
+    /// Incarnation now; the node raises it to refute what is said of it.
+    incarnation: u64,
+    /// Nodes of other services kept as entry points.
+    seeds: usize,
+}
+
+impl From<MembershipStatus> for MembershipBody {
+    fn from(status: MembershipStatus) -> Self {
+        Self { joined: status.joined, incarnation: status.incarnation.0, seeds: status.seeds }
+    }
+}
+
+/// Members of one service.
+#[derive(serde::Serialize)]
+pub struct ServiceBody {
+    pub service: String,
+    pub members: MemberCounts,
+}
+
+/// The upstream beside the node and the gate in front of it.
+#[derive(serde::Serialize)]
+pub struct UpstreamBody {
+    pub service: String,
+    pub leaving: bool,
+    pub limit: u32,
+    pub in_flight: u32,
+    pub queued: u32,
+    /// Most calls that may wait.
+    pub queue: u32,
+    /// Thousandths of an importance level that are shed.
+    pub severity: u16,
+}
+
+/// Upstreams of one service called.
+#[derive(serde::Serialize)]
+pub struct PoolBody {
+    service: String,
+    upstreams: usize,
+    phases: PhaseCounts,
+    /// Calls chosen in the own failure domain, outside it, and ejections since the service was watched.
+    chosen_near: u64,
+    chosen_far: u64,
+    ejections: u64,
+    /// The first of those that don't serve at full weight.
+    not_serving: Vec<NamedUpstream>,
+}
+
+#[derive(Default, serde::Serialize)]
+struct PhaseCounts {
+    serving: usize,
+    warming: usize,
+    suspect: usize,
+    ejected: usize,
+    trial: usize,
+    leaving: usize,
+}
+
+#[derive(serde::Serialize)]
+struct NamedUpstream {
+    node: String,
+    phase: &'static str,
+    weight_percent: u32,
+}
+
+impl PoolBody {
+    /// The pool of `service`.
+    pub fn new(service: String, status: &PoolStatus) -> Self {
+        let mut phases = PhaseCounts::default();
+        for upstream in &status.upstreams {
+            *phases.count_of(upstream.phase) += 1;
+        }
+        let others = status.upstreams.iter().filter(|other| other.phase != UpstreamPhase::Serving);
+        Self {
+            service,
+            upstreams: status.upstreams.len(),
+            phases,
+            chosen_near: status.chosen_near,
+            chosen_far: status.chosen_far,
+            ejections: status.ejections,
+            not_serving: others.take(MAX_NAMED).map(NamedUpstream::from).collect(),
+        }
+    }
+}
+
+impl PhaseCounts {
+    fn count_of(&mut self, phase: UpstreamPhase) -> &mut usize {
+        match phase {
+            UpstreamPhase::Serving => &mut self.serving,
+            UpstreamPhase::Warming => &mut self.warming,
+            UpstreamPhase::Suspect => &mut self.suspect,
+            UpstreamPhase::Ejected => &mut self.ejected,
+            UpstreamPhase::Trial => &mut self.trial,
+            UpstreamPhase::Leaving => &mut self.leaving,
+        }
+    }
+}
+
+impl From<&UpstreamStatus> for NamedUpstream {
+    fn from(status: &UpstreamStatus) -> Self {
+        Self {
+            node: status.node.to_string(),
+            phase: status.phase.as_str(),
+            weight_percent: status.weight_percent,
+        }
+    }
+}
--- a/crates/coltsfoot-node/tests/integration/limits.rs
+++ b/crates/coltsfoot-node/tests/integration/limits.rs
@@ -6,7 +6,10 @@
 use coltsfootroute::event::EventKind;
 use rstest::rstest;
 
-use crate::util::test_node::{SCHEMA, TestNode};
+use crate::util::{
+    http_call::http_call,
+    test_node::{SCHEMA, TestNode, await_event, call},
+};
 
 fn table() -> TableHandle {
     TableServer::start(&TableSettings::default()).unwrap()
@@ -40,10 +43,7 @@
     let node = TestNode::start(table.address(), &[], limit, "");
     announce(&node, &TcpListener::bind("127.0.0.1:0").unwrap());
 
-    let status: serde_json::Value =
-        serde_json::from_str(&node.host_call("GET", "/status", &[], "").body).unwrap();
-
-    assert_eq!(status["upstream"]["queue"], expected);
+    assert_eq!(node.status()["upstream"]["queue"], expected);
     node.stop();
 }
 
@@ -55,23 +55,26 @@
     let upstream = TcpListener::bind("127.0.0.1:0").unwrap();
     announce(&node, &upstream);
     let (client, host) = (node.addresses.client, node.addresses.host);
-    let call = thread::spawn(move || crate::util::test_node::call(client));
+    let caller = thread::spawn(move || call(client));
     // The connection is kept open and never answered.
     let (connection, _) = upstream.accept().unwrap();
 
     let stopping = thread::spawn(move || node.stop());
-    let (in_flight, waited_ms) =
-        crate::util::test_node::await_event(host, |record| match record.kind {
-            EventKind::DrainOverdue { in_flight, waited_ms } => Some((in_flight, waited_ms)),
-            _ => None,
-        });
+    let (in_flight, waited_ms) = await_event(host, |record| match record.kind {
+        EventKind::DrainOverdue { in_flight, waited_ms } => Some((in_flight, waited_ms)),
+        _ => None,
+    });
 
     assert!(in_flight >= 1);
     assert!(waited_ms >= 1_000);
     assert!(!stopping.is_finished());
+    let status = http_call(host, "GET", "/status", &[], "").body;
+    let status: serde_json::Value = serde_json::from_str(&status).unwrap();
+    assert_eq!(status["phase"], "leaving");
+    assert_eq!(status["overdue"]["in_flight"], in_flight);
     drop((connection, upstream));
     // The upstream may have worked on it, and the node said so instead of cutting the caller off.
-    let body = call.join().unwrap().body;
+    let body = caller.join().unwrap().body;
     assert!(body.contains(r#""outcome":"unknown""#), "{body}");
     stopping.join().unwrap();
 }
--- a/crates/coltsfoot-node/tests/integration/main.rs
+++ b/crates/coltsfoot-node/tests/integration/main.rs
@@ -7,6 +7,7 @@
 mod limits;
 mod metrics;
 mod settings;
+mod status;
 mod store;
 mod store_claims;
 mod util;
--- /dev/null
+++ b/crates/coltsfoot-node/tests/integration/status.rs
@@ -0,0 +1,38 @@
+//! The state of a node, as operators read it.
+
+use coltsfoot_standin::table::{TableServer, TableSettings};
+use serde_json::json;
+
+use crate::util::test_node::TestNode;
+
+#[test]
+fn members_and_pools_are_shown_by_state() {
+    let table = TableServer::start(&TableSettings::default()).unwrap();
+    let watcher = TestNode::start(table.address(), &[], "", "");
+    watcher.configure();
+    let host = TestNode::start(table.address(), &[watcher.addresses.peer], "", "");
+    let upstream = host.start_upstream();
+    watcher.await_member(host.addresses.peer);
+
+    assert_eq!(watcher.call().status, 200);
+    let status = watcher.status();
+
+    assert_eq!(status["ready"], true);
+    assert_eq!(status["overdue"], json!(null));
+    assert_eq!(status["membership"]["joined"], true);
+    let members = json!({ "up": 1, "suspect": 0, "down": 0, "left": 0 });
+    assert_eq!(status["services"], json!([{ "service": "stock", "members": members }]));
+    let pool = &status["pools"][0];
+    assert_eq!((&pool["service"], &pool["upstreams"]), (&json!("stock"), &json!(1)));
+    let phases = pool["phases"].as_object().unwrap();
+    assert_eq!(phases.values().filter_map(|count| count.as_u64()).sum::<u64>(), 1);
+    assert_eq!(pool["chosen_near"], 1);
+
+    upstream.stop();
+    host.stop();
+    watcher.await_event(|record| (record.kind.name() == "member-left").then_some(()));
+    while watcher.status()["services"][0]["members"]["left"] != 1 {
+        std::thread::sleep(std::time::Duration::from_millis(5));
+    }
+    watcher.stop();
+}
--- a/crates/coltsfoot-node/tests/integration/util/test_node.rs
+++ b/crates/coltsfoot-node/tests/integration/util/test_node.rs
@@ -13,6 +13,8 @@
     schema::SchemaDocument,
 };
 
+use serde_json::Value;
+
 use super::http_call::{HttpAnswer, http_call};
 
 /// One service with one operation that a client may call and that may run again.
@@ -75,6 +77,10 @@
         UpstreamServer::start(settings).expect("upstream")
     }
 
+    pub fn status(&self) -> Value {
+        serde_json::from_str(&self.host_call("GET", "/status", &[], "").body).expect("JSON")
+    }
+
     pub fn call(&self) -> HttpAnswer {
         call(self.addresses.client)
     }
