--- a/crates/coltsfoot-node/tests/integration/status.rs
+++ b/crates/coltsfoot-node/tests/integration/status.rs
@@ -1,10 +1,14 @@
 //! The state of a node, as operators read it.
 
+use std::time::Duration;
+
 use coltsfoot_standin::table::{TableServer, TableSettings};
 use serde_json::json;
 
 use crate::util::test_node::TestNode;
 
+const PAUSE: Duration = Duration::from_millis(5);
+
 #[test]
 fn members_and_pools_are_shown_by_state() {
     let table = TableServer::start(&TableSettings::default()).unwrap();
@@ -15,11 +19,14 @@
     watcher.await_member(host.addresses.peer);
 
     assert_eq!(watcher.call().status, 200);
+    // Being asked is not yet having been answered.
+    while watcher.status()["membership"]["joined"] != true {
+        std::thread::sleep(PAUSE);
+    }
     let status = watcher.status();
 
     assert_eq!(status["ready"], true);
     assert_eq!(status["overdue"], json!(null));
-    assert_eq!(status["membership"]["joined"], true);
     let members = json!({ "up": 1, "suspect": 0, "down": 0, "left": 0 });
     assert_eq!(status["services"], json!([{ "service": "stock", "members": members }]));
     let pool = &status["pools"][0];
@@ -32,7 +39,7 @@
     host.stop();
     watcher.await_event(|record| (record.kind.name() == "member-left").then_some(()));
     while watcher.status()["services"][0]["members"]["left"] != 1 {
-        std::thread::sleep(std::time::Duration::from_millis(5));
+        std::thread::sleep(PAUSE);
     }
     watcher.stop();
 }
