--- a/crates/coltsfoot-node/src/dispatch/guard.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard.rs
@@ -44,8 +44,11 @@
     pub announcement: UpstreamAnnouncement,
     /// When it said so.
     pub heard: MonotonicTime,
-    /// Whether it has said that it leaves.
+    /// Whether it leaves, or its node does: no new work.
     pub leaving: bool,
+    /// Whether it has said itself that it leaves, or fallen silent: also work taken in before that is
+    /// not dispatched any more. A leave of the node alone lets such work run.
+    pub has_withdrawn: bool,
 }
 
 /// Admission in front of the upstream beside the node.
@@ -115,7 +118,7 @@
         deadline: MonotonicTime,
         span: &Rc<CallSpan>,
     ) -> CallReply {
-        let Some(_started) = self.start_call(CallKind::Guarded) else {
+        let Some(started) = self.start_call(CallKind::Guarded) else {
             return self.refuse(call.importance, RefusalReason::Leaving);
         };
         let repeatable = match self.check_guarded(&call) {
@@ -129,9 +132,13 @@
         if repeatable {
             return self.run(&call, deadline, span, permit).await;
         }
-        // A run that must not be repeated goes on when its caller is gone, so that its answer is kept.
+        // A run that must not be repeated goes on when its caller is gone, so that its answer is kept; it
+        // counts as in flight until then.
         let (dispatcher, span) = (self.clone(), span.clone());
-        let run = async move { dispatcher.run_once(&call, deadline, &span, permit).await };
+        let run = async move {
+            let _started = started;
+            dispatcher.run_once(&call, deadline, &span, permit).await
+        };
         match tokio::task::spawn_local(run).await {
             Ok(reply) => reply,
             Err(_) => self.refusal(RefusalReason::UpstreamFailed, CallOutcome::Unknown),
@@ -248,6 +255,10 @@
             permit.finish(CallFinish::Failed);
             return self.refusal(RefusalReason::NoUpstream, CallOutcome::NotRun);
         };
+        // The wait for a slot or a claim may have been long.
+        if self.has_withdrawn() {
+            return self.refusal(RefusalReason::Leaving, CallOutcome::NotRun);
+        }
         let context = self.spans.enter(&mut *self.rng.borrow_mut(), span.clone());
         let _entered = EnteredSpan { dispatcher: self, context };
         let upstream_call = UpstreamCall {
@@ -280,7 +291,7 @@
             Ok(answer) => return answer_reply(answer, upstream_time),
             Err(UpstreamError::Unreachable) => (RefusalReason::NoUpstream, false),
             // An upstream that made nested calls has run the request in part, whatever it says.
-            Err(UpstreamError::Shed) => (RefusalReason::Overload, span.nested_ran.get()),
+            Err(UpstreamError::Shed) => (RefusalReason::Overload, span.may_have_nested()),
             Err(UpstreamError::CutOff) => (RefusalReason::UpstreamFailed, true),
         };
         let outcome = if ran { CallOutcome::Unknown } else { CallOutcome::NotRun };
@@ -291,6 +302,10 @@
         self.guard.upstream.borrow().as_ref().map(|upstream| upstream.announcement.address)
     }
 
+    fn has_withdrawn(&self) -> bool {
+        self.guard.upstream.borrow().as_ref().is_some_and(|upstream| upstream.has_withdrawn)
+    }
+
     /// Creates the gate, or adapts it to what the upstream says of itself.
     pub(super) fn fit_gate(&self, slots: u32) {
         let now = self.clock.now();
--- a/crates/coltsfoot-node/src/gossip/gossip_thread.rs
+++ b/crates/coltsfoot-node/src/gossip/gossip_thread.rs
@@ -7,8 +7,8 @@
     event::EventKind,
     id::{Incarnation, NodeId},
     membership::{
-        GossipEffect, GossipEngine, GossipMessage, GossipSettings, MAX_DATAGRAM_BYTES,
-        MemberRecord, MemberState,
+        DATAGRAM_OVERHEAD_BYTES, GossipEffect, GossipEngine, GossipMessage, GossipSettings,
+        MAX_DATAGRAM_BYTES, MemberRecord, MemberState,
     },
     name::ServiceName,
 };
@@ -38,8 +38,6 @@
 const TICK_PERIOD: Duration = Duration::from_millis(50);
 /// How often the members are counted.
 const COUNT_PERIOD: Duration = Duration::from_secs(1);
-/// Bytes of the IP and UDP headers of a datagram.
-const HEADER_BYTES: usize = 28;
 
 /// What the gossip duty is made of.
 pub struct GossipParts {
@@ -155,7 +153,11 @@
     }
 
     fn count_datagram(&self, direction: TrafficDirection, length: usize) {
-        self.metrics.control.add_bytes(ControlKind::Gossip, direction, length + HEADER_BYTES);
+        self.metrics.control.add_bytes(
+            ControlKind::Gossip,
+            direction,
+            length + DATAGRAM_OVERHEAD_BYTES,
+        );
     }
 
     fn receive(&mut self, datagram: &[u8], from: NodeId) -> Vec<GossipEffect> {
--- a/crates/coltsfoot-node/tests/integration/introduction.rs
+++ b/crates/coltsfoot-node/tests/integration/introduction.rs
@@ -5,7 +5,7 @@
 use coltsfoot_standin::table::{FaultCommand, FaultMode, TableHandle, TableServer, TableSettings};
 use coltsfootroute::table::{StoredRow, TableReply, TableRequest};
 
-use crate::util::{http_call::http_call, test_node::TestNode};
+use crate::util::{http_call::http_call, solo_node::SoloNode};
 
 const PAUSE: Duration = Duration::from_millis(5);
 
@@ -28,9 +28,9 @@
 #[test]
 fn nodes_whose_settings_name_no_peers_find_one_another() {
     let table = table();
-    let nodes: Vec<_> = (0..2).map(|_| TestNode::start(table.address(), &[], "", "")).collect();
+    let nodes: Vec<_> = (0..2).map(|_| SoloNode::start(table.address(), &[], "", "")).collect();
 
-    let upstreams: Vec<_> = nodes.iter().map(TestNode::start_upstream).collect();
+    let upstreams: Vec<_> = nodes.iter().map(SoloNode::start_upstream).collect();
 
     nodes[0].await_member(nodes[1].addresses.peer);
     nodes[1].await_member(nodes[0].addresses.peer);
@@ -53,7 +53,7 @@
 #[test]
 fn a_row_is_written_once_however_often_the_upstream_announces_itself() {
     let table = table();
-    let node = TestNode::start(table.address(), &[], "", "");
+    let node = SoloNode::start(table.address(), &[], "", "");
     let body = r#"{"service":"stock","address":"127.0.0.1:9","slots":1,"connections":1}"#;
 
     for _ in 0..3 {
@@ -71,10 +71,10 @@
 fn a_newcomer_joins_through_its_peers_while_the_store_is_down() {
     let table = table();
     table.fault(&FaultCommand::new(FaultMode::Down));
-    let first = TestNode::start(table.address(), &[], "", "");
-    let newcomer = TestNode::start(table.address(), &[first.addresses.peer], "", "");
+    let first = SoloNode::start(table.address(), &[], "", "");
+    let newcomer = SoloNode::start(table.address(), &[first.addresses.peer], "", "");
 
-    let upstreams = [&first, &newcomer].map(TestNode::start_upstream);
+    let upstreams = [&first, &newcomer].map(SoloNode::start_upstream);
 
     first.await_member(newcomer.addresses.peer);
     newcomer.await_member(first.addresses.peer);
--- a/crates/coltsfoot-node/tests/integration/limits.rs
+++ b/crates/coltsfoot-node/tests/integration/limits.rs
@@ -1,6 +1,6 @@
 //! Limits of the settings are in force.
 
-use std::{net::TcpListener, thread};
+use std::{net::TcpListener, thread, time::Duration};
 
 use coltsfoot_standin::table::{TableHandle, TableServer, TableSettings};
 use coltsfootroute::event::EventKind;
@@ -8,14 +8,14 @@
 
 use crate::util::{
     http_call::http_call,
-    test_node::{SCHEMA, TestNode, await_event, call},
+    solo_node::{SoloNode, await_event, call},
 };
 
 fn table() -> TableHandle {
     TableServer::start(&TableSettings::default()).unwrap()
 }
 
-fn announce(node: &TestNode, upstream: &TcpListener) {
+fn announce(node: &SoloNode, upstream: &TcpListener) {
     let address = upstream.local_addr().unwrap();
     let body = format!(r#"{{"service":"stock","address":"{address}","slots":4,"connections":4}}"#);
     assert_eq!(node.host_call("PUT", "/upstream", &[], &body).status, 200);
@@ -26,7 +26,7 @@
 #[case(1_100, 431)]
 fn a_head_beyond_its_limit_is_refused(#[case] header_bytes: usize, #[case] status: u16) {
     let table = table();
-    let node = TestNode::start(table.address(), &[], ", header_bytes: 1024", "");
+    let node = SoloNode::start(table.address(), &[], ", header_bytes: 1024", "");
 
     let value = "x".repeat(header_bytes);
     let answer = node.host_call("GET", "/status", &[("x-long", &value)], "");
@@ -40,7 +40,7 @@
 #[case("", 8)]
 fn no_more_calls_wait_than_the_limit_says(#[case] limit: &str, #[case] expected: u64) {
     let table = table();
-    let node = TestNode::start(table.address(), &[], limit, "");
+    let node = SoloNode::start(table.address(), &[], limit, "");
     announce(&node, &TcpListener::bind("127.0.0.1:0").unwrap());
 
     assert_eq!(node.status()["upstream"]["queue"], expected);
@@ -50,7 +50,7 @@
 #[test]
 fn a_stop_that_takes_long_is_reported_and_waits_on() {
     let table = table();
-    let node = TestNode::start(table.address(), &[], ", drain_max_s: 1", "");
+    let node = SoloNode::start(table.address(), &[], ", drain_max_s: 1", "");
     node.configure();
     let upstream = TcpListener::bind("127.0.0.1:0").unwrap();
     announce(&node, &upstream);
@@ -83,14 +83,21 @@
 fn the_share_of_the_stores_rates_is_kept() {
     let table = table();
     let store = ", writes_per_s: 1, reads_per_s: 100000, nodes: 1000";
-    let node = TestNode::start(table.address(), &[], "", store);
+    let node = SoloNode::start(table.address(), &[], "", store);
     node.configure();
-
-    let headers = [("if-match", "1"), ("idempotency-key", "second")];
-    let schema = SCHEMA.replace("5000", "4000");
-    let answer = node.host_call("PUT", "/schema", &headers, &schema);
-
-    assert_eq!(answer.status, 503, "{}", answer.body);
-    assert_eq!(table.counts().writes, 1);
+    let configured = table.counts().writes;
+    let upstream = node.start_upstream();
+    // The node's row takes the one write that its share allows for a quarter of an hour.
+    while table.counts().writes == configured {
+        thread::sleep(Duration::from_millis(5));
+    }
+
+    let key = [("idempotency-key", "first")];
+    let answer = http_call(node.addresses.client, "POST", "/call/stock/take", &key, "{}");
+
+    assert_eq!(answer.status, 503);
+    assert!(answer.body.contains("store-unavailable"), "{}", answer.body);
+    assert_eq!(table.counts().writes, configured + 1);
+    upstream.stop();
     node.stop();
 }
--- a/crates/coltsfoot-node/tests/integration/status.rs
+++ b/crates/coltsfoot-node/tests/integration/status.rs
@@ -5,16 +5,16 @@
 use coltsfoot_standin::table::{TableServer, TableSettings};
 use serde_json::json;
 
-use crate::util::test_node::TestNode;
+use crate::util::solo_node::SoloNode;
 
 const PAUSE: Duration = Duration::from_millis(5);
 
 #[test]
 fn members_and_pools_are_shown_by_state() {
     let table = TableServer::start(&TableSettings::default()).unwrap();
-    let watcher = TestNode::start(table.address(), &[], "", "");
+    let watcher = SoloNode::start(table.address(), &[], "", "");
     watcher.configure();
-    let host = TestNode::start(table.address(), &[watcher.addresses.peer], "", "");
+    let host = SoloNode::start(table.address(), &[watcher.addresses.peer], "", "");
     let upstream = host.start_upstream();
     watcher.await_member(host.addresses.peer);
 
--- a/crates/coltsfootroute/src/revision/submission.rs
+++ b/crates/coltsfootroute/src/revision/submission.rs
@@ -2,7 +2,8 @@
 
 use super::{
     ChainDigest, ContentDigest, HeadRow, KeyRow, Revision, RevisionDraft, RevisionRecord,
-    RevisionRow, RowFault, SubmissionRequest, SubmissionResult, SubmissionStep, schema_rows,
+    RevisionRow, RowFault, SubmissionRequest, SubmissionResult, SubmissionStep,
+    changed_names::changed_names, schema_rows,
 };
 use crate::{
     name::ServiceName,
@@ -88,7 +89,7 @@
             Phase::ReadHead => self.take_head(row),
             Phase::ReadKey => self.take_key(row),
             Phase::ReadOwn(revision) => self.take_own(revision, row),
-            Phase::ReadCurrent(revision) => self.take_current(required(revision, row)?),
+            Phase::ReadCurrent(revision) => self.decide(Some(required(revision, row)?)),
             Phase::ReadExpected(current) => {
                 let expected = required(self.request.expected, row)?;
                 conflict(Some(current), &expected.document)
@@ -133,10 +134,6 @@
         })
     }
 
-    fn take_current(&mut self, current: RevisionRow) -> StepResult {
-        self.decide(Some(current))
-    }
-
     /// Writes if the newest revision is the one expected.
     fn decide(&mut self, current: Option<RevisionRow>) -> StepResult {
         let (newest, expected) = (self.head_revision(), self.request.expected);
@@ -256,9 +253,5 @@
         services.map(|service| (service.name.clone(), ContentDigest::of_service(service))).collect()
     };
     let (old, new) = (old.map(digests).unwrap_or_default(), digests(new));
-    let mut names: Vec<_> = old.keys().chain(new.keys()).cloned().collect();
-    names.sort_unstable();
-    names.dedup();
-    names.retain(|name| old.get(name) != new.get(name));
-    names
+    changed_names(&old, &new, |digest| *digest)
 }
--- a/crates/coltsfootroute/tests/integration/membership/fuzz.rs
+++ b/crates/coltsfootroute/tests/integration/membership/fuzz.rs
@@ -12,13 +12,16 @@
     membership::{MemberRecord, MemberState},
 };
 use indexmap::IndexMap;
-use proptest::{prelude::*, strategy::Union, test_runner::RngSeed};
+use proptest::{prelude::*, strategy::Union};
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
 
+use crate::util::fuzz_config::fuzz_config;
+
 use super::network::{GossipNetwork, Life, node_id};
 
 const NODES: usize = 7;
 const SERVICES: [&str; 2] = ["logbook", "medicals"];
+const RESTART_TIME: Duration = Duration::from_millis(50);
 /// Long enough for a suspicion, a round of dead probes over all nodes, and a comparison of groups.
 const QUIET: Duration = Duration::from_secs(120);
 
@@ -131,6 +134,13 @@
         self.network.watch(fuzz_node(place), &SERVICES);
     }
 
+    /// A new process takes some time, so that its clock stands above the incarnations of the old one.
+    fn restart(&mut self, place: usize) {
+        self.network.kill(fuzz_node(place));
+        self.run(RESTART_TIME);
+        self.start(place);
+    }
+
     /// All learn of one node that is up, as they would by the table service: the peers of their
     /// settings may all be dead.
     fn introduce(&mut self) {
@@ -195,7 +205,7 @@
             }
             FuzzStep::Leave(node) => network.leave(fuzz_node(node)),
             FuzzStep::Kill(node) => network.kill(fuzz_node(node)),
-            FuzzStep::Restart(node) => fuzzed.start(node),
+            FuzzStep::Restart(node) => fuzzed.restart(node),
             FuzzStep::Pause(node) => network.pause(fuzz_node(node)),
             FuzzStep::Resume(node) => network.resume(fuzz_node(node)),
             FuzzStep::Cut(mask) => {
@@ -246,21 +256,8 @@
     }
 }
 
-/// Cases of one run: few in CI, as many as `FUZZ_CASES` says otherwise.
-fn config() -> ProptestConfig {
-    let cases = std::env::var("FUZZ_CASES").ok().and_then(|cases| cases.parse().ok());
-    let seed = std::env::var("FUZZ_SEED").ok().and_then(|seed| seed.parse().ok());
-    ProptestConfig {
-        cases: cases.unwrap_or(48),
-        rng_seed: RngSeed::Fixed(seed.unwrap_or(17)),
-        failure_persistence: None,
-        max_shrink_iters: 400,
-        ..ProptestConfig::default()
-    }
-}
-
 prop_state_machine! {
-    #![proptest_config(config())]
+    #![proptest_config(ProptestConfig { max_shrink_iters: 400, ..fuzz_config(48, 17) })]
 
     #[test]
     fn membership_agrees_with_the_oracle(sequential 1..40 => MembershipFuzz);
