--- a/crates/coltsfoot-node/src/dispatch.rs
+++ b/crates/coltsfoot-node/src/dispatch.rs
@@ -1,17 +1,23 @@
 //! The dispatch duty: one thread that takes calls in, routes them, guards the upstream beside the node
 //! and talks to the other nodes.
 
+mod attempt_count;
 mod calls_in_flight;
 mod client_request;
+mod clock_drift;
+mod control_traffic;
 mod dispatch_command;
 mod dispatch_handle;
 mod dispatch_thread;
 mod dispatcher;
 mod guard;
 mod incoming_call;
+mod introduction_desk;
 mod local_upstream;
+mod member_counts;
 mod nested_request;
 mod node_state;
+mod node_status;
 mod once_desk;
 mod once_run;
 mod peer_links;
@@ -20,6 +26,7 @@
 mod routed_call;
 mod run_permit;
 mod service_pool;
+mod status_body;
 mod upstream_client;
 
 pub use dispatch_command::DispatchCommand;
--- a/crates/coltsfoot-node/src/dispatch/dispatch_thread.rs
+++ b/crates/coltsfoot-node/src/dispatch/dispatch_thread.rs
@@ -3,7 +3,11 @@
 use std::sync::Arc;
 use std::{io, net::TcpListener, rc::Rc, thread, time::Duration};
 
-use coltsfootroute::{event::EventKind, time::MonotonicTime};
+use coltsfootroute::{
+    drain::{DrainReport, DrainSettings},
+    event::EventKind,
+    time::MonotonicTime,
+};
 use tokio::{
     runtime,
     sync::{mpsc, oneshot},
@@ -18,8 +22,14 @@
     peer_server::accept_peers,
 };
 use crate::{
-    clock::MonotonicClock, config::ConfigCell, gossip::GossipCommand, http::HttpReply,
-    journal::EventSender, metrics::NodeMetrics, settings::ControlMode, store::StoreHandle,
+    clock::MonotonicClock,
+    config::ConfigCell,
+    gossip::GossipCommand,
+    http::HttpReply,
+    journal::EventSender,
+    metrics::{DutyMeter, NodeDuty, NodeMetrics},
+    settings::ControlMode,
+    store::StoreHandle,
 };
 
 /// Commands that wait for the dispatch duty at most; beyond them calls are refused.
@@ -41,8 +51,10 @@
     pub config: ConfigCell,
     /// Most bytes of a body.
     pub body_limit: usize,
-    /// How long a leaving node waits for callers to learn of it.
-    pub drain_notice: Duration,
+    /// Most calls waiting in front of the upstream.
+    pub queue: u32,
+    /// How a planned stop goes.
+    pub drain: DrainSettings,
     /// The platform's services.
     pub store: StoreHandle,
     /// Nodes that share the platform's rates.
@@ -100,6 +112,8 @@
     spawn_local(dispatcher.clone().upkeep());
     spawn_local(dispatcher.clone().run_errands());
     spawn_local(dispatcher.clone().sweep_records());
+    spawn_local(dispatcher.clone().keep_introduced());
+    spawn_local(dispatcher.clone().find_others());
     while let Some(command) = commands.recv().await {
         // Each command is a task of its own: none may hold up the ring.
         spawn_local(dispatcher.clone().obey(command));
@@ -123,7 +137,7 @@
                 let _ = reply.send(self.pull_config(peer, since).await);
             }
             DispatchCommand::Status(reply) => {
-                let _ = reply.send(self.status());
+                let _ = reply.send(self.status().await);
             }
             DispatchCommand::Drain(done) => self.leave(done).await,
         }
@@ -153,8 +167,10 @@
 
     async fn upkeep(self: Rc<Self>) {
         let mut period = interval(UPKEEP_PERIOD);
+        let mut meter = DutyMeter::new(self.metrics.clone(), NodeDuty::Dispatch);
         loop {
             period.tick().await;
+            meter.report();
             self.links.close_idle();
             self.notice_silence().await;
             self.forget_unused().await;
@@ -162,6 +178,23 @@
         }
     }
 
+    /// Reports what keeps a planned stop from its end, once in each period. Nothing is cut off: whoever
+    /// stops the process decides.
+    fn report_overdue(&self, reported: &mut MonotonicTime) {
+        let now = self.clock.now();
+        let Some(DrainReport { in_flight, waited }) = self.drain.borrow().overdue(now) else {
+            return;
+        };
+        if now.since(*reported) < self.drain_period {
+            return;
+        }
+        *reported = now;
+        self.events.emit(EventKind::DrainOverdue {
+            in_flight: u32::try_from(in_flight).unwrap_or(u32::MAX),
+            waited_ms: u64::try_from(waited.as_millis()).unwrap_or(u64::MAX),
+        });
+    }
+
     /// A planned stop: refuse new work, tell everyone, end when nothing is in flight.
     async fn leave(self: Rc<Self>, done: oneshot::Sender<()>) {
         let begun: MonotonicTime = self.clock.now();
@@ -169,9 +202,12 @@
         let in_flight = u32::try_from(self.drain.borrow().in_flight()).unwrap_or(u32::MAX);
         self.events.emit(EventKind::DrainBegun { in_flight });
         self.announce_leave().await;
+        let mut reported = begun;
         while !self.is_drained() {
             sleep(DRAIN_POLL).await;
+            self.report_overdue(&mut reported);
         }
+        self.introduction.settle().await;
         let elapsed = self.clock.now().since(begun).as_millis();
         let elapsed_ms = u64::try_from(elapsed).unwrap_or(u64::MAX);
         self.events.emit(EventKind::Drained { elapsed_ms });
--- a/crates/coltsfoot-node/src/dispatch/dispatcher.rs
+++ b/crates/coltsfoot-node/src/dispatch/dispatcher.rs
@@ -11,8 +11,8 @@
 use coltsfootroute::{
     admission::{BreachCounter, RetryAfter, ServiceLevels, ShedLevel},
     deadline::{DeadlineCheck, ServiceTimes},
-    drain::{DrainSettings, DrainState, StartAnswer},
-    id::{Incarnation, NodeId},
+    drain::{DrainState, StartAnswer},
+    id::{Incarnation, NodeId, RequestId},
     importance::Importance,
     name::{DomainName, RegionName, ServiceName},
     once::ClaimHolder,
@@ -25,8 +25,9 @@
 use tokio::sync::{Notify, mpsc};
 
 use super::{
-    calls_in_flight::CallsInFlight, dispatch_thread::DispatchParts, guard::GuardState,
-    incoming_call::IncomingCall, once_desk::OnceDesk, peer_links::PeerLinks,
+    calls_in_flight::CallsInFlight, clock_drift::DriftReport, dispatch_thread::DispatchParts,
+    guard::GuardState, incoming_call::IncomingCall, introduction_desk::IntroductionDesk,
+    member_counts::MemberCounts, once_desk::OnceDesk, peer_links::PeerLinks,
     service_pool::ServicePool, upstream_client::UpstreamClient,
 };
 use crate::{
@@ -54,6 +55,8 @@
     pub(super) control: ControlMode,
     pub(super) config: ConfigCell,
     pub(super) pools: RefCell<IndexMap<ServiceName, ServicePool>>,
+    /// Members of the own service and of the watched ones.
+    pub(super) member_counts: RefCell<IndexMap<ServiceName, MemberCounts>>,
     /// Woken whenever the members of some service changed.
     pub(super) members_changed: Notify,
     pub(super) accounts: RefCell<AccountLedger>,
@@ -69,12 +72,18 @@
     pub(super) guard: GuardState,
     pub(super) upstream_client: UpstreamClient,
     pub(super) drain: RefCell<DrainState>,
+    /// Time between two reports of a planned stop that does not end.
+    pub(super) drain_period: Duration,
+    /// Most calls waiting in front of the upstream.
+    pub(super) queue: u32,
     /// Woken when a call has ended while the node leaves.
     pub(super) call_ended: Notify,
     pub(super) once: OnceDesk,
+    pub(super) introduction: IntroductionDesk,
     pub(super) gossip: mpsc::Sender<GossipCommand>,
     pub(super) metrics: Arc<NodeMetrics>,
     pub(super) events: EventSender,
+    pub(super) drift: DriftReport,
     pub(super) rng: RefCell<Pcg64>,
     next_call: Cell<u64>,
 }
@@ -107,13 +116,13 @@
     pub fn new(parts: DispatchParts) -> Self {
         let holder =
             ClaimHolder { node: parts.identity.node, incarnation: parts.identity.incarnation };
-        let drain = DrainSettings::default().with_notice(parts.drain_notice);
         Self {
             clock: parts.clock,
             identity: parts.identity,
             control: parts.control,
             config: parts.config,
             pools: RefCell::default(),
+            member_counts: RefCell::default(),
             members_changed: Notify::new(),
             accounts: RefCell::new(AccountLedger::new(LedgerSettings::default())),
             policy: RetryPolicy::default(),
@@ -126,12 +135,16 @@
             links: PeerLinks::new(parts.clock),
             guard: GuardState::default(),
             upstream_client: UpstreamClient::new(parts.body_limit),
-            drain: RefCell::new(DrainState::new(drain)),
+            drain_period: parts.drain.report_after,
+            drain: RefCell::new(DrainState::new(parts.drain)),
+            queue: parts.queue,
             call_ended: Notify::new(),
             once: OnceDesk::new(holder, parts.store, parts.nodes),
+            introduction: IntroductionDesk::default(),
             gossip: parts.gossip,
             metrics: parts.metrics,
             events: parts.events,
+            drift: DriftReport::default(),
             rng: RefCell::new(Pcg64::seed_from_u64(parts.seed)),
             next_call: Cell::new(0),
         }
@@ -190,7 +203,12 @@
     }
 
     /// Seconds to come back after, if work that would be refused deeper down is refused here.
-    pub(super) fn shed_at_root(&self, call: &IncomingCall, importance: Importance) -> Option<u32> {
+    pub(super) fn shed_at_root(
+        &self,
+        request: RequestId,
+        call: &IncomingCall,
+        importance: Importance,
+    ) -> Option<u32> {
         if !self.control.is_on() {
             return None;
         }
@@ -208,9 +226,7 @@
                 None
             }
             Err(refusal) => {
-                if breaches.on_refusal(now, &refusal.service, importance) {
-                    self.metrics.requests.importance_breached();
-                }
+                self.note_refusal(&mut breaches, request, &refusal.service, importance);
                 Some(refusal.retry_after.0)
             }
         }
--- a/crates/coltsfoot-node/src/gossip/gossip_thread.rs
+++ b/crates/coltsfoot-node/src/gossip/gossip_thread.rs
@@ -4,7 +4,8 @@
 
 use coltsfoot_wire::gossip::{decode, encode};
 use coltsfootroute::{
-    id::NodeId,
+    event::EventKind,
+    id::{Incarnation, NodeId},
     membership::{
         DATAGRAM_OVERHEAD_BYTES, GossipEffect, GossipEngine, GossipMessage, GossipSettings,
         MAX_DATAGRAM_BYTES, MemberRecord, MemberState,
@@ -25,13 +26,18 @@
     clock::MonotonicClock,
     config::{ConfigCommand, ConfigHandle},
     dispatch::{DispatchCommand, DispatchHandle},
-    metrics::{ControlKind, NodeMetrics, TrafficDirection},
+    journal::EventSender,
+    metrics::{
+        ControlKind, DutyMeter, MemberState as MemberLabel, NodeDuty, NodeMetrics, TrafficDirection,
+    },
 };
 
 /// Commands that wait at most.
 const COMMAND_RING: usize = 256;
 /// How often the engine looks what is due.
 const TICK_PERIOD: Duration = Duration::from_millis(50);
+/// How often the members are counted.
+const COUNT_PERIOD: Duration = Duration::from_secs(1);
 
 /// What the gossip duty is made of.
 pub struct GossipParts {
@@ -45,8 +51,10 @@
     pub dispatch: DispatchHandle,
     /// The configuration duty, told of peers that are ahead.
     pub config: ConfigHandle,
-    /// Counts the bytes of gossip.
+    /// Metrics of the node.
     pub metrics: Arc<NodeMetrics>,
+    /// Events of the node.
+    pub events: EventSender,
     /// Seed of the random generator.
     pub seed: u64,
 }
@@ -60,6 +68,7 @@
     dispatch: DispatchHandle,
     config: ConfigHandle,
     metrics: Arc<NodeMetrics>,
+    events: EventSender,
 }
 
 impl GossipThread {
@@ -93,6 +102,7 @@
             dispatch: parts.dispatch,
             config: parts.config,
             metrics: parts.metrics,
+            events: parts.events,
         };
         thread::Builder::new()
             .name("gossip".to_owned())
@@ -103,10 +113,18 @@
     async fn run(mut self, mut commands: mpsc::Receiver<GossipCommand>) {
         let mut ticks = interval(TICK_PERIOD);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Skip);
+        let mut counts = interval(COUNT_PERIOD);
+        counts.set_missed_tick_behavior(MissedTickBehavior::Skip);
+        let mut meter = DutyMeter::new(self.metrics.clone(), NodeDuty::Gossip);
         let mut buffer = [0; MAX_DATAGRAM_BYTES + 1];
         loop {
             let effects = tokio::select! {
                 _ = ticks.tick() => self.engine.tick(self.clock.now(), &mut self.rng),
+                _ = counts.tick() => {
+                    self.count_members();
+                    meter.report();
+                    continue;
+                }
                 command = commands.recv() => match command {
                     Some(command) => self.obey(command).await,
                     None => return,
@@ -121,8 +139,29 @@
         }
     }
 
+    fn count_members(&self) {
+        let status = self.engine.status();
+        let counts = [
+            (MemberLabel::Up, status.alive),
+            (MemberLabel::Suspect, status.suspect),
+            (MemberLabel::Down, status.dead),
+            (MemberLabel::Left, status.left),
+        ];
+        for (state, count) in counts {
+            self.metrics.control.set_members(state, count);
+        }
+    }
+
+    fn count_datagram(&self, direction: TrafficDirection, length: usize) {
+        self.metrics.control.add_bytes(
+            ControlKind::Gossip,
+            direction,
+            length + DATAGRAM_OVERHEAD_BYTES,
+        );
+    }
+
     fn receive(&mut self, datagram: &[u8], from: NodeId) -> Vec<GossipEffect> {
-        self.count(TrafficDirection::Received, datagram);
+        self.count_datagram(TrafficDirection::Received, datagram.len());
         match decode(datagram) {
             Ok(message) => self.engine.receive(self.clock.now(), &mut self.rng, from, message),
             Err(err) => {
@@ -175,8 +214,15 @@
                 GossipEffect::RevisionBehind { peer, revision } => {
                     self.config.behind(ConfigCommand::Behind { peer, revision });
                 }
-                GossipEffect::MemberDown { service, node, state: MemberState::Dead } => {
-                    log::info!("event=member-dead service={service} node={node}");
+                GossipEffect::MemberUp { node, incarnation, .. } => {
+                    self.events.emit(EventKind::MemberUp { member: node, incarnation });
+                }
+                GossipEffect::MemberDown { service, node, state } => {
+                    self.events.emit(self.down_event(&service, node, state));
+                }
+                GossipEffect::MemberLeft { service, node } => {
+                    let incarnation = self.incarnation(&service, node);
+                    self.events.emit(EventKind::MemberLeft { member: node, incarnation });
                 }
                 _ => {}
             }
@@ -186,23 +232,31 @@
         }
     }
 
+    fn down_event(&self, service: &ServiceName, member: NodeId, state: MemberState) -> EventKind {
+        let incarnation = self.incarnation(service, member);
+        match state {
+            MemberState::Suspect => EventKind::MemberSuspect { member, incarnation },
+            _ => EventKind::MemberDown { member, incarnation },
+        }
+    }
+
+    /// Life of a member that something was just said of; 0 if the member was forgotten at once.
+    fn incarnation(&self, service: &ServiceName, member: NodeId) -> Incarnation {
+        let record = self.engine.record(service.as_str(), member);
+        record.map_or(Incarnation(0), |record| record.incarnation)
+    }
+
     async fn send(&self, to: NodeId, message: &GossipMessage) {
         match encode(message) {
-            // A datagram that cannot be sent is as good as lost, which the engine expects.
             Ok(datagram) => {
-                self.count(TrafficDirection::Sent, &datagram);
-                drop(self.socket.send_to(&datagram, to.0).await);
+                self.count_datagram(TrafficDirection::Sent, datagram.len());
+                // A datagram that cannot be sent is as good as lost, which the engine expects.
+                let _ = self.socket.send_to(&datagram, to.0).await;
             }
             Err(err) => log::warn!("event=gossip-unsendable error={:?}", err.to_string()),
         }
     }
 
-    /// Counts a datagram with its headers.
-    fn count(&self, direction: TrafficDirection, datagram: &[u8]) {
-        let bytes = datagram.len() + DATAGRAM_OVERHEAD_BYTES;
-        self.metrics.control.add_bytes(ControlKind::Gossip, direction, bytes);
-    }
-
     async fn publish(&self, service: ServiceName) {
         let members = self.engine.records(service.as_str()).cloned().collect();
         self.dispatch.tell(DispatchCommand::Members(service, members)).await;
--- a/crates/coltsfoot-node/src/http.rs
+++ b/crates/coltsfoot-node/src/http.rs
@@ -7,8 +7,9 @@
 mod listener_state;
 mod request_parts;
 mod serve;
+mod worker_meter;
 
 pub use http_reply::HttpReply;
 pub use listener_state::{ClientState, HostState};
-pub use request_parts::RequestError;
+pub use request_parts::{PartLimits, RequestError};
 pub use serve::{HttpListener, ListenerError};
--- a/crates/coltsfoot-node/src/process/node_process.rs
+++ b/crates/coltsfoot-node/src/process/node_process.rs
@@ -7,6 +7,7 @@
 };
 
 use coltsfootroute::{
+    drain::DrainSettings,
     event::EventKind,
     id::{Incarnation, NodeId},
     membership::{GossipSettings, MemberRecord},
@@ -21,10 +22,10 @@
     config::{ConfigCell, ConfigParts, ConfigThread},
     dispatch::{DispatchCommand, DispatchHandle, DispatchParts, DispatchThread, NodeIdentity},
     gossip::{GossipParts, GossipThread},
-    http::{ClientState, HostState, HttpListener},
-    journal::{EventJournal, JournalHandle},
+    http::{ClientState, HostState, HttpListener, PartLimits},
+    journal::{EventJournal, EventSender, JournalHandle},
     metrics::NodeMetrics,
-    settings::NodeSettings,
+    settings::{LimitSettings, NodeSettings},
     store::{StoreSettings, StoreThread},
 };
 
@@ -53,6 +54,7 @@
     client: HttpListener,
     host: HttpListener,
     dispatch: DispatchHandle,
+    events: EventSender,
     journal: JournalHandle,
 }
 
@@ -80,9 +82,10 @@
         };
         let seed = settings.limits.seed.unwrap_or_else(|| rand::rng().random());
 
+        let metrics = Arc::new(NodeMetrics::new()?);
         let journal = EventJournal::new(identity.node, identity.incarnation);
         let (events, reader) = (journal.sender(), journal.reader());
-        let journal = journal.spawn()?;
+        let journal = journal.spawn(metrics.clone())?;
         events.emit(EventKind::Started {
             incarnation: identity.incarnation,
             region: identity.region.clone(),
@@ -93,13 +96,13 @@
             host: addresses.host,
             peer: addresses.peer,
         });
-        let metrics = Arc::new(NodeMetrics::new()?);
-        let store = StoreThread::start(store_settings(&settings, seed))?;
+        let store =
+            StoreThread::start(store_settings(&settings, seed), metrics.clone(), events.clone())?;
         let (dispatch, dispatch_ring) = DispatchThread::ring();
         let (config, config_ring) = ConfigThread::ring();
         let (gossip, gossip_ring) = GossipThread::ring();
         let cell = ConfigCell::default();
-        let body_limit = usize::try_from(settings.limits.body_bytes).unwrap_or(usize::MAX);
+        let limits = part_limits(&settings.limits);
 
         let record = MemberRecord::new(
             identity.node,
@@ -114,6 +117,7 @@
             dispatch: dispatch.clone(),
             config: config.clone(),
             metrics: metrics.clone(),
+            events: events.clone(),
             seed: seed.wrapping_add(1),
         };
         GossipThread::start(gossip_parts, gossip_socket, gossip_ring)?;
@@ -122,8 +126,11 @@
             identity,
             control: settings.control,
             config: cell.clone(),
-            body_limit,
-            drain_notice: Duration::from_millis(settings.limits.drain_notice_ms),
+            body_limit: limits.body_bytes,
+            queue: u32::try_from(settings.limits.queue).unwrap_or(u32::MAX),
+            drain: DrainSettings::default()
+                .with_notice(Duration::from_millis(settings.limits.drain_notice_ms))
+                .with_report_after(Duration::from_secs(settings.limits.drain_max_s)),
             store: store.clone(),
             nodes: u32::try_from(settings.store.nodes).unwrap_or(u32::MAX),
             gossip: gossip.clone(),
@@ -140,10 +147,12 @@
             dispatch: dispatch.clone(),
             gossip,
             events: events.clone(),
+            metrics: metrics.clone(),
         };
         ConfigThread::start(config_parts, config_ring)?;
 
-        let client_state = ClientState { clock, dispatch: dispatch.clone(), body_limit };
+        let client_state =
+            ClientState { clock, dispatch: dispatch.clone(), metrics: metrics.clone(), limits };
         let host_state = HostState {
             clock,
             dispatch: dispatch.clone(),
@@ -151,13 +160,14 @@
             events: reader,
             metrics,
             drain,
-            body_limit,
+            limits,
         };
         Ok(Self {
             addresses,
             client: HttpListener::start_client(client, client_state)?,
             host: HttpListener::start_host(host, host_state)?,
             dispatch,
+            events,
             journal,
         })
     }
@@ -186,6 +196,8 @@
         std::thread::sleep(ANSWER_GRACE);
         self.client.stop();
         self.host.stop();
+        // Nothing was in flight any more: `Drain` waits for it, however long.
+        self.events.emit(EventKind::Stopped { interrupted: 0 });
         self.journal.stop();
     }
 }
@@ -213,11 +225,16 @@
     let mut store = StoreSettings::new(settings.store.table);
     store.objects = settings.store.objects.unwrap_or(settings.store.table);
     store.seed = seed.wrapping_add(2);
-    store.share = RateShare {
+    // Rates are whole numbers of at most a million, which a double holds exactly.
+    store.with_share(RateShare {
         writes_per_s: settings.store.writes_per_s as f64,
         reads_per_s: settings.store.reads_per_s as f64,
         nodes: u32::try_from(settings.store.nodes).unwrap_or(u32::MAX),
         ..RateShare::default()
-    };
-    store
+    })
+}
+
+fn part_limits(limits: &LimitSettings) -> PartLimits {
+    let bytes = |most| usize::try_from(most).unwrap_or(usize::MAX);
+    PartLimits { head_bytes: bytes(limits.header_bytes), body_bytes: bytes(limits.body_bytes) }
 }
--- a/crates/coltsfoot-node/src/store/store_thread.rs
+++ b/crates/coltsfoot-node/src/store/store_thread.rs
@@ -1,16 +1,21 @@
 //! The thread that talks to the platform.
 
-use std::{rc::Rc, thread};
+use std::{rc::Rc, sync::Arc, thread};
 
 use tokio::{
-    runtime::{Builder, Runtime},
+    runtime::Builder,
     sync::mpsc,
-    task::{JoinSet, LocalSet},
+    task::{JoinSet, LocalSet, spawn_local},
+    time::interval,
 };
 
 use super::{
     StoreError, StoreHandle, StoreSettings, store_command::StoreCommand, store_worker::StoreWorker,
 };
+use crate::{
+    journal::EventSender,
+    metrics::{DutyMeter, NodeDuty, NodeMetrics},
+};
 
 /// Starts the store thread.
 #[derive(Debug)]
@@ -18,23 +23,36 @@
 
 impl StoreThread {
     /// Starts the thread and gives a handle to it.
-    pub fn start(settings: StoreSettings) -> Result<StoreHandle, StoreError> {
+    ///
+    /// # Errors
+    ///
+    /// [`StoreError`] if the runtime or the thread cannot be created.
+    pub fn start(
+        settings: StoreSettings,
+        metrics: Arc<NodeMetrics>,
+        events: EventSender,
+    ) -> Result<StoreHandle, StoreError> {
         let (sender, receiver) = mpsc::channel(settings.queue);
         let runtime = Builder::new_current_thread().enable_all().build()?;
-        thread::Builder::new()
-            .name("store".to_owned())
-            .spawn(move || run(&runtime, settings, receiver))?;
+        thread::Builder::new().name("store".to_owned()).spawn(move || {
+            let meter = DutyMeter::new(metrics.clone(), NodeDuty::Store);
+            let worker = StoreWorker::new(&settings, metrics, events);
+            let most = settings.in_flight;
+            LocalSet::new().block_on(&runtime, serve(worker, most, meter, receiver));
+        })?;
         Ok(StoreHandle::new(sender))
     }
 }
 
-fn run(runtime: &Runtime, settings: StoreSettings, receiver: mpsc::Receiver<StoreCommand>) {
-    LocalSet::new().block_on(runtime, serve(settings, receiver));
-}
-
-async fn serve(settings: StoreSettings, mut receiver: mpsc::Receiver<StoreCommand>) {
-    let most = settings.in_flight;
-    let worker = Rc::new(StoreWorker::new(settings));
+/// Carries out commands, at most `most` at once.
+async fn serve(
+    worker: StoreWorker,
+    most: usize,
+    meter: DutyMeter,
+    mut receiver: mpsc::Receiver<StoreCommand>,
+) {
+    spawn_local(report_duty(meter));
+    let worker = Rc::new(worker);
     let mut tasks = JoinSet::new();
     while let Some(command) = receiver.recv().await {
         while tasks.len() >= most {
@@ -47,3 +65,11 @@
     }
     while tasks.join_next().await.is_some() {}
 }
+
+async fn report_duty(mut meter: DutyMeter) {
+    let mut reports = interval(DutyMeter::IDLE_PERIOD);
+    loop {
+        reports.tick().await;
+        meter.report();
+    }
+}
--- a/crates/coltsfoot-node/src/store/store_worker.rs
+++ b/crates/coltsfoot-node/src/store/store_worker.rs
@@ -1,11 +1,12 @@
 //! One request at a time through budget, breaker, client and retry.
 
-use std::{cell::RefCell, future::Future};
+use std::{cell::RefCell, future::Future, sync::Arc};
 
 use coltsfootroute::{
+    event::EventKind,
     table::{
-        CircuitBreaker, ObjectReply, RateBudget, StoreBackoff, StoreHealth, StoreUse, TableReply,
-        TableRequest,
+        BreakerState, CircuitBreaker, ObjectReply, RateBudget, StoreBackoff, StoreHealth, StoreUse,
+        TableReply, TableRequest,
     },
     time::MonotonicTime,
 };
@@ -17,15 +18,18 @@
     StoreSettings,
     http_client::{HttpClient, HttpReply},
     store_command::{ObjectAction, StoreCommand},
+    store_reports::{failure_text, object_result, store_result},
 };
+use crate::{journal::EventSender, metrics::NodeMetrics};
 
 /// What the requests of the store thread share.
-#[derive(Debug)]
 pub(super) struct StoreWorker {
     client: HttpClient,
     backoff: StoreBackoff,
     started: Instant,
     policy: RefCell<StorePolicy>,
+    metrics: Arc<NodeMetrics>,
+    events: EventSender,
 }
 
 #[derive(Debug)]
@@ -33,6 +37,8 @@
     budget: RateBudget,
     table_breaker: CircuitBreaker,
     object_breaker: CircuitBreaker,
+    /// Since when the table service does not answer.
+    down_since: Option<MonotonicTime>,
     rng: Pcg64,
 }
 
@@ -48,16 +54,22 @@
 struct NotSent;
 
 impl StoreWorker {
-    pub(super) fn new(settings: StoreSettings) -> Self {
+    pub(super) fn new(
+        settings: &StoreSettings,
+        metrics: Arc<NodeMetrics>,
+        events: EventSender,
+    ) -> Self {
         let policy = StorePolicy {
             budget: RateBudget::new(&settings.share),
             table_breaker: CircuitBreaker::new(settings.breaker.clone()),
             object_breaker: CircuitBreaker::new(settings.breaker.clone()),
+            down_since: None,
             rng: Pcg64::seed_from_u64(settings.seed),
         };
-        let client = HttpClient::new(&settings);
-        let backoff = settings.backoff;
-        Self { client, backoff, started: Instant::now(), policy: RefCell::new(policy) }
+        let client = HttpClient::new(settings, metrics.clone());
+        let backoff = settings.backoff.clone();
+        let policy = RefCell::new(policy);
+        Self { client, backoff, started: Instant::now(), policy, metrics, events }
     }
 
     pub(super) async fn carry_out(&self, command: StoreCommand) {
@@ -80,9 +92,9 @@
     ) -> TableReply {
         let mut attempt = 1;
         loop {
-            let Ok(reply) = self.attempt_table(request, store_use, deadline).await else {
-                return TableReply::Unavailable;
-            };
+            let reply = self.attempt_table(request, store_use, deadline).await;
+            self.metrics.store.requested(store_use, store_result(reply.as_ref().ok()));
+            let Ok(reply) = reply else { return TableReply::Unavailable };
             let pause = {
                 let rng = &mut self.policy.borrow_mut().rng;
                 self.backoff.pause(request, &reply, attempt, rng)
@@ -122,6 +134,8 @@
                 self.guarded(StoreService::Objects, deadline, get).await
             }
         };
+        // Objects are parts of answers.
+        self.metrics.store.requested(StoreUse::Answer, object_result(sent.as_ref().ok()));
         match sent {
             Ok(HttpReply::Answer(reply)) => reply,
             Ok(HttpReply::Lost) => ObjectReply::Uncertain,
@@ -170,9 +184,35 @@
         let reply = timeout_at(deadline, sending).await.unwrap_or(HttpReply::Lost);
         let now = self.now();
         self.policy.borrow_mut().record(service, now, reply.health());
+        if matches!(service, StoreService::Table) {
+            self.note_health(now, &reply);
+        }
         Ok(reply)
     }
 
+    /// The table service is what the node depends on: it is up with its first answer, and down once
+    /// the breaker has opened.
+    fn note_health<T>(&self, now: MonotonicTime, reply: &HttpReply<T>) {
+        let mut policy = self.policy.borrow_mut();
+        let is_closed = matches!(policy.table_breaker.state(), BreakerState::Closed(_));
+        match reply.health() {
+            StoreHealth::Answering => {
+                self.metrics.store.set_up(true);
+                if let Some(since) = policy.down_since.take() {
+                    let down_ms = now.since(since).as_millis();
+                    let down_ms = u64::try_from(down_ms).unwrap_or(u64::MAX);
+                    self.events.emit(EventKind::StoreUp { down_ms });
+                }
+            }
+            StoreHealth::Failing if !is_closed && policy.down_since.is_none() => {
+                policy.down_since = Some(now);
+                self.metrics.store.set_up(false);
+                self.events.emit(EventKind::StoreDown { error: failure_text(reply).to_owned() });
+            }
+            StoreHealth::Failing => {}
+        }
+    }
+
     fn now(&self) -> MonotonicTime {
         MonotonicTime::ZERO + self.started.elapsed()
     }
--- a/crates/coltsfoot-node/tests/integration/main.rs
+++ b/crates/coltsfoot-node/tests/integration/main.rs
@@ -1,10 +1,14 @@
 //! Integration tests of the node.
 
 mod args;
+mod events;
+mod introduction;
 mod journal;
+mod limits;
 mod metrics;
 mod scenarios;
 mod settings;
+mod status;
 mod store;
 mod store_claims;
 mod util;
--- a/crates/coltsfoot-slopes/src/slopes/decisions.rs
+++ b/crates/coltsfoot-slopes/src/slopes/decisions.rs
@@ -9,6 +9,7 @@
 };
 use coltsfootroute::{
     admission::{AdmissionGate, AdmissionSettings, CallFinish, ShedLevel, WaitingCall},
+    event::HybridStamp,
     id::{Incarnation, NodeId, RequestId},
     importance::Importance,
     once::{
@@ -212,6 +213,7 @@
         content_type: "application/json".to_owned(),
         body: vec![7; body],
         revision: 1,
+        stamp: HybridStamp::new(1_796_228_561_138, 1),
     };
     move || {
         let mut builder = Builder::new_default();
@@ -241,6 +243,7 @@
         outcome: CallOutcome::Completed,
         levels: levels.collect(),
         upstream_time: LATENCY,
+        stamp: HybridStamp::new(1_796_228_561_138, 2),
     };
     move || {
         let mut builder = Builder::new_default();
