--- a/crates/coltsfoot-slopes/src/slopes/gossip.rs
+++ b/crates/coltsfoot-slopes/src/slopes/gossip.rs
@@ -18,10 +18,10 @@
 /// Bytes a second and node for control, of which gossip may take a part.
 const CONTROL_BYTES_PER_S: u64 = 4_000;
 const BURST_BYTES: u64 = 16_000;
-/// Time that the burst of the start takes to be over.
+/// Time after which the news of the start has been passed on and no watched service counts as in use.
+const QUIET_S: u64 = 60;
+/// Time for which services are in use before the measurement.
 const SETTLE_S: u64 = 10;
-/// A service not touched for so long is cold, with a margin.
-const COLD_S: u64 = 45;
 const MEASURE_S: u64 = 20;
 const RESTART_MEASURE_S: u64 = 60;
 
@@ -54,8 +54,11 @@
 /// Against the size of the groups; each node watches three of the same size.
 pub fn by_group() -> anyhow::Result<Vec<MeasuredSlope>> {
     let mut meter = GossipMeter::new("gossip-group", "members of a group");
-    for size in [10, 37, 100, 200, 400] {
-        meter.measure(started(4, size, 3)?, size as f64, true)?;
+    for size in [10, 20, 37, 74, 148] {
+        let mut mesh = started(4, size, 3)?;
+        // News of the start travels longer in a larger group.
+        mesh.run(Duration::from_secs(QUIET_S) * (size / GROUP) as u32);
+        meter.measure(mesh, size as f64, true)?;
     }
     Ok(meter.slopes())
 }
@@ -125,7 +128,7 @@
 /// As after a long run: all nodes are told of each other, and go on until they agree.
 pub fn acquainted(mut mesh: GossipMesh) -> anyhow::Result<GossipMesh> {
     mesh.acquaint();
-    mesh.run(Duration::from_secs(SETTLE_S));
+    mesh.run(Duration::from_secs(QUIET_S));
     converged(mesh)
 }
 
@@ -140,7 +143,7 @@
 }
 
 fn settle(mesh: &mut GossipMesh, is_used: bool) {
-    for _ in 0..if is_used { SETTLE_S } else { COLD_S } {
+    for _ in 0..SETTLE_S {
         pass_second(mesh, is_used);
     }
 }
