--- a/crates/coltsfoot-slopes/src/report/slope_chart.rs
+++ b/crates/coltsfoot-slopes/src/report/slope_chart.rs
@@ -11,6 +11,8 @@
 
 const SIZE_PX: (u32, u32) = (640, 360);
 const MARK_PX: i32 = 4;
+/// Labels of an axis, about.
+const LABELS: usize = 6;
 const MARK_COLOUR: RGBColor = RGBColor(0, 114, 178);
 /// Room above the highest point.
 const HEADROOM: f64 = 1.1;
@@ -32,7 +34,14 @@
         .x_label_area_size(40)
         .y_label_area_size(70)
         .build_cartesian_2d(0.0..right, 0.0..upper)?;
-    chart.configure_mesh().x_desc(&slope.x_label).y_desc(&slope.y_label).draw()?;
+    chart
+        .configure_mesh()
+        .disable_mesh()
+        .x_labels(LABELS)
+        .y_labels(LABELS)
+        .x_desc(&slope.x_label)
+        .y_desc(&slope.y_label)
+        .draw()?;
     if let Some(fit) = LinearFit::of(&slope.points) {
         let ends = [(0.0, fit.at(0.0)), (right, fit.at(right))];
         chart.draw_series([PathElement::new(ends, BLACK.mix(0.5))])?;
