--- a/crates/coltsfoot-slopes/src/mesh/gossip_mesh.rs
+++ b/crates/coltsfoot-slopes/src/mesh/gossip_mesh.rs
@@ -93,14 +93,19 @@
         self
     }
 
-    /// One group of `size` members and `watchers` nodes of another group that watch it.
-    pub fn with_watchers(mut self, size: usize, watchers: usize) -> Self {
-        self.members = vec![(0..size).collect(), (size..size + watchers).collect()];
+    /// One group of `size` members, and `watchers` nodes in groups of `watcher_group` that watch it.
+    pub fn with_watchers(mut self, size: usize, watchers: usize, watcher_group: usize) -> Self {
+        self.members = vec![(0..size).collect()];
         for _ in 0..size {
             self.add(0, Vec::new());
         }
-        for _ in 0..watchers {
-            self.add(1, vec![service_name(0)]);
+        for watcher in 0..watchers {
+            let group = 1 + watcher / watcher_group.max(1);
+            if group == self.members.len() {
+                self.members.push(Vec::new());
+            }
+            self.members[group].push(self.nodes.len());
+            self.add(group, vec![service_name(0)]);
         }
         self.start_all();
         self
--- a/crates/coltsfoot-slopes/src/slopes/gossip.rs
+++ b/crates/coltsfoot-slopes/src/slopes/gossip.rs
@@ -75,7 +75,7 @@
 
 fn watched(name: &str, is_used: bool) -> anyhow::Result<Vec<MeasuredSlope>> {
     let mut meter = GossipMeter::new(name, "services watched");
-    for watched in [0, 2, 5, 10, 15] {
+    for watched in [0, 2, 5, 8, 10] {
         meter.measure(started(40, GROUP, watched)?, watched as f64, is_used)?;
     }
     Ok(meter.slopes())
--- a/crates/coltsfoot-slopes/src/slopes/news.rs
+++ b/crates/coltsfoot-slopes/src/slopes/news.rs
@@ -36,7 +36,12 @@
 /// A leave, by watchers.
 pub fn leave_by_watchers() -> anyhow::Result<Vec<MeasuredSlope>> {
     let slope = MeasuredSlope::new("leave-watchers", "nodes that watch the group", SECONDS);
-    by_sizes(slope, End::Leave, [40, 80, 185, 370, 740].map(|count| (GROUP, count)), |(_, x)| x)
+    by_sizes(
+        slope,
+        End::Leave,
+        [37, 185, 740, 1_480, 2_960].map(|count| (GROUP, count)),
+        |(_, x)| x,
+    )
 }
 
 /// A death, by group size.
@@ -56,7 +61,8 @@
     for (size, watchers) in sizes {
         let mut worst = Duration::ZERO;
         for trial in 0..TRIALS {
-            let mesh = GossipMesh::new(roomy_settings(), trial).with_watchers(size, watchers);
+            let mesh = GossipMesh::new(roomy_settings(), trial);
+            let mesh = mesh.with_watchers(size, watchers, GROUP);
             let mut mesh = acquainted(mesh)?;
             settle(&mut mesh);
             worst = worst.max(time_to_know(&mut mesh, &[0], end)?);
--- a/crates/coltsfoot-slopes/tests/integration/mesh.rs
+++ b/crates/coltsfoot-slopes/tests/integration/mesh.rs
@@ -12,7 +12,7 @@
 
 #[test]
 fn nodes_come_to_know_each_other_and_the_end_of_one() {
-    let mut mesh = GossipMesh::new(GossipSettings::new(), 1).with_watchers(4, 3);
+    let mut mesh = GossipMesh::new(GossipSettings::new(), 1).with_watchers(4, 3, 2);
 
     mesh.run(Duration::from_secs(60));
     let was_converged = mesh.is_converged();
