--- a/crates/coltsfoot-slopes/src/slopes/news.rs
+++ b/crates/coltsfoot-slopes/src/slopes/news.rs
@@ -36,12 +36,7 @@
 /// A leave, by watchers.
 pub fn leave_by_watchers() -> anyhow::Result<Vec<MeasuredSlope>> {
     let slope = MeasuredSlope::new("leave-watchers", "nodes that watch the group", SECONDS);
-    by_sizes(
-        slope,
-        End::Leave,
-        [37, 185, 740, 1_480, 2_960].map(|count| (GROUP, count)),
-        |(_, x)| x,
-    )
+    by_sizes(slope, End::Leave, [37, 74, 185, 370, 740].map(|count| (GROUP, count)), |(_, x)| x)
 }
 
 /// A death, by group size.
