--- a/crates/coltsfootroute/src/membership/gossip_engine/announcing.rs
+++ b/crates/coltsfootroute/src/membership/gossip_engine/announcing.rs
@@ -30,6 +30,10 @@
             self.hold(now, rng, offer.service.clone());
         }
         self.leave_repeats = 0;
+        if self.me.state == MemberState::Left {
+            // Callers never choose an upstream again in the life that it left in.
+            self.me.incarnation = self.me.incarnation.next_life();
+        }
         self.me.service = Some(offer.service);
         self.me.slots = offer.slots;
         self.me.connections = offer.connections;
@@ -47,7 +51,8 @@
         std::mem::take(&mut self.effects)
     }
 
-    /// Holds the members of these services in detail, and of no others but the own one.
+    /// Holds the members of these services in detail, and of no others but the own one. Counts as a
+    /// use of each.
     pub fn watch(
         &mut self,
         now: MonotonicTime,
@@ -64,7 +69,8 @@
             self.release(now, rng, &service);
         }
         for service in wanted {
-            self.hold(now, rng, service);
+            self.hold(now, rng, service.clone());
+            self.touch(now, service.as_str());
         }
     }
 
@@ -72,7 +78,7 @@
     pub fn touch(&mut self, now: MonotonicTime, service: &str) {
         let Some(watch) = self.watches.get_mut(service) else { return };
         if now.since(watch.used) >= self.settings.cold_after {
-            watch.due = now;
+            watch.due = watch.due.min(now);
         }
         watch.used = now;
     }
--- a/crates/coltsfootroute/src/routing/routing_settings.rs
+++ b/crates/coltsfootroute/src/routing/routing_settings.rs
@@ -52,7 +52,7 @@
             slow_factor: 10,
             samples_to_eject: 20,
             ejection: Duration::from_secs(1),
-            longest_ejection: Duration::from_secs(30),
+            longest_ejection: Duration::from_secs(2),
             ejected_percent: 34,
             trials_to_return: 3,
         }
