--- a/crates/coltsfoot-node/src/settings/limit_settings.rs
+++ b/crates/coltsfoot-node/src/settings/limit_settings.rs
@@ -19,7 +19,7 @@
     pub body_bytes: u64,
     /// Largest head of a request, in bytes; at most [`MAX_HEADER_BYTES`].
     pub header_bytes: u64,
-    /// Most calls waiting in front of the upstream; fewer where twice its slots are fewer.
+    /// Most calls waiting in front of the upstream; fewer where eight times its slots are fewer.
     pub queue: u64,
     /// Time callers get to learn that the node leaves, in milliseconds.
     pub drain_notice_ms: u64,
