--- a/crates/coltsfoot-node/src/http/client_listener.rs
+++ b/crates/coltsfoot-node/src/http/client_listener.rs
@@ -14,7 +14,7 @@
     request_parts::{CallHeaders, RequestError, head_fits, read_body},
     worker_meter::report_worker,
 };
-use crate::dispatch::{CallOrigin, IncomingCall};
+use crate::dispatch::CallOrigin;
 
 /// Serves one request of a client.
 pub async fn handle(ctx: &WebContext<'_, ClientState>) -> WebResponse {
@@ -47,17 +47,8 @@
         Err(err) => return malformed(&err),
     };
     // The context of a client is never read: a client cannot forge importance.
-    let call = IncomingCall {
-        origin: CallOrigin::Client { address: ctx.req().body().socket_addr().ip() },
-        service: path.service,
-        operation: path.operation,
-        key: headers.key,
-        remaining: headers.remaining,
-        content_type: headers.content_type,
-        body,
-        received,
-    };
-    state.dispatch.call(call).await
+    let origin = CallOrigin::Client { address: ctx.req().body().socket_addr().ip() };
+    state.dispatch.call(headers.into_call(origin, path, body, received)).await
 }
 
 /// The reply to a request whose head is too large; its body is not read.
--- a/crates/coltsfoot-node/src/http/host_listener.rs
+++ b/crates/coltsfoot-node/src/http/host_listener.rs
@@ -15,7 +15,7 @@
 };
 use crate::{
     config::SubmitRequest,
-    dispatch::{CallOrigin, IncomingCall, UpstreamAnnouncement},
+    dispatch::{CallOrigin, UpstreamAnnouncement},
     metrics::{ControlKind, TrafficDirection},
 };
 
@@ -87,7 +87,7 @@
 
 async fn nested_call(ctx: &WebContext<'_, HostState>, path: CallPath) -> HttpReply {
     let received = ctx.state().clock.now();
-    let headers = match CallHeaders::read(ctx.req().headers()) {
+    let mut headers = match CallHeaders::read(ctx.req().headers()) {
         Ok(headers) => headers,
         Err(err) => return malformed(&err),
     };
@@ -95,17 +95,8 @@
         Ok(body) => body,
         Err(err) => return malformed(&err),
     };
-    let call = IncomingCall {
-        origin: CallOrigin::Upstream { context: headers.context },
-        service: path.service,
-        operation: path.operation,
-        key: headers.key,
-        remaining: headers.remaining,
-        content_type: headers.content_type,
-        body,
-        received,
-    };
-    ctx.state().dispatch.call(call).await
+    let origin = CallOrigin::Upstream { context: headers.context.take() };
+    ctx.state().dispatch.call(headers.into_call(origin, path, body, received)).await
 }
 
 async fn announce(ctx: &WebContext<'_, HostState>) -> HttpReply {
--- a/crates/coltsfoot-node/src/http/request_parts.rs
+++ b/crates/coltsfoot-node/src/http/request_parts.rs
@@ -3,13 +3,17 @@
 use std::{pin::pin, time::Duration};
 
 use bytes::{Bytes, BytesMut};
-use coltsfootroute::constants::{
-    CONTEXT_HEADER, DEADLINE_HEADER, IDEMPOTENCY_KEY_HEADER, MAX_KEY_BYTES,
+use coltsfootroute::{
+    constants::{CONTEXT_HEADER, DEADLINE_HEADER, IDEMPOTENCY_KEY_HEADER, MAX_KEY_BYTES},
+    time::MonotonicTime,
 };
 use http::{HeaderMap, Method, Uri, header::CONTENT_TYPE};
 use tokio::time::timeout;
 use xitca_web::body::{BodyExt, RequestBody};
 
+use super::call_path::CallPath;
+use crate::dispatch::{CallOrigin, IncomingCall};
+
 /// Time a caller has to send the whole body of its request.
 const BODY_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -80,6 +84,26 @@
         let content_type = text(headers, CONTENT_TYPE.as_str())?.unwrap_or_default().to_owned();
         Ok(Self { key, remaining, context, content_type })
     }
+
+    /// The call to `path` that came in at `received`; the context stands in `origin`, if at all.
+    pub fn into_call(
+        self,
+        origin: CallOrigin,
+        path: CallPath,
+        body: Bytes,
+        received: MonotonicTime,
+    ) -> IncomingCall {
+        IncomingCall {
+            origin,
+            service: path.service,
+            operation: path.operation,
+            key: self.key,
+            remaining: self.remaining,
+            content_type: self.content_type,
+            body,
+            received,
+        }
+    }
 }
 
 /// The value of header `name` as text; a repeated header is malformed.
