Node: parts, sockets and guard in files of one job

Change: NodeSockets opens, NodeParts says what each duty is made of, guard.rs admits, guard_run.rs runs, guard_state.rs holds. Behaviour as before. Conclusion: each file reads by itself.

--- a/crates/coltsfoot-node/src/dispatch.rs
+++ b/crates/coltsfoot-node/src/dispatch.rs
@@ -11,6 +11,8 @@
 mod dispatch_thread;
 mod dispatcher;
 mod guard;
+mod guard_run;
+mod guard_state;
 mod incoming_call;
 mod introduction_desk;
 mod local_upstream;
--- a/crates/coltsfoot-node/src/dispatch/dispatcher.rs
+++ b/crates/coltsfoot-node/src/dispatch/dispatcher.rs
@@ -26,7 +26,7 @@
 
 use super::{
     calls_in_flight::CallsInFlight, clock_drift::DriftReport, dispatch_thread::DispatchParts,
-    guard::GuardState, incoming_call::IncomingCall, introduction_desk::IntroductionDesk,
+    guard_state::GuardState, incoming_call::IncomingCall, introduction_desk::IntroductionDesk,
     member_counts::MemberCounts, once_desk::OnceDesk, peer_links::PeerLinks,
     service_pool::ServicePool, upstream_client::UpstreamClient,
 };
--- /dev/null
+++ b/crates/coltsfoot-node/src/dispatch/guard_run.rs
@@ -0,0 +1,135 @@
+//! The run of an admitted call on the upstream beside the node.
+
+use std::{rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use coltsfoot_wire::peer::{CallReply, CallRequest, ReplyBody};
+use coltsfootroute::{
+    admission::CallFinish,
+    constants::CALL_PATH_PREFIX,
+    event::HybridStamp,
+    outcome::{CallOutcome, RefusalReason},
+    time::MonotonicTime,
+};
+use tokio::time::timeout_at;
+
+use super::{
+    calls_in_flight::{CallSpan, context_text},
+    dispatcher::Dispatcher,
+    run_permit::RunPermit,
+    upstream_client::{UpstreamAnswer, UpstreamCall, UpstreamError},
+};
+
+/// First status of answers that say that the upstream failed.
+const FIRST_SERVER_ERROR: u16 = 500;
+
+impl Dispatcher {
+    /// Runs a call on the upstream. Dropping the future stops the upstream's work.
+    pub(super) async fn run(
+        self: &Rc<Self>,
+        call: &CallRequest,
+        deadline: MonotonicTime,
+        span: &Rc<CallSpan>,
+        permit: RunPermit,
+    ) -> CallReply {
+        let Some(address) = self.upstream_address() else {
+            permit.finish(CallFinish::Failed);
+            return self.refusal(RefusalReason::NoUpstream, CallOutcome::NotRun);
+        };
+        // The wait for a slot or a claim may have been long.
+        if self.has_withdrawn() {
+            return self.refusal(RefusalReason::Leaving, CallOutcome::NotRun);
+        }
+        let context = self.spans.enter(&mut *self.rng.borrow_mut(), span.clone());
+        let mut entered = EnteredSpan { dispatcher: self, context, span, answered: false };
+        let upstream_call = UpstreamCall {
+            path: format!("{CALL_PATH_PREFIX}{}/{}", call.service, call.operation),
+            context: context_text(context),
+            remaining_ms: self.remaining_ms(deadline),
+            key: call.key.as_deref(),
+            content_type: &call.content_type,
+            body: Bytes::copy_from_slice(&call.body),
+        };
+        let started = self.clock.now();
+        let until = self.clock.instant_at(deadline).into();
+        let result = timeout_at(until, self.upstream_client.send(address, upstream_call)).await;
+        let upstream_time = self.clock.now().since(started);
+        entered.answered = result.is_ok();
+        let Ok(result) = result else {
+            permit.finish(CallFinish::TimedOut);
+            return self.refusal(RefusalReason::Deadline, CallOutcome::Unknown);
+        };
+        permit.finish(call_finish(&result));
+        self.run_reply(result, span, upstream_time)
+    }
+
+    fn run_reply(
+        &self,
+        result: Result<UpstreamAnswer, UpstreamError>,
+        span: &CallSpan,
+        upstream_time: Duration,
+    ) -> CallReply {
+        let (reason, ran) = match result {
+            Ok(answer) => return answer_reply(answer, upstream_time),
+            Err(UpstreamError::Unreachable) => (RefusalReason::NoUpstream, false),
+            // An upstream that made nested calls has run the request in part, whatever it says.
+            Err(UpstreamError::Shed) => (RefusalReason::Overload, span.may_have_nested()),
+            Err(UpstreamError::CutOff) => (RefusalReason::UpstreamFailed, true),
+        };
+        let outcome = if ran { CallOutcome::Unknown } else { CallOutcome::NotRun };
+        self.refusal(reason, outcome)
+    }
+
+    fn upstream_address(&self) -> Option<std::net::SocketAddr> {
+        self.guard.upstream.borrow().as_ref().map(|upstream| upstream.announcement.address)
+    }
+
+    fn has_withdrawn(&self) -> bool {
+        self.guard.upstream.borrow().as_ref().is_some_and(|upstream| upstream.has_withdrawn)
+    }
+}
+
+/// A call that the upstream works on; dropped before its answer, its nested calls are given up too.
+struct EnteredSpan<'a> {
+    dispatcher: &'a Dispatcher,
+    context: u128,
+    span: &'a CallSpan,
+    answered: bool,
+}
+
+impl Drop for EnteredSpan<'_> {
+    fn drop(&mut self) {
+        self.dispatcher.spans.leave(self.context);
+        if !self.answered {
+            self.span.cancel();
+        }
+    }
+}
+
+/// A complete answer that says that the upstream failed leaves open how far the run came.
+pub(super) fn answer_outcome(status: u16) -> CallOutcome {
+    if status >= FIRST_SERVER_ERROR { CallOutcome::Unknown } else { CallOutcome::Completed }
+}
+
+fn answer_reply(answer: UpstreamAnswer, upstream_time: Duration) -> CallReply {
+    CallReply {
+        outcome: answer_outcome(answer.status),
+        body: ReplyBody::Answer {
+            status: answer.status,
+            content_type: answer.content_type,
+            body: answer.body,
+            replayed: false,
+        },
+        levels: Vec::new(),
+        upstream_time,
+        stamp: HybridStamp::default(),
+    }
+}
+
+fn call_finish(result: &Result<UpstreamAnswer, UpstreamError>) -> CallFinish {
+    match result {
+        Ok(answer) if answer.status < FIRST_SERVER_ERROR => CallFinish::Succeeded,
+        Ok(_) | Err(UpstreamError::CutOff | UpstreamError::Unreachable) => CallFinish::Failed,
+        Err(UpstreamError::Shed) => CallFinish::ShedByUpstream,
+    }
+}
--- a/crates/coltsfoot-node/src/dispatch/local_upstream.rs
+++ b/crates/coltsfoot-node/src/dispatch/local_upstream.rs
@@ -5,7 +5,7 @@
 use coltsfootroute::{event::EventKind, membership::UpstreamOffer, name::ServiceName};
 use http::StatusCode;
 
-use super::{dispatcher::Dispatcher, guard::GuardedUpstream};
+use super::{dispatcher::Dispatcher, guard_state::GuardedUpstream};
 use crate::{gossip::GossipCommand, http::HttpReply};
 
 /// An upstream that has not repeated its announcement for so long is taken as gone.
--- a/crates/coltsfoot-node/src/dispatch/once_run.rs
+++ b/crates/coltsfoot-node/src/dispatch/once_run.rs
@@ -19,7 +19,8 @@
 use tokio::time::{sleep, timeout};
 
 use super::{
-    calls_in_flight::CallSpan, dispatcher::Dispatcher, guard::answer_outcome, run_permit::RunPermit,
+    calls_in_flight::CallSpan, dispatcher::Dispatcher, guard_run::answer_outcome,
+    run_permit::RunPermit,
 };
 use crate::clock::wall_millis;
 
--- a/crates/coltsfoot-node/src/process.rs
+++ b/crates/coltsfoot-node/src/process.rs
@@ -1,9 +1,13 @@
 //! The whole node: its threads, started in order and stopped without interrupting a request.
 
 mod drain_switch;
+mod node_addresses;
 mod node_error;
+mod node_parts;
 mod node_process;
+mod node_sockets;
 
 pub use drain_switch::DrainSwitch;
+pub use node_addresses::NodeAddresses;
 pub use node_error::NodeError;
-pub use node_process::{NodeAddresses, NodeProcess};
+pub use node_process::NodeProcess;
--- /dev/null
+++ b/crates/coltsfoot-node/src/process/node_parts.rs
@@ -0,0 +1,155 @@
+//! What the duties of one node share, and what each is made of.
+
+use std::{sync::Arc, time::Duration};
+
+use coltsfootroute::{
+    drain::DrainSettings,
+    id::NodeId,
+    membership::{GossipSettings, MemberRecord},
+    table::RateShare,
+};
+use tokio::sync::mpsc;
+
+use super::DrainSwitch;
+use crate::{
+    clock::MonotonicClock,
+    config::{ConfigCell, ConfigHandle, ConfigParts},
+    dispatch::{DispatchHandle, DispatchParts, NodeIdentity},
+    gossip::{GossipCommand, GossipParts},
+    http::{ClientState, HostState, PartLimits},
+    journal::{EventReader, EventSender},
+    metrics::NodeMetrics,
+    settings::NodeSettings,
+    store::{StoreHandle, StoreSettings},
+};
+
+/// What the duties of one node share.
+pub struct NodeParts<'a> {
+    /// Settings of the node.
+    pub settings: &'a NodeSettings,
+    /// Clock of the process.
+    pub clock: MonotonicClock,
+    /// The node.
+    pub identity: NodeIdentity,
+    /// Seed of the node's random generators.
+    pub seed: u64,
+    /// Where the configuration in force stands.
+    pub cell: ConfigCell,
+    /// The platform's services.
+    pub store: StoreHandle,
+    /// The dispatch duty.
+    pub dispatch: DispatchHandle,
+    /// The configuration duty.
+    pub config: ConfigHandle,
+    /// Commands to the gossip duty.
+    pub gossip: mpsc::Sender<GossipCommand>,
+    /// Metrics of the node.
+    pub metrics: Arc<NodeMetrics>,
+    /// Events of the node.
+    pub events: EventSender,
+}
+
+impl NodeParts<'_> {
+    /// What the gossip duty is made of.
+    pub fn gossip(&self) -> GossipParts {
+        let peers = self.settings_peers();
+        GossipParts {
+            clock: self.clock,
+            settings: GossipSettings::new().with_peers(peers),
+            record: MemberRecord::new(
+                self.identity.node,
+                self.identity.incarnation,
+                self.identity.domain.clone(),
+                self.identity.region.clone(),
+            ),
+            dispatch: self.dispatch.clone(),
+            config: self.config.clone(),
+            metrics: self.metrics.clone(),
+            events: self.events.clone(),
+            seed: self.seed.wrapping_add(1),
+        }
+    }
+
+    /// What the dispatch duty is made of.
+    pub fn dispatch(&self) -> DispatchParts {
+        let limits = &self.settings.limits;
+        DispatchParts {
+            clock: self.clock,
+            identity: self.identity.clone(),
+            control: self.settings.control,
+            config: self.cell.clone(),
+            body_limit: self.part_limits().body_bytes,
+            queue: u32::try_from(limits.queue).unwrap_or(u32::MAX),
+            drain: DrainSettings::default()
+                .with_notice(Duration::from_millis(limits.drain_notice_ms))
+                .with_report_after(Duration::from_secs(limits.drain_max_s)),
+            store: self.store.clone(),
+            nodes: u32::try_from(self.settings.store.nodes).unwrap_or(u32::MAX),
+            gossip: self.gossip.clone(),
+            metrics: self.metrics.clone(),
+            events: self.events.clone(),
+            seed: self.seed,
+        }
+    }
+
+    /// What the configuration duty is made of.
+    pub fn config(&self) -> ConfigParts {
+        ConfigParts {
+            node: self.identity.node,
+            peers: self.settings_peers().collect(),
+            cell: self.cell.clone(),
+            store: self.store.clone(),
+            dispatch: self.dispatch.clone(),
+            gossip: self.gossip.clone(),
+            events: self.events.clone(),
+            metrics: self.metrics.clone(),
+        }
+    }
+
+    /// State of the listener for clients.
+    pub fn client_state(&self) -> ClientState {
+        ClientState {
+            clock: self.clock,
+            dispatch: self.dispatch.clone(),
+            metrics: self.metrics.clone(),
+            limits: self.part_limits(),
+        }
+    }
+
+    /// State of the listener on the host's own address.
+    pub fn host_state(&self, events: EventReader, drain: DrainSwitch) -> HostState {
+        HostState {
+            clock: self.clock,
+            dispatch: self.dispatch.clone(),
+            config: self.config.clone(),
+            events,
+            metrics: self.metrics.clone(),
+            drain,
+            limits: self.part_limits(),
+        }
+    }
+
+    fn settings_peers(&self) -> impl Iterator<Item = NodeId> {
+        self.settings.peers.iter().copied().map(NodeId)
+    }
+
+    fn part_limits(&self) -> PartLimits {
+        let bytes = |most| usize::try_from(most).unwrap_or(usize::MAX);
+        let limits = &self.settings.limits;
+        PartLimits { head_bytes: bytes(limits.header_bytes), body_bytes: bytes(limits.body_bytes) }
+    }
+}
+
+/// Settings of the store's client.
+pub fn store_settings(settings: &NodeSettings, seed: u64) -> StoreSettings {
+    let mut store = StoreSettings::new(settings.store.table);
+    store.objects = settings.store.objects.unwrap_or(settings.store.table);
+    store.seed = seed.wrapping_add(2);
+    // Rates are whole numbers of at most a million, which a double holds exactly.
+    store.with_share(RateShare {
+        writes_per_s: settings.store.writes_per_s as f64,
+        reads_per_s: settings.store.reads_per_s as f64,
+        nodes: u32::try_from(settings.store.nodes).unwrap_or(u32::MAX),
+        ..RateShare::default()
+    })
+}
