One macro shows a type as the text of its as_str

Cause: the same Display stood in seven files. Change: display_as_str! in macros.rs. Conclusion: behaviour as before.

--- a/crates/coltsfootroute/src/drain/drain_phase.rs
+++ b/crates/coltsfootroute/src/drain/drain_phase.rs
@@ -1,7 +1,5 @@
 //! Phase of a leave.
 
-use std::fmt;
-
 value_type! {
     /// Phase of a node or an upstream; only ever moves forward.
     pub enum DrainPhase {
@@ -25,8 +23,4 @@
     }
 }
 
-impl fmt::Display for DrainPhase {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(self.as_str())
-    }
-}
+display_as_str!(DrainPhase);
--- a/crates/coltsfootroute/src/event/claim_outcome.rs
+++ b/crates/coltsfootroute/src/event/claim_outcome.rs
@@ -1,7 +1,5 @@
 //! How a claim on an idempotency key ended.
 
-use std::fmt;
-
 value_type! {
     /// How a claim on an idempotency key ended.
     #[derive(serde::Serialize, serde::Deserialize)]
@@ -50,8 +48,4 @@
     }
 }
 
-impl fmt::Display for ClaimOutcome {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(self.as_str())
-    }
-}
+display_as_str!(ClaimOutcome);
--- a/crates/coltsfootroute/src/event/denial_reason.rs
+++ b/crates/coltsfootroute/src/event/denial_reason.rs
@@ -1,7 +1,5 @@
 //! Why a retry was denied.
 
-use std::fmt;
-
 value_type! {
     /// Why a retry was denied.
     #[derive(serde::Serialize, serde::Deserialize)]
@@ -50,8 +48,4 @@
     }
 }
 
-impl fmt::Display for DenialReason {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(self.as_str())
-    }
-}
+display_as_str!(DenialReason);
--- a/crates/coltsfootroute/src/importance.rs
+++ b/crates/coltsfootroute/src/importance.rs
@@ -1,6 +1,6 @@
 //! Importance of a client request.
 
-use std::{fmt, str::FromStr};
+use std::str::FromStr;
 
 value_type! {
     /// How important a client request is. Set from the schema where the request enters and carried
@@ -52,11 +52,7 @@
     }
 }
 
-impl fmt::Display for Importance {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(self.as_str())
-    }
-}
+display_as_str!(Importance);
 
 impl FromStr for Importance {
     type Err = UnknownImportance;
--- a/crates/coltsfootroute/src/macros.rs
+++ b/crates/coltsfootroute/src/macros.rs
@@ -75,3 +75,14 @@
         }
     };
 }
+
+/// Shows a type as the text of its `as_str`.
+macro_rules! display_as_str {
+    ($name:ident) => {
+        impl std::fmt::Display for $name {
+            fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+                f.write_str(self.as_str())
+            }
+        }
+    };
+}
--- a/crates/coltsfootroute/src/outcome/call_outcome.rs
+++ b/crates/coltsfootroute/src/outcome/call_outcome.rs
@@ -1,6 +1,6 @@
 //! Outcome of a call.
 
-use std::{fmt, str::FromStr};
+use std::str::FromStr;
 
 value_type! {
     /// Whether the request that a caller sent has run. It speaks of that request only: a nested
@@ -28,11 +28,7 @@
     }
 }
 
-impl fmt::Display for CallOutcome {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(self.as_str())
-    }
-}
+display_as_str!(CallOutcome);
 
 impl FromStr for CallOutcome {
     type Err = UnknownOutcome;
--- a/crates/coltsfootroute/src/outcome/refusal_reason.rs
+++ b/crates/coltsfootroute/src/outcome/refusal_reason.rs
@@ -1,7 +1,5 @@
 //! Why a call was refused or given up.
 
-use std::fmt;
-
 value_type! {
     /// The reason in the body of a refusal. The reason does not decide the outcome: a deadline can
     /// pass before or after the call was dispatched.
@@ -82,8 +80,4 @@
     }
 }
 
-impl fmt::Display for RefusalReason {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(self.as_str())
-    }
-}
+display_as_str!(RefusalReason);
--- a/crates/coltsfootroute/src/routing/upstream_phase.rs
+++ b/crates/coltsfootroute/src/routing/upstream_phase.rs
@@ -1,7 +1,5 @@
 //! Phase of an upstream in a pool.
 
-use std::fmt;
-
 value_type! {
     /// What a pool thinks of an upstream.
     pub enum UpstreamPhase {
@@ -34,8 +32,4 @@
     }
 }
 
-impl fmt::Display for UpstreamPhase {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(self.as_str())
-    }
-}
+display_as_str!(UpstreamPhase);
