The root refuses nothing soon after it admitted less important work

A level that rises within the breach window refused important work in part, moments after the root had let less important work through. Change: RootGate holds levels and admissions together and passes such work on to the guards, which evict the less important first. Conclusion: at the root the order holds by construction; what remains is counted at the guards.

--- a/crates/coltsfoot-node/src/dispatch/client_request.rs
+++ b/crates/coltsfoot-node/src/dispatch/client_request.rs
@@ -68,7 +68,7 @@
             Ok(check) => check,
             Err(reason) => return self.refuse(Importance::Background, reason),
         };
-        if let Some(retry_after_s) = self.shed_at_root(request, &call, check.importance) {
+        if let Some(retry_after_s) = self.shed_at_root(&call, check.importance) {
             self.metrics.requests.refused(RefusalReason::Overload, check.importance);
             return CallReply::refusal(RefusalReason::Overload, CallOutcome::NotRun, retry_after_s);
         }
--- a/crates/coltsfoot-node/src/dispatch/dispatcher.rs
+++ b/crates/coltsfoot-node/src/dispatch/dispatcher.rs
@@ -9,10 +9,10 @@
 
 use coltsfoot_wire::peer::{CallReply, LevelNote};
 use coltsfootroute::{
-    admission::{BreachCounter, RetryAfter, ServiceLevels, ShedLevel},
+    admission::{RetryAfter, RootGate, ShedLevel},
     deadline::{DeadlineCheck, ServiceTimes},
     drain::{DrainState, StartAnswer},
-    id::{Incarnation, NodeId, RequestId},
+    id::{Incarnation, NodeId},
     importance::Importance,
     name::{DomainName, RegionName, ServiceName},
     once::ClaimHolder,
@@ -62,9 +62,8 @@
     pub(super) accounts: RefCell<AccountLedger>,
     pub(super) policy: RetryPolicy,
     pub(super) throttles: RefCell<IndexMap<ServiceName, ServiceThrottle>>,
-    pub(super) levels: RefCell<ServiceLevels>,
-    /// Importance order of what this node refuses at the root.
-    pub(super) root_breaches: RefCell<BreachCounter>,
+    /// Levels of the services, and what is refused by them where requests enter.
+    pub(super) root: RefCell<RootGate>,
     pub(super) times: RefCell<ServiceTimes>,
     pub(super) deadlines: DeadlineCheck,
     pub(super) spans: CallsInFlight,
@@ -127,8 +126,7 @@
             accounts: RefCell::new(AccountLedger::new(LedgerSettings::default())),
             policy: RetryPolicy::default(),
             throttles: RefCell::default(),
-            levels: RefCell::new(ServiceLevels::new()),
-            root_breaches: RefCell::new(BreachCounter::new()),
+            root: RefCell::new(RootGate::new()),
             times: RefCell::new(ServiceTimes::default()),
             deadlines: DeadlineCheck::new(Duration::ZERO),
             spans: CallsInFlight::default(),
@@ -190,7 +188,8 @@
     /// Takes in the levels that came with a reply.
     pub(super) fn learn_levels(&self, notes: &[LevelNote]) {
         let now = self.clock.now();
-        let mut levels = self.levels.borrow_mut();
+        let mut root = self.root.borrow_mut();
+        let levels = root.levels_mut();
         for note in notes {
             levels.observe(now, &note.service, note.guard, note.level);
         }
@@ -198,17 +197,12 @@
 
     /// Whether `service` sheds work of this importance, wholly or in part.
     pub(super) fn is_shed(&self, service: &ServiceName, importance: Importance) -> bool {
-        let level: ShedLevel = self.levels.borrow().level(self.clock.now(), service);
+        let level: ShedLevel = self.root.borrow().levels().level(self.clock.now(), service);
         level.admitted_fraction(importance) < 1.0
     }
 
     /// Seconds to come back after, if work that would be refused deeper down is refused here.
-    pub(super) fn shed_at_root(
-        &self,
-        request: RequestId,
-        call: &IncomingCall,
-        importance: Importance,
-    ) -> Option<u32> {
+    pub(super) fn shed_at_root(&self, call: &IncomingCall, importance: Importance) -> Option<u32> {
         if !self.control.is_on() {
             return None;
         }
@@ -216,19 +210,7 @@
         let services = config.reachable(&call.service, &call.operation);
         let now = self.clock.now();
         let mut rng = self.rng.borrow_mut();
-        let result = self.levels.borrow().admit(now, &services, importance, &mut *rng);
-        let mut breaches = self.root_breaches.borrow_mut();
-        match result {
-            Ok(()) => {
-                for service in services.iter() {
-                    breaches.on_admission(now, service, importance);
-                }
-                None
-            }
-            Err(refusal) => {
-                self.note_refusal(&mut breaches, request, &refusal.service, importance);
-                Some(refusal.retry_after.0)
-            }
-        }
+        let result = self.root.borrow_mut().admit(now, &services, importance, &mut *rng);
+        result.err().map(|refusal| refusal.retry_after.0)
     }
 }
--- a/crates/coltsfoot-node/src/dispatch/routed_call.rs
+++ b/crates/coltsfoot-node/src/dispatch/routed_call.rs
@@ -139,11 +139,12 @@
     fn choose(&self, call: &RoutedCall, tried: &[NodeId]) -> Option<NodeId> {
         let now = self.clock.now();
         let mut rng = self.rng.borrow_mut();
-        let levels = self.levels.borrow();
+        let root = self.root.borrow();
         let admitted = |guard| match self.control.is_on() {
-            true => {
-                levels.guard_level(now, &call.service, guard).admitted_fraction(call.importance)
-            }
+            true => root
+                .levels()
+                .guard_level(now, &call.service, guard)
+                .admitted_fraction(call.importance),
             false => 1.0,
         };
         self.with_pool(&call.service, |pool| {
