--- /dev/null
+++ b/crates/coltsfoot-node/src/border/upstream_dialect.rs
@@ -0,0 +1,77 @@
+//! What node and upstream tell each other in headers.
+
+use coltsfootroute::{
+    constants::{CONTEXT_HEADER, DEADLINE_HEADER, IDEMPOTENCY_KEY_HEADER, OUTCOME_HEADER},
+    outcome::CallOutcome,
+};
+use http::{HeaderMap, HeaderName, StatusCode, header::CONTENT_ENCODING};
+
+/// How an upstream says that it has not run a call.
+#[derive(Clone, Debug)]
+pub struct NotRunMark {
+    /// Header that says so.
+    pub header: HeaderName,
+    /// Value that it needs to have; `None`: any.
+    pub value: Option<&'static str>,
+    /// Status that the answer needs to have; `None`: any.
+    pub status: Option<StatusCode>,
+}
+
+/// What node and upstream tell each other in headers; absent ones are not used.
+#[derive(Clone, Debug)]
+pub struct UpstreamDialect {
+    /// To the upstream: milliseconds left.
+    pub deadline: HeaderName,
+    /// To the upstream: the context of its nested calls.
+    pub context: Option<HeaderName>,
+    /// To the upstream: idempotency key.
+    pub key: Option<HeaderName>,
+    /// To the upstream: the instance that alone may run the call.
+    pub expected_instance: Option<HeaderName>,
+    /// Answer: the call has not run.
+    pub not_run: NotRunMark,
+    /// Answer: repeats the value that the call had under this name; another value is the answer to another
+    /// call.
+    pub echo: Option<HeaderName>,
+    /// Answer: stands on each success that is the upstream's own.
+    pub seal: Option<HeaderName>,
+}
+
+impl UpstreamDialect {
+    /// The product's own headers.
+    pub fn own() -> Self {
+        Self {
+            deadline: HeaderName::from_static(DEADLINE_HEADER),
+            context: Some(HeaderName::from_static(CONTEXT_HEADER)),
+            key: Some(HeaderName::from_static(IDEMPOTENCY_KEY_HEADER)),
+            expected_instance: None,
+            not_run: NotRunMark {
+                header: HeaderName::from_static(OUTCOME_HEADER),
+                value: Some(CallOutcome::NotRun.as_str()),
+                status: Some(StatusCode::SERVICE_UNAVAILABLE),
+            },
+            echo: None,
+            seal: None,
+        }
+    }
+
+    /// Whether an answer says that the call has not run.
+    pub fn says_not_run(&self, status: StatusCode, headers: &HeaderMap) -> bool {
+        let mark = &self.not_run;
+        let is_status = mark.status.is_none_or(|expected| expected == status);
+        let value = headers.get(&mark.header);
+        is_status && value.is_some_and(|value| mark.value.is_none_or(|expected| value == expected))
+    }
+
+    /// Whether an answer is that to a call whose headers were `sent`.
+    pub fn is_echoed(&self, sent: &HeaderMap, headers: &HeaderMap) -> bool {
+        self.echo.as_ref().is_none_or(|echo| sent.get(echo) == headers.get(echo))
+    }
+
+    /// Whether a success is the upstream's own and not changed on the way.
+    pub fn is_sealed(&self, status: StatusCode, headers: &HeaderMap) -> bool {
+        let Some(seal) = &self.seal else { return true };
+        !status.is_success()
+            || headers.contains_key(seal) && !headers.contains_key(CONTENT_ENCODING)
+    }
+}
--- a/crates/coltsfoot-node/src/config/config_book.rs
+++ b/crates/coltsfoot-node/src/config/config_book.rs
@@ -12,7 +12,7 @@
     schema::SchemaDocument,
 };
 
-use super::ConfigInForce;
+use super::{ConfigInForce, ConfigOrigin};
 use crate::clock::wall_millis;
 
 /// Revisions remembered for peers and operators.
@@ -33,12 +33,16 @@
 
 impl ConfigBook {
     /// An empty book; `peers` are asked before the node may take work while the store is down.
-    pub fn new(node: NodeId, peers: &[NodeId]) -> Self {
+    pub fn new(node: NodeId, peers: &[NodeId], origin: ConfigOrigin) -> Self {
         let mut gate = StartGate::new();
         for peer in peers {
             gate.ask(*peer);
         }
-        let (state, recent) = (ConfigState::new(), RecentHistory::new(RECENT_REVISIONS));
+        let state = match origin {
+            ConfigOrigin::Submitted => ConfigState::new(),
+            ConfigOrigin::Outside => ConfigState::with_outside_history(),
+        };
+        let recent = RecentHistory::new(RECENT_REVISIONS);
         let (handed_out, previous) = (Revision::ZERO, Revision::ZERO);
         Self { node, state, gate, recent, handed_out, previous }
     }
@@ -114,7 +118,7 @@
             return None;
         }
         self.previous = std::mem::replace(&mut self.handed_out, held);
-        Some(Arc::new(ConfigInForce::new(self.state.clone())))
+        Some(Arc::new(ConfigInForce::new(self.state.clone(), route_seed(self.node))))
     }
 
     /// The event that tells of the revision last handed out.
@@ -128,3 +132,8 @@
         self.recent.after(Revision::ZERO).cloned().collect()
     }
 }
+
+/// Where this node begins with the parts of weighted routes.
+fn route_seed(node: NodeId) -> u64 {
+    twox_hash::XxHash64::oneshot(0, node.to_string().as_bytes())
+}
--- a/crates/coltsfoot-node/src/config/config_command.rs
+++ b/crates/coltsfoot-node/src/config/config_command.rs
@@ -4,7 +4,7 @@
 use coltsfootroute::id::NodeId;
 use tokio::sync::oneshot;
 
-use super::SubmitRequest;
+use super::{AcceptedConfig, SubmitRequest};
 use crate::http::HttpReply;
 
 /// What the other duties ask of the configuration duty.
@@ -22,4 +22,6 @@
         /// Its revision.
         revision: u64,
     },
+    /// Another system has accepted a configuration, or still has this one in force.
+    Accepted(Box<AcceptedConfig>),
 }
--- a/crates/coltsfoot-node/src/config/config_handle.rs
+++ b/crates/coltsfoot-node/src/config/config_handle.rs
@@ -4,7 +4,7 @@
 use http::StatusCode;
 use tokio::sync::{mpsc, oneshot};
 
-use super::{ConfigCommand, SubmitRequest};
+use super::{AcceptedConfig, ConfigCommand, SubmitRequest};
 use crate::http::HttpReply;
 
 /// Sends commands to the configuration duty over a bounded ring.
@@ -39,6 +39,12 @@
         let _ = self.commands.try_send(command);
     }
 
+    /// Tells the duty of a configuration that another system has accepted; waits while the ring is full.
+    pub async fn accept(&self, accepted: AcceptedConfig) {
+        // A closed ring means that the process stops.
+        let _ = self.commands.send(ConfigCommand::Accepted(Box::new(accepted))).await;
+    }
+
     async fn ask(
         &self,
         command: impl FnOnce(oneshot::Sender<HttpReply>) -> ConfigCommand,
--- a/crates/coltsfoot-node/src/config/config_in_force.rs
+++ b/crates/coltsfoot-node/src/config/config_in_force.rs
@@ -6,7 +6,7 @@
     name::{OperationName, ServiceName},
     outcome::RefusalReason,
     revision::{ConfigState, Revision},
-    schema::{OperationEntry, SchemaDocument},
+    schema::{OperationEntry, RouteTable, SchemaDocument},
 };
 use indexmap::IndexMap;
 
@@ -17,15 +17,27 @@
 pub struct ConfigInForce {
     state: ConfigState,
     document: SchemaDocument,
+    routes: RouteTable,
     /// Worked out when an operation is first called: most nodes take in few of all operations.
     reachable: Mutex<ReachableServices>,
 }
 
 impl ConfigInForce {
-    /// What `state` holds.
-    pub fn new(state: ConfigState) -> Self {
+    /// What `state` holds; `seed` is the node's, for the turns of weighted routes.
+    pub fn new(state: ConfigState, seed: u64) -> Self {
         let document = state.document();
-        Self { state, document, reachable: Mutex::default() }
+        let routes = RouteTable::new(&document, seed);
+        Self { state, document, routes, reachable: Mutex::default() }
+    }
+
+    /// Operations by host and path.
+    pub fn routes(&self) -> &RouteTable {
+        &self.routes
+    }
+
+    /// Connections that one upstream of `service` takes, `None` for an undeclared service.
+    pub fn connections(&self, service: &ServiceName) -> Option<u32> {
+        self.state.service(service).map(|entry| entry.connections)
     }
 
     /// Revision, 1 for the first.
--- a/crates/coltsfoot-node/src/config/config_replies.rs
+++ b/crates/coltsfoot-node/src/config/config_replies.rs
@@ -76,6 +76,11 @@
     with_status(StatusCode::BAD_REQUEST, reason, may_take_effect)
 }
 
+/// A submission where another system accepts configurations.
+pub fn accepted_elsewhere() -> HttpReply {
+    with_status(StatusCode::FORBIDDEN, "another system accepts the configurations", false)
+}
+
 fn with_status(status: StatusCode, reason: &str, may_take_effect: bool) -> HttpReply {
     HttpReply::json(status, &FailureBody { reason: reason.to_owned(), may_take_effect })
 }
--- a/crates/coltsfoot-node/src/config/config_thread.rs
+++ b/crates/coltsfoot-node/src/config/config_thread.rs
@@ -4,7 +4,8 @@
 
 use coltsfootroute::{
     id::NodeId,
-    revision::{ConfigDelta, HeadReader, ReaderStep, Revision},
+    revision::{ConfigDelta, HeadReader, ReaderStep, Revision, RevisionRecord},
+    schema::SchemaDocument,
 };
 use futures_util::{StreamExt, stream::FuturesUnordered};
 use tokio::{
@@ -14,7 +15,7 @@
 };
 
 use super::{
-    ConfigCell, ConfigCommand, ConfigHandle,
+    ConfigCell, ConfigCommand, ConfigHandle, ConfigOrigin,
     config_book::ConfigBook,
     config_replies,
     submit_desk::{FinishedErrand, SubmitDesk},
@@ -36,6 +37,8 @@
 
 /// What the configuration duty is made of.
 pub struct ConfigParts {
+    /// Who accepts configurations.
+    pub origin: ConfigOrigin,
     /// The node.
     pub node: NodeId,
     /// Peers of the settings, asked at the start.
@@ -76,7 +79,7 @@
     /// If the runtime or the thread cannot be created.
     pub fn start(parts: ConfigParts, commands: mpsc::Receiver<ConfigCommand>) -> io::Result<()> {
         let runtime = runtime::Builder::new_current_thread().enable_all().build()?;
-        let book = ConfigBook::new(parts.node, &parts.peers);
+        let book = ConfigBook::new(parts.node, &parts.peers, parts.origin);
         let duty = Self { parts, book, errands: FuturesUnordered::new() };
         thread::Builder::new()
             .name("config".to_owned())
@@ -115,6 +118,13 @@
 
     async fn obey(&mut self, command: ConfigCommand) {
         match command {
+            ConfigCommand::Submit(_, _, reply) if self.parts.origin == ConfigOrigin::Outside => {
+                // The asker may have gone away; nothing is owed to it then.
+                let _ = reply.send(config_replies::accepted_elsewhere());
+            }
+            ConfigCommand::Accepted(accepted) => {
+                self.hear_accepted(&accepted.record, &accepted.document).await;
+            }
             ConfigCommand::Submit(request, body, reply) => {
                 self.errands.push(Box::pin(self.desk().submit(request, body, reply)));
             }
@@ -136,7 +146,9 @@
 
     /// Learns the newest configuration: from the store, and before the first one from peers as well.
     async fn learn(&mut self) {
-        self.read_head().await;
+        if self.parts.origin == ConfigOrigin::Submitted {
+            self.read_head().await;
+        }
         if self.parts.cell.load().is_some() {
             return;
         }
@@ -161,6 +173,18 @@
             }
         };
         let newest = newest.as_ref().map(|row| (&row.record, &row.document));
+        self.hear_store(newest).await;
+    }
+
+    async fn hear_accepted(&mut self, record: &RevisionRecord, document: &SchemaDocument) {
+        if record.revision > self.book.held() {
+            self.hear_store(Some((record, document))).await;
+        } else {
+            self.hear_store(None).await;
+        }
+    }
+
+    async fn hear_store(&mut self, newest: Option<(&RevisionRecord, &SchemaDocument)>) {
         if let Err(fault) = self.book.hear_store(newest) {
             log::error!("event=configuration-refused source=store error={:?}", fault.to_string());
         }
--- a/crates/coltsfoot-node/src/dispatch.rs
+++ b/crates/coltsfoot-node/src/dispatch.rs
@@ -10,6 +10,7 @@
 mod dispatch_handle;
 mod dispatch_thread;
 mod dispatcher;
+mod entry_port;
 mod guard;
 mod guard_run;
 mod guard_state;
@@ -33,7 +34,9 @@
 
 pub use dispatch_command::DispatchCommand;
 pub use dispatch_handle::DispatchHandle;
-pub use dispatch_thread::{DispatchParts, DispatchThread};
+pub use dispatch_thread::{DispatchParts, DispatchThread, FrontDoor};
 pub use dispatcher::NodeIdentity;
+pub use entry_port::{EntryPort, EntryReply, UpstreamHeartbeat};
 pub use incoming_call::{CallOrigin, IncomingCall};
 pub use local_upstream::UpstreamAnnouncement;
+pub use upstream_client::end_to_end;
--- a/crates/coltsfoot-node/src/dispatch/client_request.rs
+++ b/crates/coltsfoot-node/src/dispatch/client_request.rs
@@ -19,7 +19,7 @@
     incoming_call::IncomingCall,
     routed_call::RoutedCall,
 };
-use crate::http::HttpReply;
+use crate::{border::RepeatGuard, http::HttpReply};
 
 /// A client request that passed the checks of its form.
 struct EntryCheck {
@@ -55,7 +55,8 @@
         if self.drain.borrow().closes_connections() { reply.with_close() } else { reply }
     }
 
-    async fn serve_entry(
+    /// Serves one request of a client under an identity that its listener has found.
+    pub(super) async fn serve_entry(
         self: &Rc<Self>,
         request: RequestId,
         call: IncomingCall,
@@ -91,6 +92,7 @@
             repeatable: check.repeatable,
             key: call.key,
             content_type: call.content_type,
+            head: call.head,
             body: call.body,
         };
         let reply = self.route(&routed).await;
@@ -102,7 +104,7 @@
         let config = self.config.in_force()?;
         let operation = config.operation(&call.service, &call.operation)?;
         let entry = operation.client.as_ref().ok_or(RefusalReason::UnknownOperation)?;
-        check_key(operation, call)?;
+        self.check_key(operation, call)?;
         let deadline = entry_deadline(entry, call);
         self.check_deadline(call, deadline)?;
         Ok(EntryCheck {
@@ -113,6 +115,16 @@
         })
     }
 
+    /// A non-repeatable operation needs an idempotency key where runs are claimed by key.
+    pub(super) fn check_key(
+        &self,
+        operation: &OperationEntry,
+        call: &IncomingCall,
+    ) -> Result<(), RefusalReason> {
+        let needs_key = self.repeat_guard == RepeatGuard::Claims && !operation.repeatable;
+        if needs_key && call.key.is_none() { Err(RefusalReason::BadRequest) } else { Ok(()) }
+    }
+
     /// Refuses work that cannot end in time, by the time such calls have taken of late.
     pub(super) fn check_deadline(
         &self,
@@ -133,14 +145,6 @@
     }
 }
 
-/// A non-repeatable operation needs an idempotency key.
-pub(super) fn check_key(
-    operation: &OperationEntry,
-    call: &IncomingCall,
-) -> Result<(), RefusalReason> {
-    if operation.repeatable || call.key.is_some() { Ok(()) } else { Err(RefusalReason::BadRequest) }
-}
-
 fn entry_deadline(entry: &ClientEntry, call: &IncomingCall) -> MonotonicTime {
     let most = Duration::from_millis(entry.deadline_ms);
     call.received + call.remaining.map_or(most, |remaining| remaining.min(most))
--- a/crates/coltsfoot-node/src/dispatch/dispatch_thread.rs
+++ b/crates/coltsfoot-node/src/dispatch/dispatch_thread.rs
@@ -17,10 +17,12 @@
 use super::{
     DispatchCommand, DispatchHandle,
     dispatcher::{Dispatcher, NodeIdentity},
+    entry_port::EntryPort,
     incoming_call::{CallOrigin, IncomingCall},
     peer_server::accept_peers,
 };
 use crate::{
+    border::{ClientFront, RepeatGuard, UpstreamDialect},
     clock::MonotonicClock,
     config::ConfigCell,
     gossip::GossipCommand,
@@ -46,6 +48,10 @@
     pub identity: NodeIdentity,
     /// Whether load is controlled.
     pub control: ControlMode,
+    /// Headers between node and upstream.
+    pub dialect: UpstreamDialect,
+    /// What keeps non-repeatable work from running twice.
+    pub repeat_guard: RepeatGuard,
     /// Configuration in force, written by the configuration duty.
     pub config: ConfigCell,
     /// Most bytes of a body.
@@ -68,6 +74,14 @@
     pub seed: u64,
 }
 
+/// A client front and the listener that it serves.
+pub struct FrontDoor<F> {
+    /// The front.
+    pub front: F,
+    /// Open listener for clients.
+    pub listener: TcpListener,
+}
+
 /// The thread of the dispatch duty.
 pub struct DispatchThread;
 
@@ -78,34 +92,45 @@
         (DispatchHandle::new(sender), receiver)
     }
 
-    /// Starts the thread; it accepts peers on `listener` and ends with the process.
+    /// Starts the thread; it accepts peers on `listener`, clients on the listener of `front`, and ends with
+    /// the process.
     ///
     /// # Errors
     ///
     /// If the runtime or the thread cannot be created.
-    pub fn start(
+    pub fn start<F: ClientFront>(
         parts: DispatchParts,
+        front: Option<FrontDoor<F>>,
         listener: TcpListener,
         commands: mpsc::Receiver<DispatchCommand>,
     ) -> io::Result<()> {
         listener.set_nonblocking(true)?;
+        if let Some(door) = &front {
+            door.listener.set_nonblocking(true)?;
+        }
         let runtime = runtime::Builder::new_current_thread().enable_all().build()?;
         thread::Builder::new().name("dispatch".to_owned()).spawn(move || {
             let local = LocalSet::new();
-            local.block_on(&runtime, run(parts, listener, commands));
+            local.block_on(&runtime, run(parts, front, listener, commands));
         })?;
         Ok(())
     }
 }
 
-async fn run(
+async fn run<F: ClientFront>(
     parts: DispatchParts,
+    front: Option<FrontDoor<F>>,
     listener: TcpListener,
     mut commands: mpsc::Receiver<DispatchCommand>,
 ) {
     let dispatcher = Rc::new(Dispatcher::new(parts));
     // The listener is a bound socket in non-blocking mode, which is all the conversion asks for.
     let Ok(listener) = tokio::net::TcpListener::from_std(listener) else { return };
+    if let Some(FrontDoor { front, listener }) = front {
+        let Ok(listener) = tokio::net::TcpListener::from_std(listener) else { return };
+        let entry = EntryPort::new(dispatcher.clone());
+        spawn_local(front.serve(listener, entry));
+    }
     spawn_local(accept_peers(listener, dispatcher.clone()));
     spawn_local(dispatcher.clone().tick_gate());
     spawn_local(dispatcher.clone().upkeep());
--- a/crates/coltsfoot-node/src/dispatch/dispatcher.rs
+++ b/crates/coltsfoot-node/src/dispatch/dispatcher.rs
@@ -31,8 +31,8 @@
     service_pool::ServicePool, upstream_client::UpstreamClient,
 };
 use crate::{
-    clock::MonotonicClock, config::ConfigCell, gossip::GossipCommand, journal::EventSender,
-    metrics::NodeMetrics, settings::ControlMode,
+    border::RepeatGuard, clock::MonotonicClock, config::ConfigCell, gossip::GossipCommand,
+    journal::EventSender, metrics::NodeMetrics, settings::ControlMode,
 };
 
 /// What the dispatch duty knows of its own node; immutable.
@@ -75,6 +75,8 @@
     pub(super) drain_period: Duration,
     /// Most calls waiting in front of the upstream.
     pub(super) queue: u32,
+    /// What keeps non-repeatable work from running twice.
+    pub(super) repeat_guard: RepeatGuard,
     pub(super) once: OnceDesk,
     pub(super) introduction: IntroductionDesk,
     pub(super) gossip: mpsc::Sender<GossipCommand>,
@@ -129,7 +131,8 @@
             spans: CallsInFlight::default(),
             links: PeerLinks::new(parts.clock),
             guard: GuardState::default(),
-            upstream_client: UpstreamClient::new(parts.body_limit),
+            upstream_client: UpstreamClient::new(parts.body_limit, parts.dialect),
+            repeat_guard: parts.repeat_guard,
             drain_period: parts.drain.report_after,
             drain: RefCell::new(DrainState::new(parts.drain)),
             queue: parts.queue,
--- /dev/null
+++ b/crates/coltsfoot-node/src/dispatch/entry_port.rs
@@ -0,0 +1,111 @@
+//! The way into the dispatch duty for a client front on its thread.
+
+use std::{net::IpAddr, rc::Rc, sync::Arc};
+
+use coltsfoot_wire::peer::CallReply;
+use coltsfootroute::{
+    id::RequestId,
+    membership::{HeartbeatVerdict, InstanceName},
+    time::MonotonicTime,
+};
+use rand::RngExt;
+
+use super::{
+    dispatcher::Dispatcher,
+    incoming_call::{CallOrigin, IncomingCall},
+    local_upstream::UpstreamAnnouncement,
+};
+use crate::config::ConfigInForce;
+
+/// What a front tells its client of a request.
+#[derive(Clone, Debug)]
+pub struct EntryReply {
+    /// The answer or refusal.
+    pub reply: CallReply,
+    /// Whether the connection is to be closed: the node leaves.
+    pub is_last: bool,
+}
+
+/// A heartbeat of the upstream beside the node.
+#[derive(Clone, Debug)]
+pub struct UpstreamHeartbeat {
+    /// What it says of itself.
+    pub announcement: UpstreamAnnouncement,
+    /// Its life.
+    pub instance: InstanceName,
+    /// Rises with each heartbeat of a life.
+    pub sequence: u64,
+    /// Whether it takes no new work any more.
+    pub is_leaving: bool,
+}
+
+/// The way into the dispatch duty for a client front on its thread.
+#[derive(Clone)]
+pub struct EntryPort {
+    dispatcher: Rc<Dispatcher>,
+}
+
+impl EntryPort {
+    pub(super) fn new(dispatcher: Rc<Dispatcher>) -> Self {
+        Self { dispatcher }
+    }
+
+    /// The node's clock.
+    pub fn now(&self) -> MonotonicTime {
+        self.dispatcher.clock.now()
+    }
+
+    /// The configuration in force, `None` before the first.
+    pub fn config(&self) -> Option<Arc<ConfigInForce>> {
+        self.dispatcher.config.load()
+    }
+
+    /// Whether clients should send their requests here.
+    pub fn is_ready(&self) -> bool {
+        self.config().is_some() && !self.is_leaving()
+    }
+
+    /// Whether a planned stop has begun.
+    pub fn is_leaving(&self) -> bool {
+        self.dispatcher.drain.borrow().closes_connections()
+    }
+
+    /// An identity for a request whose client gave none.
+    pub fn draw_request(&self) -> RequestId {
+        RequestId(self.dispatcher.rng.borrow_mut().random())
+    }
+
+    /// Serves a request of the client at `client`. Dropping the future gives it up.
+    pub async fn call(&self, request: RequestId, call: IncomingCall) -> EntryReply {
+        let client = match call.origin {
+            CallOrigin::Client { address } => address,
+            CallOrigin::Upstream { .. } => IpAddr::from([0, 0, 0, 0]),
+        };
+        let reply = self.dispatcher.serve_entry(request, call, client).await;
+        EntryReply { reply, is_last: self.is_leaving() }
+    }
+
+    /// Takes in a heartbeat of the upstream beside the node. Returns once no new work reaches an upstream
+    /// that leaves.
+    pub async fn hear(&self, heartbeat: UpstreamHeartbeat) -> HeartbeatVerdict {
+        let UpstreamHeartbeat { announcement, instance, sequence, is_leaving } = heartbeat;
+        let verdict = self.dispatcher.guard.instances.borrow_mut().hear(&instance, sequence);
+        if verdict != HeartbeatVerdict::Fresh {
+            return verdict;
+        }
+        if is_leaving {
+            self.dispatcher.note_leaving(announcement).await;
+        } else {
+            self.dispatcher.announce_upstream(announcement).await;
+        }
+        verdict
+    }
+
+    /// The instance has left, or is about to: nothing is dispatched to it from now on.
+    pub async fn leave(&self, instance: &InstanceName) {
+        let is_present = self.dispatcher.guard.instances.borrow_mut().leave(instance);
+        if is_present {
+            self.dispatcher.withdraw_upstream().await;
+        }
+    }
+}
--- a/crates/coltsfoot-node/src/dispatch/guard.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard.rs
@@ -12,6 +12,8 @@
 };
 use tokio::sync::oneshot;
 
+use crate::border::RepeatGuard;
+
 use super::{
     calls_in_flight::CallSpan,
     dispatcher::{CallKind, Dispatcher},
@@ -61,12 +63,15 @@
         if repeatable {
             return self.run(&call, deadline, span, permit).await;
         }
-        // A run that must not be repeated goes on when its caller is gone, so that its answer is kept; it
-        // counts as in flight until then.
+        // A run that must not be repeated goes on when its caller is gone: half of it would help nobody, and
+        // under a key its answer is kept. It counts as in flight until then.
         let (dispatcher, span) = (self.clone(), span.clone());
         let run = async move {
             let _started = started;
-            dispatcher.run_once(&call, deadline, &span, permit).await
+            match dispatcher.repeat_guard {
+                RepeatGuard::Claims => dispatcher.run_once(&call, deadline, &span, permit).await,
+                RepeatGuard::Attempts => dispatcher.run(&call, deadline, &span, permit).await,
+            }
         };
         match tokio::task::spawn_local(run).await {
             Ok(reply) => reply,
@@ -75,17 +80,31 @@
     }
 
     fn check_guarded(&self, call: &CallRequest) -> Result<bool, RefusalReason> {
-        let config = self.config.in_force()?;
-        let operation = config.operation(&call.service, &call.operation)?;
-        if !operation.repeatable && call.key.is_none() {
-            return Err(RefusalReason::BadRequest);
-        }
+        let repeatable = self.check_operation(call)?;
         match &*self.guard.upstream.borrow() {
             Some(upstream) if upstream.leaving => Err(RefusalReason::Leaving),
-            Some(upstream) if upstream.announcement.service == call.service => {
+            Some(upstream) if upstream.announcement.service == call.service => Ok(repeatable),
+            _ => Err(RefusalReason::NoUpstream),
+        }
+    }
+
+    /// Whether the operation may run again.
+    fn check_operation(&self, call: &CallRequest) -> Result<bool, RefusalReason> {
+        let config = self.config.in_force();
+        let operation = config
+            .as_ref()
+            .map_err(|reason| *reason)
+            .and_then(|config| config.operation(&call.service, &call.operation));
+        match (self.repeat_guard, operation) {
+            // The caller has checked the call by its configuration, which may be newer than this node's.
+            (RepeatGuard::Attempts, operation) => {
+                Ok(operation.is_ok_and(|operation| operation.repeatable))
+            }
+            (RepeatGuard::Claims, Ok(operation)) if operation.repeatable || call.key.is_some() => {
                 Ok(operation.repeatable)
             }
-            _ => Err(RefusalReason::NoUpstream),
+            (RepeatGuard::Claims, Ok(_)) => Err(RefusalReason::BadRequest),
+            (RepeatGuard::Claims, Err(reason)) => Err(reason),
         }
     }
 
--- a/crates/coltsfoot-node/src/dispatch/guard_run.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard_run.rs
@@ -1,12 +1,13 @@
 //! The run of an admitted call on the upstream beside the node.
 
-use std::{rc::Rc, time::Duration};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use coltsfoot_wire::peer::{CallReply, CallRequest, ReplyBody};
 use coltsfootroute::{
     admission::CallFinish,
     constants::CALL_PATH_PREFIX,
     event::HybridStamp,
+    membership::InstanceName,
     outcome::{CallOutcome, RefusalReason},
     time::MonotonicTime,
 };
@@ -31,7 +32,7 @@
         span: &Rc<CallSpan>,
         permit: RunPermit,
     ) -> CallReply {
-        let Some(address) = self.upstream_address() else {
+        let Some((address, instance)) = self.upstream_address() else {
             permit.finish(CallFinish::Failed);
             return self.refusal(RefusalReason::NoUpstream, CallOutcome::NotRun);
         };
@@ -42,6 +43,8 @@
         let context = self.spans.enter(&mut *self.rng.borrow_mut(), span.clone());
         let mut entered = EnteredSpan { dispatcher: self, context, span, answered: false };
         let upstream_call = UpstreamCall {
+            head: call.head.as_ref(),
+            instance: instance.as_ref().map(InstanceName::as_str),
             path: format!("{CALL_PATH_PREFIX}{}/{}", call.service, call.operation),
             context: context_text(context),
             remaining_ms: self.remaining_ms(deadline),
@@ -70,7 +73,9 @@
     ) -> CallReply {
         let (reason, ran) = match result {
             Ok(answer) => return answer_reply(answer, upstream_time),
-            Err(UpstreamError::Unreachable) => (RefusalReason::NoUpstream, false),
+            Err(UpstreamError::Unreachable | UpstreamError::OtherInstance) => {
+                (RefusalReason::NoUpstream, false)
+            }
             // An upstream that made nested calls has run the request in part, whatever it says.
             Err(UpstreamError::Shed) => (RefusalReason::Overload, span.may_have_nested()),
             Err(UpstreamError::CutOff) => (RefusalReason::UpstreamFailed, true),
@@ -79,8 +84,10 @@
         self.refusal(reason, outcome)
     }
 
-    fn upstream_address(&self) -> Option<std::net::SocketAddr> {
-        self.guard.upstream.borrow().as_ref().map(|upstream| upstream.announcement.address)
+    fn upstream_address(&self) -> Option<(SocketAddr, Option<InstanceName>)> {
+        let upstream = self.guard.upstream.borrow();
+        let announcement = &upstream.as_ref()?.announcement;
+        Some((announcement.address, announcement.instance.clone()))
     }
 
     fn has_withdrawn(&self) -> bool {
@@ -116,6 +123,7 @@
         body: ReplyBody::Answer {
             status: answer.status,
             content_type: answer.content_type,
+            headers: answer.headers,
             body: answer.body,
             replayed: false,
         },
@@ -128,7 +136,10 @@
 fn call_finish(result: &Result<UpstreamAnswer, UpstreamError>) -> CallFinish {
     match result {
         Ok(answer) if answer.status < FIRST_SERVER_ERROR => CallFinish::Succeeded,
-        Ok(_) | Err(UpstreamError::CutOff | UpstreamError::Unreachable) => CallFinish::Failed,
+        Ok(_) => CallFinish::Failed,
+        Err(UpstreamError::CutOff | UpstreamError::Unreachable | UpstreamError::OtherInstance) => {
+            CallFinish::Failed
+        }
         Err(UpstreamError::Shed) => CallFinish::ShedByUpstream,
     }
 }
--- a/crates/coltsfoot-node/src/dispatch/guard_state.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard_state.rs
@@ -10,6 +10,7 @@
         AdmissionDecision, AdmissionGate, AdmissionSettings, AdmissionVerdict, BreachCounter,
         ShedLevel,
     },
+    membership::InstanceLedger,
     time::MonotonicTime,
 };
 use indexmap::IndexMap;
@@ -37,6 +38,8 @@
 #[derive(Default)]
 pub struct GuardState {
     pub(super) upstream: RefCell<Option<GuardedUpstream>>,
+    /// Lives of the upstream, where it names them.
+    pub(super) instances: RefCell<InstanceLedger>,
     pub(super) gate: RefCell<Option<AdmissionGate>>,
     /// Calls offered to the gate that have no verdict yet.
     pub(super) waiting: RefCell<IndexMap<u64, oneshot::Sender<AdmissionDecision>>>,
--- a/crates/coltsfoot-node/src/dispatch/incoming_call.rs
+++ b/crates/coltsfoot-node/src/dispatch/incoming_call.rs
@@ -3,6 +3,7 @@
 use std::{net::IpAddr, time::Duration};
 
 use bytes::Bytes;
+use coltsfoot_wire::peer::RequestHead;
 use coltsfootroute::{
     name::{OperationName, ServiceName},
     time::MonotonicTime,
@@ -38,6 +39,8 @@
     pub remaining: Option<Duration>,
     /// Media type of the body.
     pub content_type: String,
+    /// Head of a request to pass on; `None` for a call in the product's own form.
+    pub head: Option<RequestHead>,
     /// Body.
     pub body: Bytes,
     /// When the head of the request had been read.
--- a/crates/coltsfoot-node/src/dispatch/local_upstream.rs
+++ b/crates/coltsfoot-node/src/dispatch/local_upstream.rs
@@ -2,7 +2,11 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use coltsfootroute::{event::EventKind, membership::UpstreamOffer, name::ServiceName};
+use coltsfootroute::{
+    event::EventKind,
+    membership::{InstanceName, UpstreamOffer},
+    name::ServiceName,
+};
 use http::StatusCode;
 
 use super::{dispatcher::Dispatcher, guard_state::GuardedUpstream};
@@ -17,6 +21,9 @@
 pub struct UpstreamAnnouncement {
     /// Service that the upstream is one of.
     pub service: ServiceName,
+    /// Its life, if it names itself; calls then run on no other one.
+    #[serde(default)]
+    pub instance: Option<InstanceName>,
     /// Where it takes calls.
     pub address: SocketAddr,
     /// Calls it can work on at once; at least 1.
@@ -57,6 +64,29 @@
         HttpReply::json(StatusCode::OK, &serde_json::json!({ "revision": self.revision() }))
     }
 
+    /// The upstream says that it takes no new work: only its leave is passed on, and a node that has not
+    /// heard of it before learns who it is.
+    pub(super) async fn note_leaving(&self, announcement: UpstreamAnnouncement) {
+        let is_known = self
+            .guard
+            .upstream
+            .borrow()
+            .as_ref()
+            .is_some_and(|known| known.announcement.instance == announcement.instance);
+        if !is_known {
+            *self.guard.upstream.borrow_mut() = Some(GuardedUpstream {
+                announcement,
+                heard: self.clock.now(),
+                leaving: false,
+                has_withdrawn: false,
+            });
+        }
+        if let Some(upstream) = self.guard.upstream.borrow_mut().as_mut() {
+            upstream.heard = self.clock.now();
+        }
+        self.withdraw_upstream().await;
+    }
+
     /// Whether the announcement says anything new.
     fn take_in(&self, announcement: &UpstreamAnnouncement) -> bool {
         let heard = self.clock.now();
--- a/crates/coltsfoot-node/src/dispatch/nested_request.rs
+++ b/crates/coltsfoot-node/src/dispatch/nested_request.rs
@@ -14,7 +14,6 @@
 
 use super::{
     calls_in_flight::{CallSpan, NestedMark},
-    client_request::check_key,
     dispatcher::{CallKind, Dispatcher},
     incoming_call::IncomingCall,
     routed_call::RoutedCall,
@@ -95,6 +94,7 @@
             repeatable,
             key: call.key,
             content_type: call.content_type,
+            head: call.head,
             body: call.body,
         };
         let reply = self.route(&routed).await;
@@ -109,7 +109,7 @@
     ) -> Result<bool, RefusalReason> {
         let config = self.config.in_force()?;
         let operation = config.operation(&call.service, &call.operation)?;
-        check_key(operation, call)?;
+        self.check_key(operation, call)?;
         self.check_deadline(call, deadline)?;
         Ok(operation.repeatable)
     }
--- a/crates/coltsfoot-node/src/dispatch/once_run.rs
+++ b/crates/coltsfoot-node/src/dispatch/once_run.rs
@@ -154,6 +154,7 @@
             body: ReplyBody::Answer {
                 status: answer.status,
                 content_type: header.map(|header| header.value).unwrap_or_default(),
+                headers: Vec::new(),
                 body,
                 replayed: true,
             },
--- a/crates/coltsfoot-node/src/dispatch/routed_call.rs
+++ b/crates/coltsfoot-node/src/dispatch/routed_call.rs
@@ -3,7 +3,7 @@
 use std::{rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use coltsfoot_wire::peer::{CallReply, CallRequest, ReplyBody};
+use coltsfoot_wire::peer::{CallReply, CallRequest, ReplyBody, RequestHead};
 use coltsfootroute::{
     deadline::Remaining,
     event::HybridStamp,
@@ -52,6 +52,8 @@
     pub key: Option<String>,
     /// Media type of the body.
     pub content_type: String,
+    /// Head of a request to pass on; `None` for a call in the product's own form.
+    pub head: Option<RequestHead>,
     /// Body.
     pub body: Bytes,
 }
@@ -69,6 +71,7 @@
             under_way: self.under_way,
             key: self.key.clone(),
             content_type: self.content_type.clone(),
+            head: self.head.clone(),
             body: self.body.clone(),
             revision,
             stamp,
--- a/crates/coltsfoot-node/src/dispatch/upstream_client.rs
+++ b/crates/coltsfoot-node/src/dispatch/upstream_client.rs
@@ -1,23 +1,32 @@
 //! HTTP client of the upstream beside the node.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
-use coltsfootroute::{
-    constants::{CONTEXT_HEADER, DEADLINE_HEADER, IDEMPOTENCY_KEY_HEADER, OUTCOME_HEADER},
-    outcome::CallOutcome,
-};
+use coltsfoot_wire::peer::{HeaderLine, RequestHead};
 use http::{
-    HeaderMap, Request, Response, StatusCode,
-    header::{CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING},
+    HeaderMap, HeaderName, Method, Request, Response, StatusCode,
+    header::{CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING},
+    request::Builder,
 };
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper_util::{
-    client::legacy::{Client, connect::HttpConnector},
-    rt::TokioExecutor,
+    client::legacy::{
+        Client,
+        connect::{CaptureConnection, HttpConnector, capture_connection},
+    },
+    rt::{TokioExecutor, TokioTimer},
 };
 
+use crate::border::UpstreamDialect;
+
+/// An idle connection is closed after this, well before an upstream would close it (5 s and more are usual):
+/// a call that crosses the upstream's close may have run.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
+/// Time to open a connection to a process on the same host.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// The upstream gave no usable answer.
 #[derive(Debug, thiserror::Error)]
 pub enum UpstreamError {
@@ -27,19 +36,26 @@
     /// The upstream refused the call before it did any work on it.
     #[error("the upstream sheds load")]
     Shed,
-    /// The answer was cut off, oversized or without a stated length.
+    /// Another instance than the expected one has the address; it did no work on the call.
+    #[error("another instance has the upstream's address")]
+    OtherInstance,
+    /// The answer was cut off, oversized, that to another call or not the upstream's own.
     #[error("the upstream's answer is not complete")]
     CutOff,
 }
 
 /// One call to the upstream.
 pub struct UpstreamCall<'a> {
-    /// Path with service and operation.
+    /// Head of a request to pass on; `None`: a call in the product's own form.
+    pub head: Option<&'a RequestHead>,
+    /// Path with service and operation, in the product's own form.
     pub path: String,
     /// Context for the upstream's nested calls.
     pub context: String,
     /// Remaining time in milliseconds.
     pub remaining_ms: u64,
+    /// Instance that alone may run the call, if it names itself.
+    pub instance: Option<&'a str>,
     /// Idempotency key.
     pub key: Option<&'a str>,
     /// Media type of the body.
@@ -55,6 +71,8 @@
     pub status: u16,
     /// Media type.
     pub content_type: String,
+    /// Headers to pass on; empty for a call in the product's own form.
+    pub headers: Vec<HeaderLine>,
     /// Body.
     pub body: Vec<u8>,
 }
@@ -63,18 +81,22 @@
 pub struct UpstreamClient {
     client: Client<HttpConnector, Full<Bytes>>,
     body_limit: usize,
+    dialect: UpstreamDialect,
 }
 
 impl UpstreamClient {
     /// A client that takes answers of at most `body_limit` bytes.
-    pub fn new(body_limit: usize) -> Self {
+    pub fn new(body_limit: usize, dialect: UpstreamDialect) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
         let client = Client::builder(TokioExecutor::new())
+            .pool_timer(TokioTimer::new())
+            .pool_idle_timeout(IDLE_TIMEOUT)
             // A call on a connection that died may have run: never repeated here.
             .retry_canceled_requests(false)
             .build(connector);
-        Self { client, body_limit }
+        Self { client, body_limit, dialect }
     }
 
     /// Sends `call` and reads the whole answer. Dropping the future closes the connection, which
@@ -88,32 +110,64 @@
         address: SocketAddr,
         call: UpstreamCall<'_>,
     ) -> Result<UpstreamAnswer, UpstreamError> {
-        let mut request = Request::post(format!("http://{address}{}", call.path))
-            .header(CONTEXT_HEADER, call.context)
-            .header(DEADLINE_HEADER, call.remaining_ms);
-        if let Some(key) = call.key {
-            request = request.header(IDEMPOTENCY_KEY_HEADER, key);
-        }
-        if !call.content_type.is_empty() {
-            request = request.header(CONTENT_TYPE, call.content_type);
-        }
+        let is_passed_on = call.head.is_some();
+        let builder = match call.head {
+            Some(head) => passed_on(address, head),
+            None => self.own_form(address, &call),
+        };
+        let builder =
+            self.with_instance(builder.header(&self.dialect.deadline, call.remaining_ms), &call);
         // The parts were checked when the call was read, so the request is well formed.
-        let request = request.body(Full::new(call.body)).map_err(|_| UpstreamError::Unreachable)?;
+        let mut request =
+            builder.body(Full::new(call.body)).map_err(|_| UpstreamError::Unreachable)?;
+        let connection = capture_connection(&mut request);
+        let sent = request.headers().clone();
         let response = self.client.request(request).await.map_err(|err| {
             if err.is_connect() { UpstreamError::Unreachable } else { UpstreamError::CutOff }
         })?;
-        self.read_answer(response).await
+        if !self.dialect.is_echoed(&sent, response.headers()) {
+            // What else comes on this connection belongs to nobody.
+            poison(&connection);
+            return Err(UpstreamError::CutOff);
+        }
+        self.read_answer(response, is_passed_on).await
+    }
+
+    fn own_form(&self, address: SocketAddr, call: &UpstreamCall<'_>) -> Builder {
+        let mut builder = Request::post(format!("http://{address}{}", call.path));
+        if let Some(context) = &self.dialect.context {
+            builder = builder.header(context, &call.context);
+        }
+        if let (Some(name), Some(key)) = (&self.dialect.key, call.key) {
+            builder = builder.header(name, key);
+        }
+        if !call.content_type.is_empty() {
+            builder = builder.header(CONTENT_TYPE, call.content_type);
+        }
+        builder
+    }
+
+    fn with_instance(&self, builder: Builder, call: &UpstreamCall<'_>) -> Builder {
+        match (&self.dialect.expected_instance, call.instance) {
+            (Some(name), Some(instance)) => builder.header(name, instance),
+            _ => builder,
+        }
     }
 
     async fn read_answer(
         &self,
         response: Response<Incoming>,
+        is_passed_on: bool,
     ) -> Result<UpstreamAnswer, UpstreamError> {
         let (head, body) = response.into_parts();
-        if head.status == StatusCode::SERVICE_UNAVAILABLE && says_not_run(&head.headers) {
+        if self.dialect.says_not_run(head.status, &head.headers) {
             return Err(UpstreamError::Shed);
         }
-        if !states_length(&head.headers, head.status) {
+        if head.status == StatusCode::MISDIRECTED_REQUEST {
+            return Err(UpstreamError::OtherInstance);
+        }
+        let is_whole = is_passed_on || states_length(&head.headers, head.status);
+        if !is_whole || !self.dialect.is_sealed(head.status, &head.headers) {
             return Err(UpstreamError::CutOff);
         }
         let body = Limited::new(body, self.body_limit)
@@ -124,13 +178,52 @@
         Ok(UpstreamAnswer {
             status: head.status.as_u16(),
             content_type: content_type.unwrap_or_default().to_owned(),
+            headers: if is_passed_on { end_to_end(&head.headers) } else { Vec::new() },
             body: body.to_bytes().to_vec(),
         })
     }
 }
 
-fn says_not_run(headers: &HeaderMap) -> bool {
-    headers.get(OUTCOME_HEADER).is_some_and(|value| value == CallOutcome::NotRun.as_str())
+fn passed_on(address: SocketAddr, head: &RequestHead) -> Builder {
+    let method = Method::from_bytes(head.method.as_bytes()).unwrap_or(Method::GET);
+    let builder = Request::builder().method(method).uri(format!("http://{address}{}", head.target));
+    head.headers.iter().fold(builder, |builder, line| builder.header(&line.name, &line.value[..]))
+}
+
+/// Headers that concern one connection only.
+const CONNECTION_HEADERS: [&str; 8] = [
+    "connection",
+    "content-length",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "te",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// The headers that are passed on: all but those of one connection.
+pub fn end_to_end(headers: &HeaderMap) -> Vec<HeaderLine> {
+    let named: Vec<_> = headers
+        .get_all(CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .map(|name| name.trim().to_ascii_lowercase())
+        .collect();
+    let is_kept = |name: &HeaderName| {
+        !CONNECTION_HEADERS.contains(&name.as_str())
+            && !named.iter().any(|held| held == name.as_str())
+    };
+    let kept = headers.iter().filter(|(name, _)| is_kept(name));
+    kept.map(|(name, value)| HeaderLine::new(name.as_str(), value.as_bytes())).collect()
+}
+
+/// Keeps a connection from being used again.
+fn poison(connection: &CaptureConnection) {
+    if let Some(connected) = connection.connection_metadata().as_ref() {
+        connected.poison();
+    }
 }
 
 /// Whether the end of the body can be told from a cut-off.
--- a/crates/coltsfoot-node/src/http/request_parts.rs
+++ b/crates/coltsfoot-node/src/http/request_parts.rs
@@ -100,6 +100,7 @@
             key: self.key,
             remaining: self.remaining,
             content_type: self.content_type,
+            head: None,
             body,
             received,
         }
--- a/crates/coltsfoot-node/src/journal/event_logger.rs
+++ b/crates/coltsfoot-node/src/journal/event_logger.rs
@@ -24,7 +24,8 @@
 pub fn start_logging(settings: &LogSettings) -> Result<(), LoggingError> {
     // Whole lines are written at once: processes that share an output don't tear each other's.
     let output = LineWriter::new(std::io::stderr());
-    let logger = event_logger(settings, output);
+    // The level that applies is the process's, which a reload of the settings may change.
+    let logger = event_logger(&LogSettings { level: LevelFilter::Trace }, output);
     log::set_boxed_logger(logger).map_err(|_| LoggingError)?;
     log::set_max_level(settings.level);
     Ok(())
--- a/crates/coltsfoot-node/src/lib.rs
+++ b/crates/coltsfoot-node/src/lib.rs
@@ -2,6 +2,7 @@
 //! keeps membership and configuration together with the other nodes.
 
 pub mod args;
+pub mod border;
 pub mod clock;
 pub mod config;
 pub mod dispatch;
@@ -13,6 +14,9 @@
 pub mod settings;
 pub mod store;
 
+mod node_launch;
 mod run;
+mod settings_watch;
 
+pub use node_launch::{NodeLaunch, OwnLaunch};
 pub use run::run;
--- a/crates/coltsfoot-node/src/process/node_parts.rs
+++ b/crates/coltsfoot-node/src/process/node_parts.rs
@@ -12,8 +12,9 @@
 
 use super::DrainSwitch;
 use crate::{
+    border::{RepeatGuard, UpstreamDialect},
     clock::MonotonicClock,
-    config::{ConfigCell, ConfigHandle, ConfigParts},
+    config::{ConfigCell, ConfigHandle, ConfigOrigin, ConfigParts},
     dispatch::{DispatchHandle, DispatchParts, NodeIdentity},
     gossip::{GossipCommand, GossipParts},
     http::{ClientState, HostState, PartLimits},
@@ -31,6 +32,12 @@
     pub clock: MonotonicClock,
     /// The node.
     pub identity: NodeIdentity,
+    /// Headers between node and upstream.
+    pub dialect: UpstreamDialect,
+    /// What keeps non-repeatable work from running twice.
+    pub repeat_guard: RepeatGuard,
+    /// Who accepts configurations.
+    pub origin: ConfigOrigin,
     /// Seed of the node's random generators.
     pub seed: u64,
     /// Where the configuration in force stands.
@@ -77,6 +84,8 @@
             clock: self.clock,
             identity: self.identity.clone(),
             control: self.settings.control,
+            dialect: self.dialect.clone(),
+            repeat_guard: self.repeat_guard,
             config: self.cell.clone(),
             body_limit: self.part_limits().body_bytes,
             queue: u32::try_from(limits.queue).unwrap_or(u32::MAX),
@@ -95,6 +104,7 @@
     /// What the configuration duty is made of.
     pub fn config(&self) -> ConfigParts {
         ConfigParts {
+            origin: self.origin,
             node: self.identity.node,
             peers: self.settings_peers().collect(),
             cell: self.cell.clone(),
--- a/crates/coltsfoot-node/src/process/node_process.rs
+++ b/crates/coltsfoot-node/src/process/node_process.rs
@@ -15,15 +15,16 @@
     node_sockets::NodeSockets,
 };
 use crate::{
+    border::{ClientFront, NodeBorder},
     clock::{MonotonicClock, wall_millis},
-    config::{ConfigCell, ConfigThread},
-    dispatch::{DispatchCommand, DispatchHandle, DispatchThread, NodeIdentity},
+    config::{ConfigCell, ConfigHandle, ConfigThread},
+    dispatch::{DispatchCommand, DispatchHandle, DispatchThread, FrontDoor, NodeIdentity},
     gossip::GossipThread,
     http::HttpListener,
     journal::{EventJournal, EventSender, JournalHandle},
     metrics::NodeMetrics,
     settings::NodeSettings,
-    store::StoreThread,
+    store::{StorePort, StoreThread},
 };
 
 /// Clients get so long to hear from refusals that the node leaves, before it refuses connections: one
@@ -35,9 +36,12 @@
 /// A running node.
 pub struct NodeProcess {
     addresses: NodeAddresses,
-    client: HttpListener,
+    /// The product's client listener, unless a front serves clients.
+    client: Option<HttpListener>,
     host: HttpListener,
     dispatch: DispatchHandle,
+    config: ConfigHandle,
+    metrics: Arc<NodeMetrics>,
     events: EventSender,
     journal: JournalHandle,
 }
@@ -49,6 +53,19 @@
     ///
     /// [`NodeError`] if an address cannot be listened on or a thread cannot start.
     pub fn start(settings: NodeSettings, drain: DrainSwitch) -> Result<Self, NodeError> {
+        Self::start_with(settings, drain, NodeBorder::own())
+    }
+
+    /// Like [`NodeProcess::start`], on a platform that `border` translates to.
+    ///
+    /// # Errors
+    ///
+    /// As [`NodeProcess::start`].
+    pub fn start_with<P: StorePort + 'static, F: ClientFront>(
+        settings: NodeSettings,
+        drain: DrainSwitch,
+        border: NodeBorder<P, F>,
+    ) -> Result<Self, NodeError> {
         let sockets = NodeSockets::open(&settings.listen)?;
         let addresses = sockets.addresses;
         let identity = identity(&settings, addresses);
@@ -58,8 +75,12 @@
         let (events, reader) = (journal.sender(), journal.reader());
         let journal = journal.spawn(metrics.clone())?;
         emit_start(&events, &identity, addresses);
-        let store =
-            StoreThread::start(store_settings(&settings, seed), metrics.clone(), events.clone())?;
+        let store = StoreThread::start(
+            border.open_store,
+            store_settings(&settings, seed),
+            metrics.clone(),
+            events.clone(),
+        )?;
 
         let (dispatch, dispatch_ring) = DispatchThread::ring();
         let (config, config_ring) = ConfigThread::ring();
@@ -68,6 +89,9 @@
             settings: &settings,
             clock: MonotonicClock::new(),
             identity,
+            dialect: border.dialect,
+            repeat_guard: border.repeat_guard,
+            origin: border.origin,
             seed,
             cell: ConfigCell::default(),
             store,
@@ -78,13 +102,19 @@
             events,
         };
         GossipThread::start(parts.gossip(), sockets.gossip, gossip_ring)?;
-        DispatchThread::start(parts.dispatch(), sockets.peer, dispatch_ring)?;
+        let (client, door) = match border.front {
+            Some(front) => (None, Some(FrontDoor { front, listener: sockets.client })),
+            None => (Some(HttpListener::start_client(sockets.client, parts.client_state())?), None),
+        };
+        DispatchThread::start(parts.dispatch(), door, sockets.peer, dispatch_ring)?;
         ConfigThread::start(parts.config(), config_ring)?;
         Ok(Self {
             addresses,
-            client: HttpListener::start_client(sockets.client, parts.client_state())?,
+            client,
             host: HttpListener::start_host(sockets.host, parts.host_state(reader, drain))?,
             dispatch: parts.dispatch,
+            config: parts.config,
+            metrics: parts.metrics,
             events: parts.events,
             journal,
         })
@@ -95,6 +125,16 @@
         self.addresses
     }
 
+    /// The way to the configuration duty, for whoever follows an outside history.
+    pub fn config(&self) -> ConfigHandle {
+        self.config.clone()
+    }
+
+    /// Metrics of the node.
+    pub fn metrics(&self) -> Arc<NodeMetrics> {
+        self.metrics.clone()
+    }
+
     /// A planned stop: leaves, waits until nothing is in flight, refuses what still comes, then
     /// ends the listeners.
     pub fn stop(self) {
@@ -109,10 +149,14 @@
             });
         }
         std::thread::sleep(REFUSAL_TIME);
-        self.client.close();
+        if let Some(client) = &self.client {
+            client.close();
+        }
         self.host.close();
         std::thread::sleep(ANSWER_GRACE);
-        self.client.stop();
+        if let Some(client) = self.client {
+            client.stop();
+        }
         self.host.stop();
         // Nothing was in flight any more: `Drain` waits for it, however long.
         self.events.emit(EventKind::Stopped { interrupted: 0 });
--- a/crates/coltsfoot-node/src/run.rs
+++ b/crates/coltsfoot-node/src/run.rs
@@ -1,23 +1,30 @@
 //! The daemon's life from command line to exit status.
 
-use std::{fs, process::ExitCode, sync::mpsc, thread};
+use std::{
+    fs,
+    path::{Path, PathBuf},
+    process::ExitCode,
+    sync::mpsc,
+    thread,
+};
 
 use signal_hook::{
-    consts::{SIGINT, SIGTERM},
+    consts::{SIGHUP, SIGINT, SIGTERM},
     iterator::Signals,
 };
 
 use crate::{
     args::{EXIT_BAD_SETTINGS, NodeArgs},
     journal::start_logging,
+    node_launch::NodeLaunch,
     process::{DrainSwitch, NodeProcess},
-    settings::NodeSettings,
+    settings_watch::SettingsWatch,
 };
 
 /// Runs the daemon until a planned stop has ended.
-pub fn run() -> ExitCode {
+pub fn run<L: NodeLaunch>() -> ExitCode {
     let args = NodeArgs::from_matches(&NodeArgs::command().get_matches());
-    let settings = match read_settings(&args) {
+    let settings = match read_settings::<L>(&args.settings) {
         Ok(settings) => settings,
         Err(message) => {
             report(&message);
@@ -27,7 +34,7 @@
     if args.check {
         return ExitCode::SUCCESS;
     }
-    match serve(settings) {
+    match serve::<L>(args.settings, settings) {
         Ok(()) => ExitCode::SUCCESS,
         Err(err) => {
             report(&format!("{err:#}"));
@@ -36,25 +43,29 @@
     }
 }
 
-fn read_settings(args: &NodeArgs) -> Result<NodeSettings, String> {
-    let path = args.settings.display();
-    let text = fs::read_to_string(&args.settings)
-        .map_err(|err| format!("cannot read settings file {path}: {err}"))?;
-    NodeSettings::from_yaml(&text).map_err(|err| format!("{path}: {err}"))
+fn read_settings<L: NodeLaunch>(path: &Path) -> Result<L::Settings, String> {
+    let shown = path.display();
+    let text = fs::read_to_string(path)
+        .map_err(|err| format!("cannot read settings file {shown}: {err}"))?;
+    L::read(&text).map_err(|err| format!("{shown}: {err}"))
 }
 
-fn serve(settings: NodeSettings) -> anyhow::Result<()> {
-    start_logging(&settings.log)?;
+fn serve<L: NodeLaunch>(path: PathBuf, settings: L::Settings) -> anyhow::Result<()> {
+    start_logging(&L::node(&settings).log)?;
+    let watch = SettingsWatch::<L>::new(path);
     let (sender, stop) = mpsc::sync_channel(1);
     let switch = DrainSwitch::new(sender);
-    let mut signals = Signals::new([SIGTERM, SIGINT])?;
+    let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP])?;
     let on_signal = switch.clone();
     thread::Builder::new().name("signals".to_owned()).spawn(move || {
-        for _ in signals.forever() {
-            on_signal.begin();
+        for signal in signals.forever() {
+            match signal {
+                SIGHUP => watch.reload(),
+                _ => on_signal.begin(),
+            }
         }
     })?;
-    let process = NodeProcess::start(settings, switch)?;
+    let process = L::start(settings, switch)?;
     announce(&process);
     // An error means that every switch is gone, which the process itself holds: not while it runs.
     let _ = stop.recv();
--- a/crates/coltsfoot-node/src/settings/node_settings.rs
+++ b/crates/coltsfoot-node/src/settings/node_settings.rs
@@ -49,6 +49,19 @@
         }
     }
 
+    /// Reads and checks settings that are a part of another file.
+    ///
+    /// # Errors
+    ///
+    /// As [`NodeSettings::from_yaml`], but for the form of the file.
+    pub fn from_value(document: Value) -> Result<Self, SettingsErrors> {
+        let mut errors = SettingsErrors::default();
+        match Self::read(document, &mut errors) {
+            Some(settings) if errors.errors.is_empty() => Ok(settings),
+            _ => Err(errors),
+        }
+    }
+
     fn read(document: Value, errors: &mut SettingsErrors) -> Option<Self> {
         let mut reader = FieldReader::new(document, errors);
         let listen = reader.section("listen", ListenSettings::read);
--- a/crates/coltsfoot-node/src/store.rs
+++ b/crates/coltsfoot-node/src/store.rs
@@ -4,15 +4,20 @@
 //! is reported as `Uncertain` and never sent again from here.
 
 mod http_client;
+mod http_sender;
 mod store_command;
 mod store_error;
 mod store_handle;
+mod store_port;
 mod store_reports;
 mod store_settings;
 mod store_thread;
 mod store_worker;
 
+pub use http_client::HttpClient;
+pub use http_sender::HttpSender;
 pub use store_error::StoreError;
 pub use store_handle::StoreHandle;
+pub use store_port::{StorePort, StoreReply};
 pub use store_settings::StoreSettings;
 pub use store_thread::StoreThread;
--- /dev/null
+++ b/crates/coltsfoot-node/src/store/http_sender.rs
@@ -0,0 +1,80 @@
+//! Requests to a service of the platform over HTTP, each sent once.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use http::{Method, Request, StatusCode};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper_util::{
+    client::legacy::{Client, connect::HttpConnector},
+    rt::{TokioExecutor, TokioTimer},
+};
+
+use super::StoreReply;
+use crate::metrics::{ControlKind, NodeMetrics, TrafficDirection};
+
+/// Largest reply taken, in bytes.
+const MAX_REPLY_BYTES: usize = 4 << 20;
+/// Idle connections are closed before a server's usual keep-alive of five seconds ends: a write on a
+/// connection that the server closes at that moment would be uncertain for nothing.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Sends requests to the platform's services, each once, and counts their bytes.
+pub struct HttpSender {
+    client: Client<HttpConnector, Full<Bytes>>,
+    metrics: Arc<NodeMetrics>,
+}
+
+impl HttpSender {
+    /// A sender that opens a connection within `connect_timeout`.
+    pub fn new(connect_timeout: Duration, metrics: Arc<NodeMetrics>) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(connect_timeout));
+        let client = Client::builder(TokioExecutor::new())
+            .pool_timer(TokioTimer::new())
+            .pool_idle_timeout(IDLE_TIMEOUT)
+            // The default repeats a request on a new connection: a write could run twice.
+            .retry_canceled_requests(false)
+            .build(connector);
+        Self { client, metrics }
+    }
+
+    /// Sends one request and reads the whole reply.
+    pub async fn send(
+        &self,
+        method: Method,
+        uri: String,
+        body: Bytes,
+    ) -> StoreReply<(StatusCode, Bytes)> {
+        let sent_bytes = body.len();
+        let Ok(request) = Request::builder().method(method).uri(uri).body(Full::new(body)) else {
+            return StoreReply::Refused;
+        };
+        let response = match self.client.request(request).await {
+            Ok(response) => response,
+            Err(error) if error.is_connect() => return StoreReply::Refused,
+            Err(_) => return StoreReply::Lost,
+        };
+        self.count_bytes(TrafficDirection::Sent, sent_bytes);
+        let status = response.status();
+        match status {
+            StatusCode::TOO_MANY_REQUESTS => return StoreReply::RateLimited,
+            StatusCode::SERVICE_UNAVAILABLE => return StoreReply::Refused,
+            _ => {}
+        }
+        match Limited::new(response.into_body(), MAX_REPLY_BYTES).collect().await {
+            Ok(body) => {
+                let body = body.to_bytes();
+                self.count_bytes(TrafficDirection::Received, body.len());
+                StoreReply::Answer((status, body))
+            }
+            Err(_) => StoreReply::Lost,
+        }
+    }
+
+    /// Bodies only: heads and connections are the HTTP client's own.
+    fn count_bytes(&self, direction: TrafficDirection, bytes: usize) {
+        self.metrics.control.add_bytes(ControlKind::Store, direction, bytes);
+    }
+}
--- a/crates/coltsfoot-node/src/store/store_reports.rs
+++ b/crates/coltsfoot-node/src/store/store_reports.rs
@@ -2,7 +2,7 @@
 
 use coltsfootroute::table::TableReply;
 
-use super::http_client::HttpReply;
+use super::StoreReply;
 use crate::metrics::StoreResult;
 
 /// Result of a request to the table service; `None`: it was not sent.
@@ -17,21 +17,21 @@
 }
 
 /// Result of a request to the object store; `None`: it was not sent.
-pub(super) fn object_result<T>(reply: Option<&HttpReply<T>>) -> StoreResult {
+pub(super) fn object_result<T>(reply: Option<&StoreReply<T>>) -> StoreResult {
     match reply {
-        Some(HttpReply::Answer(_)) => StoreResult::Done,
-        Some(HttpReply::RateLimited | HttpReply::Refused) => StoreResult::Unavailable,
-        Some(HttpReply::Lost) => StoreResult::TimedOut,
+        Some(StoreReply::Answer(_)) => StoreResult::Done,
+        Some(StoreReply::RateLimited | StoreReply::Refused) => StoreResult::Unavailable,
+        Some(StoreReply::Lost) => StoreResult::TimedOut,
         None => StoreResult::Limited,
     }
 }
 
 /// What went wrong, in the event that says that the store is down.
-pub(super) fn failure_text<T>(reply: &HttpReply<T>) -> &'static str {
+pub(super) fn failure_text<T>(reply: &StoreReply<T>) -> &'static str {
     match reply {
-        HttpReply::Refused => "refused or not reachable",
-        HttpReply::Lost => "no usable answer in time",
-        HttpReply::RateLimited => "over its rate",
-        HttpReply::Answer(_) => "answered",
+        StoreReply::Refused => "refused or not reachable",
+        StoreReply::Lost => "no usable answer in time",
+        StoreReply::RateLimited => "over its rate",
+        StoreReply::Answer(_) => "answered",
     }
 }
--- a/crates/coltsfoot-node/src/store/store_thread.rs
+++ b/crates/coltsfoot-node/src/store/store_thread.rs
@@ -10,7 +10,8 @@
 };
 
 use super::{
-    StoreError, StoreHandle, StoreSettings, store_command::StoreCommand, store_worker::StoreWorker,
+    StoreError, StoreHandle, StorePort, StoreSettings, store_command::StoreCommand,
+    store_worker::StoreWorker,
 };
 use crate::{
     journal::EventSender,
@@ -22,12 +23,13 @@
 pub struct StoreThread;
 
 impl StoreThread {
-    /// Starts the thread and gives a handle to it.
+    /// Starts the thread and gives a handle to it; `open` makes the way to the services on the thread.
     ///
     /// # Errors
     ///
     /// [`StoreError`] if the runtime or the thread cannot be created.
-    pub fn start(
+    pub fn start<P: StorePort + 'static>(
+        open: impl FnOnce(&StoreSettings, Arc<NodeMetrics>) -> P + Send + 'static,
         settings: StoreSettings,
         metrics: Arc<NodeMetrics>,
         events: EventSender,
@@ -36,7 +38,8 @@
         let runtime = Builder::new_current_thread().enable_all().build()?;
         thread::Builder::new().name("store".to_owned()).spawn(move || {
             let meter = DutyMeter::new(metrics.clone(), NodeDuty::Store);
-            let worker = StoreWorker::new(&settings, metrics, events);
+            let port = open(&settings, metrics.clone());
+            let worker = StoreWorker::new(port, &settings, metrics, events);
             let most = settings.in_flight;
             LocalSet::new().block_on(&runtime, serve(worker, most, meter, receiver));
         })?;
@@ -45,8 +48,8 @@
 }
 
 /// Carries out commands, at most `most` at once.
-async fn serve(
-    worker: StoreWorker,
+async fn serve<P: StorePort + 'static>(
+    worker: StoreWorker<P>,
     most: usize,
     meter: DutyMeter,
     mut receiver: mpsc::Receiver<StoreCommand>,
--- a/crates/coltsfoot-node/src/store/store_worker.rs
+++ b/crates/coltsfoot-node/src/store/store_worker.rs
@@ -15,16 +15,15 @@
 use tokio::time::{Instant, sleep, timeout_at};
 
 use super::{
-    StoreSettings,
-    http_client::{HttpClient, HttpReply},
+    StorePort, StoreReply, StoreSettings,
     store_command::{ObjectAction, StoreCommand},
     store_reports::{failure_text, object_result, store_result},
 };
 use crate::{journal::EventSender, metrics::NodeMetrics};
 
 /// What the requests of the store thread share.
-pub(super) struct StoreWorker {
-    client: HttpClient,
+pub(super) struct StoreWorker<P> {
+    port: P,
     backoff: StoreBackoff,
     started: Instant,
     policy: RefCell<StorePolicy>,
@@ -53,8 +52,9 @@
 #[derive(Debug)]
 struct NotSent;
 
-impl StoreWorker {
+impl<P: StorePort> StoreWorker<P> {
     pub(super) fn new(
+        port: P,
         settings: &StoreSettings,
         metrics: Arc<NodeMetrics>,
         events: EventSender,
@@ -66,10 +66,9 @@
             down_since: None,
             rng: Pcg64::seed_from_u64(settings.seed),
         };
-        let client = HttpClient::new(settings, metrics.clone());
         let backoff = settings.backoff.clone();
         let policy = RefCell::new(policy);
-        Self { client, backoff, started: Instant::now(), policy, metrics, events }
+        Self { port, backoff, started: Instant::now(), policy, metrics, events }
     }
 
     pub(super) async fn carry_out(&self, command: StoreCommand) {
@@ -115,31 +114,31 @@
     ) -> Result<TableReply, NotSent> {
         self.check_breaker(StoreService::Table)?;
         self.wait_for_budget(request, store_use, deadline).await?;
-        let sent = self.guarded(StoreService::Table, deadline, self.client.table(request)).await?;
+        let sent = self.guarded(StoreService::Table, deadline, self.port.table(request)).await?;
         Ok(match sent {
-            HttpReply::Answer(reply) => reply,
-            HttpReply::RateLimited | HttpReply::Refused => TableReply::Unavailable,
-            HttpReply::Lost => TableReply::Uncertain,
+            StoreReply::Answer(reply) => reply,
+            StoreReply::RateLimited | StoreReply::Refused => TableReply::Unavailable,
+            StoreReply::Lost => TableReply::Uncertain,
         })
     }
 
     async fn object(&self, action: &ObjectAction, deadline: Instant) -> ObjectReply {
         let sent = match action {
             ObjectAction::Put { name, body } => {
-                let put = self.client.put_object(name, body.clone());
+                let put = self.port.put_object(name, body.clone());
                 self.guarded(StoreService::Objects, deadline, put).await
             }
             ObjectAction::Get { name } => {
-                let get = self.client.get_object(name);
+                let get = self.port.get_object(name);
                 self.guarded(StoreService::Objects, deadline, get).await
             }
         };
         // Objects are parts of answers.
         self.metrics.store.requested(StoreUse::Answer, object_result(sent.as_ref().ok()));
         match sent {
-            Ok(HttpReply::Answer(reply)) => reply,
-            Ok(HttpReply::Lost) => ObjectReply::Uncertain,
-            Ok(HttpReply::RateLimited | HttpReply::Refused) | Err(NotSent) => {
+            Ok(StoreReply::Answer(reply)) => reply,
+            Ok(StoreReply::Lost) => ObjectReply::Uncertain,
+            Ok(StoreReply::RateLimited | StoreReply::Refused) | Err(NotSent) => {
                 ObjectReply::Unavailable
             }
         }
@@ -172,8 +171,8 @@
         &self,
         service: StoreService,
         deadline: Instant,
-        sending: impl Future<Output = HttpReply<T>>,
-    ) -> Result<HttpReply<T>, NotSent> {
+        sending: impl Future<Output = StoreReply<T>>,
+    ) -> Result<StoreReply<T>, NotSent> {
         if Instant::now() >= deadline {
             return Err(NotSent);
         }
@@ -181,7 +180,7 @@
         if !self.policy.borrow_mut().breaker(service).admit(now) {
             return Err(NotSent);
         }
-        let reply = timeout_at(deadline, sending).await.unwrap_or(HttpReply::Lost);
+        let reply = timeout_at(deadline, sending).await.unwrap_or(StoreReply::Lost);
         let now = self.now();
         self.policy.borrow_mut().record(service, now, reply.health());
         if matches!(service, StoreService::Table) {
@@ -192,7 +191,7 @@
 
     /// The table service is what the node depends on: it is up with its first answer, and down once
     /// the breaker has opened.
-    fn note_health<T>(&self, now: MonotonicTime, reply: &HttpReply<T>) {
+    fn note_health<T>(&self, now: MonotonicTime, reply: &StoreReply<T>) {
         let mut policy = self.policy.borrow_mut();
         let is_closed = matches!(policy.table_breaker.state(), BreakerState::Closed(_));
         match reply.health() {
--- a/crates/coltsfoot-node/tests/integration/store.rs
+++ b/crates/coltsfoot-node/tests/integration/store.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use coltsfoot_node::store::{StoreSettings, StoreThread};
+use coltsfoot_node::store::{HttpClient, StoreSettings, StoreThread};
 use coltsfoot_standin::table::{FaultCommand, FaultMode, TableCounts};
 use coltsfootroute::table::{
     BreakerSettings, ObjectReply, RateShare, StoreBackoff, StoreUse, TableReply, TableRequest,
@@ -134,7 +134,7 @@
     fixture.table.stop();
     let metrics = node_metrics();
     let (events, _) = event_log(&metrics);
-    let store = StoreThread::start(settings, metrics, events).expect("thread");
+    let store = StoreThread::start(HttpClient::new, settings, metrics, events).expect("thread");
 
     let reply = store.request(insert("once/a", "1"), LONG, StoreUse::Claim).await;
 
--- a/crates/coltsfoot-node/tests/integration/util/fake_peer.rs
+++ b/crates/coltsfoot-node/tests/integration/util/fake_peer.rs
@@ -46,6 +46,7 @@
         under_way: false,
         key: None,
         content_type: String::new(),
+        head: None,
         body: Vec::new().into(),
         revision: 0,
         stamp,
--- a/crates/coltsfoot-node/tests/integration/util/store_fixture.rs
+++ b/crates/coltsfoot-node/tests/integration/util/store_fixture.rs
@@ -5,7 +5,7 @@
 use coltsfoot_node::{
     journal::{EventJournal, EventReader, EventSender},
     metrics::NodeMetrics,
-    store::{StoreHandle, StoreSettings, StoreThread},
+    store::{HttpClient, StoreHandle, StoreSettings, StoreThread},
 };
 use coltsfoot_standin::table::{FaultCommand, TableHandle, TableServer, TableSettings};
 use coltsfootroute::{
@@ -35,7 +35,8 @@
         let settings = change(StoreSettings::new(table.address()));
         let metrics = node_metrics();
         let (sender, events) = event_log(&metrics);
-        let store = StoreThread::start(settings, metrics.clone(), sender).expect("thread");
+        let store =
+            StoreThread::start(HttpClient::new, settings, metrics.clone(), sender).expect("thread");
         Self { table, store, metrics, events }
     }
 
--- a/crates/coltsfoot-slopes/src/sample_schema.rs
+++ b/crates/coltsfoot-slopes/src/sample_schema.rs
@@ -67,7 +67,13 @@
         fan_out: 1,
     });
     let repeatable = operation + 1 < OPERATIONS;
-    OperationEntry { name: operation_name(operation), repeatable, client, calls: calls.collect() }
+    OperationEntry {
+        name: operation_name(operation),
+        repeatable,
+        client,
+        matches: Vec::new(),
+        calls: calls.collect(),
+    }
 }
 
 fn callees(index: usize, services: usize) -> Vec<ServiceName> {
--- a/crates/coltsfoot-slopes/src/slopes/decisions.rs
+++ b/crates/coltsfoot-slopes/src/slopes/decisions.rs
@@ -211,6 +211,7 @@
         under_way: true,
         key: None,
         content_type: "application/json".to_owned(),
+        head: None,
         body: vec![7; body].into(),
         revision: 1,
         stamp: HybridStamp::new(1_796_228_561_138, 1),
@@ -230,6 +231,7 @@
     let answer = ReplyBody::Answer {
         status: 200,
         content_type: "application/json".to_owned(),
+        headers: Vec::new(),
         body: vec![7; body],
         replayed: false,
     };
--- a/crates/coltsfoot-standin/tests/integration/util.rs
+++ b/crates/coltsfoot-standin/tests/integration/util.rs
@@ -30,6 +30,7 @@
         name: OperationName::new(name),
         repeatable,
         client: Some(client.clone()),
+        matches: Vec::new(),
         calls: Vec::new(),
     };
     let service = ServiceEntry {
--- a/crates/coltsfoot-wire/schema/peer.capnp
+++ b/crates/coltsfoot-wire/schema/peer.capnp
@@ -6,6 +6,17 @@
   port @1 :UInt16;
 }
 
+struct HeaderLine {
+  name @0 :Text;
+  value @1 :Data;
+}
+
+struct RequestHead {
+  method @0 :Text;
+  target @1 :Text;            # path and query
+  headers @2 :List(HeaderLine);
+}
+
 struct CallRequest {
   requestHigh @0 :UInt64;     # upper half of the client request's identity
   requestLow @1 :UInt64;
@@ -22,6 +33,7 @@
   revision @12 :UInt64;       # configuration in force at the caller
   stampMillis @13 :UInt64;    # caller's hybrid clock
   stampCounter @14 :UInt32;
+  head @15 :RequestHead;      # absent: the product's own form of a call
 }
 
 enum Outcome { completed @0; notRun @1; unknown @2; }
@@ -50,6 +62,7 @@
   upstreamMicros @8 :UInt64;  # time the upstream took
   stampMillis @9 :UInt64;     # guard's hybrid clock
   stampCounter @10 :UInt32;
+  answerHeaders @11 :List(HeaderLine);  # of an answer to a call with a head
 }
 
 enum TakeAnswer { granted @0; denied @1; noAccount @2; late @3; }
--- a/crates/coltsfoot-wire/src/peer.rs
+++ b/crates/coltsfoot-wire/src/peer.rs
@@ -3,13 +3,17 @@
 mod call_reply;
 mod call_request;
 mod claim_state;
+mod header_line;
 mod level_note;
+mod request_head;
 mod take_answer;
 
 pub use call_reply::{CallReply, ReplyBody};
 pub use call_request::CallRequest;
 pub use claim_state::{ClaimState, read_claim_state, write_claim_state};
+pub use header_line::HeaderLine;
 pub use level_note::LevelNote;
+pub use request_head::RequestHead;
 pub use take_answer::{TakeAnswer, read_take_answer, write_take_answer};
 
 use coltsfootroute::{id::RequestId, importance::Importance};
--- a/crates/coltsfoot-wire/src/peer/call_reply.rs
+++ b/crates/coltsfoot-wire/src/peer/call_reply.rs
@@ -7,7 +7,10 @@
     outcome::{CallOutcome, RefusalReason},
 };
 
-use super::LevelNote;
+use super::{
+    HeaderLine, LevelNote,
+    header_line::{read_lines, write_lines},
+};
 use crate::{
     peer_capnp::{Outcome, call_reply},
     wire_error::WireError,
@@ -37,6 +40,8 @@
         status: u16,
         /// Media type; empty if the upstream stated none.
         content_type: String,
+        /// Headers to pass on; empty for an answer in the product's own form.
+        headers: Vec<HeaderLine>,
         /// Body.
         body: Vec<u8>,
         /// Whether the answer is the stored one of an earlier run under the same key.
@@ -74,7 +79,9 @@
     /// Writes the reply into `builder`.
     pub fn write(&self, mut builder: call_reply::Builder<'_>) {
         match &self.body {
-            ReplyBody::Answer { status, content_type, body, replayed } => {
+            ReplyBody::Answer { status, content_type, headers, body, replayed } => {
+                let count = u32::try_from(headers.len()).unwrap_or(u32::MAX);
+                write_lines(headers, builder.reborrow().init_answer_headers(count));
                 let mut answer = builder.reborrow().init_answer();
                 answer.set_status(*status);
                 answer.set_content_type(content_type.as_str());
@@ -113,6 +120,7 @@
             call_reply::Which::Answer(answer) => ReplyBody::Answer {
                 status: answer.get_status(),
                 content_type: answer.get_content_type()?.to_str()?.to_owned(),
+                headers: read_lines(reader.get_answer_headers()?)?,
                 body: answer.get_body()?.to_vec(),
                 replayed: answer.get_replayed(),
             },
--- a/crates/coltsfoot-wire/src/peer/call_request.rs
+++ b/crates/coltsfoot-wire/src/peer/call_request.rs
@@ -10,7 +10,7 @@
     name::{OperationName, ServiceName},
 };
 
-use super::{join_id, read_importance, split_id};
+use super::{RequestHead, join_id, read_importance, split_id};
 use crate::{
     address::{read_address, write_address},
     peer_capnp::call_request,
@@ -40,6 +40,8 @@
     pub key: Option<String>,
     /// Media type of the body; empty if the caller stated none.
     pub content_type: String,
+    /// Head of the request to pass on; `None` for a call in the product's own form.
+    pub head: Option<RequestHead>,
     /// Body of the call, at most [`MAX_BODY_BYTES`](coltsfootroute::constants::MAX_BODY_BYTES).
     pub body: Bytes,
     /// Configuration revision in force at the calling node.
@@ -65,6 +67,9 @@
         builder.set_under_way(self.under_way);
         builder.set_key(self.key.as_deref().unwrap_or_default());
         builder.set_content_type(self.content_type.as_str());
+        if let Some(head) = &self.head {
+            head.write(builder.reborrow().init_head());
+        }
         builder.set_body(&self.body);
         builder.set_revision(self.revision);
         builder.set_stamp_millis(self.stamp.wall_ms);
@@ -81,6 +86,10 @@
             true => Some(NodeId(read_address(reader.get_account()?)?)),
             false => None,
         };
+        let head = match reader.has_head() {
+            true => Some(RequestHead::read(reader.get_head()?)?),
+            false => None,
+        };
         let key = reader.get_key()?.to_str()?;
         Ok(Self {
             request: join_id(reader.get_request_high(), reader.get_request_low()),
@@ -93,6 +102,7 @@
             under_way: reader.get_under_way(),
             key: (!key.is_empty()).then(|| key.to_owned()),
             content_type: reader.get_content_type()?.to_str()?.to_owned(),
+            head,
             body: Bytes::copy_from_slice(reader.get_body()?),
             revision: reader.get_revision(),
             stamp: HybridStamp::new(reader.get_stamp_millis(), reader.get_stamp_counter()),
--- a/crates/coltsfootroute/src/revision/config_state.rs
+++ b/crates/coltsfootroute/src/revision/config_state.rs
@@ -26,6 +26,8 @@
     tombstones: IndexMap<ServiceName, Revision>,
     /// Lowest revision since which every change is known; deltas from below it are full snapshots.
     floor: Revision,
+    /// Whether revisions come from an outside history, whose records don't name their parents.
+    is_outside: bool,
 }
 
 /// What a document or delta would make of a state.
@@ -42,6 +44,11 @@
         Self::default()
     }
 
+    /// No configuration yet; revisions are those of another system, which vouches for their history.
+    pub fn with_outside_history() -> Self {
+        Self { is_outside: true, ..Self::default() }
+    }
+
     /// Revision in force; 0 if none.
     pub fn revision(&self) -> Revision {
         self.record.as_ref().map_or(Revision::ZERO, |record| record.revision)
@@ -137,7 +144,8 @@
             return Err(DeltaFault::Record(offered));
         }
         let is_other = offered == held && record.chain != chain;
-        let is_stranger = offered == held.next() && record.parent != chain;
+        let is_next = offered == held.next() && !self.is_outside;
+        let is_stranger = is_next && record.parent != chain;
         if is_other || is_stranger {
             return Err(DeltaFault::Diverged(offered));
         }
@@ -208,7 +216,8 @@
         candidate.forget_old_tombstones();
         let changed = changed_names(&self.entries, &candidate.entries, |entry| entry.digest);
         let Candidate { deployment, entries, tombstones, floor } = candidate;
-        *self = Self { record: Some(record.clone()), deployment, entries, tombstones, floor };
+        let (record_held, is_outside) = (Some(record.clone()), self.is_outside);
+        *self = Self { record: record_held, deployment, entries, tombstones, floor, is_outside };
         Ok(Applied::Raised { revision: record.revision, changed })
     }
 }
--- a/crates/coltsfootroute/src/revision/revision_record.rs
+++ b/crates/coltsfootroute/src/revision/revision_record.rs
@@ -41,6 +41,17 @@
         record
     }
 
+    /// The record of a revision whose history another system keeps. It names no parent, so that every
+    /// node makes the same record of the same revision.
+    pub fn of_outside(revision: Revision, content: ContentDigest, operator: OperatorName) -> Self {
+        let (parent, chain) = (ChainDigest::ROOT, ChainDigest::ROOT);
+        let key = SubmissionKey::new(&format!("outside-{}", revision.0));
+        let (wall_ms, changed) = (0, Vec::new());
+        let mut record = Self { revision, parent, content, operator, wall_ms, key, changed, chain };
+        record.chain = record.computed_chain();
+        record
+    }
+
     /// Whether the chain digest is that of the other fields.
     pub fn is_intact(&self) -> bool {
         self.chain == self.computed_chain()
--- a/crates/coltsfootroute/src/schema/operation_entry.rs
+++ b/crates/coltsfootroute/src/schema/operation_entry.rs
@@ -1,6 +1,6 @@
 //! An operation as declared.
 
-use super::{CallEdge, ClientEntry};
+use super::{CallEdge, ClientEntry, PathMatch};
 use crate::name::OperationName;
 
 record_type! {
@@ -17,6 +17,9 @@
         /// How clients may call it; absent where only other services do.
         #[serde(default, skip_serializing_if = "Option::is_none")]
         pub client: Option<ClientEntry>,
+        /// Requests that reach the operation by host and path.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        pub matches: Vec<PathMatch>,
         /// Nested calls that one run makes.
         #[serde(default, skip_serializing_if = "Vec::is_empty")]
         pub calls: Vec<CallEdge>,
--- a/crates/coltsfootroute/src/schema/schema_check.rs
+++ b/crates/coltsfootroute/src/schema/schema_check.rs
@@ -1,6 +1,8 @@
 //! Checks of meaning, on a document whose form is right.
 
-use super::{CallEdge, OperationEntry, SchemaDocument, ServiceEntry, call_graph::CallGraph};
+use super::{
+    CallEdge, OperationEntry, PathMatch, SchemaDocument, ServiceEntry, call_graph::CallGraph,
+};
 use crate::name::{OperationName, ServiceName};
 use indexmap::{IndexMap, IndexSet};
 
@@ -68,11 +70,30 @@
             // A retry budget of 0 is meaningful: the request is never retried.
             self.at_least_one(format!("{path}.client.deadline_ms"), client.deadline_ms);
         }
+        for (index, path_match) in operation.matches.iter().enumerate() {
+            self.path_match(&format!("{path}.matches[{index}]"), operation, path_match);
+        }
         for (index, call) in operation.calls.iter().enumerate() {
             self.call(&format!("{path}.calls[{index}]"), call);
         }
     }
 
+    fn path_match(&mut self, path: &str, operation: &OperationEntry, path_match: &PathMatch) {
+        self.at_least_one(format!("{path}.weight"), path_match.weight.into());
+        if path_match.host.is_empty() {
+            self.find(format!("{path}.host"), "empty: expected the host that requests name".into());
+        }
+        let prefix = &path_match.prefix;
+        if !prefix.starts_with('/') || !prefix.ends_with('/') {
+            let message = format!("`{}`: expected `/` at both ends", shortened(prefix));
+            self.find(format!("{path}.prefix"), message);
+        }
+        if operation.client.is_none() {
+            let message = "expected the field `client` beside it".to_owned();
+            self.find(path.to_owned(), message);
+        }
+    }
+
     fn call(&mut self, path: &str, call: &CallEdge) {
         self.at_least_one(format!("{path}.fan_out"), call.fan_out.into());
         let Some(operations) = self.declared.get(&call.service) else {
--- a/crates/coltsfootroute/src/schema/source_reader.rs
+++ b/crates/coltsfootroute/src/schema/source_reader.rs
@@ -1,7 +1,7 @@
 //! Reads a schema from a YAML tree and gathers every fault of its form.
 
 use super::{
-    CallEdge, ClientEntry, OperationEntry, SchemaDocument, SchemaError, ServiceEntry,
+    CallEdge, ClientEntry, OperationEntry, PathMatch, SchemaDocument, SchemaError, ServiceEntry,
     source_fields::SourceFields, source_node::SourceNode,
 };
 use crate::{
@@ -43,14 +43,24 @@
     }
 
     fn operation(&mut self, node: &SourceNode, path: &str) -> OperationEntry {
-        let known = ["name", "repeatable", "client", "calls"];
+        let known = ["name", "repeatable", "client", "matches", "calls"];
         let mut fields = SourceFields::new(self, node, path, &known);
         let name = OperationName::from(fields.text("name"));
         let repeatable = fields.flag("repeatable", true);
         let client = fields.optional("client");
+        let matches = fields.list("matches", false);
         let calls = fields.list("calls", false);
         let client = client.map(|(path, node)| self.client(node, &path));
-        OperationEntry { name, repeatable, client, calls: self.each(calls, Self::call) }
+        let matches = self.each(matches, Self::path_match);
+        OperationEntry { name, repeatable, client, matches, calls: self.each(calls, Self::call) }
+    }
+
+    fn path_match(&mut self, node: &SourceNode, path: &str) -> PathMatch {
+        let mut fields = SourceFields::new(self, node, path, &["host", "prefix", "weight"]);
+        let host = fields.text("host");
+        let prefix = fields.text("prefix");
+        let weight = fields.count("weight", Some(1));
+        PathMatch { host, prefix, weight }
     }
 
     fn client(&mut self, node: &SourceNode, path: &str) -> ClientEntry {
