--- a/crates/coltsfootroute/tests/integration/main.rs
+++ b/crates/coltsfootroute/tests/integration/main.rs
@@ -8,6 +8,7 @@
 mod once;
 mod retry;
 mod revision;
+mod route_table;
 mod routing;
 mod schema;
 mod store_policy;
--- a/crates/coltsfootroute/tests/integration/membership.rs
+++ b/crates/coltsfootroute/tests/integration/membership.rs
@@ -2,6 +2,7 @@
 
 mod bytes;
 mod fuzz;
+mod instances;
 mod introduction;
 mod merge;
 mod network;
--- a/crates/coltsfootroute/tests/integration/revision/state.rs
+++ b/crates/coltsfootroute/tests/integration/revision/state.rs
@@ -99,3 +99,39 @@
         delta
     );
 }
+
+#[test]
+fn an_outside_history_may_skip_revisions_and_never_goes_back() {
+    let outside = |revision: u64, lines: &str| {
+        let content = ContentDigest::of_document(&document(lines));
+        RevisionRecord::of_outside(Revision(revision), content, OperatorName::new("platform"))
+    };
+    let mut state = ConfigState::with_outside_history();
+
+    for (revision, lines) in [(4, "licences 30"), (5, "licences 40"), (9, "licences 50")] {
+        let applied = state.apply_document(&outside(revision, lines), &document(lines));
+        assert!(matches!(applied, Ok(Applied::Raised { .. })), "{applied:?}");
+    }
+    let late = state.apply_document(&outside(5, "licences 40"), &document("licences 40"));
+
+    assert_eq!(late, Ok(Applied::AlreadyHeld));
+    assert_eq!(state.document(), document("licences 50"));
+}
+
+#[test]
+fn an_outside_history_travels_in_deltas() {
+    let outside = |revision: u64, lines: &str| {
+        let content = ContentDigest::of_document(&document(lines));
+        RevisionRecord::of_outside(Revision(revision), content, OperatorName::new("platform"))
+    };
+    let (mut source, mut state) =
+        (ConfigState::with_outside_history(), ConfigState::with_outside_history());
+    let _ = source.apply_document(&outside(4, "licences 30"), &document("licences 30"));
+    let _ = state.apply_document(&outside(4, "licences 30"), &document("licences 30"));
+    let _ = source.apply_document(&outside(5, "licences 40"), &document("licences 40"));
+
+    let applied = state.apply_delta(&source.delta_since(state.revision()).expect("newer"));
+
+    assert!(matches!(applied, Ok(Applied::Raised { .. })), "{applied:?}");
+    assert_eq!(state.document(), document("licences 40"));
+}
