Nested calls on the platform inherit from the request above them; reach is learnt from answers

Change: a call whose identity begins with that of a request under way beside the node is served as nested below it; the services that answered below an operation are remembered, and the root refuses by their levels. What fails still is work whose nested calls are refused.

--- a/crates/coltsfoot-node/src/border.rs
+++ b/crates/coltsfoot-node/src/border.rs
@@ -9,4 +9,4 @@
 pub use client_front::{ClientFront, NoFront};
 pub use node_border::NodeBorder;
 pub use repeat_guard::RepeatGuard;
-pub use upstream_dialect::{NotRunMark, UpstreamDialect};
+pub use upstream_dialect::{NotRunMark, UpstreamDialect, request_context};
--- a/crates/coltsfoot-node/src/border/upstream_dialect.rs
+++ b/crates/coltsfoot-node/src/border/upstream_dialect.rs
@@ -1,10 +1,12 @@
 //! What node and upstream tell each other in headers.
 
+use coltsfoot_wire::peer::{HeaderLine, RequestHead};
 use coltsfootroute::{
     constants::{CONTEXT_HEADER, DEADLINE_HEADER, IDEMPOTENCY_KEY_HEADER, OUTCOME_HEADER},
     outcome::CallOutcome,
 };
 use http::{HeaderMap, HeaderName, StatusCode, header::CONTENT_ENCODING};
+use twox_hash::XxHash3_128;
 
 /// How an upstream says that it has not run a call.
 #[derive(Clone, Debug)]
@@ -55,6 +57,13 @@
         }
     }
 
+    /// The context of a request that is passed on, under which its upstream's nested calls are found;
+    /// `None` where requests bear no identity.
+    pub fn context_of(&self, head: &RequestHead) -> Option<u128> {
+        let echo = self.echo.as_ref()?;
+        HeaderLine::find(&head.headers, echo.as_str()).map(request_context)
+    }
+
     /// Whether an answer says that the call has not run.
     pub fn says_not_run(&self, status: StatusCode, headers: &HeaderMap) -> bool {
         let mark = &self.not_run;
@@ -75,3 +84,8 @@
             || headers.contains_key(seal) && !headers.contains_key(CONTENT_ENCODING)
     }
 }
+
+/// The context of the request whose identity is `id`.
+pub fn request_context(id: &[u8]) -> u128 {
+    XxHash3_128::oneshot(id)
+}
--- a/crates/coltsfoot-node/src/dispatch/calls_in_flight.rs
+++ b/crates/coltsfoot-node/src/dispatch/calls_in_flight.rs
@@ -131,16 +131,17 @@
 
 /// The calls that the upstream works on, by their context.
 ///
-/// A context is random, so that it cannot be guessed, and known only while its call is in flight.
+/// A context is random, so that it cannot be guessed, or made of the request's identity where nobody but
+/// the upstream and the clients of its host can reach the node; it is known only while its call is in flight.
 #[derive(Default)]
 pub struct CallsInFlight {
     spans: RefCell<IndexMap<u128, Rc<CallSpan>>>,
 }
 
 impl CallsInFlight {
-    /// Enters a call and returns its context.
-    pub fn enter(&self, rng: &mut impl Rng, span: Rc<CallSpan>) -> u128 {
-        let context = rng.random::<u128>();
+    /// Enters a call under its context, drawn at random where it has none of its own, and returns it.
+    pub fn enter(&self, own: Option<u128>, rng: &mut impl Rng, span: Rc<CallSpan>) -> u128 {
+        let context = own.unwrap_or_else(|| rng.random::<u128>());
         self.spans.borrow_mut().insert(context, span);
         context
     }
@@ -151,9 +152,12 @@
         self.spans.borrow().get(&context).cloned()
     }
 
-    /// Forgets a call that has ended.
-    pub fn leave(&self, context: u128) {
-        self.spans.borrow_mut().swap_remove(&context);
+    /// Forgets a call that has ended, unless a later one has taken its context.
+    pub fn leave(&self, context: u128, span: &CallSpan) {
+        let mut spans = self.spans.borrow_mut();
+        if spans.get(&context).is_some_and(|held| std::ptr::eq(&**held, span)) {
+            spans.swap_remove(&context);
+        }
     }
 }
 
--- a/crates/coltsfoot-node/src/dispatch/dispatcher.rs
+++ b/crates/coltsfoot-node/src/dispatch/dispatcher.rs
@@ -9,7 +9,7 @@
 
 use coltsfoot_wire::peer::{CallReply, LevelNote};
 use coltsfootroute::{
-    admission::{RetryAfter, RootGate, ShedLevel},
+    admission::{ReachedServices, RetryAfter, RootGate, ShedLevel},
     deadline::{DeadlineCheck, ServiceTimes},
     drain::{DrainState, StartAnswer},
     id::{Incarnation, NodeId},
@@ -28,7 +28,7 @@
     calls_in_flight::CallsInFlight, clock_drift::DriftReport, dispatch_thread::DispatchParts,
     guard_state::GuardState, incoming_call::IncomingCall, introduction_desk::IntroductionDesk,
     member_counts::MemberCounts, once_desk::OnceDesk, peer_links::PeerLinks,
-    service_pool::ServicePool, upstream_client::UpstreamClient,
+    routed_call::RoutedCall, service_pool::ServicePool, upstream_client::UpstreamClient,
 };
 use crate::{
     border::RepeatGuard, clock::MonotonicClock, config::ConfigCell, gossip::GossipCommand,
@@ -64,6 +64,8 @@
     pub(super) throttles: RefCell<IndexMap<ServiceName, ServiceThrottle>>,
     /// Levels of the services, and what is refused by them where requests enter.
     pub(super) root: RefCell<RootGate>,
+    /// Services that operations have reached, where the configuration does not declare it.
+    pub(super) reached: RefCell<ReachedServices>,
     pub(super) times: RefCell<ServiceTimes>,
     pub(super) deadlines: DeadlineCheck,
     pub(super) spans: CallsInFlight,
@@ -126,6 +128,7 @@
             policy: RetryPolicy::default(),
             throttles: RefCell::default(),
             root: RefCell::new(RootGate::new()),
+            reached: RefCell::default(),
             times: RefCell::new(ServiceTimes::default()),
             deadlines: DeadlineCheck::new(Duration::ZERO),
             spans: CallsInFlight::default(),
@@ -194,6 +197,16 @@
         }
     }
 
+    /// Takes in which services an answer to `call` came from, all those below included.
+    pub(super) fn learn_reached(&self, call: &RoutedCall, notes: &[LevelNote]) {
+        // In the product's own interface the schema declares the calls.
+        if call.head.is_some() && !notes.is_empty() {
+            let services = notes.iter().map(|note| &note.service);
+            let now = self.clock.now();
+            self.reached.borrow_mut().observe(now, &call.service, &call.operation, services);
+        }
+    }
+
     /// Whether `service` sheds work of this importance, wholly or in part.
     pub(super) fn is_shed(&self, service: &ServiceName, importance: Importance) -> bool {
         let level: ShedLevel = self.root.borrow().levels().level(self.clock.now(), service);
@@ -206,7 +219,8 @@
             return None;
         }
         let config = self.config.load()?;
-        let services = config.reachable(&call.service, &call.operation);
+        let learnt = self.reached.borrow().of(&call.service, &call.operation);
+        let services = learnt.unwrap_or_else(|| config.reachable(&call.service, &call.operation));
         let now = self.clock.now();
         let mut rng = self.rng.borrow_mut();
         let result = self.root.borrow_mut().admit(now, &services, importance, &mut *rng);
--- a/crates/coltsfoot-node/src/dispatch/entry_port.rs
+++ b/crates/coltsfoot-node/src/dispatch/entry_port.rs
@@ -1,6 +1,10 @@
 //! The way into the dispatch duty for a client front on its thread.
 
-use std::{net::IpAddr, rc::Rc, sync::Arc};
+use std::{
+    net::{IpAddr, Ipv4Addr},
+    rc::Rc,
+    sync::Arc,
+};
 
 use coltsfoot_wire::peer::CallReply;
 use coltsfootroute::{
@@ -17,6 +21,9 @@
 };
 use crate::config::ConfigInForce;
 
+/// Client of a nested call whose request is not known any more.
+const UNKNOWN_CLIENT: IpAddr = IpAddr::V4(Ipv4Addr::UNSPECIFIED);
+
 /// What a front tells its client of a request.
 #[derive(Clone, Debug)]
 pub struct EntryReply {
@@ -77,11 +84,20 @@
 
     /// Serves a request of the client at `client`. Dropping the future gives it up.
     pub async fn call(&self, request: RequestId, call: IncomingCall) -> EntryReply {
-        let client = match call.origin {
-            CallOrigin::Client { address } => address,
-            CallOrigin::Upstream { .. } => IpAddr::from([0, 0, 0, 0]),
+        let reply = match &call.origin {
+            CallOrigin::Client { address } => {
+                let address = *address;
+                self.dispatcher.serve_entry(request, call, address).await
+            }
+            CallOrigin::Upstream { context } => {
+                let span = context.as_ref().and_then(|context| self.dispatcher.spans.find(context));
+                match span {
+                    Some(span) => self.dispatcher.serve_below(call, span).await,
+                    // The call above has ended here, or was never ours: it stands for itself.
+                    None => self.dispatcher.serve_entry(request, call, UNKNOWN_CLIENT).await,
+                }
+            }
         };
-        let reply = self.dispatcher.serve_entry(request, call, client).await;
         EntryReply { reply, is_last: self.is_leaving() }
     }
 
--- a/crates/coltsfoot-node/src/dispatch/guard_run.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard_run.rs
@@ -40,7 +40,8 @@
         if self.has_withdrawn() {
             return self.refusal(RefusalReason::Leaving, CallOutcome::NotRun);
         }
-        let context = self.spans.enter(&mut *self.rng.borrow_mut(), span.clone());
+        let own = call.head.as_ref().and_then(|head| self.upstream_client.context_of(head));
+        let context = self.spans.enter(own, &mut *self.rng.borrow_mut(), span.clone());
         let mut entered = EnteredSpan { dispatcher: self, context, span, answered: false };
         let upstream_call = UpstreamCall {
             head: call.head.as_ref(),
@@ -105,7 +106,7 @@
 
 impl Drop for EnteredSpan<'_> {
     fn drop(&mut self) {
-        self.dispatcher.spans.leave(self.context);
+        self.dispatcher.spans.leave(self.context, self.span);
         if !self.answered {
             self.span.cancel();
         }
--- a/crates/coltsfoot-node/src/dispatch/nested_request.rs
+++ b/crates/coltsfoot-node/src/dispatch/nested_request.rs
@@ -30,35 +30,41 @@
         call: IncomingCall,
         context: Option<String>,
     ) -> HttpReply {
-        let span = context.and_then(|context| self.spans.find(&context));
-        let request = match &span {
-            Some(span) => span.request,
-            None => RequestId(self.rng.borrow_mut().random()),
-        };
-        let mark = span.clone().map(NestedMark::begin);
-        let reply = self.serve_unless_cancelled(request, call, span.as_deref()).await;
-        if let Some(span) = span {
-            span.note_levels(&reply.levels);
-        }
-        if let Some(mark) = mark {
-            mark.end(reply.outcome);
+        match context.and_then(|context| self.spans.find(&context)) {
+            Some(span) => {
+                let request = span.request;
+                HttpReply::from_call(request, self.serve_below(call, span).await)
+            }
+            None => {
+                let request = RequestId(self.rng.borrow_mut().random());
+                let reply = self.serve_in_span(request, call, None).await;
+                HttpReply::from_call(request, reply)
+            }
         }
-        HttpReply::from_call(request, reply)
+    }
+
+    /// Serves a call that is nested below `span`.
+    pub(super) async fn serve_below(
+        self: &Rc<Self>,
+        call: IncomingCall,
+        span: Rc<CallSpan>,
+    ) -> CallReply {
+        let mark = NestedMark::begin(span.clone());
+        let reply = self.serve_unless_cancelled(call, &span).await;
+        span.note_levels(&reply.levels);
+        mark.end(reply.outcome);
+        reply
     }
 
     /// Serves a nested call until the call above it is given up: then its own work is given up too, all
     /// the way down. The listener does not tell when a caller has gone, but the guard does.
     async fn serve_unless_cancelled(
         self: &Rc<Self>,
-        request: RequestId,
         call: IncomingCall,
-        span: Option<&CallSpan>,
+        above: &CallSpan,
     ) -> CallReply {
-        let Some(above) = span else {
-            return self.serve_in_span(request, call, None).await;
-        };
         tokio::select! {
-            reply = self.serve_in_span(request, call, span) => reply,
+            reply = self.serve_in_span(above.request, call, Some(above)) => reply,
             () = above.cancelled() => {
                 self.refusal(RefusalReason::UpstreamFailed, CallOutcome::Unknown)
             }
--- a/crates/coltsfoot-node/src/dispatch/routed_call.rs
+++ b/crates/coltsfoot-node/src/dispatch/routed_call.rs
@@ -91,6 +91,7 @@
         loop {
             let mut reply = self.attempt(call, &mut tried).await;
             self.learn_levels(&reply.levels);
+            self.learn_reached(call, &reply.levels);
             may_have_run |= reply.outcome == CallOutcome::Unknown;
             if reply.outcome == CallOutcome::Completed {
                 return reply;
--- a/crates/coltsfoot-node/src/dispatch/upstream_client.rs
+++ b/crates/coltsfoot-node/src/dispatch/upstream_client.rs
@@ -99,6 +99,11 @@
         Self { client, body_limit, dialect }
     }
 
+    /// The context of a request that is passed on, if it bears an identity.
+    pub fn context_of(&self, head: &RequestHead) -> Option<u128> {
+        self.dialect.context_of(head)
+    }
+
     /// Sends `call` and reads the whole answer. Dropping the future closes the connection, which
     /// tells the upstream to stop.
     ///
