The root sheds by demand against slots; a guard's refusal is rerouted; repeats below repeats are paid back

Change: ShedPolicy::Demand (rates times service times against the slots, made up for by the share let through); service times by rank; ranks of the platform take the lowest importances without a gap; an unsent call goes to another guard at once; the throttle keeps to the platform's ratio. Conclusion: kept for the platform; the product's own interface keeps the policy by refusals. Left: requests refused twice, and a service that rejects with room.

--- a/crates/coltsfoot-node/src/border/node_border.rs
+++ b/crates/coltsfoot-node/src/border/node_border.rs
@@ -2,11 +2,13 @@
 
 use std::sync::Arc;
 
-use super::{ClientFront, NoFront, RepeatGuard, UpstreamDialect};
+use coltsfootroute::admission::ShedPolicy;
+
+use super::{NoFront, RepeatGuard, UpstreamDialect};
 use crate::{
     config::ConfigOrigin,
     metrics::NodeMetrics,
-    store::{HttpClient, StorePort, StoreSettings},
+    store::{HttpClient, StoreSettings},
 };
 
 /// What varies of a node from platform to platform.
@@ -21,6 +23,8 @@
     pub repeat_guard: RepeatGuard,
     /// Who accepts configurations.
     pub origin: ConfigOrigin,
+    /// What the guard's shed level follows.
+    pub shed_policy: ShedPolicy,
 }
 
 impl NodeBorder<HttpClient, NoFront> {
@@ -32,14 +36,7 @@
             dialect: UpstreamDialect::own(),
             repeat_guard: RepeatGuard::Claims,
             origin: ConfigOrigin::Submitted,
+            shed_policy: ShedPolicy::Refusals,
         }
     }
 }
-
-impl<P: StorePort + 'static, F: ClientFront> NodeBorder<P, F> {
-    /// Serves clients by `front`.
-    pub fn with_front<G: ClientFront>(self, front: G) -> NodeBorder<P, G> {
-        let Self { open_store, front: _, dialect, repeat_guard, origin } = self;
-        NodeBorder { open_store, front: Some(front), dialect, repeat_guard, origin }
-    }
-}
--- a/crates/coltsfoot-node/src/dispatch/calls_in_flight.rs
+++ b/crates/coltsfoot-node/src/dispatch/calls_in_flight.rs
@@ -32,6 +32,8 @@
     pub account: Option<NodeId>,
     /// Hash of the client.
     pub client: u64,
+    /// Whether the call, or one above it, is not the first attempt.
+    pub is_repeat: bool,
     /// Whether a nested call may have reached an upstream.
     nested_ran: Cell<bool>,
     /// Nested calls that have no outcome yet.
@@ -58,6 +60,7 @@
             deadline,
             account,
             client,
+            is_repeat: false,
             nested_ran: Cell::new(false),
             nested_open: Cell::new(0),
             cancelled: Cell::new(false),
@@ -66,6 +69,11 @@
         }
     }
 
+    /// Says whether the call, or one above it, is not the first attempt.
+    pub fn with_repeat(self, is_repeat: bool) -> Self {
+        Self { is_repeat, ..self }
+    }
+
     /// Whether a nested call has reached an upstream or may yet; then the call itself has run in part.
     pub fn may_have_nested(&self) -> bool {
         self.nested_ran.get() || self.nested_open.get() > 0
--- a/crates/coltsfoot-node/src/dispatch/client_request.rs
+++ b/crates/coltsfoot-node/src/dispatch/client_request.rs
@@ -89,6 +89,7 @@
             account: (opened == OpenAnswer::Opened).then_some(self.identity.node),
             client: client_hash(client),
             under_way: false,
+            is_repeat: false,
             repeatable: check.repeatable,
             key: call.key,
             content_type: call.content_type,
--- a/crates/coltsfoot-node/src/dispatch/dispatch_thread.rs
+++ b/crates/coltsfoot-node/src/dispatch/dispatch_thread.rs
@@ -3,8 +3,10 @@
 use std::{io, net::TcpListener, rc::Rc, sync::Arc, thread, time::Duration};
 
 use coltsfootroute::{
+    admission::ShedPolicy,
     drain::{DrainReport, DrainSettings},
     event::EventKind,
+    retry::ThrottleSettings,
     time::MonotonicTime,
 };
 use tokio::{
@@ -52,6 +54,10 @@
     pub dialect: UpstreamDialect,
     /// What keeps non-repeatable work from running twice.
     pub repeat_guard: RepeatGuard,
+    /// What the guard's shed level follows.
+    pub shed_policy: ShedPolicy,
+    /// Bound on the retries into one service.
+    pub throttle: ThrottleSettings,
     /// Configuration in force, written by the configuration duty.
     pub config: ConfigCell,
     /// Most bytes of a body.
--- a/crates/coltsfoot-node/src/dispatch/dispatcher.rs
+++ b/crates/coltsfoot-node/src/dispatch/dispatcher.rs
@@ -9,7 +9,7 @@
 
 use coltsfoot_wire::peer::{CallReply, LevelNote};
 use coltsfootroute::{
-    admission::{ReachedServices, RetryAfter, RootGate, ShedLevel},
+    admission::{ReachedServices, RetryAfter, RootGate, ShedLevel, ShedPolicy},
     deadline::{DeadlineCheck, ServiceTimes},
     drain::{DrainState, StartAnswer},
     id::{Incarnation, NodeId},
@@ -17,7 +17,7 @@
     name::{DomainName, RegionName, ServiceName},
     once::ClaimHolder,
     outcome::{CallOutcome, RefusalReason},
-    retry::{AccountLedger, LedgerSettings, RetryPolicy, ServiceThrottle},
+    retry::{AccountLedger, LedgerSettings, RetryPolicy, ServiceThrottle, ThrottleSettings},
 };
 use indexmap::IndexMap;
 use rand::SeedableRng;
@@ -77,6 +77,8 @@
     pub(super) drain_period: Duration,
     /// Most calls waiting in front of the upstream.
     pub(super) queue: u32,
+    pub(super) shed_policy: ShedPolicy,
+    pub(super) throttle_settings: ThrottleSettings,
     /// What keeps non-repeatable work from running twice.
     pub(super) repeat_guard: RepeatGuard,
     pub(super) once: OnceDesk,
@@ -139,6 +141,8 @@
             drain_period: parts.drain.report_after,
             drain: RefCell::new(DrainState::new(parts.drain)),
             queue: parts.queue,
+            shed_policy: parts.shed_policy,
+            throttle_settings: parts.throttle,
             once: OnceDesk::new(holder, parts.store, parts.nodes),
             introduction: IntroductionDesk::default(),
             gossip: parts.gossip,
--- a/crates/coltsfoot-node/src/dispatch/guard.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard.rs
@@ -25,13 +25,9 @@
     pub(super) async fn guard_call(self: &Rc<Self>, call: CallRequest) -> CallReply {
         let arrived = self.clock.now();
         let deadline = arrived + call.remaining;
-        let span = Rc::new(CallSpan::new(
-            call.request,
-            call.importance,
-            deadline,
-            call.account,
-            call.client,
-        ));
+        let span =
+            CallSpan::new(call.request, call.importance, deadline, call.account, call.client);
+        let span = Rc::new(span.with_repeat(call.is_repeat));
         let service = call.service.clone();
         let mut reply = self.admit_and_run(call, deadline, &span).await;
         reply.levels = span.levels();
--- a/crates/coltsfoot-node/src/dispatch/guard_run.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard_run.rs
@@ -60,10 +60,12 @@
         entered.answered = result.is_ok();
         let Ok(result) = result else {
             permit.finish(CallFinish::TimedOut);
-            return self.refusal(RefusalReason::Deadline, CallOutcome::Unknown);
+            let reply = self.refusal(RefusalReason::Deadline, CallOutcome::Unknown);
+            return CallReply { reached_upstream: true, ..reply };
         };
         permit.finish(call_finish(&result));
-        self.run_reply(result, span, upstream_time)
+        let reached_upstream = !matches!(result, Err(UpstreamError::Unreachable));
+        CallReply { reached_upstream, ..self.run_reply(result, span, upstream_time) }
     }
 
     fn run_reply(
@@ -120,6 +122,7 @@
 
 fn answer_reply(answer: UpstreamAnswer, upstream_time: Duration) -> CallReply {
     CallReply {
+        reached_upstream: true,
         outcome: answer_outcome(answer.status),
         body: ReplyBody::Answer {
             status: answer.status,
--- a/crates/coltsfoot-node/src/dispatch/guard_state.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard_state.rs
@@ -82,7 +82,9 @@
         if fresh {
             let settings = AdmissionSettings::new(slots);
             let queue = settings.queue_length.min(self.queue);
-            let gate = AdmissionGate::new(settings.with_queue_length(queue));
+            let gate = AdmissionGate::new(
+                settings.with_queue_length(queue).with_shed_policy(self.shed_policy),
+            );
             *self.guard.gate.borrow_mut() = Some(gate);
         } else {
             self.guard.with_gate(|gate| gate.set_slots(now, slots));
--- a/crates/coltsfoot-node/src/dispatch/nested_request.rs
+++ b/crates/coltsfoot-node/src/dispatch/nested_request.rs
@@ -97,6 +97,7 @@
             account: span.and_then(|span| span.account),
             client: span.map_or(0, |span| span.client),
             under_way: span.is_some(),
+            is_repeat: span.is_some_and(|span| span.is_repeat),
             repeatable,
             key: call.key,
             content_type: call.content_type,
--- a/crates/coltsfoot-node/src/dispatch/once_run.rs
+++ b/crates/coltsfoot-node/src/dispatch/once_run.rs
@@ -151,6 +151,7 @@
         let header = answer.headers.into_iter().find(|header| header.name == CONTENT_TYPE.as_str());
         CallReply {
             outcome: answer_outcome(answer.status),
+            reached_upstream: false,
             body: ReplyBody::Answer {
                 status: answer.status,
                 content_type: header.map(|header| header.value).unwrap_or_default(),
--- a/crates/coltsfoot-node/src/dispatch/retry_tokens.rs
+++ b/crates/coltsfoot-node/src/dispatch/retry_tokens.rs
@@ -7,9 +7,7 @@
     event::{DenialReason, EventKind},
     id::{NodeId, RequestId},
     name::ServiceName,
-    retry::{
-        GiveUpCause, ServiceThrottle, TakeAnswer as LedgerAnswer, TakeDenial, ThrottleSettings,
-    },
+    retry::{GiveUpCause, ServiceThrottle, TakeAnswer as LedgerAnswer, TakeDenial},
 };
 use rand::RngExt;
 use tokio::time::timeout;
@@ -161,9 +159,15 @@
         }
     }
 
-    /// Counts a first attempt, which earns the service a share of a retry.
-    pub(super) fn count_first_attempt(&self, service: &ServiceName) {
-        self.with_throttle(service, ServiceThrottle::call);
+    /// Counts a first attempt, which earns the service a share of a retry. Below work that is run again it is
+    /// a repeat for the service as well.
+    pub(super) fn count_first_attempt(&self, call: &RoutedCall) {
+        self.with_throttle(&call.service, |throttle| {
+            throttle.call();
+            if call.is_repeat {
+                throttle.charge();
+            }
+        });
     }
 
     fn with_throttle<T>(
@@ -175,7 +179,7 @@
         let mut throttles = self.throttles.borrow_mut();
         let throttle = throttles
             .entry(service.clone())
-            .or_insert_with(|| ServiceThrottle::new(now, ThrottleSettings::default()));
+            .or_insert_with(|| ServiceThrottle::new(now, self.throttle_settings.clone()));
         act(throttle)
     }
 }
--- a/crates/coltsfoot-node/src/dispatch/routed_call.rs
+++ b/crates/coltsfoot-node/src/dispatch/routed_call.rs
@@ -46,6 +46,8 @@
     pub client: u64,
     /// Whether the call is nested below work that runs already.
     pub under_way: bool,
+    /// Whether the call above, or one above that, is not the first attempt.
+    pub is_repeat: bool,
     /// Whether the operation may run again.
     pub repeatable: bool,
     /// Idempotency key.
@@ -59,7 +61,13 @@
 }
 
 impl RoutedCall {
-    fn to_request(&self, now: MonotonicTime, revision: u64, stamp: HybridStamp) -> CallRequest {
+    fn to_request(
+        &self,
+        now: MonotonicTime,
+        is_repeat: bool,
+        revision: u64,
+        stamp: HybridStamp,
+    ) -> CallRequest {
         CallRequest {
             request: self.request,
             service: self.service.clone(),
@@ -69,6 +77,7 @@
             account: self.account,
             client: self.client,
             under_way: self.under_way,
+            is_repeat: self.is_repeat || is_repeat,
             key: self.key.clone(),
             content_type: self.content_type.clone(),
             head: self.head.clone(),
@@ -83,25 +92,25 @@
     /// Sends a call to upstreams of its service until one answers, the retries end or the deadline
     /// passes. The outcome speaks of all attempts together.
     pub async fn route(self: &Rc<Self>, call: &RoutedCall) -> CallReply {
-        self.count_first_attempt(&call.service);
+        self.count_first_attempt(call);
         self.await_first_members(call).await;
-        let mut tried = Vec::new();
-        let mut may_have_run = false;
-        let mut reroutes = 0;
+        let mut progress = RouteProgress::default();
         loop {
-            let mut reply = self.attempt(call, &mut tried).await;
+            let mut reply = self.attempt(call, &mut progress).await;
             self.learn_levels(&reply.levels);
             self.learn_reached(call, &reply.levels);
-            may_have_run |= reply.outcome == CallOutcome::Unknown;
+            progress.may_have_run |= reply.outcome == CallOutcome::Unknown;
+            progress.has_reached_upstream |= reply.reached_upstream || progress.may_have_run;
             if reply.outcome == CallOutcome::Completed {
                 return reply;
             }
-            if reroutes < MAX_REROUTES && left_before_run(&reply) {
-                reroutes += 1;
+            if progress.reroutes < MAX_REROUTES && is_free_to_reroute(call, &reply) {
+                progress.reroutes += 1;
                 continue;
             }
-            if !self.retry_after_failure(call, &reply, tried.len() - reroutes).await {
-                if may_have_run {
+            let attempts = progress.tried.len() - progress.reroutes;
+            if !self.retry_after_failure(call, &reply, attempts).await {
+                if progress.may_have_run {
                     reply.outcome = CallOutcome::Unknown;
                 }
                 return reply;
@@ -123,14 +132,19 @@
         }
     }
 
-    async fn attempt(self: &Rc<Self>, call: &RoutedCall, tried: &mut Vec<NodeId>) -> CallReply {
-        let Some(node) = self.choose(call, tried) else {
+    async fn attempt(
+        self: &Rc<Self>,
+        call: &RoutedCall,
+        progress: &mut RouteProgress,
+    ) -> CallReply {
+        let Some(node) = self.choose(call, &progress.tried) else {
             return self.refusal(RefusalReason::NoUpstream, CallOutcome::NotRun);
         };
-        tried.push(node);
-        let mut count = AttemptCount::start(self, call, node, tried.len());
+        progress.tried.push(node);
+        let mut count = AttemptCount::start(self, call, node, progress.tried.len());
         let until = self.clock.instant_at(call.deadline).into();
-        let reply = match timeout_at(until, self.send(node, call)).await {
+        let sending = self.send(node, call, progress.has_reached_upstream);
+        let reply = match timeout_at(until, sending).await {
             Ok(reply) => reply,
             Err(_) => self.refusal(RefusalReason::Deadline, CallOutcome::Unknown),
         };
@@ -158,15 +172,16 @@
         .flatten()
     }
 
-    async fn send(self: &Rc<Self>, node: NodeId, call: &RoutedCall) -> CallReply {
+    async fn send(self: &Rc<Self>, node: NodeId, call: &RoutedCall, is_repeat: bool) -> CallReply {
+        let (now, stamp) = (self.clock.now(), self.events.stamp());
+        let request = call.to_request(now, is_repeat, self.revision(), stamp);
         if node == self.identity.node {
-            let request = call.to_request(self.clock.now(), self.revision(), self.events.stamp());
             return self.guard_call(request).await;
         }
         let Ok(link) = self.links.get(node).await else {
             return self.refusal(RefusalReason::NoUpstream, CallOutcome::NotRun);
         };
-        match self.send_over(&link, call).await {
+        match self.send_over(&link, &request).await {
             Ok(reply) => reply,
             Err(_) => {
                 self.links.failed(node, &link);
@@ -178,11 +193,10 @@
     async fn send_over(
         &self,
         link: &PeerLink,
-        call: &RoutedCall,
+        call: &CallRequest,
     ) -> Result<CallReply, capnp::Error> {
         let mut request = link.client().call_request();
-        let body = call.to_request(self.clock.now(), self.revision(), self.events.stamp());
-        body.write(request.get().init_request());
+        call.write(request.get().init_request());
         let response = request.send().promise.await?;
         let reply = CallReply::read(response.get()?.get_reply()?)?;
         self.observe(reply.stamp);
@@ -227,10 +241,32 @@
     }
 }
 
-/// Whether the upstream left before the call reached it. A planned stop must not cost the request, and
-/// nothing was sent on, so that this neither multiplies down the chain nor takes a token.
-fn left_before_run(reply: &CallReply) -> bool {
-    reply.reason() == Some(RefusalReason::Leaving) && reply.outcome == CallOutcome::NotRun
+/// How far the attempts of one call have come.
+#[derive(Default)]
+struct RouteProgress {
+    /// Nodes tried, in order.
+    tried: Vec<NodeId>,
+    /// Attempts that a guard refused and that don't count as retries.
+    reroutes: usize,
+    /// Whether some attempt may have run.
+    may_have_run: bool,
+    /// Whether some attempt reached an upstream, if only to be rejected.
+    has_reached_upstream: bool,
+}
+
+/// Whether the guard refused the call before its upstream saw it, for a reason that another guard may not
+/// have. Nothing was sent on, so that this neither multiplies down the chain nor takes a token. In the
+/// product's own form only a planned stop counts: there a guard's refusal for overload is final for its
+/// importance, and callers hear of it at once.
+fn is_free_to_reroute(call: &RoutedCall, reply: &CallReply) -> bool {
+    if reply.reached_upstream || reply.outcome != CallOutcome::NotRun {
+        return false;
+    }
+    match reply.reason() {
+        Some(RefusalReason::Leaving) => true,
+        Some(RefusalReason::Overload | RefusalReason::NoUpstream) => call.head.is_some(),
+        _ => false,
+    }
 }
 
 fn route_result(reply: &CallReply) -> RouteResult {
--- a/crates/coltsfoot-node/src/process/node_parts.rs
+++ b/crates/coltsfoot-node/src/process/node_parts.rs
@@ -3,6 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use coltsfootroute::{
+    admission::ShedPolicy,
     drain::DrainSettings,
     id::NodeId,
     membership::{GossipSettings, MemberRecord},
@@ -38,6 +39,8 @@
     pub repeat_guard: RepeatGuard,
     /// Who accepts configurations.
     pub origin: ConfigOrigin,
+    /// What the guard's shed level follows.
+    pub shed_policy: ShedPolicy,
     /// Seed of the node's random generators.
     pub seed: u64,
     /// Where the configuration in force stands.
@@ -86,6 +89,8 @@
             control: self.settings.control,
             dialect: self.dialect.clone(),
             repeat_guard: self.repeat_guard,
+            shed_policy: self.shed_policy,
+            throttle: self.settings.retries.throttle(),
             config: self.cell.clone(),
             body_limit: self.part_limits().body_bytes,
             queue: u32::try_from(limits.queue).unwrap_or(u32::MAX),
--- a/crates/coltsfoot-node/src/process/node_process.rs
+++ b/crates/coltsfoot-node/src/process/node_process.rs
@@ -92,6 +92,7 @@
             dialect: border.dialect,
             repeat_guard: border.repeat_guard,
             origin: border.origin,
+            shed_policy: border.shed_policy,
             seed,
             cell: ConfigCell::default(),
             store,
--- a/crates/coltsfoot-node/src/settings/node_settings.rs
+++ b/crates/coltsfoot-node/src/settings/node_settings.rs
@@ -7,8 +7,8 @@
 use serde_saphyr::DuplicateKeyPolicy;
 
 use super::{
-    ControlMode, LimitSettings, ListenSettings, LogSettings, SettingsErrors, StoreSettings,
-    field_reader::FieldReader,
+    ControlMode, LimitSettings, ListenSettings, LogSettings, RetrySettings, SettingsErrors,
+    StoreSettings, field_reader::FieldReader,
 };
 
 /// All settings of a node. Immutable once read; a change takes a restart.
@@ -28,6 +28,8 @@
     pub log: LogSettings,
     /// Whether load is controlled.
     pub control: ControlMode,
+    /// Bound on the retries into one service.
+    pub retries: RetrySettings,
     /// Bounds.
     pub limits: LimitSettings,
 }
@@ -71,6 +73,7 @@
         let store = reader.section("store", StoreSettings::read);
         let log = reader.section("log", LogSettings::read);
         let control = reader.optional("control").unwrap_or_default();
+        let retries = reader.section("retries", RetrySettings::read);
         let limits = reader.section("limits", LimitSettings::read);
         reader.finish();
         Some(Self {
@@ -81,6 +84,7 @@
             store: store?,
             log,
             control,
+            retries,
             limits,
         })
     }
--- /dev/null
+++ b/crates/coltsfoot-node/src/settings/retry_settings.rs
@@ -0,0 +1,35 @@
+//! Bound on the retries into one service.
+
+use coltsfootroute::retry::ThrottleSettings;
+
+use super::field_reader::FieldReader;
+
+/// Bound on the retries of this node into one service, whichever requests they belong to.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RetrySettings {
+    /// Retries for each thousand calls.
+    pub per_thousand: u64,
+    /// Retries a minute beyond these, so that a service with little traffic is not left without any.
+    pub per_minute: u64,
+    /// Most retries saved up.
+    pub burst: u64,
+}
+
+impl RetrySettings {
+    pub(super) fn read(reader: &mut FieldReader<'_>) -> Self {
+        Self {
+            per_thousand: reader.number("per_thousand", 100, 0..=1_000),
+            per_minute: reader.number("per_minute", 60, 0..=60_000),
+            burst: reader.number("burst", 20, 1..=1_000),
+        }
+    }
+
+    /// The same, as the library takes it.
+    pub fn throttle(&self) -> ThrottleSettings {
+        ThrottleSettings {
+            per_call_thousandths: self.per_thousand,
+            per_second_thousandths: self.per_minute * 1_000 / 60,
+            burst: self.burst,
+        }
+    }
+}
--- a/crates/coltsfoot-node/tests/integration/settings.rs
+++ b/crates/coltsfoot-node/tests/integration/settings.rs
@@ -37,6 +37,7 @@
     let minimal = NodeSettings::from_yaml(MINIMAL).unwrap();
 
     assert_eq!(minimal.limits, sample.limits);
+    assert_eq!(minimal.retries, sample.retries);
     assert_eq!(minimal.log, sample.log);
     assert_eq!(minimal.control, sample.control);
     assert_eq!(minimal.store.writes_per_s, sample.store.writes_per_s);
--- a/crates/coltsfoot-node/tests/integration/util/fake_peer.rs
+++ b/crates/coltsfoot-node/tests/integration/util/fake_peer.rs
@@ -44,6 +44,7 @@
         account: None,
         client: 0,
         under_way: false,
+        is_repeat: false,
         key: None,
         content_type: String::new(),
         head: None,
--- a/crates/coltsfoot-slopes/src/slopes/decisions.rs
+++ b/crates/coltsfoot-slopes/src/slopes/decisions.rs
@@ -209,6 +209,7 @@
         account: Some(NodeId(NODE.into())),
         client: 7,
         under_way: true,
+        is_repeat: false,
         key: None,
         content_type: "application/json".to_owned(),
         head: None,
@@ -243,6 +244,7 @@
     let reply = CallReply {
         body: answer,
         outcome: CallOutcome::Completed,
+        reached_upstream: true,
         levels: levels.collect(),
         upstream_time: LATENCY,
         stamp: HybridStamp::new(1_796_228_561_138, 2),
--- a/crates/coltsfoot-wire/schema/peer.capnp
+++ b/crates/coltsfoot-wire/schema/peer.capnp
@@ -34,6 +34,7 @@
   stampMillis @13 :UInt64;    # caller's hybrid clock
   stampCounter @14 :UInt32;
   head @15 :RequestHead;      # absent: the product's own form of a call
+  isRepeat @16 :Bool;         # the call, or one above it, is not the first attempt
 }
 
 enum Outcome { completed @0; notRun @1; unknown @2; }
@@ -63,6 +64,7 @@
   stampMillis @9 :UInt64;     # guard's hybrid clock
   stampCounter @10 :UInt32;
   answerHeaders @11 :List(HeaderLine);  # of an answer to a call with a head
+  reachedUpstream @12 :Bool;  # the call was sent to the upstream, whatever came of it
 }
 
 enum TakeAnswer { granted @0; denied @1; noAccount @2; late @3; }
--- a/crates/coltsfoot-wire/src/peer/call_reply.rs
+++ b/crates/coltsfoot-wire/src/peer/call_reply.rs
@@ -23,6 +23,8 @@
     pub body: ReplyBody,
     /// Whether this call has run.
     pub outcome: CallOutcome,
+    /// Whether the call was sent to an upstream, whatever came of it.
+    pub reached_upstream: bool,
     /// Admission levels of the called service and of the services below it.
     pub levels: Vec<LevelNote>,
     /// Time the upstream took, zero if it was not called.
@@ -62,6 +64,7 @@
         Self {
             body: ReplyBody::Refusal { reason, retry_after_s },
             outcome,
+            reached_upstream: false,
             levels: Vec::new(),
             upstream_time: Duration::ZERO,
             stamp: HybridStamp::default(),
@@ -94,6 +97,7 @@
                 refusal.set_retry_after_seconds(*retry_after_s);
             }
         }
+        builder.set_reached_upstream(self.reached_upstream);
         builder.set_outcome(match self.outcome {
             CallOutcome::Completed => Outcome::Completed,
             CallOutcome::NotRun => Outcome::NotRun,
@@ -138,7 +142,8 @@
             reader.get_levels()?.iter().map(LevelNote::read).collect::<Result<Vec<_>, _>>()?;
         let upstream_time = Duration::from_micros(reader.get_upstream_micros());
         let stamp = HybridStamp::new(reader.get_stamp_millis(), reader.get_stamp_counter());
-        Ok(Self { body, outcome, levels, upstream_time, stamp })
+        let reached_upstream = reader.get_reached_upstream();
+        Ok(Self { body, outcome, reached_upstream, levels, upstream_time, stamp })
     }
 }
 
--- a/crates/coltsfootroute/src/admission/admission_gate.rs
+++ b/crates/coltsfootroute/src/admission/admission_gate.rs
@@ -6,8 +6,9 @@
 
 use super::{
     AdmissionDecision, AdmissionSettings, AdmissionVerdict, AimdLimit, CallFinish,
-    ConcurrencyLimit, FinishSample, QueueOrder, ShedLevel, WaitingCall, call_queue::CallQueue,
-    queued_call::QueuedCall, service_time::ServiceTime, shed_control::ShedControl,
+    ConcurrencyLimit, FinishSample, QueueOrder, ShedLevel, ShedPolicy, WaitingCall,
+    call_queue::CallQueue, demand_control::DemandControl, queued_call::QueuedCall,
+    service_time::ServiceTime, shed_control::ShedControl, waiting_call::RANKS,
 };
 use crate::{importance::Importance, outcome::RefusalReason, time::MonotonicTime};
 
@@ -31,15 +32,17 @@
     queue: CallQueue,
     /// Since when the queue has not been empty.
     standing_since: Option<MonotonicTime>,
-    service_times: [ServiceTime; Importance::COUNT],
+    /// By rank: work under way is of another kind than what clients ask for at the same importance.
+    service_times: [ServiceTime; RANKS],
     shed: ShedControl,
+    demand: DemandControl,
     draining: bool,
 }
 
 /// A call in flight to the upstream.
 #[derive(Clone, Copy, Debug)]
 struct RunningCall {
-    importance: Importance,
+    rank: usize,
     started: MonotonicTime,
 }
 
@@ -60,8 +63,9 @@
             running: IndexMap::new(),
             queue: CallQueue::default(),
             standing_since: None,
-            service_times: [ServiceTime::default(); Importance::COUNT],
+            service_times: [ServiceTime::default(); RANKS],
             shed: ShedControl::new(),
+            demand: DemandControl::new(),
             draining: false,
         }
     }
@@ -70,6 +74,7 @@
     pub fn offer(&mut self, now: MonotonicTime, call: WaitingCall) -> Vec<AdmissionVerdict> {
         let mut verdicts = self.advanced(now);
         self.shed.on_offer();
+        self.demand.on_offer(call.rank());
         if self.draining {
             verdicts.push(refusal(call.id, RefusalReason::Leaving));
         } else if self.is_doomed(now, &call) {
@@ -93,7 +98,8 @@
         let in_flight = self.in_flight();
         let Some(call) = self.running.swap_remove(&id) else { return verdicts };
         let service_time = now.since(call.started);
-        let times = &mut self.service_times[call.importance.index()];
+        self.demand.on_finish(call.rank, service_time);
+        let times = &mut self.service_times[call.rank];
         match finish {
             CallFinish::Succeeded => times.record(now, service_time),
             CallFinish::TimedOut | CallFinish::Cancelled => {
@@ -136,7 +142,10 @@
 
     /// What the guard tells callers about the work it sheds.
     pub fn shed_level(&self, now: MonotonicTime) -> ShedLevel {
-        self.shed.level(now)
+        match self.settings.shed_policy {
+            ShedPolicy::Refusals => self.shed.level(now),
+            ShedPolicy::Demand => self.demand.level(),
+        }
     }
 
     /// Calls in flight to the upstream.
@@ -160,8 +169,9 @@
     }
 
     /// The observed median time from dispatch to answer, zero before the first answer.
+    /// For the calls that clients make themselves; what is nested below work under way has times of its own.
     pub fn service_time(&self, now: MonotonicTime, importance: Importance) -> Duration {
-        self.service_times[importance.index()].estimate(now)
+        self.service_times[importance.index() * 2].estimate(now)
     }
 
     /// Takes in a change of the upstream's slots, at least 1.
@@ -177,6 +187,7 @@
     fn advanced(&mut self, now: MonotonicTime) -> Vec<AdmissionVerdict> {
         let mut verdicts = Vec::new();
         self.shed.advance(now, !self.has_room());
+        self.demand.advance(now, self.limit.limit());
         while let Some(queued) = self.queue.pop_expired(now) {
             match queued.expiry_reason {
                 RefusalReason::Overload => self.refuse_for_overload(&queued.call, &mut verdicts),
@@ -193,7 +204,7 @@
 
     /// Whether the call can't be expected to finish in time even if it started now.
     fn is_doomed(&self, now: MonotonicTime, call: &WaitingCall) -> bool {
-        now >= call.deadline || now + self.service_time(now, call.importance) > call.deadline
+        now >= call.deadline || now + self.service_times[call.rank()].estimate(now) > call.deadline
     }
 
     fn is_overloaded(&self, now: MonotonicTime) -> bool {
@@ -213,7 +224,7 @@
         call: &WaitingCall,
         verdicts: &mut Vec<AdmissionVerdict>,
     ) {
-        let running = RunningCall { importance: call.importance, started: now };
+        let running = RunningCall { rank: call.rank(), started: now };
         self.running.insert(call.id, running);
         verdicts.push(AdmissionVerdict { id: call.id, decision: AdmissionDecision::Run });
     }
@@ -276,7 +287,7 @@
         let delay =
             if overloaded { settings.overload_queue_delay } else { settings.max_queue_delay };
         let given_up = now + delay;
-        let last_start = call.deadline - self.service_time(now, call.importance);
+        let last_start = call.deadline - self.service_times[call.rank()].estimate(now);
         if last_start < given_up {
             let expiry_reason = RefusalReason::Deadline;
             QueuedCall { call, expiry: last_start, expiry_reason }
--- a/crates/coltsfootroute/src/admission/admission_settings.rs
+++ b/crates/coltsfootroute/src/admission/admission_settings.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::QueueOrder;
+use super::{QueueOrder, ShedPolicy};
 
 /// Default bound on the wait in the queue.
 const MAX_QUEUE_DELAY: Duration = Duration::from_millis(400);
@@ -28,6 +28,8 @@
         pub overload_interval: Duration,
         /// Order of service within one importance and client.
         pub queue_order: QueueOrder,
+        /// What the shed level follows.
+        pub shed_policy: ShedPolicy,
     }
 }
 
@@ -42,6 +44,7 @@
             overload_queue_delay: OVERLOAD_QUEUE_DELAY,
             overload_interval: OVERLOAD_INTERVAL,
             queue_order: QueueOrder::default(),
+            shed_policy: ShedPolicy::default(),
         }
     }
 
@@ -66,6 +69,11 @@
         Self { overload_interval, ..self }
     }
 
+    /// Sets what the shed level follows.
+    pub fn with_shed_policy(self, shed_policy: ShedPolicy) -> Self {
+        Self { shed_policy, ..self }
+    }
+
     /// Sets the order of service within one importance and client.
     pub fn with_queue_order(self, queue_order: QueueOrder) -> Self {
         Self { queue_order, ..self }
--- a/crates/coltsfootroute/src/retry/service_throttle.rs
+++ b/crates/coltsfootroute/src/retry/service_throttle.rs
@@ -6,24 +6,24 @@
 /// Token bucket that bounds the retries of this node into one service to a share of its calls,
 /// whichever client requests they belong to.
 ///
-/// Invariant: `saved` never exceeds the burst.
+/// Invariant: `saved` never exceeds the burst, and never falls further below zero than it.
 #[derive(Clone, Debug)]
 pub struct ServiceThrottle {
     settings: ThrottleSettings,
-    /// Thousandths of a retry.
-    saved: u64,
+    /// Thousandths of a retry; below zero while repeats that could not be helped are paid back.
+    saved: i64,
     earned_at: MonotonicTime,
 }
 
 /// Thousandths of a retry in a retry.
-const WHOLE: u64 = 1_000;
+const WHOLE: i64 = 1_000;
 /// Microseconds in a second.
 const SECOND_MICROS: u64 = 1_000_000;
 
 impl ServiceThrottle {
     /// A throttle with its burst saved up.
     pub fn new(now: MonotonicTime, settings: ThrottleSettings) -> Self {
-        let saved = settings.burst * WHOLE;
+        let saved = burst_of(&settings);
         Self { settings, saved, earned_at: now }
     }
 
@@ -44,12 +44,18 @@
 
     /// Gives back a retry that did not happen, because the account denied it.
     pub fn give_back(&mut self) {
-        self.earn(WHOLE);
+        self.earn(WHOLE.unsigned_abs());
+    }
+
+    /// Counts a repeat that could not be helped: a first attempt of a call below work that is itself run
+    /// again.
+    pub fn charge(&mut self) {
+        self.saved = (self.saved - WHOLE).max(-burst_of(&self.settings));
     }
 
     fn earn(&mut self, thousandths: u64) {
-        let most = self.settings.burst * WHOLE;
-        self.saved = self.saved.saturating_add(thousandths).min(most);
+        let earned = i64::try_from(thousandths).unwrap_or(i64::MAX);
+        self.saved = self.saved.saturating_add(earned).min(burst_of(&self.settings));
     }
 
     fn earn_by_time(&mut self, now: MonotonicTime) {
@@ -67,3 +73,7 @@
         self.earn(thousandths);
     }
 }
+
+fn burst_of(settings: &ThrottleSettings) -> i64 {
+    i64::try_from(settings.burst).unwrap_or(i64::MAX / WHOLE).saturating_mul(WHOLE)
+}
