--- a/crates/coltsfoot-node/src/dispatch/guard_state.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard_state.rs
@@ -7,8 +7,8 @@
 
 use coltsfootroute::{
     admission::{
-        AdmissionDecision, AdmissionGate, AdmissionSettings, AdmissionVerdict, BreachCounter,
-        ShedLevel,
+        AdmissionDecision, AdmissionGate, AdmissionSettings, AdmissionVerdict, AimdLimit,
+        BreachCounter, ShedLevel, ShedPolicy,
     },
     membership::InstanceLedger,
     time::MonotonicTime,
@@ -21,6 +21,10 @@
 
 use super::{dispatcher::Dispatcher, local_upstream::UpstreamAnnouncement};
 
+/// An upstream whose slots are announced and that rejects with half of them free has a fault, not a lack of
+/// room.
+const TRUSTED_SHARE: f64 = 0.5;
+
 /// The upstream beside the node, as announced.
 pub struct GuardedUpstream {
     /// What it said of itself last.
@@ -82,9 +86,12 @@
         if fresh {
             let settings = AdmissionSettings::new(slots);
             let queue = settings.queue_length.min(self.queue);
-            let gate = AdmissionGate::new(
-                settings.with_queue_length(queue).with_shed_policy(self.shed_policy),
-            );
+            let settings = settings.with_queue_length(queue).with_shed_policy(self.shed_policy);
+            let limit = match self.shed_policy {
+                ShedPolicy::Refusals => AimdLimit::new(slots),
+                ShedPolicy::Demand => AimdLimit::new(slots).with_trusted_share(TRUSTED_SHARE),
+            };
+            let gate = AdmissionGate::with_limit(settings, limit);
             *self.guard.gate.borrow_mut() = Some(gate);
         } else {
             self.guard.with_gate(|gate| gate.set_slots(now, slots));
--- a/crates/coltsfootroute/src/admission/limit/aimd_limit.rs
+++ b/crates/coltsfootroute/src/admission/limit/aimd_limit.rs
@@ -33,6 +33,8 @@
     last_decrease: Option<MonotonicTime>,
     last_growth: MonotonicTime,
     timeouts_count: bool,
+    /// Share of the ceiling below which a rejection says nothing of the upstream's room.
+    trusted_share: f64,
 }
 
 impl AimdLimit {
@@ -45,6 +47,7 @@
             last_decrease: None,
             last_growth: MonotonicTime::ZERO,
             timeouts_count: false,
+            trusted_share: 0.0,
         }
     }
 
@@ -53,7 +56,16 @@
         Self { timeouts_count, ..self }
     }
 
+    /// Takes rejections while fewer calls than `share` of the ceiling are in flight, between 0 and 1, for a
+    /// fault of the upstream: fewer calls would not make it reject less.
+    pub fn with_trusted_share(self, share: f64) -> Self {
+        Self { trusted_share: share, ..self }
+    }
+
     fn decrease(&mut self, now: MonotonicTime, in_flight: u32) {
+        if f64::from(in_flight) < f64::from(self.ceiling) * self.trusted_share {
+            return;
+        }
         let too_soon = |last| now.since(last) < DECREASE_INTERVAL;
         if self.last_decrease.is_some_and(too_soon) {
             return;
