Requests of one connection are worked on side by side and answered in order

Change: a connection of our own over httparse. Safe requests overlap, others wait for those ahead of them; a close waits for what has been begun; a client's end is seen while its requests are worked on.

--- a/crates/coltsfoot-node/src/http.rs
+++ b/crates/coltsfoot-node/src/http.rs
@@ -5,6 +5,7 @@
 mod host_listener;
 mod http_reply;
 mod listener_state;
+pub mod pipeline;
 mod request_parts;
 mod serve;
 mod worker_meter;
--- /dev/null
+++ b/crates/coltsfoot-node/src/http/pipeline.rs
@@ -0,0 +1,21 @@
+//! HTTP/1.1 connections whose requests may follow one another before the first is answered.
+//!
+//! Neither `xitca-web` nor `hyper` works on a request before the one ahead of it is answered, and neither
+//! shows while a handler runs that its client has gone. Heads are parsed by `httparse`; what follows here is
+//! framing, order and bounds.
+
+mod body_reader;
+mod connection;
+mod request_buffer;
+mod request_error;
+mod response_bytes;
+
+pub use connection::{ConnectionLimits, accept_connections};
+pub use request_error::FramingError;
+
+use bytes::Bytes;
+
+/// A whole request.
+pub type WholeRequest = http::Request<Bytes>;
+/// A whole response.
+pub type WholeResponse = http::Response<Bytes>;
--- /dev/null
+++ b/crates/coltsfoot-node/src/http/pipeline/connection.rs
@@ -0,0 +1,257 @@
+//! One connection: requests in, responses out in the same order.
+
+use std::{future::Future, time::Duration};
+
+use bytes::BytesMut;
+use futures_util::{StreamExt, stream::FuturesOrdered};
+use http::{Method, Version, header::CONNECTION};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{
+        TcpListener, TcpStream,
+        tcp::{ReadHalf, WriteHalf},
+    },
+    task::spawn_local,
+    time::{Instant, sleep, sleep_until, timeout},
+};
+
+use super::{
+    FramingError, WholeRequest, WholeResponse, request_buffer::RequestBuffer, response_bytes,
+};
+
+/// Requests of one connection that are worked on at a time. Clients send two or three ahead.
+const MAX_AHEAD: usize = 16;
+/// Bytes read at a time at least. Each connection holds so much.
+const READ_BYTES: usize = 4 * 1024;
+/// Bytes of further requests that are held unread.
+const MAX_UNREAD_BYTES: usize = 64 * 1024;
+/// Room for the head of an answer.
+const HEAD_ROOM: usize = 512;
+/// How long a closed connection still takes in what its client sends.
+const LINGER_TIME: Duration = Duration::from_millis(500);
+/// Pause after a failed accept: closing connections frees descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// Leave to send a body that a client asks before.
+const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
+
+/// Bounds on one connection.
+#[derive(Clone, Copy, Debug)]
+pub struct ConnectionLimits {
+    /// Most bytes of a head.
+    pub head_bytes: usize,
+    /// Most bytes of a body.
+    pub body_bytes: usize,
+    /// Time from the first byte of a request to its last.
+    pub request_time: Duration,
+    /// Time that a connection without a request is kept.
+    pub idle_time: Duration,
+}
+
+/// How the answer to one request goes out.
+struct Reply {
+    response: WholeResponse,
+    method: Method,
+    /// Whether the client or the handler asks to close the connection behind it.
+    closes: bool,
+}
+
+/// Serves every connection of `listener` by `handle`, on the current thread. The future of a request is
+/// dropped when its client closes the connection.
+pub async fn accept_connections<H, R>(listener: TcpListener, limits: ConnectionLimits, handle: H)
+where
+    H: Fn(WholeRequest) -> R + Clone + 'static,
+    R: Future<Output = WholeResponse> + 'static,
+{
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        // Without it small answers wait for acknowledgements; a failure only costs time.
+        let _ = stream.set_nodelay(true);
+        spawn_local(serve(stream, limits, handle.clone()));
+    }
+}
+
+async fn serve<H, R>(mut stream: TcpStream, limits: ConnectionLimits, handle: H)
+where
+    H: Fn(WholeRequest) -> R,
+    R: Future<Output = WholeResponse>,
+{
+    let (reader, writer) = stream.split();
+    let buffer = RequestBuffer::default();
+    let connection = Connection { reader, writer, limits, buffer, since: Instant::now() };
+    connection.run(handle).await;
+}
+
+struct Connection<'a> {
+    reader: ReadHalf<'a>,
+    writer: WriteHalf<'a>,
+    limits: ConnectionLimits,
+    buffer: RequestBuffer,
+    /// When the present request began to come in; without one, when the last answer went out.
+    since: Instant,
+}
+
+/// What happened next on a connection.
+enum Step {
+    /// The client sent something.
+    Read,
+    /// The client has gone.
+    Gone,
+    /// The next answer, in order.
+    Answered(Reply),
+    /// The client has taken too long.
+    TimedOut,
+}
+
+impl Connection<'_> {
+    async fn run<H, R>(mut self, handle: H)
+    where
+        H: Fn(WholeRequest) -> R,
+        R: Future<Output = WholeResponse>,
+    {
+        let mut pending = FuturesOrdered::new();
+        // A request that is not safe is worked on alone: were it begun behind another, a close ahead of it
+        // would have its client send it again.
+        let mut held = None;
+        let mut runs_alone = false;
+        loop {
+            while pending.is_empty() || !runs_alone && held.is_none() && pending.len() < MAX_AHEAD {
+                let request =
+                    match held.take().map_or_else(|| self.next_request(), |held| Ok(Some(held))) {
+                        Ok(Some(request)) => request,
+                        Ok(None) => break,
+                        Err(err) => return self.fail(pending, err).await,
+                    };
+                let is_alone = !request.method().is_safe();
+                if is_alone && !pending.is_empty() {
+                    held = Some(request);
+                    break;
+                }
+                runs_alone = is_alone;
+                let (method, closes) = (request.method().clone(), asks_to_close(&request));
+                pending.push_back(reply(handle(request), method, closes));
+            }
+            match self.step(&mut pending).await {
+                Step::Read => {}
+                Step::Gone => return,
+                Step::Answered(reply) => {
+                    let is_last = pending.is_empty() && held.is_none();
+                    if !self.answer(reply, is_last).await {
+                        return;
+                    }
+                }
+                Step::TimedOut if self.buffer.has_begun() => {
+                    return self.fail(pending, FramingError::TimedOut).await;
+                }
+                Step::TimedOut => return,
+            }
+        }
+    }
+
+    fn next_request(&mut self) -> Result<Option<WholeRequest>, FramingError> {
+        self.buffer.next(&self.limits)
+    }
+
+    async fn step<F>(&mut self, pending: &mut FuturesOrdered<F>) -> Step
+    where
+        F: Future<Output = Reply>,
+    {
+        let is_idle = pending.is_empty();
+        if is_idle
+            && self.buffer.expects_continue()
+            && self.writer.write_all(CONTINUE).await.is_err()
+        {
+            return Step::Gone;
+        }
+        let was_empty = !self.buffer.has_begun();
+        let most = if was_empty { self.limits.idle_time } else { self.limits.request_time };
+        let can_read = self.buffer.bytes.len() < MAX_UNREAD_BYTES;
+        self.buffer.bytes.reserve(READ_BYTES);
+        tokio::select! {
+            Some(reply) = pending.next(), if !is_idle => Step::Answered(reply),
+            read = self.reader.read_buf(&mut self.buffer.bytes), if can_read => match read {
+                Ok(0) | Err(_) => Step::Gone,
+                Ok(_) => {
+                    if was_empty {
+                        self.since = Instant::now();
+                    }
+                    Step::Read
+                }
+            },
+            () = sleep_until(self.since + most), if is_idle => Step::TimedOut,
+        }
+    }
+
+    /// Writes an answer; returns whether the connection goes on. A close waits for the last of the requests
+    /// that have been begun.
+    async fn answer(&mut self, reply: Reply, is_last: bool) -> bool {
+        let Reply { response, method, closes } = reply;
+        let closes = closes && is_last;
+        let mut bytes = BytesMut::with_capacity(HEAD_ROOM + response.body().len());
+        response_bytes::write(&response, &method, closes, &mut bytes);
+        if self.writer.write_all(&bytes).await.is_err() {
+            return false;
+        }
+        self.since = Instant::now();
+        if closes {
+            self.shut_down().await;
+        }
+        !closes
+    }
+
+    /// Answers what was read before, then says why the rest is no request, and closes.
+    async fn fail<F>(&mut self, mut pending: FuturesOrdered<F>, err: FramingError)
+    where
+        F: Future<Output = Reply>,
+    {
+        while let Some(reply) = pending.next().await {
+            if !self.answer(reply, false).await {
+                return;
+            }
+        }
+        let mut response = WholeResponse::default();
+        *response.status_mut() = err.status();
+        self.answer(Reply { response, method: Method::GET, closes: true }, true).await;
+    }
+
+    /// Ends the sending side, and drops what the client still sends for a moment: a close with unread bytes
+    /// would reset the connection and might take the answer with it.
+    async fn shut_down(&mut self) {
+        if self.writer.shutdown().await.is_err() {
+            return;
+        }
+        let drain = async {
+            let mut rest = BytesMut::with_capacity(READ_BYTES);
+            while matches!(self.reader.read_buf(&mut rest).await, Ok(length) if length > 0) {
+                rest.clear();
+            }
+        };
+        // Past the time the client has had its answer, or never will.
+        let _ = timeout(LINGER_TIME, drain).await;
+    }
+}
+
+async fn reply(
+    response: impl Future<Output = WholeResponse>,
+    method: Method,
+    closes: bool,
+) -> Reply {
+    let response = response.await;
+    let is_asked = response.headers().get(CONNECTION).is_some_and(|value| value == "close");
+    Reply { response, method, closes: closes || is_asked }
+}
+
+fn asks_to_close(request: &WholeRequest) -> bool {
+    let asks = |word: &str| {
+        let values = request.headers().get_all(CONNECTION).iter();
+        let mut words =
+            values.filter_map(|value| value.to_str().ok()).flat_map(|value| value.split(','));
+        words.any(|held| held.trim().eq_ignore_ascii_case(word))
+    };
+    match request.version() {
+        Version::HTTP_10 => !asks("keep-alive"),
+        _ => asks("close"),
+    }
+}
