A silent peer no longer holds up the configuration; dead connections are given up

It had asked a peer that was being stopped for the revision, and that question had no time limit, so that the configuration duty waited for ever. Its own feed was in a question of 15 s to a store that took questions and did not answer. Before: the test with a peer that never answers hung. After: it passes.

--- a/crates/coltsfoot-node/src/dispatch/node_state.rs
+++ b/crates/coltsfoot-node/src/dispatch/node_state.rs
@@ -1,12 +1,17 @@
 //! Configuration changes, gauges and the end of a planned stop, as the dispatch duty sees them.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use coltsfootroute::{drain::DrainPhase, event::EventKind, id::NodeId, name::ServiceName};
+use tokio::time::timeout;
 
 use super::{control_traffic::SINCE_BYTES, dispatcher::Dispatcher};
 use crate::{config::ConfigInForce, metrics::ControlKind};
 
+/// Longest wait for a peer's configuration. The configuration duty waits meanwhile; a peer that has gone
+/// without a word must not hold it up, and others have the same.
+const PULL_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Schemas of at most so many services are watched whole, so that no client's first call waits.
 const EAGER_SERVICES: usize = 32;
 
@@ -31,8 +36,12 @@
         own.map(|service| config.callees(service)).unwrap_or_default()
     }
 
-    /// Asks a peer for what changed since revision `since`.
+    /// Asks a peer for what changed since revision `since`; `None` if it does not answer in time.
     pub(super) async fn pull_config(&self, peer: NodeId, since: u64) -> Option<Vec<u8>> {
+        timeout(PULL_TIMEOUT, self.pull_delta(peer, since)).await.ok()?
+    }
+
+    async fn pull_delta(&self, peer: NodeId, since: u64) -> Option<Vec<u8>> {
         let link = self.links.get(peer).await.ok()?;
         let mut request = link.client().config_since_request();
         request.get().set_revision(since);
--- a/crates/coltsfoot-node/src/dispatch/peer_links.rs
+++ b/crates/coltsfoot-node/src/dispatch/peer_links.rs
@@ -7,6 +7,7 @@
 use coltsfootroute::{id::NodeId, time::MonotonicTime};
 use futures_util::AsyncReadExt as _;
 use indexmap::IndexMap;
+use rustix::net::sockopt::set_tcp_user_timeout;
 use tokio::{net::TcpStream, sync::OnceCell, time::timeout};
 use tokio_util::compat::TokioAsyncReadCompatExt as _;
 
@@ -14,6 +15,9 @@
 
 /// Time to open a connection to a node.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// A connection whose peer has not acknowledged what was sent for so many milliseconds is given up. Hosts of
+/// one region answer within some; a lost packet is sent again twice within this time.
+const UNACKNOWLEDGED_MS: u32 = 1_500;
 /// A connection not used for so long is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 
@@ -127,6 +131,8 @@
         .map_err(|_| LinkError)?
         .map_err(|_| LinkError)?;
     stream.set_nodelay(true).map_err(|_| LinkError)?;
+    // Without it a host that has gone without a word holds every call until its own deadline.
+    set_tcp_user_timeout(&stream, UNACKNOWLEDGED_MS).map_err(|_| LinkError)?;
     let (reader, writer) = stream.compat().split();
     let network = VatNetwork::new(reader, writer, Side::Client, Default::default());
     let mut system = RpcSystem::new(Box::new(network), None);
--- a/crates/coltsfoot-node/src/store/http_sender.rs
+++ b/crates/coltsfoot-node/src/store/http_sender.rs
@@ -19,6 +19,11 @@
 /// connection that the server closes at that moment would be uncertain for nothing.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// Time between two probes of a connection on which nothing comes.
+const KEEPALIVE: Duration = Duration::from_secs(1);
+/// Probes without an answer until the connection is given up.
+const KEEPALIVE_RETRIES: u32 = 3;
+
 /// Sends requests to the platform's services, each once, and counts their bytes.
 pub struct HttpSender {
     client: Client<HttpConnector, Full<Bytes>>,
@@ -31,6 +36,10 @@
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(connect_timeout));
+        // A service that has gone without a word is noticed while a long question waits for its answer.
+        connector.set_keepalive(Some(KEEPALIVE));
+        connector.set_keepalive_interval(Some(KEEPALIVE));
+        connector.set_keepalive_retries(Some(KEEPALIVE_RETRIES));
         let client = Client::builder(TokioExecutor::new())
             .pool_timer(TokioTimer::new())
             .pool_idle_timeout(IDLE_TIMEOUT)
--- a/crates/coltsfoot-node/tests/integration/introduction.rs
+++ b/crates/coltsfoot-node/tests/integration/introduction.rs
@@ -82,3 +82,17 @@
     first.stop();
     newcomer.stop();
 }
+
+#[test]
+fn a_peer_that_never_answers_does_not_hold_up_the_configuration() {
+    let table = table();
+    // The kernel takes connections in, and nobody reads them.
+    let silent = std::net::TcpListener::bind("127.0.0.1:0").expect("loopback");
+    let peer = silent.local_addr().expect("bound");
+    let node = SoloNode::start(table.address(), &[peer], "", "");
+
+    node.configure();
+
+    assert_eq!(node.host_call("GET", "/schema", &[], "").status, 200);
+    node.stop();
+}
