A node that is to stop guards its upstream while clients still come

Cause: with machines stopped one a second, four of them refused calls at a time for three to four seconds each: all three upstreams of licences were without a guard. Change: drain_closing_ms; where the listener sees callers leave, a nested call is given up by its own caller alone.

--- a/crates/coltsfoot-node/src/dispatch/client_request.rs
+++ b/crates/coltsfoot-node/src/dispatch/client_request.rs
@@ -52,7 +52,7 @@
         let request = RequestId(self.rng.borrow_mut().random());
         let reply = self.serve_entry(request, call, client).await;
         let reply = HttpReply::from_call(request, reply);
-        if self.drain.borrow().closes_connections() { reply.with_close() } else { reply }
+        if self.is_closing.get() { reply.with_close() } else { reply }
     }
 
     /// Serves one request of a client under an identity that its listener has found.
--- a/crates/coltsfoot-node/src/dispatch/dispatch_thread.rs
+++ b/crates/coltsfoot-node/src/dispatch/dispatch_thread.rs
@@ -66,6 +66,8 @@
     pub queue: u32,
     /// How a planned stop goes.
     pub drain: DrainSettings,
+    /// How long a node that is to stop serves on as before, while clients hear that they should not come.
+    pub closing_time: Duration,
     /// The platform's services.
     pub store: StoreHandle,
     /// Nodes that share the platform's rates.
@@ -227,6 +229,10 @@
 
     /// A planned stop: refuse new work, tell everyone, end when nothing is in flight.
     async fn leave(self: Rc<Self>, done: oneshot::Sender<()>) {
+        // The upstream stays in service as long as clients still come here: leaving earlier would only take
+        // its slots away from everyone.
+        self.is_closing.set(true);
+        sleep(self.closing_time).await;
         let begun: MonotonicTime = self.clock.now();
         self.drain.borrow_mut().begin(begun);
         let in_flight = u32::try_from(self.drain.borrow().in_flight()).unwrap_or(u32::MAX);
--- a/crates/coltsfoot-node/src/dispatch/dispatcher.rs
+++ b/crates/coltsfoot-node/src/dispatch/dispatcher.rs
@@ -73,6 +73,9 @@
     pub(super) guard: GuardState,
     pub(super) upstream_client: UpstreamClient,
     pub(super) drain: RefCell<DrainState>,
+    /// Whether a planned stop has been asked for.
+    pub(super) is_closing: Cell<bool>,
+    pub(super) closing_time: Duration,
     /// Time between two reports of a planned stop that does not end.
     pub(super) drain_period: Duration,
     /// Most calls waiting in front of the upstream.
@@ -139,6 +142,8 @@
             upstream_client: UpstreamClient::new(parts.body_limit, parts.dialect),
             repeat_guard: parts.repeat_guard,
             drain_period: parts.drain.report_after,
+            is_closing: Cell::new(false),
+            closing_time: parts.closing_time,
             drain: RefCell::new(DrainState::new(parts.drain)),
             queue: parts.queue,
             shed_policy: parts.shed_policy,
--- a/crates/coltsfoot-node/src/dispatch/entry_port.rs
+++ b/crates/coltsfoot-node/src/dispatch/entry_port.rs
@@ -74,7 +74,7 @@
 
     /// Whether a planned stop has begun.
     pub fn is_leaving(&self) -> bool {
-        self.dispatcher.drain.borrow().closes_connections()
+        self.dispatcher.is_closing.get()
     }
 
     /// An identity for a request whose client gave none.
--- a/crates/coltsfoot-node/src/dispatch/nested_request.rs
+++ b/crates/coltsfoot-node/src/dispatch/nested_request.rs
@@ -50,7 +50,12 @@
         span: Rc<CallSpan>,
     ) -> CallReply {
         let mark = NestedMark::begin(span.clone());
-        let reply = self.serve_unless_cancelled(call, &span).await;
+        // A front sees for itself that the caller has gone; an upstream whose work is given up closes its
+        // nested calls. Until then they go on: their upstreams are at work.
+        let reply = match call.head {
+            Some(_) => self.serve_in_span(span.request, call, Some(&span)).await,
+            None => self.serve_unless_cancelled(call, &span).await,
+        };
         span.note_levels(&reply.levels);
         mark.end(reply.outcome);
         reply
--- a/crates/coltsfoot-node/src/process/node_parts.rs
+++ b/crates/coltsfoot-node/src/process/node_parts.rs
@@ -97,6 +97,7 @@
             drain: DrainSettings::default()
                 .with_notice(Duration::from_millis(limits.drain_notice_ms))
                 .with_report_after(Duration::from_secs(limits.drain_max_s)),
+            closing_time: Duration::from_millis(limits.drain_closing_ms),
             store: self.store.clone(),
             nodes: u32::try_from(self.settings.store.nodes).unwrap_or(u32::MAX),
             gossip: self.gossip.clone(),
--- a/crates/coltsfoot-node/src/settings/limit_settings.rs
+++ b/crates/coltsfoot-node/src/settings/limit_settings.rs
@@ -21,6 +21,9 @@
     pub header_bytes: u64,
     /// Most calls waiting in front of the upstream; fewer where eight times its slots are fewer.
     pub queue: u64,
+    /// Time for which a node that is to stop serves on as before, in milliseconds, while its answers ask
+    /// clients to go elsewhere.
+    pub drain_closing_ms: u64,
     /// Time callers get to learn that the node leaves, in milliseconds.
     pub drain_notice_ms: u64,
     /// Time in seconds after which a planned stop reports what is still in flight; it waits on.
@@ -40,6 +43,7 @@
                 1_024..=MAX_HEADER_BYTES,
             ),
             queue: reader.number("queue", DEFAULT_QUEUE, 1..=65_536),
+            drain_closing_ms: reader.number("drain_closing_ms", 0, 0..=60_000),
             drain_notice_ms: reader.number("drain_notice_ms", DEFAULT_DRAIN_NOTICE_MS, 0..=60_000),
             drain_max_s: reader.number("drain_max_s", DEFAULT_DRAIN_MAX_S, 1..=3_600),
             seed: reader.optional("seed"),
