A restarted node takes its upstream up again from its own row; newcomers ask the store at once

Cause: after all processes were killed the upstreams' next heartbeats came up to 1.6 s after the restart, and nodes waited a second for peers that their settings don't name before they read the rows of others. Change: beside the introduction stands the upstream's last announcement, if it names its life; it is removed before a leave is acknowledged. The first scan waits 0.1 s where no peers are named; up to 12 contacts are asked at once. While the store is down a restart still waits for a heartbeat.

--- a/crates/coltsfoot-node/src/dispatch/dispatch_thread.rs
+++ b/crates/coltsfoot-node/src/dispatch/dispatch_thread.rs
@@ -70,6 +70,8 @@
     pub closing_time: Duration,
     /// The platform's services.
     pub store: StoreHandle,
+    /// Whether the settings name peers.
+    pub has_peers: bool,
     /// Nodes that share the platform's rates.
     pub nodes: u32,
     /// Commands to the gossip duty.
@@ -145,6 +147,7 @@
     spawn_local(dispatcher.clone().run_errands());
     spawn_local(dispatcher.clone().sweep_records());
     spawn_local(dispatcher.clone().keep_introduced());
+    spawn_local(dispatcher.clone().resume_upstream());
     spawn_local(dispatcher.clone().find_others());
     while let Some(command) = commands.recv().await {
         // Each command is a task of its own: none may hold up the ring.
--- a/crates/coltsfoot-node/src/dispatch/dispatcher.rs
+++ b/crates/coltsfoot-node/src/dispatch/dispatcher.rs
@@ -86,6 +86,8 @@
     pub(super) repeat_guard: RepeatGuard,
     pub(super) once: OnceDesk,
     pub(super) introduction: IntroductionDesk,
+    /// Whether the settings name peers.
+    pub(super) has_peers: bool,
     pub(super) gossip: mpsc::Sender<GossipCommand>,
     pub(super) metrics: Arc<NodeMetrics>,
     pub(super) events: EventSender,
@@ -150,6 +152,7 @@
             throttle_settings: parts.throttle,
             once: OnceDesk::new(holder, parts.store, parts.nodes),
             introduction: IntroductionDesk::default(),
+            has_peers: parts.has_peers,
             gossip: parts.gossip,
             metrics: parts.metrics,
             events: parts.events,
--- a/crates/coltsfoot-node/src/dispatch/introduction_desk.rs
+++ b/crates/coltsfoot-node/src/dispatch/introduction_desk.rs
@@ -1,5 +1,6 @@
-//! The node's row in the table service, by which newcomers find it, and the rows of others while this node
-//! is a newcomer itself. Best effort, and never waited for by a call.
+//! The node's rows in the table service: the one by which newcomers find it, and the one by which it finds
+//! its upstream again after a restart. Also the rows of others while this node is a newcomer itself. Best
+//! effort, and never waited for by a call.
 
 use std::{
     cell::{Cell, RefCell},
@@ -9,9 +10,9 @@
 
 use coltsfootroute::{
     id::NodeId,
-    membership::{IntroductionRow, IntroductionScan},
+    membership::{InstanceName, IntroductionRow, IntroductionScan},
     name::ServiceName,
-    table::{StoreUse, TableReply, TableRequest},
+    table::{RowCondition, RowKey, RowWrite, StoreUse, TableReply, TableRequest},
 };
 use rand::RngExt;
 use tokio::{
@@ -19,37 +20,52 @@
     time::{sleep, timeout},
 };
 
-use super::dispatcher::Dispatcher;
-use crate::gossip::GossipCommand;
+use super::{dispatcher::Dispatcher, local_upstream::UpstreamAnnouncement};
+use crate::{gossip::GossipCommand, journal::LOG_TARGET};
 
 /// Time one request to the table service may take.
 const STORE_DEADLINE: Duration = Duration::from_secs(2);
 /// Pause before a row that could not be written is written again; jittered.
 const WRITE_PAUSE: Duration = Duration::from_secs(30);
 /// Time that peers of the settings have to answer before the table service is asked; jittered.
-const FIRST_SCAN_PAUSE: Duration = Duration::from_secs(1);
+const PEER_TIME: Duration = Duration::from_secs(1);
+/// Pause before the table service is asked where the settings name no peers; jittered, so that nodes that
+/// start together find each other's rows.
+const FIRST_SCAN_PAUSE: Duration = Duration::from_millis(100);
 /// Longest pause between two scans of a node that has found nobody; jittered.
 const LONGEST_SCAN_PAUSE: Duration = Duration::from_secs(10);
 /// How long a leaving node waits for its row to be gone.
 const REMOVE_WAIT: Duration = Duration::from_millis(500);
 
-/// The node's own row.
+/// Start of the keys of the rows by which nodes find their upstreams again.
+const UPSTREAM_PREFIX: &str = "upstream/";
+
+/// The upstream that the node's rows speak of.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct IntroducedUpstream {
+    /// Its service.
+    pub service: ServiceName,
+    /// Its life, if it names itself.
+    pub instance: Option<InstanceName>,
+}
+
+/// The node's own rows.
 #[derive(Default)]
 pub struct IntroductionDesk {
-    /// Service under which the row shall stand.
-    wanted: RefCell<Option<ServiceName>>,
-    /// Service under which it stands, or may stand.
-    written: RefCell<Option<ServiceName>>,
-    /// Whether it stands for certain. Invariant: only while `written` is something.
+    /// What the rows shall speak of.
+    wanted: RefCell<Option<IntroducedUpstream>>,
+    /// What they speak of, or may speak of.
+    written: RefCell<Option<IntroducedUpstream>>,
+    /// Whether they stand for certain. Invariant: only while `written` is something.
     is_certain: Cell<bool>,
     wanted_changed: Notify,
     written_changed: Notify,
 }
 
 impl IntroductionDesk {
-    /// The row shall stand under `service`, or be gone.
-    pub fn want(&self, service: Option<ServiceName>) {
-        *self.wanted.borrow_mut() = service;
+    /// The rows shall speak of `upstream`, or be gone.
+    pub fn want(&self, upstream: Option<IntroducedUpstream>) {
+        *self.wanted.borrow_mut() = upstream;
         self.wanted_changed.notify_one();
     }
 
@@ -58,7 +74,7 @@
         *wanted == *self.written.borrow() && self.is_certain.get() == wanted.is_some()
     }
 
-    fn note(&self, written: Option<ServiceName>, is_certain: bool) {
+    fn note(&self, written: Option<IntroducedUpstream>, is_certain: bool) {
         *self.written.borrow_mut() = written;
         self.is_certain.set(is_certain);
         self.written_changed.notify_one();
@@ -96,16 +112,22 @@
     async fn settle_introduction(&self) -> bool {
         let wanted = self.introduction.wanted.borrow().clone();
         let written = self.introduction.written.borrow().clone();
-        if let Some(service) = written.filter(|service| wanted.as_ref() != Some(service)) {
-            if !self.change_row(self.introduction_row(service).remove()).await {
+        let is_certain = self.introduction.is_certain.get() && written == wanted;
+        let moves_from = written.filter(|written| {
+            wanted.as_ref().is_none_or(|wanted| wanted.service != written.service)
+        });
+        if let Some(upstream) = moves_from {
+            let remove = self.introduction_row(upstream.service).remove();
+            if !self.change_row(with_write(remove, self.upstream_write(None))).await {
                 return false;
             }
             self.introduction.note(None, false);
         }
-        if let Some(service) = wanted.filter(|_| !self.introduction.is_certain.get()) {
-            let done = self.change_row(self.introduction_row(service.clone()).write()).await;
+        if let Some(upstream) = wanted.filter(|_| !is_certain) {
+            let write = self.introduction_row(upstream.service.clone()).write();
+            let done = self.change_row(with_write(write, self.resumable_write())).await;
             // A write without an answer may stand all the same, and is removed like one that does.
-            self.introduction.note(Some(service), done);
+            self.introduction.note(Some(upstream), done);
         }
         self.introduction.is_settled()
     }
@@ -118,6 +140,52 @@
         }
     }
 
+    /// The write by which a restart finds the upstream again; `None` where it does not name its lives, since
+    /// another one might have its address by then.
+    fn resumable_write(&self) -> Option<RowWrite> {
+        let upstream = self.guard.upstream.borrow();
+        let announcement = &upstream.as_ref()?.announcement;
+        announcement.instance.as_ref()?;
+        // Names, addresses and numbers always have a JSON form.
+        self.upstream_write(serde_json::to_string(announcement).ok())
+    }
+
+    /// The write of the upstream's row, or its removal; `None` where no upstream is resumed.
+    fn upstream_write(&self, value: Option<String>) -> Option<RowWrite> {
+        let write = RowWrite { key: self.upstream_key(), condition: RowCondition::Any, value };
+        self.upstream_client.checks_instance().then_some(write)
+    }
+
+    fn upstream_key(&self) -> RowKey {
+        RowKey::new(&format!("{UPSTREAM_PREFIX}{}", self.identity.node))
+    }
+
+    /// Takes the upstream up again that the life before this one guarded: its next heartbeat may be seconds
+    /// away. Another instance at its address refuses what is not meant for it.
+    pub(super) async fn resume_upstream(self: Rc<Self>) {
+        if !self.upstream_client.checks_instance() {
+            return;
+        }
+        let read = TableRequest::Read(self.upstream_key());
+        let TableReply::Rows(rows) = self.ask_introductions(read).await else { return };
+        let Some(row) = rows.first() else { return };
+        let announcement: UpstreamAnnouncement = match serde_json::from_str(&row.value) {
+            Ok(announcement) => announcement,
+            Err(err) => {
+                log::warn!(
+                    target: LOG_TARGET,
+                    "level=warn event=upstream-row-faulty error={:?}", err.to_string()
+                );
+                return;
+            }
+        };
+        let Some(instance) = announcement.instance.clone() else { return };
+        let is_first = self.guard.instances.borrow_mut().resume(&instance);
+        if is_first {
+            self.announce_upstream(announcement).await;
+        }
+    }
+
     async fn change_row(&self, request: TableRequest) -> bool {
         self.ask_introductions(request).await == TableReply::Committed
     }
@@ -129,7 +197,7 @@
     /// Looks for other nodes in the table service until one has answered.
     pub(super) async fn find_others(self: Rc<Self>) {
         let mut scan = IntroductionScan::new(&mut *self.rng.borrow_mut());
-        let mut pause = FIRST_SCAN_PAUSE;
+        let mut pause = if self.has_peers { PEER_TIME } else { FIRST_SCAN_PAUSE };
         loop {
             sleep(self.jittered(pause)).await;
             if self.has_joined().await {
@@ -163,3 +231,14 @@
         pause.mul_f64(self.rng.borrow_mut().random_range(0.5..1.5))
     }
 }
+
+/// Adds a write to a transaction.
+fn with_write(request: TableRequest, write: Option<RowWrite>) -> TableRequest {
+    match request {
+        TableRequest::Transact(mut writes) => {
+            writes.extend(write);
+            TableRequest::Transact(writes)
+        }
+        other => other,
+    }
+}
--- a/crates/coltsfoot-node/src/dispatch/local_upstream.rs
+++ b/crates/coltsfoot-node/src/dispatch/local_upstream.rs
@@ -9,14 +9,16 @@
 };
 use http::StatusCode;
 
-use super::{dispatcher::Dispatcher, guard_state::GuardedUpstream};
+use super::{
+    dispatcher::Dispatcher, guard_state::GuardedUpstream, introduction_desk::IntroducedUpstream,
+};
 use crate::{gossip::GossipCommand, http::HttpReply};
 
 /// An upstream that has not repeated its announcement for so long is taken as gone.
 const SILENCE_LIMIT: Duration = Duration::from_secs(5);
 
 /// What the upstream beside the node says of itself in `PUT /upstream`.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct UpstreamAnnouncement {
     /// Service that the upstream is one of.
@@ -58,7 +60,10 @@
             });
             // A closed ring means that the process stops.
             let _ = self.gossip.send(command).await;
-            self.introduction.want(Some(announcement.service.clone()));
+            self.introduction.want(Some(IntroducedUpstream {
+                service: announcement.service.clone(),
+                instance: announcement.instance.clone(),
+            }));
             self.watch_callees(&announcement.service).await;
         }
         HttpReply::json(StatusCode::OK, &serde_json::json!({ "revision": self.revision() }))
@@ -85,6 +90,8 @@
             upstream.heard = self.clock.now();
         }
         self.withdraw_upstream().await;
+        // Else a restart might take it up again.
+        self.introduction.settle().await;
     }
 
     /// Whether the announcement says anything new.
@@ -117,12 +124,23 @@
         let left = self.mark_leaving();
         if let Some(left) = left {
             self.events.emit(left);
-            self.introduction.want(None);
+            if !self.is_resumable() {
+                self.introduction.want(None);
+            }
             // A closed ring means that the process stops.
             let _ = self.gossip.send(GossipCommand::Leave).await;
         }
     }
 
+    /// Whether the next life of this node shall take the upstream up again: it is the node that stops.
+    fn is_resumable(&self) -> bool {
+        let upstream = self.guard.upstream.borrow();
+        self.upstream_client.checks_instance()
+            && upstream.as_ref().is_some_and(|upstream| {
+                !upstream.has_withdrawn && upstream.announcement.instance.is_some()
+            })
+    }
+
     fn mark_leaving(&self) -> Option<EventKind> {
         let mut upstream = self.guard.upstream.borrow_mut();
         let upstream = upstream.as_mut().filter(|upstream| !upstream.leaving)?;
--- a/crates/coltsfoot-node/src/dispatch/upstream_client.rs
+++ b/crates/coltsfoot-node/src/dispatch/upstream_client.rs
@@ -104,6 +104,11 @@
         self.dialect.context_of(head)
     }
 
+    /// Whether the upstream refuses calls that are meant for another life of it.
+    pub fn checks_instance(&self) -> bool {
+        self.dialect.expected_instance.is_some()
+    }
+
     /// Sends `call` and reads the whole answer. Dropping the future closes the connection, which
     /// tells the upstream to stop.
     ///
--- a/crates/coltsfoot-node/src/process/node_parts.rs
+++ b/crates/coltsfoot-node/src/process/node_parts.rs
@@ -99,6 +99,7 @@
                 .with_report_after(Duration::from_secs(limits.drain_max_s)),
             closing_time: Duration::from_millis(limits.drain_closing_ms),
             store: self.store.clone(),
+            has_peers: !self.settings.peers.is_empty(),
             nodes: u32::try_from(self.settings.store.nodes).unwrap_or(u32::MAX),
             gossip: self.gossip.clone(),
             metrics: self.metrics.clone(),
--- a/crates/coltsfootroute/src/membership/gossip_engine/joining.rs
+++ b/crates/coltsfootroute/src/membership/gossip_engine/joining.rs
@@ -12,7 +12,7 @@
 };
 
 /// Nodes asked at once while none has answered.
-const JOIN_FANOUT: usize = 3;
+const JOIN_FANOUT: usize = 12;
 /// Most addresses kept from settings and introductions.
 const MAX_CONTACTS: usize = 64;
 /// One in this many pings beyond the group goes to an address from settings or an introduction.
--- a/crates/coltsfootroute/src/membership/instance_ledger.rs
+++ b/crates/coltsfootroute/src/membership/instance_ledger.rs
@@ -70,6 +70,16 @@
         HeartbeatVerdict::Fresh
     }
 
+    /// The instance was present in an earlier life of the ledger. Returns whether it is taken up again:
+    /// only before any heartbeat was heard.
+    pub fn resume(&mut self, name: &InstanceName) -> bool {
+        if self.present.is_some() || self.departed.contains(name) {
+            return false;
+        }
+        self.present = Some(PresentInstance { name: name.clone(), sequence: 0 });
+        true
+    }
+
     /// The instance has left. Returns whether it was the present one.
     pub fn leave(&mut self, name: &InstanceName) -> bool {
         let is_present = self.present.take_if(|present| present.name == *name).is_some();
