--- a/crates/coltsfoot-node/src/dispatch/routed_call.rs
+++ b/crates/coltsfoot-node/src/dispatch/routed_call.rs
@@ -96,7 +96,9 @@
         self.await_first_members(call).await;
         let mut progress = RouteProgress::default();
         loop {
+            let tried_before = progress.tried.len();
             let mut reply = self.attempt(call, &mut progress).await;
+            let was_sent = progress.tried.len() > tried_before;
             self.learn_levels(&reply.levels);
             self.learn_reached(call, &reply.levels);
             progress.may_have_run |= reply.outcome == CallOutcome::Unknown;
@@ -104,7 +106,7 @@
             if reply.outcome == CallOutcome::Completed {
                 return reply;
             }
-            if progress.reroutes < MAX_REROUTES && is_free_to_reroute(call, &reply) {
+            if was_sent && progress.reroutes < MAX_REROUTES && is_free_to_reroute(call, &reply) {
                 progress.reroutes += 1;
                 continue;
             }
@@ -246,7 +248,7 @@
 struct RouteProgress {
     /// Nodes tried, in order.
     tried: Vec<NodeId>,
-    /// Attempts that a guard refused and that don't count as retries.
+    /// Attempts that a guard refused and that don't count as retries; at most as many as were tried.
     reroutes: usize,
     /// Whether some attempt may have run.
     may_have_run: bool,
