--- a/crates/coltsfoot-node/src/dispatch.rs
+++ b/crates/coltsfoot-node/src/dispatch.rs
@@ -25,6 +25,7 @@
 mod once_run;
 mod peer_links;
 mod peer_server;
+mod request_record;
 mod retry_tokens;
 mod routed_call;
 mod run_permit;
--- a/crates/coltsfoot-node/src/dispatch/client_request.rs
+++ b/crates/coltsfoot-node/src/dispatch/client_request.rs
@@ -4,6 +4,7 @@
 
 use coltsfoot_wire::peer::CallReply;
 use coltsfootroute::{
+    admission::ShedRefusal,
     deadline::DeadlineVerdict,
     id::RequestId,
     importance::Importance,
@@ -63,15 +64,26 @@
         client: IpAddr,
     ) -> CallReply {
         let Some(_permit) = self.start_call(CallKind::Client) else {
-            return self.refuse(Importance::Background, RefusalReason::Leaving);
+            return self.refuse_entry(
+                request,
+                &call,
+                Importance::Background,
+                RefusalReason::Leaving,
+                None,
+            );
         };
         let check = match self.check_entry(&call) {
             Ok(check) => check,
-            Err(reason) => return self.refuse(Importance::Background, reason),
+            Err(reason) => {
+                return self.refuse_entry(request, &call, Importance::Background, reason, None);
+            }
         };
-        if let Some(retry_after_s) = self.shed_at_root(&call, check.importance) {
-            self.metrics.requests.refused(RefusalReason::Overload, check.importance);
-            return CallReply::refusal(RefusalReason::Overload, CallOutcome::NotRun, retry_after_s);
+        if let Some(ShedRefusal { service, retry_after }) =
+            self.shed_at_root(&call, check.importance)
+        {
+            let reason = RefusalReason::Overload;
+            self.refuse_entry(request, &call, check.importance, reason, Some(service));
+            return CallReply::refusal(reason, CallOutcome::NotRun, retry_after.0);
         }
         let opened = self.accounts.borrow_mut().open(
             self.clock.now(),
@@ -96,9 +108,7 @@
             head: call.head,
             body: call.body,
         };
-        let reply = self.route(&routed).await;
-        self.record_end(&routed, &reply, call.received);
-        reply
+        self.route_and_record(&routed, call.received).await
     }
 
     fn check_entry(&self, call: &IncomingCall) -> Result<EntryCheck, RefusalReason> {
--- a/crates/coltsfoot-node/src/dispatch/dispatcher.rs
+++ b/crates/coltsfoot-node/src/dispatch/dispatcher.rs
@@ -9,7 +9,7 @@
 
 use coltsfoot_wire::peer::{CallReply, LevelNote};
 use coltsfootroute::{
-    admission::{ReachedServices, RetryAfter, RootGate, ShedLevel, ShedPolicy},
+    admission::{ReachedServices, RetryAfter, RootGate, ShedLevel, ShedPolicy, ShedRefusal},
     deadline::{DeadlineCheck, ServiceTimes},
     drain::{DrainState, StartAnswer},
     id::{Incarnation, NodeId},
@@ -225,8 +225,12 @@
         level.admitted_fraction(importance) < 1.0
     }
 
-    /// Seconds to come back after, if work that would be refused deeper down is refused here.
-    pub(super) fn shed_at_root(&self, call: &IncomingCall, importance: Importance) -> Option<u32> {
+    /// Refuses work here that would be refused deeper down.
+    pub(super) fn shed_at_root(
+        &self,
+        call: &IncomingCall,
+        importance: Importance,
+    ) -> Option<ShedRefusal> {
         if !self.control.is_on() {
             return None;
         }
@@ -236,6 +240,6 @@
         let now = self.clock.now();
         let mut rng = self.rng.borrow_mut();
         let result = self.root.borrow_mut().admit(now, &services, importance, &mut *rng);
-        result.err().map(|refusal| refusal.retry_after.0)
+        result.err()
     }
 }
--- a/crates/coltsfoot-node/src/dispatch/entry_port.rs
+++ b/crates/coltsfoot-node/src/dispatch/entry_port.rs
@@ -8,6 +8,7 @@
 
 use coltsfoot_wire::peer::CallReply;
 use coltsfootroute::{
+    event::EventKind,
     id::RequestId,
     membership::{HeartbeatVerdict, InstanceName},
     time::MonotonicTime,
@@ -101,12 +102,21 @@
         EntryReply { reply, is_last: self.is_leaving() }
     }
 
+    /// Tells the journal of a request that was answered with `status` before a service was found for it.
+    pub fn note_denied(&self, request: RequestId, status: u16) {
+        let revision = self.dispatcher.revision();
+        self.dispatcher.events.emit(EventKind::RequestDenied { request, status, revision });
+    }
+
     /// Takes in a heartbeat of the upstream beside the node. Returns once no new work reaches an upstream
     /// that leaves.
     pub async fn hear(&self, heartbeat: UpstreamHeartbeat) -> HeartbeatVerdict {
         let UpstreamHeartbeat { announcement, instance, sequence, is_leaving } = heartbeat;
         let verdict = self.dispatcher.guard.instances.borrow_mut().hear(&instance, sequence);
         if verdict != HeartbeatVerdict::Fresh {
+            let departed = verdict == HeartbeatVerdict::Departed;
+            let ignored = EventKind::HeartbeatIgnored { instance, sequence, departed };
+            self.dispatcher.events.emit(ignored);
             return verdict;
         }
         if is_leaving {
--- a/crates/coltsfoot-node/src/dispatch/nested_request.rs
+++ b/crates/coltsfoot-node/src/dispatch/nested_request.rs
@@ -2,9 +2,8 @@
 
 use std::{rc::Rc, time::Duration};
 
-use coltsfoot_wire::peer::{CallReply, ReplyBody};
+use coltsfoot_wire::peer::CallReply;
 use coltsfootroute::{
-    event::EventKind,
     id::RequestId,
     importance::Importance,
     outcome::{CallOutcome, RefusalReason},
@@ -109,9 +108,7 @@
             head: call.head,
             body: call.body,
         };
-        let reply = self.route(&routed).await;
-        self.record_end(&routed, &reply, call.received);
-        reply
+        self.route_and_record(&routed, call.received).await
     }
 
     fn check_nested(
@@ -125,64 +122,6 @@
         self.check_deadline(call, deadline)?;
         Ok(operation.repeatable)
     }
-
-    /// Takes note of how a routed call ended.
-    pub(super) fn record_end(&self, call: &RoutedCall, reply: &CallReply, received: MonotonicTime) {
-        let now = self.clock.now();
-        let taken = now.since(received);
-        match &reply.body {
-            ReplyBody::Answer { .. } => {
-                if reply.outcome == CallOutcome::Completed {
-                    let mut times = self.times.borrow_mut();
-                    times.record(now, &call.service, &call.operation, taken);
-                }
-                self.metrics.requests.answered(reply.outcome);
-                self.events.emit(answered_event(call, reply, taken));
-                self.metrics.requests.upstream_latency(reply.upstream_time);
-                self.metrics.requests.added_latency(taken.saturating_sub(reply.upstream_time));
-            }
-            ReplyBody::Refusal { reason, .. } => {
-                self.metrics.requests.refused(*reason, call.importance);
-                self.events.emit(refused_event(call, reply, *reason));
-            }
-        }
-    }
-}
-
-fn answered_event(call: &RoutedCall, reply: &CallReply, taken: Duration) -> EventKind {
-    let (request, service, operation) =
-        (call.request, call.service.clone(), call.operation.clone());
-    match (&reply.body, reply.outcome) {
-        (ReplyBody::Answer { status, .. }, CallOutcome::Completed) => EventKind::RequestCompleted {
-            request,
-            service,
-            operation,
-            status: *status,
-            elapsed_us: u64::try_from(taken.as_micros()).unwrap_or(u64::MAX),
-        },
-        _ => EventKind::RequestUnknown {
-            request,
-            service,
-            operation,
-            reason: RefusalReason::UpstreamFailed,
-        },
-    }
-}
-
-fn refused_event(call: &RoutedCall, reply: &CallReply, reason: RefusalReason) -> EventKind {
-    let (request, service, operation) =
-        (call.request, call.service.clone(), call.operation.clone());
-    match reply.outcome {
-        CallOutcome::Unknown => EventKind::RequestUnknown { request, service, operation, reason },
-        outcome => EventKind::RequestRefused {
-            request,
-            service,
-            operation,
-            importance: call.importance,
-            reason,
-            outcome,
-        },
-    }
 }
 
 /// Never later than the deadline of the call above.
--- /dev/null
+++ b/crates/coltsfoot-node/src/dispatch/request_record.rs
@@ -0,0 +1,144 @@
+//! What the journal and the metrics are told of the end of a request.
+
+use std::{rc::Rc, time::Duration};
+
+use coltsfoot_wire::peer::{CallReply, ReplyBody};
+use coltsfootroute::{
+    event::EventKind,
+    id::RequestId,
+    importance::Importance,
+    name::ServiceName,
+    outcome::{CallOutcome, RefusalReason},
+    time::MonotonicTime,
+};
+
+use super::{
+    dispatcher::Dispatcher,
+    incoming_call::IncomingCall,
+    routed_call::{RouteEnd, RoutedCall},
+};
+
+impl Dispatcher {
+    /// Routes a call that came in at `received`, and takes note of how it ended.
+    pub(super) async fn route_and_record(
+        self: &Rc<Self>,
+        call: &RoutedCall,
+        received: MonotonicTime,
+    ) -> CallReply {
+        let RouteEnd { reply, attempts } = self.route(call).await;
+        self.record_end(call, &reply, attempts, received);
+        reply
+    }
+
+    fn record_end(
+        &self,
+        call: &RoutedCall,
+        reply: &CallReply,
+        attempts: u32,
+        received: MonotonicTime,
+    ) {
+        let now = self.clock.now();
+        let taken = now.since(received);
+        match &reply.body {
+            ReplyBody::Answer { .. } => {
+                if reply.outcome == CallOutcome::Completed {
+                    let mut times = self.times.borrow_mut();
+                    times.record(now, &call.service, &call.operation, taken);
+                }
+                self.metrics.requests.answered(reply.outcome);
+                self.metrics.requests.upstream_latency(reply.upstream_time);
+                self.metrics.requests.added_latency(taken.saturating_sub(reply.upstream_time));
+            }
+            ReplyBody::Refusal { reason, .. } => {
+                self.metrics.requests.refused(*reason, call.importance);
+            }
+        }
+        self.events.emit(self.end_event(call, reply, attempts, taken));
+    }
+
+    fn end_event(
+        &self,
+        call: &RoutedCall,
+        reply: &CallReply,
+        attempts: u32,
+        taken: Duration,
+    ) -> EventKind {
+        let (request, service, operation) =
+            (call.request, call.service.clone(), call.operation.clone());
+        let elapsed_us = micros(taken);
+        match (&reply.body, reply.outcome) {
+            (ReplyBody::Answer { status, .. }, CallOutcome::Completed) => {
+                EventKind::RequestCompleted {
+                    request,
+                    service,
+                    operation,
+                    status: *status,
+                    elapsed_us,
+                }
+            }
+            (ReplyBody::Refusal { reason, .. }, outcome) if outcome != CallOutcome::Unknown => {
+                EventKind::RequestRefused {
+                    shed_by: None,
+                    severity: self.severity(&service),
+                    request,
+                    service,
+                    operation,
+                    importance: call.importance,
+                    reason: *reason,
+                    outcome,
+                    attempts,
+                    revision: self.revision(),
+                    elapsed_us,
+                }
+            }
+            (body, _) => {
+                let (reason, status) = match body {
+                    ReplyBody::Answer { status, .. } => (RefusalReason::UpstreamFailed, *status),
+                    ReplyBody::Refusal { reason, .. } => (*reason, 0),
+                };
+                EventKind::RequestUnknown {
+                    request,
+                    service,
+                    operation,
+                    reason,
+                    status,
+                    attempts,
+                    elapsed_us,
+                }
+            }
+        }
+    }
+
+    /// A refusal of a client's request before any attempt, counted and told.
+    pub(super) fn refuse_entry(
+        &self,
+        request: RequestId,
+        call: &IncomingCall,
+        importance: Importance,
+        reason: RefusalReason,
+        shed_by: Option<ServiceName>,
+    ) -> CallReply {
+        self.events.emit(EventKind::RequestRefused {
+            request,
+            service: call.service.clone(),
+            operation: call.operation.clone(),
+            importance,
+            reason,
+            outcome: CallOutcome::NotRun,
+            attempts: 0,
+            severity: self.severity(shed_by.as_ref().unwrap_or(&call.service)),
+            shed_by,
+            revision: self.revision(),
+            elapsed_us: micros(self.clock.now().since(call.received)),
+        });
+        self.refuse(importance, reason)
+    }
+
+    fn severity(&self, service: &ServiceName) -> u16 {
+        self.root.borrow().levels().level(self.clock.now(), service).severity()
+    }
+}
+
+fn micros(time: Duration) -> u64 {
+    u64::try_from(time.as_micros()).unwrap_or(u64::MAX)
+}
--- a/crates/coltsfoot-node/src/dispatch/routed_call.rs
+++ b/crates/coltsfoot-node/src/dispatch/routed_call.rs
@@ -91,7 +91,7 @@
 impl Dispatcher {
     /// Sends a call to upstreams of its service until one answers, the retries end or the deadline
     /// passes. The outcome speaks of all attempts together.
-    pub async fn route(self: &Rc<Self>, call: &RoutedCall) -> CallReply {
+    pub async fn route(self: &Rc<Self>, call: &RoutedCall) -> RouteEnd {
         self.count_first_attempt(call);
         self.await_first_members(call).await;
         let mut progress = RouteProgress::default();
@@ -104,7 +104,7 @@
             progress.may_have_run |= reply.outcome == CallOutcome::Unknown;
             progress.has_reached_upstream |= reply.reached_upstream || progress.may_have_run;
             if reply.outcome == CallOutcome::Completed {
-                return reply;
+                return progress.end(reply);
             }
             if was_sent && progress.reroutes < MAX_REROUTES && is_free_to_reroute(call, &reply) {
                 progress.reroutes += 1;
@@ -115,7 +115,7 @@
                 if progress.may_have_run {
                     reply.outcome = CallOutcome::Unknown;
                 }
-                return reply;
+                return progress.end(reply);
             }
         }
     }
@@ -256,6 +256,20 @@
     has_reached_upstream: bool,
 }
 
+impl RouteProgress {
+    fn end(&self, reply: CallReply) -> RouteEnd {
+        RouteEnd { reply, attempts: u32::try_from(self.tried.len()).unwrap_or(u32::MAX) }
+    }
+}
+
+/// How a call ended.
+pub struct RouteEnd {
+    /// The last answer, with an outcome that speaks of all attempts.
+    pub reply: CallReply,
+    /// Upstreams tried.
+    pub attempts: u32,
+}
+
 /// Whether the guard refused the call before its upstream saw it, for a reason that another guard may not
 /// have. Nothing was sent on, so that this neither multiplies down the chain nor takes a token. In the
 /// product's own form only a planned stop counts: there a guard's refusal for overload is final for its
--- a/crates/coltsfoot-node/src/journal.rs
+++ b/crates/coltsfoot-node/src/journal.rs
@@ -11,6 +11,7 @@
 mod journal_handle;
 mod journal_message;
 mod journal_thread;
+mod line_budget;
 mod wall_clock;
 
 pub use event_journal::EventJournal;
--- a/crates/coltsfoot-node/src/journal/event_logger.rs
+++ b/crates/coltsfoot-node/src/journal/event_logger.rs
@@ -1,8 +1,11 @@
 //! Logging of events: one line of key=value pairs each.
 
-use std::io::{LineWriter, Write};
+use std::io::{BufWriter, Write};
 
-use coltsfootroute::event::{EventLevel, EventRecord};
+use coltsfootroute::{
+    event::{EventKind, EventLevel, EventRecord},
+    outcome::CallOutcome,
+};
 use log::{Level, LevelFilter};
 use simplelog::{Config, ConfigBuilder, WriteLogger};
 
@@ -11,19 +14,23 @@
 /// Target of the node's own lines. Libraries' lines are not in key=value form and are left out.
 pub const LOG_TARGET: &str = "coltsfoot";
 
+/// Bytes of log lines that are written at once at most.
+const OUTPUT_BYTES: usize = 16 * 1024;
+
 /// The log was started already.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 #[error("the log was started already")]
 pub struct LoggingError;
 
-/// Starts the process's log on standard error.
+/// Starts the process's log on standard output.
 ///
 /// # Errors
 ///
 /// [`LoggingError`] if it was started before.
 pub fn start_logging(settings: &LogSettings) -> Result<(), LoggingError> {
-    // Whole lines are written at once: processes that share an output don't tear each other's.
-    let output = LineWriter::new(std::io::stderr());
+    // Standard output passes on whole lines only, so that processes that share one don't tear each other's.
+    // The journal's thread flushes whenever it has nothing more to write.
+    let output = BufWriter::with_capacity(OUTPUT_BYTES, std::io::stdout());
     // The level that applies is the process's, which a reload of the settings may change.
     let logger = event_logger(&LogSettings { level: LevelFilter::Trace }, output);
     log::set_boxed_logger(logger).map_err(|_| LoggingError)?;
@@ -39,9 +46,14 @@
     WriteLogger::new(settings.level, line_config(), output)
 }
 
-/// Logs one record, at the level of its kind.
+/// Logs one record, at the level of its kind. An attempt that failed is as worth a line as its request.
 pub(super) fn log_record(record: &EventRecord) {
-    let level = log_level(record.kind.level());
+    let level = match &record.kind {
+        EventKind::AttemptFinished { outcome, .. } if *outcome != CallOutcome::Completed => {
+            Level::Info
+        }
+        kind => log_level(kind.level()),
+    };
     if log::log_enabled!(target: LOG_TARGET, level) {
         let name = level_name(level);
         log::log!(target: LOG_TARGET, level, "level={name} {}", record.to_key_values());
@@ -57,6 +69,14 @@
     );
 }
 
+/// Logs how many lines were left out since the last such line.
+pub(super) fn log_left_out(failures: u64, successes: u64) {
+    log::warn!(
+        target: LOG_TARGET,
+        "level=warn event=lines-left-out failures={failures} successes={successes}"
+    );
+}
+
 /// The line holds everything itself, so that simplelog adds nothing that isn't a pair.
 fn line_config() -> Config {
     ConfigBuilder::new()
--- a/crates/coltsfoot-node/src/journal/journal_thread.rs
+++ b/crates/coltsfoot-node/src/journal/journal_thread.rs
@@ -1,35 +1,60 @@
 //! The journal's thread.
 
-use std::sync::{
-    Arc, Mutex, PoisonError,
-    mpsc::{Receiver, RecvTimeoutError},
+use std::{
+    sync::{
+        Arc, Mutex, PoisonError,
+        mpsc::{Receiver, RecvTimeoutError},
+    },
+    time::Duration,
 };
 
 use coltsfootroute::event::{EventRecord, EventRing};
 
-use super::{event_logger, journal_message::JournalMessage};
+use super::{
+    event_logger,
+    journal_message::JournalMessage,
+    line_budget::{LeftOut, LineBudget},
+};
 use crate::metrics::DutyMeter;
 
+/// Longest time that a line of another thread waits in the log's buffer.
+const FLUSH_PERIOD: Duration = Duration::from_secs(1);
+
 /// The journal's thread: logs each record and keeps it.
 pub(super) struct JournalThread {
     queue: Receiver<JournalMessage>,
     ring: Arc<Mutex<EventRing>>,
     /// Sequence number of the next record, if none was dropped.
     expected: u64,
+    budget: LineBudget,
 }
 
 impl JournalThread {
     pub(super) fn new(queue: Receiver<JournalMessage>, ring: Arc<Mutex<EventRing>>) -> Self {
-        Self { queue, ring, expected: 0 }
+        Self { queue, ring, expected: 0, budget: LineBudget::new() }
     }
 
     /// Runs until stopped or until nobody can send any more; `meter` takes its processor time.
     pub(super) fn run(mut self, mut meter: DutyMeter) {
         loop {
-            match self.queue.recv_timeout(DutyMeter::IDLE_PERIOD) {
+            let message = match self.queue.try_recv() {
+                Ok(message) => Ok(message),
+                Err(_) => {
+                    // Nothing more to write for now.
+                    log::logger().flush();
+                    self.queue.recv_timeout(FLUSH_PERIOD)
+                }
+            };
+            match message {
                 Ok(JournalMessage::Record(record)) => self.take(record),
                 Err(RecvTimeoutError::Timeout) => {}
-                Ok(JournalMessage::Stop) | Err(RecvTimeoutError::Disconnected) => return,
+                Ok(JournalMessage::Stop) | Err(RecvTimeoutError::Disconnected) => {
+                    log::logger().flush();
+                    return;
+                }
+            }
+            if let Some(LeftOut { failures, successes }) = self.budget.due_report() {
+                event_logger::log_left_out(failures, successes);
             }
             meter.report();
         }
@@ -40,7 +65,9 @@
             event_logger::log_dropped(&record, self.expected);
         }
         self.expected = record.sequence + 1;
-        event_logger::log_record(&record);
+        if self.budget.admits(&record) {
+            event_logger::log_record(&record);
+        }
         // The ring is valid at every point where an update could panic.
         self.ring.lock().unwrap_or_else(PoisonError::into_inner).push(record);
     }
--- /dev/null
+++ b/crates/coltsfoot-node/src/journal/line_budget.rs
@@ -0,0 +1,86 @@
+//! Bound on the log lines of single requests.
+
+use std::time::{Duration, Instant};
+
+use coltsfootroute::{
+    event::{EventKind, EventRecord},
+    outcome::CallOutcome,
+    table::TokenBucket,
+    time::MonotonicTime,
+};
+
+/// Lines a second of requests that failed or were refused, their attempts and retries. At some 300 bytes a
+/// line a node writes at most 30 KB of them a second.
+const FAILURES_PER_S: f64 = 100.0;
+/// Such lines at once.
+const FAILURES_BURST: f64 = 300.0;
+/// Lines a second of requests that went well: a sample, to see what is usual.
+const SUCCESSES_PER_S: f64 = 5.0;
+/// Such lines at once.
+const SUCCESSES_BURST: f64 = 10.0;
+/// How often it is said what was left out.
+const REPORT_PERIOD: Duration = Duration::from_secs(1);
+
+/// Bounds the log lines of single requests. All other lines pass.
+pub(super) struct LineBudget {
+    origin: Instant,
+    failures: TokenBucket,
+    successes: TokenBucket,
+    left_out: LeftOut,
+    reported: Instant,
+}
+
+/// Lines left out since the last report.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(super) struct LeftOut {
+    pub(super) failures: u64,
+    pub(super) successes: u64,
+}
+
+impl LineBudget {
+    /// A full budget.
+    pub(super) fn new() -> Self {
+        let now = Instant::now();
+        Self {
+            origin: now,
+            failures: TokenBucket::new(FAILURES_PER_S, FAILURES_BURST),
+            successes: TokenBucket::new(SUCCESSES_PER_S, SUCCESSES_BURST),
+            left_out: LeftOut::default(),
+            reported: now,
+        }
+    }
+
+    /// Whether the record is logged.
+    pub(super) fn admits(&mut self, record: &EventRecord) -> bool {
+        if record.kind.request().is_none() {
+            return true;
+        }
+        let now = MonotonicTime::ZERO + self.origin.elapsed();
+        let (bucket, left_out) = match is_success(&record.kind) {
+            true => (&mut self.successes, &mut self.left_out.successes),
+            false => (&mut self.failures, &mut self.left_out.failures),
+        };
+        let admitted = bucket.take(now, 0.0, Duration::ZERO).is_some();
+        *left_out += u64::from(!admitted);
+        admitted
+    }
+
+    /// What was left out, when it is time to say so.
+    pub(super) fn due_report(&mut self) -> Option<LeftOut> {
+        if self.left_out == LeftOut::default() || self.reported.elapsed() < REPORT_PERIOD {
+            return None;
+        }
+        self.reported = Instant::now();
+        Some(std::mem::take(&mut self.left_out))
+    }
+}
+
+fn is_success(kind: &EventKind) -> bool {
+    match kind {
+        EventKind::RequestCompleted { .. }
+        | EventKind::RequestAdmitted { .. }
+        | EventKind::AttemptStarted { .. } => true,
+        EventKind::AttemptFinished { outcome, .. } => *outcome == CallOutcome::Completed,
+        _ => false,
+    }
+}
--- a/crates/coltsfootroute/src/event/event_kind.rs
+++ b/crates/coltsfootroute/src/event/event_kind.rs
@@ -9,6 +9,7 @@
 use crate::{
     id::{Incarnation, NodeId, RequestId},
     importance::Importance,
+    membership::InstanceName,
     name::{DomainName, OperationName, OperatorName, RegionName, ServiceName},
     outcome::{CallOutcome, RefusalReason},
 };
@@ -55,7 +56,7 @@
         limit: u32,
     }
     /// A request was refused.
-    RequestRefused("request-refused", Debug) {
+    RequestRefused("request-refused", Info) {
         /// The client request.
         #[serde(with = "request_text")]
         request: RequestId,
@@ -69,9 +70,39 @@
         reason: RefusalReason,
         /// What the caller was told.
         outcome: CallOutcome,
+        /// Upstreams tried; 0 where the request was refused as it came in.
+        attempts: u32,
+        /// Service whose level refused it as it came in; absent where it was refused elsewhere.
+        shed_by: Option<ServiceName>,
+        /// Level of that service, or else of the service called, as this node knew it: thousandths of an
+        /// importance shed.
+        severity: u16,
+        /// Configuration that was in force.
+        revision: u64,
+        /// Time from arrival to the refusal.
+        elapsed_us: u64,
+    }
+    /// A request was turned away before a service was found for it.
+    RequestDenied("request-denied", Info) {
+        /// The client request.
+        #[serde(with = "request_text")]
+        request: RequestId,
+        /// HTTP status of the answer.
+        status: u16,
+        /// Configuration that was in force, 0 before the first.
+        revision: u64,
+    }
+    /// A heartbeat of the upstream beside the node was not taken.
+    HeartbeatIgnored("heartbeat-ignored", Info) {
+        /// Life of the upstream that sent it.
+        instance: InstanceName,
+        /// Its number.
+        sequence: u64,
+        /// Whether the life has departed; else a newer heartbeat was heard before.
+        departed: bool,
     }
     /// A request has its complete answer.
-    RequestCompleted("request-completed", Debug) {
+    RequestCompleted("request-completed", Info) {
         /// The client request.
         #[serde(with = "request_text")]
         request: RequestId,
@@ -95,6 +126,12 @@
         operation: OperationName,
         /// Why.
         reason: RefusalReason,
+        /// Status of the upstream's own failure; 0 where there is no answer of it.
+        status: u16,
+        /// Upstreams tried.
+        attempts: u32,
+        /// Time from arrival to the end.
+        elapsed_us: u64,
     }
     /// An attempt of a call was sent.
     AttemptStarted("attempt-started", Debug) {
@@ -125,7 +162,7 @@
         elapsed_us: u64,
     }
     /// A retry took a token of the request's account.
-    RetryGranted("retry-granted", Debug) {
+    RetryGranted("retry-granted", Info) {
         /// The client request.
         #[serde(with = "request_text")]
         request: RequestId,
@@ -135,7 +172,7 @@
         remaining: u32,
     }
     /// A retry was denied.
-    RetryDenied("retry-denied", Debug) {
+    RetryDenied("retry-denied", Info) {
         /// The client request.
         #[serde(with = "request_text")]
         request: RequestId,
@@ -279,6 +316,7 @@
             Self::RequestAdmitted { request, .. }
             | Self::RequestRefused { request, .. }
             | Self::RequestCompleted { request, .. }
+            | Self::RequestDenied { request, .. }
             | Self::RequestUnknown { request, .. }
             | Self::AttemptStarted { request, .. }
             | Self::AttemptFinished { request, .. }
--- a/crates/coltsfootroute/src/event/event_text.rs
+++ b/crates/coltsfootroute/src/event/event_text.rs
@@ -6,6 +6,7 @@
 use crate::{
     id::{Incarnation, NodeId, RequestId},
     importance::Importance,
+    membership::InstanceName,
     name::{DomainName, OperationName, OperatorName, RegionName, ServiceName},
     outcome::{CallOutcome, RefusalReason},
 };
@@ -27,6 +28,7 @@
 }
 
 shown_by_display!(
+    bool,
     u16,
     u32,
     u64,
@@ -43,6 +45,7 @@
     OperatorName,
     RegionName,
     ServiceName,
+    InstanceName,
     CallOutcome,
     RefusalReason,
 );
--- a/crates/coltsfootroute/tests/integration/event.rs
+++ b/crates/coltsfootroute/tests/integration/event.rs
@@ -34,6 +34,11 @@
         importance: Importance::High,
         reason: RefusalReason::Overload,
         outcome: CallOutcome::NotRun,
+        attempts: 1,
+        shed_by: None,
+        severity: 1_250,
+        revision: 7,
+        elapsed_us: 90,
     }
 }
 
@@ -102,8 +107,9 @@
     assert_eq!(
         line,
         "event=request-refused request=ffffffffffffffffffffffffffffffff service=logbook \
-         operation=read importance=high reason=overload outcome=not-run node=127.0.0.1:4711 \
-         life=5 sequence=7 stamp=1700000000000.3"
+         operation=read importance=high reason=overload outcome=not-run attempts=1 \
+         severity=1250 revision=7 elapsed_us=90 node=127.0.0.1:4711 life=5 sequence=7 \
+         stamp=1700000000000.3"
     );
 }
 
@@ -137,7 +143,7 @@
 
         prop_assert!(!line.contains(char::is_control), "{}", line);
         let pairs = pairs.unwrap_or_default();
-        prop_assert_eq!(pairs.len(), 11);
+        prop_assert_eq!(pairs.len(), 15);
         prop_assert_eq!(value_of(&pairs, "service"), Some(service.as_str()));
         prop_assert_eq!(value_of(&pairs, "operation"), Some(operation.as_str()));
     }
