--- a/crates/coltsfoot-node/src/journal/event_logger.rs
+++ b/crates/coltsfoot-node/src/journal/event_logger.rs
@@ -46,17 +46,25 @@
     WriteLogger::new(settings.level, line_config(), output)
 }
 
-/// Logs one record, at the level of its kind. An attempt that failed is as worth a line as its request.
+/// Whether the level in force lets the record be logged.
+pub(super) fn is_logged(record: &EventRecord) -> bool {
+    log::log_enabled!(target: LOG_TARGET, record_level(record))
+}
+
+/// Logs one record, at the level of its kind.
 pub(super) fn log_record(record: &EventRecord) {
-    let level = match &record.kind {
+    let level = record_level(record);
+    let name = level_name(level);
+    log::log!(target: LOG_TARGET, level, "level={name} {}", record.to_key_values());
+}
+
+/// The level of a record's kind; an attempt that failed is as worth a line as its request.
+fn record_level(record: &EventRecord) -> Level {
+    match &record.kind {
         EventKind::AttemptFinished { outcome, .. } if *outcome != CallOutcome::Completed => {
             Level::Info
         }
         kind => log_level(kind.level()),
-    };
-    if log::log_enabled!(target: LOG_TARGET, level) {
-        let name = level_name(level);
-        log::log!(target: LOG_TARGET, level, "level={name} {}", record.to_key_values());
     }
 }
 
--- a/crates/coltsfoot-node/src/journal/journal_thread.rs
+++ b/crates/coltsfoot-node/src/journal/journal_thread.rs
@@ -65,7 +65,7 @@
             event_logger::log_dropped(&record, self.expected);
         }
         self.expected = record.sequence + 1;
-        if self.budget.admits(&record) {
+        if event_logger::is_logged(&record) && self.budget.admits(&record) {
             event_logger::log_record(&record);
         }
         // The ring is valid at every point where an update could panic.
