A node that is to stop is asked only where no other upstream takes a call

Change: the leave is told at once, the guard goes on for drain_closing_ms, and the pool asks upstreams that leave only where it has no other, for 4 s, until one refuses.

--- a/crates/coltsfoot-node/src/dispatch/dispatch_thread.rs
+++ b/crates/coltsfoot-node/src/dispatch/dispatch_thread.rs
@@ -235,7 +235,11 @@
         // The upstream stays in service as long as clients still come here: leaving earlier would only take
         // its slots away from everyone.
         self.is_closing.set(true);
-        sleep(self.closing_time).await;
+        if self.closing_time > Duration::ZERO {
+            // Others turn to it only where no other upstream takes a call.
+            let _ = self.gossip.send(GossipCommand::Leave).await;
+            sleep(self.closing_time).await;
+        }
         let begun: MonotonicTime = self.clock.now();
         self.drain.borrow_mut().begin(begun);
         let in_flight = u32::try_from(self.drain.borrow().in_flight()).unwrap_or(u32::MAX);
--- a/crates/coltsfoot-node/src/dispatch/routed_call.rs
+++ b/crates/coltsfoot-node/src/dispatch/routed_call.rs
@@ -169,7 +169,11 @@
         };
         self.with_pool(&call.service, |pool| {
             let fresh = pool.choose_admitted(now, &mut *rng, tried, admitted);
-            fresh.or_else(|| pool.choose_admitted(now, &mut *rng, &[], admitted))
+            let any = fresh.or_else(|| pool.choose_admitted(now, &mut *rng, &[], admitted));
+            match call.head {
+                Some(_) => any.or_else(|| pool.choose_departing(now, tried)),
+                None => any,
+            }
         })
         .flatten()
     }
--- a/crates/coltsfoot-node/src/journal/line_budget.rs
+++ b/crates/coltsfoot-node/src/journal/line_budget.rs
@@ -8,6 +8,7 @@
     table::TokenBucket,
     time::MonotonicTime,
 };
+use log::LevelFilter;
 
 /// Lines a second of requests that failed or were refused, their attempts and retries. At some 300 bytes a
 /// line a node writes at most 30 KB of them a second.
@@ -52,7 +53,8 @@
 
     /// Whether the record is logged.
     pub(super) fn admits(&mut self, record: &EventRecord) -> bool {
-        if record.kind.request().is_none() {
+        // Whoever asks for `debug` asks for all.
+        if record.kind.request().is_none() || log::max_level() > LevelFilter::Info {
             return true;
         }
         let now = MonotonicTime::ZERO + self.origin.elapsed();
--- a/crates/coltsfootroute/src/routing/upstream_pool.rs
+++ b/crates/coltsfootroute/src/routing/upstream_pool.rs
@@ -116,6 +116,16 @@
         Some(*node)
     }
 
+    /// An upstream that leaves, not in `exclude`, where no other takes a call: a node that is to stop may
+    /// guard its upstream for a moment longer, and says so itself if it does not.
+    pub fn choose_departing(&self, now: MonotonicTime, exclude: &[NodeId]) -> Option<NodeId> {
+        let departing = |record: &&UpstreamRecord| {
+            !exclude.contains(&record.info.node) && record.is_departing(now, DEPARTING_TIME)
+        };
+        let fewest = self.records.values().filter(departing).min_by_key(|record| record.in_flight);
+        fewest.map(|record| record.info.node)
+    }
+
     /// Counts a call that starts.
     pub fn started(&mut self, _now: MonotonicTime, node: NodeId) {
         if let Some(record) = self.records.get_mut(&node) {
@@ -375,6 +385,9 @@
 
 /// Latency that the first upstream of a pool is taken to have: 10 ms.
 const INITIAL_BASELINE_MICROS: f64 = 10_000.0;
+/// How long an upstream that leaves is asked where no other takes a call. Longer than a node guards on while
+/// it stops, and so short that those that have gone are not asked for long.
+const DEPARTING_TIME: Duration = Duration::from_secs(4);
 /// Draws at random before a scan: a scan favours the upstream after one that takes no calls.
 const RANDOM_DRAWS: usize = 4;
 /// Least calls between two looks at the median.
--- a/crates/coltsfootroute/src/routing/upstream_record.rs
+++ b/crates/coltsfootroute/src/routing/upstream_record.rs
@@ -18,6 +18,10 @@
     pub(super) health: UpstreamHealth,
     /// Whether membership names it; one that it no longer names stays only while calls are in flight.
     pub(super) present: bool,
+    /// When it was first heard to leave.
+    leaving_since: Option<MonotonicTime>,
+    /// Whether it has itself refused a call as leaving.
+    has_refused_as_leaving: bool,
     /// Calls started and not finished, to this life and earlier ones.
     pub(super) in_flight: u32,
     /// Calls of `in_flight` that were started in an earlier life; their results say nothing of this one.
@@ -37,6 +41,8 @@
     ) -> Self {
         let share = InFlightShare::new(info.connections, settings.callers, settings.least_share);
         Self {
+            leaving_since: info.leaving.then_some(now),
+            has_refused_as_leaving: false,
             info,
             tier,
             share,
@@ -73,6 +79,9 @@
         let left = self.info.leaving;
         self.info = info;
         self.info.leaving |= left;
+        if self.info.leaving {
+            self.leaving_since.get_or_insert(now);
+        }
         self.tier = tier;
         self.divide_connections(settings);
     }
@@ -88,6 +97,13 @@
         self.present && !self.info.leaving
     }
 
+    /// Whether it may still take calls although it leaves: it has not refused any as yet, and its leave is
+    /// `recent`.
+    pub(super) fn is_departing(&self, now: MonotonicTime, recent: Duration) -> bool {
+        let is_recent = self.leaving_since.is_some_and(|since| now.since(since) < recent);
+        is_recent && !self.has_refused_as_leaving && self.in_flight < self.share.0
+    }
+
     /// Whether this caller's share has room for a call.
     pub(super) fn has_room(&self) -> bool {
         self.is_live() && self.in_flight < self.share.0
@@ -180,7 +196,10 @@
             }
             RouteResult::Unreachable => self.health.failed(now, settings),
             RouteResult::Refused => self.count_refusal(now, 1.0, settings),
-            RouteResult::Leaving => self.info.leaving = true,
+            RouteResult::Leaving => {
+                self.info.leaving = true;
+                self.has_refused_as_leaving = true;
+            }
             RouteResult::Cancelled => self.latency.record_at_least(now, latency, window),
         }
     }
--- a/crates/coltsfootroute/tests/integration/routing.rs
+++ b/crates/coltsfootroute/tests/integration/routing.rs
@@ -1,4 +1,5 @@
 //! Choice of the upstream.
 
+mod departing;
 mod pool_fuzz;
 mod scenarios;
