--- a/crates/coltsfoot-node/src/dispatch/guard.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard.rs
@@ -46,15 +46,15 @@
         span: &Rc<CallSpan>,
     ) -> CallReply {
         let Some(started) = self.start_call(CallKind::Guarded) else {
-            return self.refuse(call.importance, RefusalReason::Leaving);
+            return self.refuse_guarded(&call, RefusalReason::Leaving);
         };
         let repeatable = match self.check_guarded(&call) {
             Ok(repeatable) => repeatable,
-            Err(reason) => return self.refuse(call.importance, reason),
+            Err(reason) => return self.refuse_guarded(&call, reason),
         };
         let permit = match self.admit(&call, deadline).await {
             Ok(permit) => permit,
-            Err(reason) => return self.refuse(call.importance, reason),
+            Err(reason) => return self.refuse_guarded(&call, reason),
         };
         if repeatable {
             return self.run(&call, deadline, span, permit).await;
@@ -75,6 +75,23 @@
         }
     }
 
+    /// A refusal of a call that did not reach the upstream, counted and told with the state of the gate.
+    fn refuse_guarded(&self, call: &CallRequest, reason: RefusalReason) -> CallReply {
+        let gate = self.guard.gate.borrow();
+        let load = gate.as_ref().map(|gate| (gate.in_flight(), gate.limit(), gate.queued()));
+        let (in_flight, limit, queued) = load.unwrap_or_default();
+        self.events.emit(EventKind::GuardRefused {
+            request: call.request,
+            service: call.service.clone(),
+            importance: call.importance,
+            reason,
+            in_flight,
+            limit,
+            queued,
+        });
+        self.refuse(call.importance, reason)
+    }
+
     fn check_guarded(&self, call: &CallRequest) -> Result<bool, RefusalReason> {
         let repeatable = self.check_operation(call)?;
         match &*self.guard.upstream.borrow() {
--- a/crates/coltsfoot-node/src/dispatch/guard_run.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard_run.rs
@@ -6,12 +6,12 @@
 use coltsfootroute::{
     admission::CallFinish,
     constants::CALL_PATH_PREFIX,
-    event::HybridStamp,
+    event::{EventKind, HybridStamp},
     membership::InstanceName,
     outcome::{CallOutcome, RefusalReason},
     time::MonotonicTime,
 };
-use tokio::time::timeout_at;
+use tokio::time::{error::Elapsed, timeout_at};
 
 use super::{
     calls_in_flight::{CallSpan, context_text},
@@ -58,6 +58,7 @@
         let result = timeout_at(until, self.upstream_client.send(address, upstream_call)).await;
         let upstream_time = self.clock.now().since(started);
         entered.answered = result.is_ok();
+        self.note_failure(call, &result, instance, upstream_time);
         let Ok(result) = result else {
             permit.finish(CallFinish::TimedOut);
             let reply = self.refusal(RefusalReason::Deadline, CallOutcome::Unknown);
@@ -68,6 +69,28 @@
         CallReply { reached_upstream, ..self.run_reply(result, span, upstream_time) }
     }
 
+    /// Tells the journal why the upstream's answer cannot be used.
+    fn note_failure(
+        &self,
+        call: &CallRequest,
+        result: &Result<Result<UpstreamAnswer, UpstreamError>, Elapsed>,
+        instance: Option<InstanceName>,
+        upstream_time: Duration,
+    ) {
+        let error = match result {
+            Ok(Ok(_)) => return,
+            Ok(Err(err)) => err.to_string(),
+            Err(_) => "no answer before the deadline".to_owned(),
+        };
+        self.events.emit(EventKind::UpstreamCallFailed {
+            request: call.request,
+            service: call.service.clone(),
+            error,
+            instance,
+            elapsed_us: u64::try_from(upstream_time.as_micros()).unwrap_or(u64::MAX),
+        });
+    }
+
     fn run_reply(
         &self,
         result: Result<UpstreamAnswer, UpstreamError>,
--- a/crates/coltsfootroute/src/event/event_kind.rs
+++ b/crates/coltsfootroute/src/event/event_kind.rs
@@ -82,6 +82,38 @@
         /// Time from arrival to the refusal.
         elapsed_us: u64,
     }
+    /// The guard did not let a call through to the upstream beside it.
+    GuardRefused("guard-refused", Info) {
+        /// The client request.
+        #[serde(with = "request_text")]
+        request: RequestId,
+        /// Service called.
+        service: ServiceName,
+        /// Importance of the client request.
+        importance: Importance,
+        /// Why.
+        reason: RefusalReason,
+        /// Calls in flight to the upstream.
+        in_flight: u32,
+        /// Limit on them.
+        limit: u32,
+        /// Calls that wait.
+        queued: u32,
+    }
+    /// The upstream beside the node gave no usable answer to a call.
+    UpstreamCallFailed("upstream-call-failed", Info) {
+        /// The client request.
+        #[serde(with = "request_text")]
+        request: RequestId,
+        /// Service called.
+        service: ServiceName,
+        /// What went wrong.
+        error: String,
+        /// Life of the upstream, if it names itself.
+        instance: Option<InstanceName>,
+        /// Time from sending to the failure.
+        elapsed_us: u64,
+    }
     /// A request was turned away before a service was found for it.
     RequestDenied("request-denied", Info) {
         /// The client request.
@@ -317,6 +349,8 @@
             | Self::RequestRefused { request, .. }
             | Self::RequestCompleted { request, .. }
             | Self::RequestDenied { request, .. }
+            | Self::GuardRefused { request, .. }
+            | Self::UpstreamCallFailed { request, .. }
             | Self::RequestUnknown { request, .. }
             | Self::AttemptStarted { request, .. }
             | Self::AttemptFinished { request, .. }
@@ -332,6 +366,8 @@
     pub fn service(&self) -> Option<&ServiceName> {
         match self {
             Self::RequestAdmitted { service, .. }
+            | Self::GuardRefused { service, .. }
+            | Self::UpstreamCallFailed { service, .. }
             | Self::RequestRefused { service, .. }
             | Self::RequestCompleted { service, .. }
             | Self::RequestUnknown { service, .. }
