--- a/crates/coltsfoot-node/tests/integration/main.rs
+++ b/crates/coltsfoot-node/tests/integration/main.rs
@@ -7,6 +7,7 @@
 mod limits;
 mod metrics;
 mod pipeline;
+mod reload;
 mod scenarios;
 mod settings;
 mod status;
