--- a/crates/coltsfoot-node/src/border/upstream_dialect.rs
+++ b/crates/coltsfoot-node/src/border/upstream_dialect.rs
@@ -5,7 +5,7 @@
     constants::{CONTEXT_HEADER, DEADLINE_HEADER, IDEMPOTENCY_KEY_HEADER, OUTCOME_HEADER},
     outcome::CallOutcome,
 };
-use http::{HeaderMap, HeaderName, StatusCode, header::CONTENT_ENCODING};
+use http::{HeaderMap, HeaderName, HeaderValue, StatusCode, header::CONTENT_ENCODING};
 use twox_hash::XxHash3_128;
 
 /// How an upstream says that it has not run a call.
@@ -72,9 +72,9 @@
         is_status && value.is_some_and(|value| mark.value.is_none_or(|expected| value == expected))
     }
 
-    /// Whether an answer is that to a call whose headers were `sent`.
-    pub fn is_echoed(&self, sent: &HeaderMap, headers: &HeaderMap) -> bool {
-        self.echo.as_ref().is_none_or(|echo| sent.get(echo) == headers.get(echo))
+    /// The identity that a call and its answer have in common; `None` where calls bear none.
+    pub fn identity<'a>(&self, headers: &'a HeaderMap) -> Option<&'a HeaderValue> {
+        headers.get(self.echo.as_ref()?)
     }
 
     /// Whether a success is the upstream's own and not changed on the way.
--- a/crates/coltsfoot-node/src/config/config_in_force.rs
+++ b/crates/coltsfoot-node/src/config/config_in_force.rs
@@ -35,11 +35,6 @@
         &self.routes
     }
 
-    /// Connections that one upstream of `service` takes, `None` for an undeclared service.
-    pub fn connections(&self, service: &ServiceName) -> Option<u32> {
-        self.state.service(service).map(|entry| entry.connections)
-    }
-
     /// Revision, 1 for the first.
     pub fn revision(&self) -> u64 {
         self.state.revision().0
--- a/crates/coltsfoot-node/src/dispatch/attempt_count.rs
+++ b/crates/coltsfoot-node/src/dispatch/attempt_count.rs
@@ -4,7 +4,7 @@
     event::EventKind, id::NodeId, outcome::CallOutcome, routing::RouteResult, time::MonotonicTime,
 };
 
-use super::{dispatcher::Dispatcher, routed_call::RoutedCall};
+use super::{dispatcher::Dispatcher, request_record::micros, routed_call::RoutedCall};
 
 /// Counts an attempt in its pool and reports it, from start to end, also when its future is dropped.
 pub struct AttemptCount<'a> {
@@ -55,7 +55,7 @@
             guard: node,
             attempt: self.attempt,
             outcome: self.outcome,
-            elapsed_us: u64::try_from(latency.as_micros()).unwrap_or(u64::MAX),
+            elapsed_us: micros(latency),
         });
     }
 }
--- a/crates/coltsfoot-node/src/dispatch/entry_port.rs
+++ b/crates/coltsfoot-node/src/dispatch/entry_port.rs
@@ -13,7 +13,6 @@
     membership::{HeartbeatVerdict, InstanceName},
     time::MonotonicTime,
 };
-use rand::RngExt;
 
 use super::{
     dispatcher::Dispatcher,
@@ -78,11 +77,6 @@
         self.dispatcher.is_closing.get()
     }
 
-    /// An identity for a request whose client gave none.
-    pub fn draw_request(&self) -> RequestId {
-        RequestId(self.dispatcher.rng.borrow_mut().random())
-    }
-
     /// Serves a request of the client at `client`. Dropping the future gives it up.
     pub async fn call(&self, request: RequestId, call: IncomingCall) -> EntryReply {
         let reply = match &call.origin {
@@ -131,7 +125,7 @@
     pub async fn leave(&self, instance: &InstanceName) {
         let is_present = self.dispatcher.guard.instances.borrow_mut().leave(instance);
         if is_present {
-            self.dispatcher.withdraw_upstream().await;
+            self.dispatcher.withdraw_named().await;
         }
     }
 }
--- a/crates/coltsfoot-node/src/dispatch/guard_run.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard_run.rs
@@ -16,6 +16,7 @@
 use super::{
     calls_in_flight::{CallSpan, context_text},
     dispatcher::Dispatcher,
+    request_record::micros,
     run_permit::RunPermit,
     upstream_client::{UpstreamAnswer, UpstreamCall, UpstreamError},
 };
@@ -87,7 +88,7 @@
             service: call.service.clone(),
             error,
             instance,
-            elapsed_us: u64::try_from(upstream_time.as_micros()).unwrap_or(u64::MAX),
+            elapsed_us: micros(upstream_time),
         });
     }
 
--- a/crates/coltsfoot-node/src/dispatch/local_upstream.rs
+++ b/crates/coltsfoot-node/src/dispatch/local_upstream.rs
@@ -89,8 +89,13 @@
         if let Some(upstream) = self.guard.upstream.borrow_mut().as_mut() {
             upstream.heard = self.clock.now();
         }
+        self.withdraw_named().await;
+    }
+
+    /// The upstream leaves, and names its lives: its row is gone first, up to a bound, or else a restart
+    /// might take it up again.
+    pub(super) async fn withdraw_named(&self) {
         self.withdraw_upstream().await;
-        // Else a restart might take it up again.
         self.introduction.settle().await;
     }
 
--- a/crates/coltsfoot-node/src/dispatch/request_record.rs
+++ b/crates/coltsfoot-node/src/dispatch/request_record.rs
@@ -139,6 +139,7 @@
     }
 }
 
-fn micros(time: Duration) -> u64 {
+/// Whole microseconds, as events tell them.
+pub(super) fn micros(time: Duration) -> u64 {
     u64::try_from(time.as_micros()).unwrap_or(u64::MAX)
 }
--- a/crates/coltsfoot-node/src/dispatch/routed_call.rs
+++ b/crates/coltsfoot-node/src/dispatch/routed_call.rs
@@ -24,7 +24,7 @@
 /// Longest wait for the first members of a service that this node has not called before.
 const FIRST_MEMBERS_WAIT: Duration = Duration::from_millis(1_500);
 
-/// Upstreams that may refuse one call as leaving before a further attempt counts as a retry.
+/// Guards that may refuse one call, unsent, before a further attempt counts as a retry.
 const MAX_REROUTES: usize = 2;
 
 /// A call on its way to an upstream, with what the client request brings along.
@@ -179,15 +179,14 @@
     }
 
     async fn send(self: &Rc<Self>, node: NodeId, call: &RoutedCall, is_repeat: bool) -> CallReply {
-        let (now, stamp) = (self.clock.now(), self.events.stamp());
-        let request = call.to_request(now, is_repeat, self.revision(), stamp);
         if node == self.identity.node {
-            return self.guard_call(request).await;
+            return self.guard_call(self.request_of(call, is_repeat)).await;
         }
         let Ok(link) = self.links.get(node).await else {
             return self.refusal(RefusalReason::NoUpstream, CallOutcome::NotRun);
         };
-        match self.send_over(&link, &request).await {
+        // Made once the link is open: the time left is that at the sending.
+        match self.send_over(&link, &self.request_of(call, is_repeat)).await {
             Ok(reply) => reply,
             Err(_) => {
                 self.links.failed(node, &link);
@@ -196,6 +195,10 @@
         }
     }
 
+    fn request_of(&self, call: &RoutedCall, is_repeat: bool) -> CallRequest {
+        call.to_request(self.clock.now(), is_repeat, self.revision(), self.events.stamp())
+    }
+
     async fn send_over(
         &self,
         link: &PeerLink,
--- a/crates/coltsfoot-node/src/dispatch/upstream_client.rs
+++ b/crates/coltsfoot-node/src/dispatch/upstream_client.rs
@@ -131,11 +131,11 @@
         let mut request =
             builder.body(Full::new(call.body)).map_err(|_| UpstreamError::Unreachable)?;
         let connection = capture_connection(&mut request);
-        let sent = request.headers().clone();
+        let identity = self.dialect.identity(request.headers()).cloned();
         let response = self.client.request(request).await.map_err(|err| {
             if err.is_connect() { UpstreamError::Unreachable } else { UpstreamError::CutOff }
         })?;
-        if !self.dialect.is_echoed(&sent, response.headers()) {
+        if identity.as_ref() != self.dialect.identity(response.headers()) {
             // What else comes on this connection belongs to nobody.
             poison(&connection);
             return Err(UpstreamError::CutOff);
