--- a/crates/coltsfoot-node/tests/integration/util/test_node.rs
+++ b/crates/coltsfoot-node/tests/integration/util/test_node.rs
@@ -13,7 +13,10 @@
     process::{DrainSwitch, NodeProcess},
     settings::NodeSettings,
 };
-use coltsfoot_standin::upstream::{UpstreamHandle, UpstreamServer, UpstreamSettings};
+use coltsfoot_standin::{
+    loopback::own_loopback,
+    upstream::{UpstreamHandle, UpstreamServer, UpstreamSettings},
+};
 use coltsfootroute::{name::ServiceName, schema::SchemaDocument};
 use http::Method;
 use rustix::process::{Pid, Signal, kill_process};
@@ -251,14 +254,6 @@
     (Running::Process(child), Addresses { client, host, peer })
 }
 
-/// An address of the loopback network for one node: while it is down, no other test may take its ports.
-fn own_loopback() -> [u8; 4] {
-    let [.., second] = std::process::id().to_be_bytes();
-    let [.., third, fourth] = next_serial().to_be_bytes();
-    // Neither 127.0.x.x, where the other parts are, nor an address that ends in 0.
-    [127, second.max(1), third, fourth.clamp(1, 254)]
-}
-
 fn next_serial() -> usize {
     static NEXT: AtomicUsize = AtomicUsize::new(0);
     NEXT.fetch_add(1, Ordering::Relaxed)
--- a/crates/coltsfoot-standin/src/lib.rs
+++ b/crates/coltsfoot-standin/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod call_answer;
 pub mod http_client;
 pub mod load;
+pub mod loopback;
 pub mod objects;
 pub mod table;
 pub mod termination;
