--- a/crates/coltsfoot-node/src/process/node_process.rs
+++ b/crates/coltsfoot-node/src/process/node_process.rs
@@ -167,7 +167,7 @@
 
 fn identity(settings: &NodeSettings, addresses: NodeAddresses) -> NodeIdentity {
     NodeIdentity {
-        node: NodeId(addresses.peer),
+        node: NodeId(settings.listen.advertised.unwrap_or(addresses.peer)),
         incarnation: Incarnation(wall_millis()),
         domain: settings.domain.clone(),
         region: settings.region.clone(),
--- a/crates/coltsfoot-node/src/settings/listen_settings.rs
+++ b/crates/coltsfoot-node/src/settings/listen_settings.rs
@@ -11,8 +11,10 @@
     pub client: SocketAddr,
     /// The upstream beside the node, operators and metrics, over HTTP.
     pub host: SocketAddr,
-    /// Other nodes: TCP for calls, UDP for gossip, same port. Names the node.
+    /// Other nodes: TCP for calls, UDP for gossip, same port. Names the node unless it is `advertised`.
     pub peer: SocketAddr,
+    /// Where other nodes reach the node, if an address translation lies between. Names the node.
+    pub advertised: Option<SocketAddr>,
 }
 
 impl ListenSettings {
@@ -20,6 +22,7 @@
         let client = reader.required::<ListenAddress>("client");
         let host = reader.required::<ListenAddress>("host");
         let peer = reader.required::<ListenAddress>("peer");
-        Some(Self { client: client?.0, host: host?.0, peer: peer?.0 })
+        let advertised = reader.optional("advertised");
+        Some(Self { client: client?.0, host: host?.0, peer: peer?.0, advertised })
     }
 }
