Members of a service that nobody near has heard of are found through the table service

Test: membership-ask.txt (nothing known after 5 s, all 0.2 s after being asked); a scan of one service.

--- a/crates/coltsfoot-node/src/dispatch/dispatch_thread.rs
+++ b/crates/coltsfoot-node/src/dispatch/dispatch_thread.rs
@@ -149,6 +149,7 @@
     spawn_local(dispatcher.clone().keep_introduced());
     spawn_local(dispatcher.clone().resume_upstream());
     spawn_local(dispatcher.clone().find_others());
+    spawn_local(dispatcher.clone().find_members());
     while let Some(command) = commands.recv().await {
         // Each command is a task of its own: none may hold up the ring.
         spawn_local(dispatcher.clone().obey(command));
--- a/crates/coltsfoot-node/src/dispatch/introduction_desk.rs
+++ b/crates/coltsfoot-node/src/dispatch/introduction_desk.rs
@@ -34,6 +34,9 @@
 const FIRST_SCAN_PAUSE: Duration = Duration::from_millis(100);
 /// Longest pause between two scans of a node that has found nobody; jittered.
 const LONGEST_SCAN_PAUSE: Duration = Duration::from_secs(10);
+/// Pause between two looks for watched services without a member, without a call to the table service while
+/// there is none; jittered. Twice as long after each read, up to [`LONGEST_SCAN_PAUSE`].
+const MEMBER_CHECK_PAUSE: Duration = Duration::from_millis(400);
 /// How long a leaving node waits for its row to be gone.
 const REMOVE_WAIT: Duration = Duration::from_millis(500);
 
@@ -210,6 +213,32 @@
         }
     }
 
+    /// Looks in the table service for members of watched services of which none is known: gossip alone comes by
+    /// a small service late, while everyone starts.
+    pub(super) async fn find_members(self: Rc<Self>) {
+        let mut pause = MEMBER_CHECK_PAUSE;
+        loop {
+            sleep(self.jittered(pause)).await;
+            let missing = self.services_without_members();
+            pause = match missing.is_empty() {
+                true => MEMBER_CHECK_PAUSE,
+                false => (pause * 2).min(LONGEST_SCAN_PAUSE),
+            };
+            for service in missing {
+                let scan = IntroductionScan::of_service(&service);
+                let found = scan.clone().take(&self.ask_introductions(scan.request()).await);
+                // A closed ring means that the process stops.
+                let _ = self.gossip.send(GossipCommand::Ask(found)).await;
+            }
+        }
+    }
+
+    fn services_without_members(&self) -> Vec<ServiceName> {
+        let pools = self.pools.borrow();
+        let empty = pools.iter().filter(|(_, entry)| entry.pool.is_empty());
+        empty.map(|(service, _)| service.clone()).collect()
+    }
+
     async fn scan_introductions(&self, scan: &mut IntroductionScan) -> Vec<NodeId> {
         let reply = self.ask_introductions(scan.request()).await;
         let found = scan.take(&reply);
--- a/crates/coltsfoot-node/src/gossip/gossip_command.rs
+++ b/crates/coltsfoot-node/src/gossip/gossip_command.rs
@@ -21,6 +21,8 @@
     SetRevision(u64),
     /// Addresses of nodes read from the table service.
     Introduce(Vec<NodeId>),
+    /// Ask some of these nodes, read from the table service, for their records now.
+    Ask(Vec<NodeId>),
     /// Report what is known.
     Status(oneshot::Sender<MembershipStatus>),
 }
--- a/crates/coltsfoot-node/src/gossip/gossip_thread.rs
+++ b/crates/coltsfoot-node/src/gossip/gossip_thread.rs
@@ -195,6 +195,7 @@
                 self.engine.introduce(now, nodes);
                 Vec::new()
             }
+            GossipCommand::Ask(nodes) => self.engine.ask(now, &mut self.rng, nodes),
             GossipCommand::Status(reply) => {
                 // The asker may have gone away; nothing is owed to it then.
                 let _ = reply.send(self.engine.status());
--- a/crates/coltsfootroute/src/membership/gossip_engine/joining.rs
+++ b/crates/coltsfootroute/src/membership/gossip_engine/joining.rs
@@ -33,6 +33,22 @@
         self.cross_due = now;
     }
 
+    /// Asks some of `nodes` who they are, whether or not others have answered: each acknowledgement brings the
+    /// record of its sender.
+    pub fn ask(
+        &mut self,
+        now: MonotonicTime,
+        rng: &mut impl Rng,
+        nodes: impl IntoIterator<Item = NodeId>,
+    ) -> Vec<GossipEffect> {
+        let me = self.me.node;
+        let others = nodes.into_iter().filter(|node| *node != me);
+        for node in others.sample(rng, JOIN_FANOUT) {
+            self.ping(now, rng, node, PingPurpose::Join, SendPriority::High);
+        }
+        std::mem::take(&mut self.effects)
+    }
+
     /// Asks several contacts at once until one has answered.
     pub(super) fn join(&mut self, now: MonotonicTime, rng: &mut impl Rng) {
         if self.joined || now < self.cross_due {
--- a/crates/coltsfootroute/tests/integration/membership/introduction.rs
+++ b/crates/coltsfootroute/tests/integration/membership/introduction.rs
@@ -49,6 +49,21 @@
     assert_eq!(found, (0..100).map(node).collect());
 }
 
+#[test]
+fn a_scan_of_a_service_finds_its_nodes_and_no_others() {
+    let mut table = filled();
+    table.apply(&row("anchorage", node(200)).write());
+    let mut scan = IntroductionScan::of_service(&ServiceName::new("anchor"));
+
+    let mut found = BTreeSet::new();
+    for _ in 0..2 {
+        let reply = table.apply(&scan.request());
+        found.extend(scan.take(&reply));
+    }
+
+    assert_eq!(found, (0..100).step_by(2).map(node).collect());
+}
+
 #[test]
 fn a_removed_row_is_not_found_and_a_foreign_one_is_skipped() {
     let mut table = MemoryTable::default();
--- a/crates/coltsfootroute/tests/integration/membership/network.rs
+++ b/crates/coltsfootroute/tests/integration/membership/network.rs
@@ -120,6 +120,12 @@
         self.carry_out(node, effects);
     }
 
+    pub fn ask(&mut self, node: NodeId, others: &[NodeId]) {
+        let others = others.iter().copied();
+        let effects = self.nodes[&node].engine.ask(self.now, &mut self.rng, others);
+        self.carry_out(node, effects);
+    }
+
     pub fn watch(&mut self, node: NodeId, services: &[&str]) {
         let services = services.iter().map(|service| ServiceName::new(service));
         self.nodes[&node].engine.watch(self.now, &mut self.rng, services);
--- a/crates/coltsfootroute/tests/integration/membership/scenario.rs
+++ b/crates/coltsfootroute/tests/integration/membership/scenario.rs
@@ -19,6 +19,7 @@
 }
 
 #[rstest]
+#[case::ask("membership-ask.txt")]
 #[case::join("membership-join.txt")]
 #[case::leave("membership-leave.txt")]
 #[case::failure("membership-failure.txt")]
@@ -62,6 +63,7 @@
                 });
             }
             "introduce" => self.introduce(case),
+            "ask" => self.ask(case),
             "view" => return self.view(case),
             "events" => return self.events(case),
             "sent" => return self.sent(case),
@@ -89,6 +91,11 @@
         });
     }
 
+    fn ask(&mut self, case: &mut TestCase) {
+        let to = self.take_nodes(case, "to");
+        self.each_node(case, |network, node| network.ask(node, &to));
+    }
+
     /// What each named node holds of the service; equal views are shown once.
     fn view(&mut self, case: &mut TestCase) -> String {
         let service: String = case.take_arg("service").unwrap();
