A newcomer is told to those who watch its service at once

Change: members whom the newcomer tells itself tell the recent watchers, as they do of a leave, but only as far as there are bytes. Test: membership-newcomer.txt (all watchers know after 0.3 s; none did before).

--- a/crates/coltsfootroute/src/membership/gossip_engine/absorbing.rs
+++ b/crates/coltsfootroute/src/membership/gossip_engine/absorbing.rs
@@ -26,8 +26,12 @@
         let corrects = from_group || message.payload == GossipPayload::Push;
         let mut corrections = Vec::new();
         for update in &message.updates {
-            let vouched = update.record.node == from || from_group;
-            let stale = self.absorb(now, rng, update.clone(), vouched);
+            let is_own = update.record.node == from;
+            let was_member = self.is_live_member(from);
+            let stale = self.absorb(now, rng, update.clone(), is_own || from_group);
+            if is_own && !was_member && self.is_live_member(from) {
+                self.push_to_watchers(now, from);
+            }
             if stale && (corrects || update.record.node == from) {
                 corrections.extend(self.known_update(now, &update.record));
             }
@@ -35,6 +39,12 @@
         self.correct(now, from, corrections);
     }
 
+    /// Whether `node` is a live member of the own group.
+    fn is_live_member(&self, node: NodeId) -> bool {
+        let record = self.own_group().and_then(|group| group.get(node));
+        record.is_some_and(|record| record.state.is_live())
+    }
+
     /// Takes in one record, `vouched` for by its subject or group; returns whether a newer one is
     /// known here.
     pub(super) fn absorb(
--- a/crates/coltsfootroute/src/membership/gossip_engine/spreading.rs
+++ b/crates/coltsfootroute/src/membership/gossip_engine/spreading.rs
@@ -99,8 +99,7 @@
         };
         let mut receivers = self.random_members(rng, fanout);
         if to_pullers {
-            let memory = self.settings.cold_pull_interval + self.settings.pull_interval * 2;
-            receivers.extend(self.pullers.since(now - memory));
+            receivers.extend(self.recent_pullers(now));
         }
         receivers.sort_unstable();
         receivers.dedup();
@@ -111,6 +110,25 @@
         }
     }
 
+    /// Tells the recent watchers of a newcomer, as far as there are bytes: what is left out comes by the next
+    /// pull. Only those do so whom the newcomer has told itself.
+    pub(super) fn push_to_watchers(&mut self, now: MonotonicTime, node: NodeId) {
+        let Some(update) = self.own_group().and_then(|group| group.update(now, node)) else {
+            return;
+        };
+        for to in self.recent_pullers(now).into_iter().filter(|to| *to != node) {
+            let mut message = GossipMessage::new(self.revision, GossipPayload::Push);
+            message.fill([update.clone()]);
+            self.send(now, SendPriority::Normal, to, message);
+        }
+    }
+
+    /// Nodes that have pulled the own group of late, the slow ones included.
+    fn recent_pullers(&self, now: MonotonicTime) -> Vec<NodeId> {
+        let memory = self.settings.cold_pull_interval + self.settings.pull_interval * 2;
+        self.pullers.since(now - memory).collect()
+    }
+
     /// Random live members of the own group, without this node.
     pub(super) fn random_members(&self, rng: &mut impl Rng, count: usize) -> Vec<NodeId> {
         let Some(group) = self.own_group() else { return Vec::new() };
--- a/crates/coltsfootroute/tests/integration/membership/scenario.rs
+++ b/crates/coltsfootroute/tests/integration/membership/scenario.rs
@@ -19,6 +19,7 @@
 }
 
 #[rstest]
+#[case::newcomer("membership-newcomer.txt")]
 #[case::ask("membership-ask.txt")]
 #[case::join("membership-join.txt")]
 #[case::leave("membership-leave.txt")]
