What a window of calls has earned in retries may be saved up for a burst of failures

Charged repeats of repeats may owe as much. Tests: savings are there when calls fail; no ten seconds spend more than twice their earnings; savings lapse; the level does not swing where calls and their news come late (a check of a suspicion that did not hold).

--- a/crates/coltsfoot-node/src/dispatch/retry_tokens.rs
+++ b/crates/coltsfoot-node/src/dispatch/retry_tokens.rs
@@ -162,8 +162,9 @@
     /// Counts a first attempt, which earns the service a share of a retry. Below work that is run again it is
     /// a repeat for the service as well.
     pub(super) fn count_first_attempt(&self, call: &RoutedCall) {
+        let now = self.clock.now();
         self.with_throttle(&call.service, |throttle| {
-            throttle.call();
+            throttle.call(now);
             if call.is_repeat {
                 throttle.charge();
             }
--- a/crates/coltsfoot-node/src/settings/retry_settings.rs
+++ b/crates/coltsfoot-node/src/settings/retry_settings.rs
@@ -11,8 +11,10 @@
     pub per_thousand: u64,
     /// Retries a minute beyond these, so that a service with little traffic is not left without any.
     pub per_minute: u64,
-    /// Most retries saved up.
+    /// Retries that may always be saved up.
     pub burst: u64,
+    /// What the calls of so many seconds have earned may be saved up as well.
+    pub saving_s: u64,
 }
 
 impl RetrySettings {
@@ -21,6 +23,7 @@
             per_thousand: reader.number("per_thousand", 100, 0..=1_000),
             per_minute: reader.number("per_minute", 60, 0..=60_000),
             burst: reader.number("burst", 20, 1..=1_000),
+            saving_s: reader.number("saving_s", 0, 0..=60),
         }
     }
 
@@ -30,6 +33,7 @@
             per_call_thousandths: self.per_thousand,
             per_second_thousandths: self.per_minute * 1_000 / 60,
             burst: self.burst,
+            saving_seconds: self.saving_s,
         }
     }
 }
--- a/crates/coltsfootroute/src/retry.rs
+++ b/crates/coltsfootroute/src/retry.rs
@@ -9,6 +9,7 @@
 mod give_up_cause;
 mod ledger_settings;
 mod open_answer;
+mod recent_calls;
 mod retry_account;
 mod retry_decision;
 mod retry_policy;
--- a/crates/coltsfootroute/src/retry/service_throttle.rs
+++ b/crates/coltsfootroute/src/retry/service_throttle.rs
@@ -1,15 +1,17 @@
 //! Bound on the retries into one service.
 
-use super::ThrottleSettings;
+use super::{ThrottleSettings, recent_calls::RecentCalls};
 use crate::time::MonotonicTime;
 
 /// Token bucket that bounds the retries of this node into one service to a share of its calls,
 /// whichever client requests they belong to.
 ///
-/// Invariant: `saved` never exceeds the burst, and never falls further below zero than it.
+/// Invariant: `saved` never exceeds the most that may be saved, and never falls further below zero than it.
+/// In any span as long as the time of saving at most twice its earnings are spent.
 #[derive(Clone, Debug)]
 pub struct ServiceThrottle {
     settings: ThrottleSettings,
+    recent: RecentCalls,
     /// Thousandths of a retry; below zero while repeats that could not be helped are paid back.
     saved: i64,
     earned_at: MonotonicTime,
@@ -23,12 +25,14 @@
 impl ServiceThrottle {
     /// A throttle with its burst saved up.
     pub fn new(now: MonotonicTime, settings: ThrottleSettings) -> Self {
-        let saved = burst_of(&settings);
-        Self { settings, saved, earned_at: now }
+        let saved = thousandths_of(settings.burst);
+        let recent = RecentCalls::new(settings.saving_seconds);
+        Self { settings, recent, saved, earned_at: now }
     }
 
     /// Counts a first attempt into the service.
-    pub fn call(&mut self) {
+    pub fn call(&mut self, now: MonotonicTime) {
+        self.recent.count(now);
         self.earn(self.settings.per_call_thousandths);
     }
 
@@ -50,12 +54,19 @@
     /// Counts a repeat that could not be helped: a first attempt of a call below work that is itself run
     /// again.
     pub fn charge(&mut self) {
-        self.saved = (self.saved - WHOLE).max(-burst_of(&self.settings));
+        self.saved = (self.saved - WHOLE).max(-self.most());
     }
 
     fn earn(&mut self, thousandths: u64) {
         let earned = i64::try_from(thousandths).unwrap_or(i64::MAX);
-        self.saved = self.saved.saturating_add(earned).min(burst_of(&self.settings));
+        self.saved = self.saved.saturating_add(earned).min(self.most());
+    }
+
+    /// Most that may be saved.
+    fn most(&self) -> i64 {
+        let earned = self.recent.total().saturating_mul(self.settings.per_call_thousandths);
+        let earned = i64::try_from(earned).unwrap_or(i64::MAX);
+        thousandths_of(self.settings.burst).max(earned)
     }
 
     fn earn_by_time(&mut self, now: MonotonicTime) {
@@ -74,6 +85,6 @@
     }
 }
 
-fn burst_of(settings: &ThrottleSettings) -> i64 {
-    i64::try_from(settings.burst).unwrap_or(i64::MAX / WHOLE).saturating_mul(WHOLE)
+fn thousandths_of(retries: u64) -> i64 {
+    i64::try_from(retries).unwrap_or(i64::MAX / WHOLE).saturating_mul(WHOLE)
 }
--- a/crates/coltsfootroute/src/retry/throttle_settings.rs
+++ b/crates/coltsfootroute/src/retry/throttle_settings.rs
@@ -8,13 +8,20 @@
         /// Retries earned by time, in thousandths of a retry for each second, so that a service with
         /// little traffic is not left without any.
         pub per_second_thousandths: u64,
-        /// Most retries saved up.
+        /// Retries that may always be saved up.
         pub burst: u64,
+        /// What the calls of this time have earned may be saved up as well, in whole seconds; zero for none.
+        pub saving_seconds: u64,
     }
 }
 
 impl Default for ThrottleSettings {
     fn default() -> Self {
-        Self { per_call_thousandths: 100, per_second_thousandths: 1_000, burst: 20 }
+        Self {
+            per_call_thousandths: 100,
+            per_second_thousandths: 1_000,
+            burst: 20,
+            saving_seconds: 0,
+        }
     }
 }
--- a/crates/coltsfootroute/tests/integration/admission/shed_loop.rs
+++ b/crates/coltsfootroute/tests/integration/admission/shed_loop.rs
@@ -1,6 +1,6 @@
 //! The closed loop of a guard's shed level and callers that follow it.
 
-use std::net::SocketAddr;
+use std::{collections::VecDeque, net::SocketAddr};
 
 use coltsfootroute::{
     admission::{
@@ -13,15 +13,19 @@
     time::MonotonicTime,
 };
 use indexmap::IndexMap;
-use rand::SeedableRng;
+use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
+use rstest::rstest;
 
 const SLOTS: u32 = 10;
 const SERVICE_MICROS: u64 = 10_000;
 /// Arrivals in each millisecond at three times the capacity.
 const SURGE: u64 = 3;
 
-/// A gate with fixed service times, and a caller that hears of its level two milliseconds later.
+/// Age of the levels that the caller hears of, in milliseconds.
+const NEWS_MILLIS: usize = 2;
+
+/// A gate with fixed service times, and a caller that hears of its level some time later.
 struct ShedLoop {
     gate: AdmissionGate,
     levels: ServiceLevels,
@@ -30,10 +34,22 @@
     rng: Pcg64,
     next_id: u64,
     ends: Vec<(u64, u64)>,
-    news: [ShedLevel; 2],
+    /// Levels on their way to the caller, one a millisecond.
+    news: VecDeque<ShedLevel>,
     importances: IndexMap<u64, Importance>,
     /// Calls that the gate itself refused: work spent on them above is wasted.
     refused: u64,
+    service_micros: u64,
+    /// Calls on their way through the services above, with the millisecond at which they arrive.
+    pending: Vec<(u64, u64, Importance)>,
+}
+
+/// Requests of one importance, whose calls reach the gate some time after the root has let them in.
+struct LaggedDemand {
+    importance: Importance,
+    /// Requests in each millisecond, on average.
+    rate: f64,
+    lag_millis: u64,
 }
 
 impl ShedLoop {
@@ -42,8 +58,14 @@
     }
 
     fn with_policy(policy: ShedPolicy) -> Self {
-        let settings = AdmissionSettings::new(SLOTS).with_shed_policy(policy);
+        Self::with_slots(policy, SLOTS, SERVICE_MICROS)
+    }
+
+    fn with_slots(policy: ShedPolicy, slots: u32, service_micros: u64) -> Self {
+        let settings = AdmissionSettings::new(slots).with_shed_policy(policy);
         Self {
+            service_micros,
+            pending: Vec::new(),
             gate: AdmissionGate::new(settings),
             refused: 0,
             levels: ServiceLevels::new(),
@@ -52,7 +74,7 @@
             rng: Pcg64::seed_from_u64(7),
             next_id: 0,
             ends: Vec::new(),
-            news: [ShedLevel::OPEN; 2],
+            news: VecDeque::from([ShedLevel::OPEN; NEWS_MILLIS]),
             importances: IndexMap::new(),
         }
     }
@@ -70,11 +92,50 @@
             verdicts.extend(self.arrive(now));
         }
         let level = self.gate.shed_level(now);
-        self.levels.observe(now, &self.service, self.guard, self.news[0]);
-        self.news = [self.news[1], level];
+        self.news.push_back(level);
+        if let Some(news) = self.news.pop_front() {
+            self.levels.observe(now, &self.service, self.guard, news);
+        }
         self.count(now, &verdicts)
     }
 
+    /// Runs one millisecond of `demands`; gives how many requests of each importance came, and how many calls
+    /// started.
+    fn lagged_millisecond(
+        &mut self,
+        millis: u64,
+        demands: &[LaggedDemand],
+    ) -> ([u64; Importance::COUNT], [u64; Importance::COUNT]) {
+        let now = MonotonicTime::from_millis(millis);
+        let mut came = [0; Importance::COUNT];
+        for demand in demands {
+            let (whole, part) = (demand.rate as u64, demand.rate.fract());
+            let count = whole + u64::from(self.rng.random_bool(part));
+            came[demand.importance.index()] += count;
+            for _ in 0..count {
+                self.next_id += 1;
+                let services = std::slice::from_ref(&self.service);
+                if self.levels.admit(now, services, demand.importance, &mut self.rng).is_ok() {
+                    let due = millis + demand.lag_millis;
+                    self.pending.push((due, self.next_id, demand.importance));
+                }
+            }
+        }
+        let arrived: Vec<_> = self.pending.extract_if(.., |call| call.0 <= millis).collect();
+        let mut started = self.millisecond(millis, 0);
+        let mut verdicts = Vec::new();
+        for (_, id, importance) in arrived {
+            self.importances.insert(id, importance);
+            let deadline = MonotonicTime(now.0 + 1_000_000);
+            let call = WaitingCall { id, importance, deadline, client: 0, under_way: true };
+            verdicts.extend(self.gate.offer(now, call));
+        }
+        for (started, count) in started.iter_mut().zip(self.count(now, &verdicts)) {
+            *started += count;
+        }
+        (came, started)
+    }
+
     fn arrive(&mut self, now: MonotonicTime) -> Vec<AdmissionVerdict> {
         self.next_id += 1;
         let id = self.next_id;
@@ -99,7 +160,7 @@
         for verdict in verdicts.iter().filter(|verdict| verdict.decision == AdmissionDecision::Run)
         {
             started[self.importances[&verdict.id].index()] += 1;
-            self.ends.push((now.0 + SERVICE_MICROS, verdict.id));
+            self.ends.push((now.0 + self.service_micros, verdict.id));
         }
         started
     }
@@ -198,3 +259,43 @@
     let level = shed_loop.gate.shed_level(MonotonicTime::from_millis(6_000));
     assert_eq!(level, ShedLevel::OPEN);
 }
+
+#[rstest]
+#[case::none(0, 2)]
+#[case::short(150, 150)]
+#[case::long(400, 300)]
+#[case::very_long(800, 500)]
+fn the_level_does_not_swing_where_calls_and_news_come_late(
+    #[case] lag_millis: u64,
+    #[case] news_millis: usize,
+) {
+    // 2.5 calls in each millisecond fit: all of the two upper importances and little of the lowest.
+    let mut shed_loop = ShedLoop::with_slots(ShedPolicy::Demand, 125, 50_000);
+    shed_loop.news = VecDeque::from(vec![ShedLevel::OPEN; news_millis]);
+    let demand = |importance, rate, lag_millis| LaggedDemand { importance, rate, lag_millis };
+    let demands = [
+        demand(Importance::Normal, 1.7, lag_millis),
+        demand(Importance::Low, 0.25, 0),
+        demand(Importance::Background, 3.0, lag_millis),
+    ];
+    let (mut came, mut started) = ([0; Importance::COUNT], [0; Importance::COUNT]);
+
+    for millis in 0..12_000 {
+        let counts = shed_loop.lagged_millisecond(millis, &demands);
+        if millis == 4_000 {
+            (came, started, shed_loop.refused) = Default::default();
+        }
+        for index in 0..Importance::COUNT {
+            came[index] += counts.0[index];
+            started[index] += counts.1[index];
+        }
+    }
+
+    let share = |importance: Importance| {
+        started[importance.index()] as f64 / came[importance.index()] as f64
+    };
+    let whole = started.iter().sum::<u64>() as f64 / (8_000.0 * 2.5);
+    assert!(share(Importance::Normal) > 0.98, "{:.3}", share(Importance::Normal));
+    assert!(share(Importance::Low) > 0.95, "{:.3}", share(Importance::Low));
+    assert!(whole > 0.85, "{whole:.3} of the slots");
+}
--- a/crates/coltsfootroute/tests/integration/retry/scenarios.rs
+++ b/crates/coltsfootroute/tests/integration/retry/scenarios.rs
@@ -45,7 +45,9 @@
             "granted" => return format!("{:?}\n", self.ledger.granted(request(case))),
             "decide" => return self.decide(case),
             "calls" => {
-                (0..case.take_arg::<u32>("count").unwrap()).for_each(|_| self.throttle.call())
+                let now = self.now;
+                let count: u32 = case.take_arg("count").unwrap();
+                (0..count).for_each(|_| self.throttle.call(now));
             }
             "retries" => return self.retries(case),
             other => panic!("unknown directive {other}"),
--- a/crates/coltsfootroute/tests/integration/retry/throttle.rs
+++ b/crates/coltsfootroute/tests/integration/retry/throttle.rs
@@ -1,5 +1,7 @@
 //! Repeats that cannot be helped are paid back before a retry is granted.
 
+use std::ops::Range;
+
 use coltsfootroute::{
     retry::{ServiceThrottle, ThrottleSettings},
     time::MonotonicTime,
@@ -8,9 +10,35 @@
 const START: MonotonicTime = MonotonicTime::ZERO;
 
 fn throttle() -> ServiceThrottle {
-    let settings =
-        ThrottleSettings { per_call_thousandths: 100, per_second_thousandths: 0, burst: 2 };
-    ServiceThrottle::new(START, settings)
+    ServiceThrottle::new(START, settings())
+}
+
+fn settings() -> ThrottleSettings {
+    ThrottleSettings {
+        per_call_thousandths: 100,
+        per_second_thousandths: 0,
+        burst: 2,
+        saving_seconds: 0,
+    }
+}
+
+/// Saves up what the calls of ten seconds have earned.
+fn saving_throttle() -> ServiceThrottle {
+    ServiceThrottle::new(START, ThrottleSettings { saving_seconds: 10, ..settings() })
+}
+
+/// Calls at 100 a second in the given seconds; after each in `failing` a retry is tried. Gives the
+/// milliseconds at which retries were granted.
+fn granted(throttle: &mut ServiceThrottle, seconds: u64, failing: Range<u64>) -> Vec<u64> {
+    let mut granted = Vec::new();
+    for millis in (0..seconds * 1_000).step_by(10) {
+        let now = MonotonicTime::from_millis(millis);
+        throttle.call(now);
+        if failing.contains(&(millis / 1_000)) && throttle.try_retry(now) {
+            granted.push(millis);
+        }
+    }
+    granted
 }
 
 #[test]
@@ -31,10 +59,10 @@
     }
 
     for _ in 0..19 {
-        throttle.call();
+        throttle.call(START);
     }
     let before = throttle.try_retry(START);
-    throttle.call();
+    throttle.call(START);
     let after = throttle.try_retry(START);
 
     assert!(!before, "19 calls pay for 1.9 repeats, and one is owed");
@@ -47,7 +75,7 @@
     let mut repeats = 0;
 
     for call in 0..10_000 {
-        throttle.call();
+        throttle.call(START);
         // Every fifteenth call is nested below work that is run again; each tenth call fails.
         if call % 15 == 0 {
             throttle.charge();
@@ -58,3 +86,38 @@
 
     assert!((900..=1_002).contains(&repeats), "{repeats} of 10,000, 1,000 and the burst at most");
 }
+
+#[test]
+fn what_calm_seconds_have_earned_is_there_when_calls_fail() {
+    let mut throttle = saving_throttle();
+
+    let granted = granted(&mut throttle, 14, 12..14);
+
+    // A thousand calls have earned a hundred, and the 200 of the bad seconds twenty more.
+    assert!((110..=120).contains(&granted.len()), "{}", granted.len());
+}
+
+#[test]
+fn in_any_ten_seconds_at_most_twice_their_earnings_are_spent() {
+    let mut throttle = saving_throttle();
+
+    let granted = granted(&mut throttle, 60, 12..60);
+
+    for start in (0..50_000).step_by(100) {
+        let spent = granted.iter().filter(|at| (start..start + 10_000).contains(*at)).count();
+        assert!(spent <= 201, "{spent} in the ten seconds from {start} ms on, of 1,000 calls");
+    }
+    assert!(granted.len() >= 560, "{}", granted.len());
+}
+
+#[test]
+fn savings_are_lost_with_the_calls_that_earned_them() {
+    let mut throttle = saving_throttle();
+    granted(&mut throttle, 10, 0..0);
+
+    let late = MonotonicTime::from_millis(60_000);
+    throttle.call(late);
+    let granted = (0..100).filter(|_| throttle.try_retry(late)).count();
+
+    assert_eq!(granted, 2, "the burst alone");
+}
