--- a/crates/coltsfoot-node/src/dispatch/introduction_desk.rs
+++ b/crates/coltsfoot-node/src/dispatch/introduction_desk.rs
@@ -35,8 +35,9 @@
 /// Longest pause between two scans of a node that has found nobody; jittered.
 const LONGEST_SCAN_PAUSE: Duration = Duration::from_secs(10);
 /// Pause between two looks for watched services without a member, without a call to the table service while
-/// there is none; jittered. Twice as long after each read, up to [`LONGEST_SCAN_PAUSE`].
-const MEMBER_CHECK_PAUSE: Duration = Duration::from_millis(400);
+/// there is none; jittered. Gossip brings most services in this time, and each read has its price. Twice as long
+/// after each read, up to [`LONGEST_SCAN_PAUSE`].
+const MEMBER_CHECK_PAUSE: Duration = Duration::from_millis(1_200);
 /// How long a leaving node waits for its row to be gone.
 const REMOVE_WAIT: Duration = Duration::from_millis(500);
 
