A leave outlives the node that acknowledged it

Change: the row tells of the leave in place of being removed, before the acknowledgement; a new life reads it before it believes a heartbeat, for 0.7 s at most. The row of a host that never returns stays, 150 bytes each.

--- a/crates/coltsfoot-node/src/dispatch/entry_port.rs
+++ b/crates/coltsfoot-node/src/dispatch/entry_port.rs
@@ -106,6 +106,8 @@
     /// that leaves.
     pub async fn hear(&self, heartbeat: UpstreamHeartbeat) -> HeartbeatVerdict {
         let UpstreamHeartbeat { announcement, instance, sequence, is_leaving } = heartbeat;
+        // A late one must not bring back what the life before this one has seen off.
+        self.dispatcher.introduction.await_resumed().await;
         let verdict = self.dispatcher.guard.instances.borrow_mut().hear(&instance, sequence);
         if verdict != HeartbeatVerdict::Fresh {
             let departed = verdict == HeartbeatVerdict::Departed;
@@ -123,6 +125,7 @@
 
     /// The instance has left, or is about to: nothing is dispatched to it from now on.
     pub async fn leave(&self, instance: &InstanceName) {
+        self.dispatcher.introduction.await_resumed().await;
         let is_present = self.dispatcher.guard.instances.borrow_mut().leave(instance);
         if is_present {
             self.dispatcher.withdraw_named().await;
--- a/crates/coltsfoot-node/src/dispatch/introduction_desk.rs
+++ b/crates/coltsfoot-node/src/dispatch/introduction_desk.rs
@@ -41,9 +41,26 @@
 /// How long a leaving node waits for its row to be gone.
 const REMOVE_WAIT: Duration = Duration::from_millis(500);
 
+/// How long the first heartbeats wait for what the life before this one has written: well within the second
+/// after which an upstream counts its heartbeat as lost.
+const RESUME_WAIT: Duration = Duration::from_millis(700);
+
 /// Start of the keys of the rows by which nodes find their upstreams again.
 const UPSTREAM_PREFIX: &str = "upstream/";
 
+/// The row by which a node finds its upstream again after a restart.
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(untagged)]
+enum UpstreamRow {
+    /// The upstream is there.
+    Serving(UpstreamAnnouncement),
+    /// The upstream has left: a late heartbeat of it changes nothing, whichever life of the node it reaches.
+    Departed {
+        /// The life that has left.
+        departed: InstanceName,
+    },
+}
+
 /// The upstream that the node's rows speak of.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct IntroducedUpstream {
@@ -62,6 +79,13 @@
     written: RefCell<Option<IntroducedUpstream>>,
     /// Whether they stand for certain. Invariant: only while `written` is something.
     is_certain: Cell<bool>,
+    /// Life of the upstream whose leave the row shall tell of. Invariant: only while nothing is `wanted`.
+    departed: RefCell<Option<InstanceName>>,
+    /// Whether the row tells of it.
+    is_departed_written: Cell<bool>,
+    /// Whether what the life before this one has written is known, or past finding out.
+    has_resumed: Cell<bool>,
+    resumed: Notify,
     wanted_changed: Notify,
     written_changed: Notify,
 }
@@ -69,13 +93,39 @@
 impl IntroductionDesk {
     /// The rows shall speak of `upstream`, or be gone.
     pub fn want(&self, upstream: Option<IntroducedUpstream>) {
+        if upstream.is_some() {
+            self.departed.take();
+        }
         *self.wanted.borrow_mut() = upstream;
         self.wanted_changed.notify_one();
     }
 
+    /// The upstream has said itself that it leaves: the rows shall tell of that.
+    pub fn depart(&self, instance: InstanceName) {
+        self.wanted.take();
+        *self.departed.borrow_mut() = Some(instance);
+        self.is_departed_written.set(false);
+        self.wanted_changed.notify_one();
+    }
+
     fn is_settled(&self) -> bool {
         let wanted = self.wanted.borrow();
-        *wanted == *self.written.borrow() && self.is_certain.get() == wanted.is_some()
+        let tells = self.departed.borrow().is_none() || self.is_departed_written.get();
+        *wanted == *self.written.borrow() && self.is_certain.get() == wanted.is_some() && tells
+    }
+
+    /// Waits until it is known what the life before this one has written, up to a bound.
+    pub async fn await_resumed(&self) {
+        if self.has_resumed.get() {
+            return;
+        }
+        // Past the bound the store is down or slow: the heartbeat counts as it is.
+        let _ = timeout(RESUME_WAIT, self.resumed.notified()).await;
+    }
+
+    fn note_resumed(&self) {
+        self.has_resumed.set(true);
+        self.resumed.notify_waiters();
     }
 
     fn note(&self, written: Option<IntroducedUpstream>, is_certain: bool) {
@@ -127,6 +177,9 @@
             }
             self.introduction.note(None, false);
         }
+        if !self.settle_departed().await {
+            return false;
+        }
         if let Some(upstream) = wanted.filter(|_| !is_certain) {
             let write = self.introduction_row(upstream.service.clone()).write();
             let done = self.change_row(with_write(write, self.resumable_write())).await;
@@ -136,6 +189,27 @@
         self.introduction.is_settled()
     }
 
+    /// Tells of the upstream's leave if that is due; returns whether it is told.
+    async fn settle_departed(&self) -> bool {
+        let departed = self.introduction.departed.borrow().clone();
+        let Some(departed) = departed.filter(|_| !self.introduction.is_departed_written.get())
+        else {
+            return true;
+        };
+        let row = UpstreamRow::Departed { departed: departed.clone() };
+        // A name always has a JSON form.
+        let write = self.upstream_write(serde_json::to_string(&row).ok());
+        let request = TableRequest::Transact(write.into_iter().collect());
+        if !self.change_row(request).await {
+            return false;
+        }
+        if self.introduction.departed.borrow().as_ref() == Some(&departed) {
+            self.introduction.is_departed_written.set(true);
+            self.introduction.written_changed.notify_one();
+        }
+        true
+    }
+
     fn introduction_row(&self, service: ServiceName) -> IntroductionRow {
         IntroductionRow {
             service,
@@ -151,7 +225,8 @@
         let announcement = &upstream.as_ref()?.announcement;
         announcement.instance.as_ref()?;
         // Names, addresses and numbers always have a JSON form.
-        self.upstream_write(serde_json::to_string(announcement).ok())
+        let row = UpstreamRow::Serving(announcement.clone());
+        self.upstream_write(serde_json::to_string(&row).ok())
     }
 
     /// The write of the upstream's row, or its removal; `None` where no upstream is resumed.
@@ -167,14 +242,24 @@
     /// Takes the upstream up again that the life before this one guarded: its next heartbeat may be seconds
     /// away. Another instance at its address refuses what is not meant for it.
     pub(super) async fn resume_upstream(self: Rc<Self>) {
-        if !self.upstream_client.checks_instance() {
-            return;
+        if self.upstream_client.checks_instance() {
+            self.take_up_row().await;
         }
+        self.introduction.note_resumed();
+    }
+
+    async fn take_up_row(&self) {
         let read = TableRequest::Read(self.upstream_key());
         let TableReply::Rows(rows) = self.ask_introductions(read).await else { return };
         let Some(row) = rows.first() else { return };
-        let announcement: UpstreamAnnouncement = match serde_json::from_str(&row.value) {
-            Ok(announcement) => announcement,
+        let announcement = match serde_json::from_str(&row.value) {
+            Ok(UpstreamRow::Serving(announcement)) => announcement,
+            Ok(UpstreamRow::Departed { departed }) => {
+                if self.guard.instances.borrow_mut().leave(&departed) {
+                    self.withdraw_named().await;
+                }
+                return;
+            }
             Err(err) => {
                 log::warn!(
                     target: LOG_TARGET,
--- a/crates/coltsfoot-node/src/dispatch/local_upstream.rs
+++ b/crates/coltsfoot-node/src/dispatch/local_upstream.rs
@@ -92,13 +92,21 @@
         self.withdraw_named().await;
     }
 
-    /// The upstream leaves, and names its lives: its row is gone first, up to a bound, or else a restart
+    /// The upstream leaves, and names its lives: its row tells of that first, up to a bound, or else a restart
     /// might take it up again.
     pub(super) async fn withdraw_named(&self) {
         self.withdraw_upstream().await;
+        if let Some(instance) = self.upstream_instance() {
+            self.introduction.depart(instance);
+        }
         self.introduction.settle().await;
     }
 
+    /// The life of the upstream beside the node that was heard of last, if it names itself.
+    fn upstream_instance(&self) -> Option<InstanceName> {
+        self.guard.upstream.borrow().as_ref()?.announcement.instance.clone()
+    }
+
     /// Whether the announcement says anything new.
     fn take_in(&self, announcement: &UpstreamAnnouncement) -> bool {
         let heard = self.clock.now();
