Read once more: one constant for a second, a scan that is not copied

Found in the last read: the microseconds of a second stood twice in the retry module, and a scan of one service was cloned to be read.

--- a/crates/coltsfoot-node/src/dispatch/introduction_desk.rs
+++ b/crates/coltsfoot-node/src/dispatch/introduction_desk.rs
@@ -311,8 +311,9 @@
                 false => (pause * 2).min(LONGEST_SCAN_PAUSE),
             };
             for service in missing {
-                let scan = IntroductionScan::of_service(&service);
-                let found = scan.clone().take(&self.ask_introductions(scan.request()).await);
+                let mut scan = IntroductionScan::of_service(&service);
+                let reply = self.ask_introductions(scan.request()).await;
+                let found = scan.take(&reply);
                 // A closed ring means that the process stops.
                 let _ = self.gossip.send(GossipCommand::Ask(found)).await;
             }
--- a/crates/coltsfootroute/src/retry/recent_calls.rs
+++ b/crates/coltsfootroute/src/retry/recent_calls.rs
@@ -5,7 +5,7 @@
 use crate::time::MonotonicTime;
 
 /// Microseconds in a second.
-const SECOND_MICROS: u64 = 1_000_000;
+pub(super) const SECOND_MICROS: u64 = 1_000_000;
 
 /// Counts calls by the second, and forgets them after a fixed number of seconds.
 ///
--- a/crates/coltsfootroute/src/retry/service_throttle.rs
+++ b/crates/coltsfootroute/src/retry/service_throttle.rs
@@ -1,6 +1,9 @@
 //! Bound on the retries into one service.
 
-use super::{ThrottleSettings, recent_calls::RecentCalls};
+use super::{
+    ThrottleSettings,
+    recent_calls::{RecentCalls, SECOND_MICROS},
+};
 use crate::time::MonotonicTime;
 
 /// Token bucket that bounds the retries of this node into one service to a share of its calls,
@@ -19,8 +22,6 @@
 
 /// Thousandths of a retry in a retry.
 const WHOLE: i64 = 1_000;
-/// Microseconds in a second.
-const SECOND_MICROS: u64 = 1_000_000;
 
 impl ServiceThrottle {
     /// A throttle with its burst saved up.
