An upstream's own failure reaches its caller when the second attempt has no answer

Cause: the outcome of a call was that of its last attempt. An upstream answered 500, the call was tried again, the second upstream spoilt its answer or the guard refused it for want of time, and the client was told 502 or 504 though an answer was there. Now the answer is kept while another attempt is made.

Test, failed first (502 in place of 500): a_backends_own_failure_is_passed_on_where_the_second_attempt_has_no_answer.

--- a/crates/coltsfoot-node/src/dispatch/routed_call.rs
+++ b/crates/coltsfoot-node/src/dispatch/routed_call.rs
@@ -97,7 +97,7 @@
         let mut progress = RouteProgress::default();
         loop {
             let tried_before = progress.tried.len();
-            let mut reply = self.attempt(call, &mut progress).await;
+            let reply = self.attempt(call, &mut progress).await;
             let was_sent = progress.tried.len() > tried_before;
             self.learn_levels(&reply.levels);
             self.learn_reached(call, &reply.levels);
@@ -112,11 +112,9 @@
             }
             let attempts = progress.tried.len() - progress.reroutes;
             if !self.retry_after_failure(call, &reply, attempts).await {
-                if progress.may_have_run {
-                    reply.outcome = CallOutcome::Unknown;
-                }
-                return progress.end(reply);
+                return progress.end_failed(reply);
             }
+            progress.keep_answer(reply);
         }
     }
 
@@ -261,9 +259,31 @@
     may_have_run: bool,
     /// Whether some attempt reached an upstream, if only to be rejected.
     has_reached_upstream: bool,
+    /// What an upstream answered to the last attempt that it failed by itself.
+    failed_answer: Option<CallReply>,
 }
 
 impl RouteProgress {
+    /// Keeps the answer of a failed attempt while another is made.
+    fn keep_answer(&mut self, reply: CallReply) {
+        if matches!(reply.body, ReplyBody::Answer { .. }) {
+            self.failed_answer = Some(reply);
+        }
+    }
+
+    /// The end of a call whose last attempt failed. An upstream's own answer tells its caller more than the
+    /// refusal of a later attempt.
+    fn end_failed(mut self, last: CallReply) -> RouteEnd {
+        let mut reply = match (&last.body, self.failed_answer.take()) {
+            (ReplyBody::Refusal { .. }, Some(answer)) => CallReply { levels: last.levels, ..answer },
+            _ => last,
+        };
+        if self.may_have_run {
+            reply.outcome = CallOutcome::Unknown;
+        }
+        self.end(reply)
+    }
+
     fn end(&self, reply: CallReply) -> RouteEnd {
         RouteEnd { reply, attempts: u32::try_from(self.tried.len()).unwrap_or(u32::MAX) }
     }
