A chain's retries and a call's attempts are bounded apart

A fee makes two calls of a deep service; the second that failed had no token left.

The throttle of a service bounds repeats as before.

--- a/crates/coltsfoot-node/src/dispatch/client_request.rs
+++ b/crates/coltsfoot-node/src/dispatch/client_request.rs
@@ -28,6 +28,7 @@
     deadline: MonotonicTime,
     budget: u32,
     repeatable: bool,
+    most_attempts: Option<u32>,
 }
 
 /// Closes the retry account of a request when its final answer stands, or its client is gone.
@@ -103,6 +104,7 @@
             under_way: false,
             is_repeat: false,
             repeatable: check.repeatable,
+            most_attempts: check.most_attempts,
             key: call.key,
             content_type: call.content_type,
             head: call.head,
@@ -123,6 +125,7 @@
             deadline,
             budget: entry.retry_budget,
             repeatable: operation.repeatable,
+            most_attempts: operation.most_attempts,
         })
     }
 
--- a/crates/coltsfoot-node/src/dispatch/nested_request.rs
+++ b/crates/coltsfoot-node/src/dispatch/nested_request.rs
@@ -22,6 +22,12 @@
 /// Deadline of a nested call that carries neither a context nor a deadline.
 const ORPHAN_DEADLINE: Duration = Duration::from_millis(1_000);
 
+/// A nested call that passed the checks of its form.
+struct NestedCheck {
+    repeatable: bool,
+    most_attempts: Option<u32>,
+}
+
 impl Dispatcher {
     /// Serves one nested call.
     pub(super) async fn serve_nested(
@@ -88,8 +94,8 @@
             return self.refuse(importance, RefusalReason::Leaving);
         };
         let deadline = nested_deadline(&call, span);
-        let repeatable = match self.check_nested(&call, deadline) {
-            Ok(repeatable) => repeatable,
+        let check = match self.check_nested(&call, deadline) {
+            Ok(check) => check,
             Err(reason) => return self.refuse(importance, reason),
         };
         let routed = RoutedCall {
@@ -102,7 +108,8 @@
             client: span.map_or(0, |span| span.client),
             under_way: span.is_some(),
             is_repeat: span.is_some_and(|span| span.is_repeat),
-            repeatable,
+            repeatable: check.repeatable,
+            most_attempts: check.most_attempts,
             key: call.key,
             content_type: call.content_type,
             head: call.head,
@@ -115,12 +122,15 @@
         &self,
         call: &IncomingCall,
         deadline: MonotonicTime,
-    ) -> Result<bool, RefusalReason> {
+    ) -> Result<NestedCheck, RefusalReason> {
         let config = self.config.in_force()?;
         let operation = config.operation(&call.service, &call.operation)?;
         self.check_key(operation, call)?;
         self.check_deadline(call, deadline)?;
-        Ok(operation.repeatable)
+        Ok(NestedCheck {
+            repeatable: operation.repeatable,
+            most_attempts: operation.most_attempts,
+        })
     }
 }
 
--- a/crates/coltsfoot-node/src/dispatch/routed_call.rs
+++ b/crates/coltsfoot-node/src/dispatch/routed_call.rs
@@ -50,6 +50,8 @@
     pub is_repeat: bool,
     /// Whether the operation may run again.
     pub repeatable: bool,
+    /// Attempts that the operation allows; `None` where it sets no bound.
+    pub most_attempts: Option<u32>,
     /// Idempotency key.
     pub key: Option<String>,
     /// Media type of the body.
@@ -224,6 +226,7 @@
             repeatable: call.repeatable,
             deadline: call.deadline,
             attempts: u32::try_from(attempts).unwrap_or(u32::MAX),
+            most_attempts: call.most_attempts,
             shedding: self.is_shed(&call.service, call.importance),
             expected: self.times.borrow_mut().needed(now, &call.service, &call.operation),
         };
--- a/crates/coltsfoot-slopes/src/sample_schema.rs
+++ b/crates/coltsfoot-slopes/src/sample_schema.rs
@@ -70,6 +70,7 @@
     OperationEntry {
         name: operation_name(operation),
         repeatable,
+        most_attempts: None,
         client,
         matches: Vec::new(),
         calls: calls.collect(),
--- a/crates/coltsfoot-standin/tests/integration/util.rs
+++ b/crates/coltsfoot-standin/tests/integration/util.rs
@@ -29,6 +29,7 @@
     let operation = |name, repeatable| OperationEntry {
         name: OperationName::new(name),
         repeatable,
+        most_attempts: None,
         client: Some(client.clone()),
         matches: Vec::new(),
         calls: Vec::new(),
--- a/crates/coltsfootroute/src/retry/retry_policy.rs
+++ b/crates/coltsfootroute/src/retry/retry_policy.rs
@@ -56,7 +56,9 @@
         if attempt.shedding {
             return Some(GiveUpCause::Shedding);
         }
-        (attempt.attempts >= self.settings.most_attempts).then_some(GiveUpCause::AttemptsSpent)
+        let own_bound = self.settings.most_attempts;
+        let bound = attempt.most_attempts.map_or(own_bound, |most| most.min(own_bound));
+        (attempt.attempts >= bound).then_some(GiveUpCause::AttemptsSpent)
     }
 
     fn backoff(&self, rng: &mut impl Rng, attempt: &FailedAttempt) -> Duration {
--- a/crates/coltsfootroute/src/schema/operation_entry.rs
+++ b/crates/coltsfootroute/src/schema/operation_entry.rs
@@ -14,6 +14,11 @@
         /// Whether a run may be repeated. A non-repeatable operation needs an idempotency key.
         #[serde(default = "yes")]
         pub repeatable: bool,
+        /// Attempts of one call at most, the first included, whoever makes it; absent where the policy of the
+        /// nodes alone bounds them.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        #[schemars(range(min = 1))]
+        pub most_attempts: Option<u32>,
         /// How clients may call it; absent where only other services do.
         #[serde(default, skip_serializing_if = "Option::is_none")]
         pub client: Option<ClientEntry>,
--- a/crates/coltsfootroute/src/schema/schema_check.rs
+++ b/crates/coltsfootroute/src/schema/schema_check.rs
@@ -66,6 +66,9 @@
 
     fn operation(&mut self, path: &str, operation: &OperationEntry) {
         self.name(&format!("{path}.name"), operation.name.as_str());
+        if let Some(most_attempts) = operation.most_attempts {
+            self.at_least_one(format!("{path}.most_attempts"), most_attempts.into());
+        }
         if let Some(client) = &operation.client {
             // A retry budget of 0 is meaningful: the request is never retried.
             self.at_least_one(format!("{path}.client.deadline_ms"), client.deadline_ms);
--- a/crates/coltsfootroute/src/schema/schema_diff.rs
+++ b/crates/coltsfootroute/src/schema/schema_diff.rs
@@ -77,6 +77,9 @@
     let name = format!("{service}/{}", operation.name);
     items.insert(name.clone(), String::new());
     items.insert(format!("{name}.repeatable"), operation.repeatable.to_string());
+    if let Some(most_attempts) = operation.most_attempts {
+        items.insert(format!("{name}.most_attempts"), most_attempts.to_string());
+    }
     if let Some(client) = &operation.client {
         items.insert(format!("{name}.client"), String::new());
         items.insert(format!("{name}.client.importance"), client.importance.to_string());
--- a/crates/coltsfootroute/src/schema/source_fields.rs
+++ b/crates/coltsfootroute/src/schema/source_fields.rs
@@ -98,6 +98,11 @@
         })
     }
 
+    /// A number of 32 bits, if it is there.
+    pub fn optional_count(&mut self, name: &str) -> Option<u32> {
+        self.fields.contains_key(name).then(|| self.count(name, None))
+    }
+
     /// A boolean with a default.
     pub fn flag(&mut self, name: &str, default: bool) -> bool {
         match self.fields.get(name).copied().map(|node| (node, &node.value)) {
--- a/crates/coltsfootroute/src/schema/source_reader.rs
+++ b/crates/coltsfootroute/src/schema/source_reader.rs
@@ -43,16 +43,18 @@
     }
 
     fn operation(&mut self, node: &SourceNode, path: &str) -> OperationEntry {
-        let known = ["name", "repeatable", "client", "matches", "calls"];
+        let known = ["name", "repeatable", "most_attempts", "client", "matches", "calls"];
         let mut fields = SourceFields::new(self, node, path, &known);
         let name = OperationName::from(fields.text("name"));
         let repeatable = fields.flag("repeatable", true);
+        let most_attempts = fields.optional_count("most_attempts");
         let client = fields.optional("client");
         let matches = fields.list("matches", false);
         let calls = fields.list("calls", false);
         let client = client.map(|(path, node)| self.client(node, &path));
         let matches = self.each(matches, Self::path_match);
-        OperationEntry { name, repeatable, client, matches, calls: self.each(calls, Self::call) }
+        let calls = self.each(calls, Self::call);
+        OperationEntry { name, repeatable, most_attempts, client, matches, calls }
     }
 
     fn path_match(&mut self, node: &SourceNode, path: &str) -> PathMatch {
--- a/crates/coltsfootroute/tests/integration/retry/scenarios.rs
+++ b/crates/coltsfootroute/tests/integration/retry/scenarios.rs
@@ -85,6 +85,7 @@
             repeatable: !case.take_flag("once").unwrap(),
             deadline: MonotonicTime::from_millis(case.take_arg("deadline").unwrap()),
             attempts: case.try_take_arg("attempts").unwrap().unwrap_or(1),
+            most_attempts: case.try_take_arg("most-attempts").unwrap(),
             shedding: case.take_flag("shedding").unwrap(),
             expected: expected.map(Duration::from_millis),
         };
--- a/crates/coltsfootroute/tests/integration/schema.rs
+++ b/crates/coltsfootroute/tests/integration/schema.rs
@@ -77,6 +77,10 @@
     "3 services[0].operations[1].name: duplicate operation `x`"
 )]
 #[case::zero_deadline(
+    "{name: a, slots: 1, connections: 1, operations: [{name: x, most_attempts: 0}]}",
+    "3 services[0].operations[0].most_attempts: 0: expected at least 1"
+)]
+#[case(
     "{name: a, slots: 1, connections: 1, operations: [{name: x, client: {importance: low, deadline_ms: 0, retry_budget: 0}}]}",
     "3 services[0].operations[0].client.deadline_ms: 0: expected at least 1"
 )]
