--- a/crates/coltsfoot-node/src/dispatch/nested_request.rs
+++ b/crates/coltsfoot-node/src/dispatch/nested_request.rs
@@ -127,10 +127,7 @@
         let operation = config.operation(&call.service, &call.operation)?;
         self.check_key(operation, call)?;
         self.check_deadline(call, deadline)?;
-        Ok(NestedCheck {
-            repeatable: operation.repeatable,
-            most_attempts: operation.most_attempts,
-        })
+        Ok(NestedCheck { repeatable: operation.repeatable, most_attempts: operation.most_attempts })
     }
 }
 
--- a/crates/coltsfoot-node/src/dispatch/routed_call.rs
+++ b/crates/coltsfoot-node/src/dispatch/routed_call.rs
@@ -278,7 +278,9 @@
     /// refusal of a later attempt.
     fn end_failed(mut self, last: CallReply) -> RouteEnd {
         let mut reply = match (&last.body, self.failed_answer.take()) {
-            (ReplyBody::Refusal { .. }, Some(answer)) => CallReply { levels: last.levels, ..answer },
+            (ReplyBody::Refusal { .. }, Some(answer)) => {
+                CallReply { levels: last.levels, ..answer }
+            }
             _ => last,
         };
         if self.may_have_run {
--- a/crates/coltsfoot-node/src/lib.rs
+++ b/crates/coltsfoot-node/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod settings;
 pub mod store;
 
+mod allocator;
 mod node_launch;
 mod run;
 mod settings_watch;
