A service whose members answer no gossip stays shown while calls reach it

No member had died: 77 watchers pull five members, each of which may send 2 KB a second; a member out of bytes answers no pull, and a watcher that had heard no answer for 10 s hid the whole group, before the first request even came. It came worse the more gossip there was. Ruled out: the store (`find_members` found the rows, but asks went unanswered as well), restarts, the upstreams' health.

Change: silence alone hides nobody. A group is hidden if nobody has answered a pull or a call for 10 s and a call has failed to reach a member since the last answer. Dispatch tells the gossip duty how calls fare, at most once in 2 s.

--- a/crates/coltsfoot-node/src/dispatch/routed_call.rs
+++ b/crates/coltsfoot-node/src/dispatch/routed_call.rs
@@ -183,13 +183,18 @@
             return self.guard_call(self.request_of(call, is_repeat)).await;
         }
         let Ok(link) = self.links.get(node).await else {
+            self.note_contact(&call.service, false).await;
             return self.refusal(RefusalReason::NoUpstream, CallOutcome::NotRun);
         };
         // Made once the link is open: the time left is that at the sending.
         match self.send_over(&link, &self.request_of(call, is_repeat)).await {
-            Ok(reply) => reply,
+            Ok(reply) => {
+                self.note_contact(&call.service, true).await;
+                reply
+            }
             Err(_) => {
                 self.links.failed(node, &link);
+                self.note_contact(&call.service, false).await;
                 self.refusal(RefusalReason::UpstreamFailed, CallOutcome::Unknown)
             }
         }
--- a/crates/coltsfoot-node/src/dispatch/service_pool.rs
+++ b/crates/coltsfoot-node/src/dispatch/service_pool.rs
@@ -22,10 +22,17 @@
     pub called: MonotonicTime,
     /// When the gossip duty was last told that the service is in use.
     told: MonotonicTime,
+    /// When the gossip duty was last told that a call has reached a member.
+    reached_told: Option<MonotonicTime>,
+    /// When it was last told that a call has failed to.
+    unreached_told: Option<MonotonicTime>,
 }
 
 /// How often the gossip duty is told that a service is in use.
 const TELL_PERIOD: Duration = Duration::from_secs(5);
+/// How often the gossip duty is told that calls reach a service's members, or fail to: a few times in the silence
+/// after which it would hide them.
+const CONTACT_PERIOD: Duration = Duration::from_secs(2);
 /// A service that has not been called for so long is no longer watched.
 const FORGET_AFTER: Duration = Duration::from_secs(600);
 
@@ -54,7 +61,14 @@
             self.identity.region.clone(),
             RoutingSettings::default(),
         );
-        let entry = ServicePool { pool, watched_since: now, called: now, told: now };
+        let entry = ServicePool {
+            pool,
+            watched_since: now,
+            called: now,
+            told: now,
+            reached_told: None,
+            unreached_told: None,
+        };
         self.pools.borrow_mut().insert(service.clone(), entry);
         self.send_watches().await;
         now
@@ -72,6 +86,31 @@
         Some((entry.watched_since, was_cold))
     }
 
+    /// Tells the gossip duty whether a call has reached a member of `service`, unless it has just been told.
+    pub(super) async fn note_contact(&self, service: &ServiceName, reached: bool) {
+        if !self.is_news(service, reached) {
+            return;
+        }
+        let command = match reached {
+            true => GossipCommand::Reached(service.clone()),
+            false => GossipCommand::Unreached(service.clone()),
+        };
+        // A closed ring means that the process stops.
+        let _ = self.gossip.send(command).await;
+    }
+
+    fn is_news(&self, service: &ServiceName, reached: bool) -> bool {
+        let now = self.clock.now();
+        let mut pools = self.pools.borrow_mut();
+        let Some(entry) = pools.get_mut(service) else { return false };
+        let told = if reached { &mut entry.reached_told } else { &mut entry.unreached_told };
+        let is_news = told.is_none_or(|told| now.since(told) >= CONTACT_PERIOD);
+        if is_news {
+            *told = Some(now);
+        }
+        is_news
+    }
+
     /// Stops watching services that have not been called for long, unless they are pinned.
     pub(super) async fn forget_unused(&self) {
         let now = self.clock.now();
--- a/crates/coltsfoot-node/src/gossip/gossip_command.rs
+++ b/crates/coltsfoot-node/src/gossip/gossip_command.rs
@@ -17,6 +17,10 @@
     Watch(Vec<ServiceName>),
     /// A watched service is in use.
     Touch(ServiceName),
+    /// A call has reached a member of a watched service.
+    Reached(ServiceName),
+    /// A call could not reach the member of a watched service that it was for.
+    Unreached(ServiceName),
     /// A configuration revision is in force here.
     SetRevision(u64),
     /// Addresses of nodes read from the table service.
--- a/crates/coltsfoot-node/src/gossip/gossip_thread.rs
+++ b/crates/coltsfoot-node/src/gossip/gossip_thread.rs
@@ -187,6 +187,14 @@
                 self.engine.touch(now, service.as_str());
                 Vec::new()
             }
+            GossipCommand::Reached(service) => {
+                self.engine.note_reached(now, service.as_str());
+                Vec::new()
+            }
+            GossipCommand::Unreached(service) => {
+                self.engine.note_unreached(now, service.as_str());
+                Vec::new()
+            }
             GossipCommand::SetRevision(revision) => {
                 self.engine.set_revision(revision);
                 Vec::new()
--- a/crates/coltsfootroute/src/membership/gossip_engine/announcing.rs
+++ b/crates/coltsfootroute/src/membership/gossip_engine/announcing.rs
@@ -83,6 +83,20 @@
         watch.used = now;
     }
 
+    /// Notes that a call has reached a member of a watched service: it is there, however little it gossips.
+    pub fn note_reached(&mut self, now: MonotonicTime, service: &str) {
+        if let Some(watch) = self.watches.get_mut(service) {
+            watch.reached = Some(now);
+        }
+    }
+
+    /// Notes that a call could not reach the member of a watched service that it was for.
+    pub fn note_unreached(&mut self, now: MonotonicTime, service: &str) {
+        if let Some(watch) = self.watches.get_mut(service) {
+            watch.unreached = Some(now);
+        }
+    }
+
     /// Repeats the leave, since datagrams get lost.
     pub(super) fn repeat_leave(&mut self, now: MonotonicTime, rng: &mut impl Rng) {
         if self.leave_repeats == 0 || now < self.leave_due {
--- a/crates/coltsfootroute/src/membership/gossip_engine/pulling.rs
+++ b/crates/coltsfootroute/src/membership/gossip_engine/pulling.rs
@@ -126,13 +126,13 @@
     }
 
     /// The node asked last has not answered: it is asked less, and a group of which nobody answers
-    /// for long is hidden.
+    /// for long, nor takes calls, is hidden.
     fn note_silence(&mut self, now: MonotonicTime, service: &ServiceName) {
         let Some(watch) = self.watches.get_mut(service) else { return };
         let Some(target) = watch.waiting.take() else { return };
         watch.silent.insert(target);
-        let long = now.since(watch.answered) >= self.settings.hide_after;
-        if !long || self.is_member_of(service) {
+        let may_be_gone = watch.may_be_gone(now, self.settings.hide_after);
+        if !may_be_gone || self.is_member_of(service) {
             return;
         }
         let Some(group) = self.groups.get(service) else { return };
--- a/crates/coltsfootroute/src/membership/gossip_engine/watch_state.rs
+++ b/crates/coltsfootroute/src/membership/gossip_engine/watch_state.rs
@@ -1,5 +1,7 @@
 //! The pulling of one group.
 
+use std::time::Duration;
+
 use indexmap::IndexSet;
 
 use crate::{id::NodeId, time::MonotonicTime};
@@ -17,12 +19,34 @@
     pub(super) silent: IndexSet<NodeId>,
     /// When a member last answered, or the watch began.
     pub(super) answered: MonotonicTime,
+    /// When a call of this node last reached a member.
+    pub(super) reached: Option<MonotonicTime>,
+    /// When a call of this node last failed to reach a member.
+    pub(super) unreached: Option<MonotonicTime>,
 }
 
 impl WatchState {
     /// A watch that pulls at once and counts as used.
     pub(super) fn new(now: MonotonicTime) -> Self {
-        Self { due: now, used: now, waiting: None, silent: IndexSet::new(), answered: now }
+        Self {
+            due: now,
+            used: now,
+            waiting: None,
+            silent: IndexSet::new(),
+            answered: now,
+            reached: None,
+            unreached: None,
+        }
+    }
+
+    /// Whether the group may be gone: nobody has answered a pull or a call for `silence`, and since the last
+    /// answer a call has failed to reach a member. A member out of bytes is silent as well, so that silence
+    /// alone proves nothing.
+    pub(super) fn may_be_gone(&self, now: MonotonicTime, silence: Duration) -> bool {
+        let is_silent = |heard: MonotonicTime| now.since(heard) >= silence;
+        is_silent(self.answered)
+            && self.reached.is_none_or(is_silent)
+            && self.unreached.is_some_and(|failed| failed >= self.answered)
     }
 
     /// Notes an answer of a member of the group.
--- a/crates/coltsfootroute/src/membership/gossip_settings.rs
+++ b/crates/coltsfootroute/src/membership/gossip_settings.rs
@@ -29,7 +29,8 @@
         pub cold_after: Duration,
         /// Time between two comparisons with a member of the own group.
         pub sync_interval: Duration,
-        /// Time without any answer from a watched service after which its members are hidden.
+        /// Time without any answer from a watched service, to pulls or calls, after which its members are hidden
+        /// if a call has failed to reach one.
         pub hide_after: Duration,
         /// Time between two pings outside the own group.
         pub cross_interval: Duration,
--- a/crates/coltsfootroute/tests/integration/membership/scenario.rs
+++ b/crates/coltsfootroute/tests/integration/membership/scenario.rs
@@ -4,7 +4,8 @@
 
 use coltsfootroute::{
     id::NodeId,
-    membership::{GossipEffect, GossipKind, MemberRecord},
+    membership::{GossipEffect, GossipEngine, GossipKind, MemberRecord},
+    time::MonotonicTime,
 };
 use datadriven::TestCase;
 use indexmap::IndexMap;
@@ -27,6 +28,7 @@
 #[case::partition("membership-partition.txt")]
 #[case::pause("membership-pause.txt")]
 #[case::restart("membership-restart.txt")]
+#[case::silence("membership-silence.txt")]
 #[case::takeover("membership-takeover.txt")]
 fn scenario(#[case] file: &str) {
     let path = format!("{}/tests/scenarios/{file}", env!("CARGO_MANIFEST_DIR"));
@@ -65,6 +67,8 @@
             }
             "introduce" => self.introduce(case),
             "ask" => self.ask(case),
+            "reached" => self.note_calls(case, GossipEngine::note_reached),
+            "unreached" => self.note_calls(case, GossipEngine::note_unreached),
             "view" => return self.view(case),
             "events" => return self.events(case),
             "sent" => return self.sent(case),
@@ -92,6 +96,19 @@
         });
     }
 
+    /// Tells the named nodes how a call of theirs to the service fared.
+    fn note_calls(
+        &mut self,
+        case: &mut TestCase,
+        note: fn(&mut GossipEngine, MonotonicTime, &str),
+    ) {
+        let service: String = case.take_arg("service").unwrap();
+        let now = self.network.now;
+        self.each_node(case, |network, node| {
+            note(&mut network.nodes[&node].engine, now, &service);
+        });
+    }
+
     fn ask(&mut self, case: &mut TestCase) {
         let to = self.take_nodes(case, "to");
         self.each_node(case, |network, node| network.ask(node, &to));
