What failed below is tried again there and not above

A chain makes five such calls. Its retries were mostly made above: the upstreams of the services over it answered 500, and their callers ran the whole chain again, up to three levels high. Besides, upstreams that failed for what they call were ejected.

Change: a reply says whether a nested call of the run was not served (`failedBelow`); its caller gives up with the reason `failed-below`, and its pool takes the upstream for sound. A nested call that failed for what the node beside the upstream lacks (no upstream known, no configuration, leaving) still is tried again above, elsewhere.

--- a/crates/coltsfoot-node/src/dispatch/calls_in_flight.rs
+++ b/crates/coltsfoot-node/src/dispatch/calls_in_flight.rs
@@ -6,11 +6,11 @@
     rc::Rc,
 };
 
-use coltsfoot_wire::peer::LevelNote;
+use coltsfoot_wire::peer::{CallReply, LevelNote};
 use coltsfootroute::{
     id::{NodeId, RequestId},
     importance::Importance,
-    outcome::CallOutcome,
+    outcome::{CallOutcome, RefusalReason},
     time::MonotonicTime,
 };
 use indexmap::IndexMap;
@@ -36,6 +36,9 @@
     pub is_repeat: bool,
     /// Whether a nested call may have reached an upstream.
     nested_ran: Cell<bool>,
+    /// Whether a nested call ended without being served, where a further run of the call above would fare no
+    /// better.
+    failed_below: Cell<bool>,
     /// Nested calls that have no outcome yet.
     nested_open: Cell<u32>,
     /// Whether the call was given up before its answer was complete.
@@ -62,6 +65,7 @@
             client,
             is_repeat: false,
             nested_ran: Cell::new(false),
+            failed_below: Cell::new(false),
             nested_open: Cell::new(0),
             cancelled: Cell::new(false),
             cancellation: Notify::new(),
@@ -79,6 +83,18 @@
         self.nested_ran.get() || self.nested_open.get() > 0
     }
 
+    /// Whether a nested call was not served, whatever was tried for it.
+    pub fn has_failed_below(&self) -> bool {
+        self.failed_below.get()
+    }
+
+    /// Takes note of how a nested call ended.
+    pub fn note_nested(&self, reply: &CallReply) {
+        if reply.outcome != CallOutcome::Completed && !is_fault_of_node(reply) {
+            self.failed_below.set(true);
+        }
+    }
+
     /// The call is given up: nobody waits for its nested calls any more.
     pub fn cancel(&self) {
         self.cancelled.set(true);
@@ -110,6 +126,14 @@
     }
 }
 
+/// Whether the nested call failed for what the node beside the upstream lacks: another node may have it.
+fn is_fault_of_node(reply: &CallReply) -> bool {
+    matches!(
+        reply.reason(),
+        Some(RefusalReason::NoUpstream | RefusalReason::NoConfiguration | RefusalReason::Leaving)
+    )
+}
+
 /// A nested call under way; dropped without [`NestedMark::end`] it may have run.
 pub struct NestedMark {
     span: Rc<CallSpan>,
--- a/crates/coltsfoot-node/src/dispatch/guard.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard.rs
@@ -30,6 +30,7 @@
         let span = Rc::new(span.with_repeat(call.is_repeat));
         let service = call.service.clone();
         let mut reply = self.admit_and_run(call, deadline, &span).await;
+        reply.failed_below = span.has_failed_below();
         reply.levels = span.levels();
         reply.levels.push(LevelNote {
             service,
--- a/crates/coltsfoot-node/src/dispatch/guard_run.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard_run.rs
@@ -147,6 +147,7 @@
 fn answer_reply(answer: UpstreamAnswer, upstream_time: Duration) -> CallReply {
     CallReply {
         reached_upstream: true,
+        failed_below: false,
         outcome: answer_outcome(answer.status),
         body: ReplyBody::Answer {
             status: answer.status,
--- a/crates/coltsfoot-node/src/dispatch/nested_request.rs
+++ b/crates/coltsfoot-node/src/dispatch/nested_request.rs
@@ -62,6 +62,7 @@
             None => self.serve_unless_cancelled(call, &span).await,
         };
         span.note_levels(&reply.levels);
+        span.note_nested(&reply);
         mark.end(reply.outcome);
         reply
     }
--- a/crates/coltsfoot-node/src/dispatch/once_run.rs
+++ b/crates/coltsfoot-node/src/dispatch/once_run.rs
@@ -152,6 +152,7 @@
         CallReply {
             outcome: answer_outcome(answer.status),
             reached_upstream: false,
+            failed_below: false,
             body: ReplyBody::Answer {
                 status: answer.status,
                 content_type: header.map(|header| header.value).unwrap_or_default(),
--- a/crates/coltsfoot-node/src/dispatch/retry_tokens.rs
+++ b/crates/coltsfoot-node/src/dispatch/retry_tokens.rs
@@ -93,6 +93,7 @@
             GiveUpCause::NotRepeatable => self.deny_retry(call, DenialReason::NonRepeatable),
             GiveUpCause::TooLate => self.deny_retry(call, DenialReason::Deadline),
             GiveUpCause::Shedding => self.deny_retry(call, DenialReason::Shedding),
+            GiveUpCause::FailedBelow => self.deny_retry(call, DenialReason::FailedBelow),
             GiveUpCause::Completed | GiveUpCause::Final | GiveUpCause::AttemptsSpent => {}
         }
     }
--- a/crates/coltsfoot-node/src/dispatch/routed_call.rs
+++ b/crates/coltsfoot-node/src/dispatch/routed_call.rs
@@ -229,6 +229,7 @@
             outcome: reply.outcome,
             reason: reply.reason(),
             repeatable: call.repeatable,
+            failed_below: reply.failed_below,
             deadline: call.deadline,
             attempts: u32::try_from(attempts).unwrap_or(u32::MAX),
             most_attempts: call.most_attempts,
@@ -325,6 +326,8 @@
 fn route_result(reply: &CallReply) -> RouteResult {
     match (&reply.body, reply.outcome) {
         (ReplyBody::Answer { .. }, CallOutcome::Completed) => RouteResult::Succeeded,
+        // The upstream was sound: what it called was not.
+        _ if reply.failed_below => RouteResult::FailedBelow,
         (ReplyBody::Answer { .. }, _) => RouteResult::Failed,
         (ReplyBody::Refusal { reason: RefusalReason::Leaving, .. }, _) => RouteResult::Leaving,
         (ReplyBody::Refusal { reason: RefusalReason::NoUpstream, .. }, _) => {
--- a/crates/coltsfoot-slopes/src/slopes/decisions.rs
+++ b/crates/coltsfoot-slopes/src/slopes/decisions.rs
@@ -245,6 +245,7 @@
         body: answer,
         outcome: CallOutcome::Completed,
         reached_upstream: true,
+        failed_below: false,
         levels: levels.collect(),
         upstream_time: LATENCY,
         stamp: HybridStamp::new(1_796_228_561_138, 2),
--- a/crates/coltsfoot-wire/schema/peer.capnp
+++ b/crates/coltsfoot-wire/schema/peer.capnp
@@ -65,6 +65,7 @@
   stampCounter @10 :UInt32;
   answerHeaders @11 :List(HeaderLine);  # of an answer to a call with a head
   reachedUpstream @12 :Bool;  # the call was sent to the upstream, whatever came of it
+  failedBelow @13 :Bool;      # the upstream made a nested call that was not served
 }
 
 enum TakeAnswer { granted @0; denied @1; noAccount @2; late @3; }
--- a/crates/coltsfoot-wire/src/peer/call_reply.rs
+++ b/crates/coltsfoot-wire/src/peer/call_reply.rs
@@ -25,6 +25,8 @@
     pub outcome: CallOutcome,
     /// Whether the call was sent to an upstream, whatever came of it.
     pub reached_upstream: bool,
+    /// Whether the upstream made a nested call that was not served, after all attempts made for it.
+    pub failed_below: bool,
     /// Admission levels of the called service and of the services below it.
     pub levels: Vec<LevelNote>,
     /// Time the upstream took, zero if it was not called.
@@ -65,6 +67,7 @@
             body: ReplyBody::Refusal { reason, retry_after_s },
             outcome,
             reached_upstream: false,
+            failed_below: false,
             levels: Vec::new(),
             upstream_time: Duration::ZERO,
             stamp: HybridStamp::default(),
@@ -98,6 +101,7 @@
             }
         }
         builder.set_reached_upstream(self.reached_upstream);
+        builder.set_failed_below(self.failed_below);
         builder.set_outcome(match self.outcome {
             CallOutcome::Completed => Outcome::Completed,
             CallOutcome::NotRun => Outcome::NotRun,
@@ -143,7 +147,8 @@
         let upstream_time = Duration::from_micros(reader.get_upstream_micros());
         let stamp = HybridStamp::new(reader.get_stamp_millis(), reader.get_stamp_counter());
         let reached_upstream = reader.get_reached_upstream();
-        Ok(Self { body, outcome, reached_upstream, levels, upstream_time, stamp })
+        let failed_below = reader.get_failed_below();
+        Ok(Self { body, outcome, reached_upstream, failed_below, levels, upstream_time, stamp })
     }
 }
 
--- a/crates/coltsfootroute/src/event/denial_reason.rs
+++ b/crates/coltsfootroute/src/event/denial_reason.rs
@@ -15,6 +15,8 @@
         Deadline,
         /// The service sheds; a retry would add to the load.
         Shedding,
+        /// A nested call was not served, after all attempts made for it.
+        FailedBelow,
         /// The limit on retries into the service is used up.
         Throttled,
         /// The call carries no valid context, so no account is known.
@@ -24,12 +26,13 @@
 
 impl DenialReason {
     /// All reasons.
-    pub const ALL: [Self; 7] = [
+    pub const ALL: [Self; 8] = [
         Self::Exhausted,
         Self::Unreachable,
         Self::NonRepeatable,
         Self::Deadline,
         Self::Shedding,
+        Self::FailedBelow,
         Self::Throttled,
         Self::NoAccount,
     ];
@@ -42,6 +45,7 @@
             Self::NonRepeatable => "non-repeatable",
             Self::Deadline => "deadline",
             Self::Shedding => "shedding",
+            Self::FailedBelow => "failed-below",
             Self::Throttled => "throttled",
             Self::NoAccount => "no-account",
         }
--- a/crates/coltsfootroute/src/retry/failed_attempt.rs
+++ b/crates/coltsfootroute/src/retry/failed_attempt.rs
@@ -16,6 +16,8 @@
         pub reason: Option<RefusalReason>,
         /// Whether the operation may be repeated.
         pub repeatable: bool,
+        /// Whether it failed for a nested call that was not served, after all attempts made for that one.
+        pub failed_below: bool,
         /// Deadline of the call on this node's clock.
         pub deadline: MonotonicTime,
         /// Attempts made so far, the failed one included; at least 1.
--- a/crates/coltsfootroute/src/retry/give_up_cause.rs
+++ b/crates/coltsfootroute/src/retry/give_up_cause.rs
@@ -11,6 +11,8 @@
         TooLate,
         /// The service sheds calls of this importance: a retry would add to the overload.
         Shedding,
+        /// A nested call was not served: what could be tried was tried where it failed.
+        FailedBelow,
         /// Another attempt would get the same answer.
         Final,
         /// This call has been tried often enough.
@@ -26,6 +28,7 @@
             Self::NotRepeatable => "not-repeatable",
             Self::TooLate => "too-late",
             Self::Shedding => "shedding",
+            Self::FailedBelow => "failed-below",
             Self::Final => "final",
             Self::AttemptsSpent => "attempts-spent",
         }
--- a/crates/coltsfootroute/src/retry/retry_policy.rs
+++ b/crates/coltsfootroute/src/retry/retry_policy.rs
@@ -50,6 +50,9 @@
         if attempt.reason.is_some_and(is_final) {
             return Some(GiveUpCause::Final);
         }
+        if attempt.failed_below {
+            return Some(GiveUpCause::FailedBelow);
+        }
         if attempt.reason == Some(RefusalReason::Deadline) {
             return Some(GiveUpCause::TooLate);
         }
--- a/crates/coltsfootroute/src/routing/route_result.rs
+++ b/crates/coltsfootroute/src/routing/route_result.rs
@@ -7,6 +7,8 @@
         Succeeded,
         /// The upstream answered with a failure, cut its answer off or let the deadline pass.
         Failed,
+        /// The upstream failed the call because a nested call of it was not served; says nothing of itself.
+        FailedBelow,
         /// The guard refused the call for lack of room.
         Refused,
         /// The node or the upstream behind it said that it is leaving.
--- a/crates/coltsfootroute/src/routing/upstream_pool.rs
+++ b/crates/coltsfootroute/src/routing/upstream_pool.rs
@@ -159,7 +159,10 @@
                 self.eject_if_slow(now, node);
             }
             RouteResult::Failed | RouteResult::Unreachable => self.eject_if_failing(now, node),
-            RouteResult::Refused | RouteResult::Leaving | RouteResult::Cancelled => {}
+            RouteResult::FailedBelow
+            | RouteResult::Refused
+            | RouteResult::Leaving
+            | RouteResult::Cancelled => {}
         }
     }
 
--- a/crates/coltsfootroute/src/routing/upstream_record.rs
+++ b/crates/coltsfootroute/src/routing/upstream_record.rs
@@ -200,6 +200,7 @@
                 self.info.leaving = true;
                 self.has_refused_as_leaving = true;
             }
+            RouteResult::FailedBelow => self.latency.record_failure(now, latency, window),
             RouteResult::Cancelled => self.latency.record_at_least(now, latency, window),
         }
     }
--- a/crates/coltsfootroute/tests/integration/retry/scenarios.rs
+++ b/crates/coltsfootroute/tests/integration/retry/scenarios.rs
@@ -83,6 +83,7 @@
             reason: reason
                 .map(|name| serde_json::from_value::<RefusalReason>(name.into()).unwrap()),
             repeatable: !case.take_flag("once").unwrap(),
+            failed_below: case.take_flag("failed-below").unwrap(),
             deadline: MonotonicTime::from_millis(case.take_arg("deadline").unwrap()),
             attempts: case.try_take_arg("attempts").unwrap().unwrap_or(1),
             most_attempts: case.try_take_arg("most-attempts").unwrap(),
--- a/crates/coltsfootroute/tests/integration/routing/scenarios.rs
+++ b/crates/coltsfootroute/tests/integration/routing/scenarios.rs
@@ -140,6 +140,7 @@
     match name.as_deref().unwrap_or("succeeded") {
         "succeeded" => RouteResult::Succeeded,
         "failed" => RouteResult::Failed,
+        "failed-below" => RouteResult::FailedBelow,
         "refused" => RouteResult::Refused,
         "leaving" => RouteResult::Leaving,
         "unreachable" => RouteResult::Unreachable,
