Retries of a window are bounded by the calls of that window

Before, calls earned 0.45 of the platform's ratio and a window's earnings could be saved up, so that no window spent more than 0.9 of it, and a trouble longer than the savings had half. Now the retries of the last eleven seconds are held under 0.8 of what the calls of the last ten earn. The token bucket stays for settings without a window; each has a file.

--- a/crates/coltsfoot-node/src/dispatch/retry_tokens.rs
+++ b/crates/coltsfoot-node/src/dispatch/retry_tokens.rs
@@ -82,7 +82,8 @@
         self.note_token(call, token);
         let granted = token.is_some_and(|token| token.answer == TakeAnswer::Granted);
         if !granted {
-            self.with_throttle(&call.service, ServiceThrottle::give_back);
+            let now = self.clock.now();
+            self.with_throttle(&call.service, |throttle| throttle.give_back(now));
         }
         granted
     }
@@ -167,7 +168,7 @@
         self.with_throttle(&call.service, |throttle| {
             throttle.call(now);
             if call.is_repeat {
-                throttle.charge();
+                throttle.charge(now);
             }
         });
     }
--- a/crates/coltsfoot-node/src/settings/retry_settings.rs
+++ b/crates/coltsfoot-node/src/settings/retry_settings.rs
@@ -13,7 +13,8 @@
     pub per_minute: u64,
     /// Retries that may always be saved up.
     pub burst: u64,
-    /// What the calls of so many seconds have earned may be saved up as well.
+    /// Length of the window in seconds whose calls earn what may be spent in it, in place of what time earns; zero
+    /// where only the burst is saved up.
     pub saving_s: u64,
 }
 
--- a/crates/coltsfootroute/src/retry/recent_calls.rs
+++ b/crates/coltsfootroute/src/retry/recent_calls.rs
@@ -4,6 +4,8 @@
 
 use crate::time::MonotonicTime;
 
+/// Thousandths of a retry in a retry.
+pub(super) const WHOLE: u64 = 1_000;
 /// Microseconds in a second.
 pub(super) const SECOND_MICROS: u64 = 1_000_000;
 
@@ -29,22 +31,35 @@
 
     /// Counts a call.
     pub fn count(&mut self, now: MonotonicTime) {
-        if self.seconds == 0 {
-            return;
+        if let Some(count) = self.counts_now(now) {
+            *count += 1;
+            self.total += 1;
         }
-        self.advance(now.0 / SECOND_MICROS);
-        match self.counts.back_mut() {
-            Some(count) => *count += 1,
-            None => self.counts.push_back(1),
+    }
+
+    /// Takes back a call counted in the second under way; an earlier one stays.
+    pub fn take_back(&mut self, now: MonotonicTime) {
+        if let Some(count) = self.counts_now(now).filter(|count| **count > 0) {
+            *count -= 1;
+            self.total -= 1;
         }
-        self.total += 1;
     }
 
-    /// Calls counted, as of the last one.
-    pub fn total(&self) -> u64 {
+    /// Calls counted in the seconds kept.
+    pub fn total(&mut self, now: MonotonicTime) -> u64 {
+        self.advance(now.0 / SECOND_MICROS);
         self.total
     }
 
+    /// The count of the second under way; `None` where none are kept.
+    fn counts_now(&mut self, now: MonotonicTime) -> Option<&mut u64> {
+        self.advance(now.0 / SECOND_MICROS);
+        if self.counts.is_empty() && self.seconds > 0 {
+            self.counts.push_back(0);
+        }
+        self.counts.back_mut()
+    }
+
     fn advance(&mut self, second: u64) {
         let passed = second.saturating_sub(self.newest).min(self.seconds);
         self.newest = second.max(self.newest);
--- a/crates/coltsfootroute/src/retry/throttle_settings.rs
+++ b/crates/coltsfootroute/src/retry/throttle_settings.rs
@@ -10,7 +10,8 @@
         pub per_second_thousandths: u64,
         /// Retries that may always be saved up.
         pub burst: u64,
-        /// What the calls of this time have earned may be saved up as well, in whole seconds; zero for none.
+        /// Length of the window in whole seconds: its calls earn what may be spent in it, and time earns nothing. Zero
+        /// where only the burst is saved up.
         pub saving_seconds: u64,
     }
 }
