A service without any upstream closes where requests enter

Calls found no upstream, the levels said nothing of it, and each request ran three upstreams in vain and ended in a 500 after which an order is not sent again: 5,100 requests failed in four seconds. The fault counted as the calling node's own, so that the calls above were tried again as well.

Change: a node that has watched a service for long enough and knows no upstream of it that stays answers with the greatest level. The root then refuses what would reach it, with a time to come back, and lets a probe through now and then. Such a failure is not tried again above.

--- a/crates/coltsfoot-node/src/dispatch/calls_in_flight.rs
+++ b/crates/coltsfoot-node/src/dispatch/calls_in_flight.rs
@@ -8,6 +8,7 @@
 
 use coltsfoot_wire::peer::{CallReply, LevelNote};
 use coltsfootroute::{
+    admission::ShedLevel,
     id::{NodeId, RequestId},
     importance::Importance,
     outcome::{CallOutcome, RefusalReason},
@@ -126,12 +127,17 @@
     }
 }
 
-/// Whether the nested call failed for what the node beside the upstream lacks: another node may have it.
+/// Whether the nested call failed for what the node beside the upstream lacks: another node may have it. Nobody has
+/// an upstream of a service that has gone.
 fn is_fault_of_node(reply: &CallReply) -> bool {
-    matches!(
-        reply.reason(),
-        Some(RefusalReason::NoUpstream | RefusalReason::NoConfiguration | RefusalReason::Leaving)
-    )
+    let has_gone = reply.levels.iter().any(|note| note.level == ShedLevel::MAX);
+    !has_gone
+        && matches!(
+            reply.reason(),
+            Some(
+                RefusalReason::NoUpstream | RefusalReason::NoConfiguration | RefusalReason::Leaving
+            )
+        )
 }
 
 /// A nested call under way; dropped without [`NestedMark::end`] it may have run.
--- a/crates/coltsfoot-node/src/dispatch/routed_call.rs
+++ b/crates/coltsfoot-node/src/dispatch/routed_call.rs
@@ -3,8 +3,9 @@
 use std::{rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use coltsfoot_wire::peer::{CallReply, CallRequest, ReplyBody, RequestHead};
+use coltsfoot_wire::peer::{CallReply, CallRequest, LevelNote, ReplyBody, RequestHead};
 use coltsfootroute::{
+    admission::ShedLevel,
     deadline::Remaining,
     event::HybridStamp,
     id::{NodeId, RequestId},
@@ -22,12 +23,11 @@
     dispatcher::Dispatcher,
     peer_links::PeerLink,
     route_progress::{RouteEnd, RouteProgress},
+    service_pool::FIRST_MEMBERS_WAIT,
 };
 
 /// Taken off the remaining time at each hop, so that a refusal from further down arrives in time.
 const HOP_MARGIN: Duration = Duration::from_millis(2);
-/// Longest wait for the first members of a service that this node has not called before.
-const FIRST_MEMBERS_WAIT: Duration = Duration::from_millis(1_500);
 
 /// Guards that may refuse one call, unsent, before a further attempt counts as a retry.
 const MAX_REROUTES: usize = 2;
@@ -147,7 +147,7 @@
         progress: &mut RouteProgress,
     ) -> CallReply {
         let Some(node) = self.choose(call, progress) else {
-            return self.refusal(RefusalReason::NoUpstream, CallOutcome::NotRun);
+            return self.no_upstream(&call.service);
         };
         progress.tried.push(node);
         let mut count = AttemptCount::start(self, call, node, progress.tried.len());
@@ -162,6 +162,17 @@
         reply
     }
 
+    /// A refusal for want of an upstream. Where the service has none at all, its level says so: requests that would
+    /// reach it are refused where they enter, with a time to come back, and not after work in vain.
+    fn no_upstream(&self, service: &ServiceName) -> CallReply {
+        let mut reply = self.refusal(RefusalReason::NoUpstream, CallOutcome::NotRun);
+        if self.has_gone(service) {
+            let (service, guard) = (service.clone(), self.identity.node);
+            reply.levels.push(LevelNote { service, guard, level: ShedLevel::MAX });
+        }
+        reply
+    }
+
     /// An upstream not tried yet; where all have been, or as many as the operation allows, one of those.
     fn choose(&self, call: &RoutedCall, progress: &RouteProgress) -> Option<NodeId> {
         let now = self.clock.now();
--- a/crates/coltsfoot-node/src/dispatch/service_pool.rs
+++ b/crates/coltsfoot-node/src/dispatch/service_pool.rs
@@ -28,6 +28,8 @@
     unreached_told: Option<MonotonicTime>,
 }
 
+/// Longest wait for the first members of a service that this node has not called before.
+pub(super) const FIRST_MEMBERS_WAIT: Duration = Duration::from_millis(1_500);
 /// How often the gossip duty is told that a service is in use.
 const TELL_PERIOD: Duration = Duration::from_secs(5);
 /// How often the gossip duty is told that calls reach a service's members, or fail to: a few times in the silence
@@ -46,6 +48,14 @@
         self.pools.borrow_mut().get_mut(service).map(|entry| act(&mut entry.pool))
     }
 
+    /// Whether `service` has no upstream that stays, and this node has watched it for long enough to know.
+    pub(super) fn has_gone(&self, service: &ServiceName) -> bool {
+        let now = self.clock.now();
+        let pools = self.pools.borrow();
+        let Some(entry) = pools.get(service) else { return false };
+        entry.pool.is_empty() && now.since(entry.watched_since) >= FIRST_MEMBERS_WAIT
+    }
+
     /// Watches `service` from now on. Returns since when it has been watched.
     pub(super) async fn watch(&self, service: &ServiceName) -> MonotonicTime {
         let now = self.clock.now();
--- a/crates/coltsfootroute/tests/integration/admission.rs
+++ b/crates/coltsfootroute/tests/integration/admission.rs
@@ -2,6 +2,7 @@
 
 mod fuzz;
 mod gate;
+mod gone_service;
 mod levels;
 mod limits;
 mod reached;
