A repeat that one guard lets pass no more asks another

Repeats go to other upstreams than the first attempt, and each guard's bound is earned by its own first attempts, so that one was spent while another lay idle.

--- a/crates/coltsfoot-node/src/dispatch/route_progress.rs
+++ b/crates/coltsfoot-node/src/dispatch/route_progress.rs
@@ -19,6 +19,8 @@
     pub(super) rejections: u32,
     /// Nodes whose upstream some attempt has reached or may have, if only to be rejected.
     pub(super) reached: Vec<NodeId>,
+    /// Nodes that would let no repeat pass for now.
+    pub(super) denied: Vec<NodeId>,
     /// The failure that tells most: the last answer of an upstream, or else the last refusal.
     kept: Option<CallReply>,
 }
@@ -39,6 +41,13 @@
         }
     }
 
+    /// The guard tried last lets no repeat pass for now. Another may: upstreams that fail send their repeats to others,
+    /// whose own calls have earned less.
+    pub(super) fn note_denied(&mut self) {
+        self.denied.extend(self.tried.last());
+        self.reroutes += 1;
+    }
+
     /// Whether some attempt has reached an upstream, so that the next one is a repeat for its service.
     pub(super) fn is_retry(&self) -> bool {
         !self.reached.is_empty()
--- a/crates/coltsfoot-node/src/dispatch/routed_call.rs
+++ b/crates/coltsfoot-node/src/dispatch/routed_call.rs
@@ -113,6 +113,10 @@
                 return progress.end(reply);
             }
             if reply.reason() == Some(RefusalReason::RetryBudget) {
+                if was_sent && progress.reroutes < MAX_REROUTES {
+                    progress.note_denied();
+                    continue;
+                }
                 self.note_throttled(call);
                 return progress.end_failed(reply);
             }
@@ -149,6 +153,9 @@
         let Some(node) = self.choose(call, progress) else {
             return self.no_upstream(&call.service);
         };
+        if progress.denied.contains(&node) {
+            return self.refusal(RefusalReason::RetryBudget, CallOutcome::NotRun);
+        }
         progress.tried.push(node);
         let mut count = AttemptCount::start(self, call, node, progress.tried.len());
         let until = self.clock.instant_at(call.deadline).into();
--- a/crates/coltsfootroute/src/retry.rs
+++ b/crates/coltsfootroute/src/retry.rs
@@ -1,8 +1,9 @@
 //! Retry accounts: the bound on retries of one client request.
 //!
 //! The node that takes a client request in opens its account in an [`AccountLedger`]. Whoever wants to
-//! retry a call of that request, however deep, asks [`RetryPolicy`] whether that is safe and useful,
-//! [`ServiceThrottle`] whether the service bears it, and then takes one token from the account.
+//! retry a call of that request, however deep, asks [`RetryPolicy`] whether that is safe and useful and
+//! takes one token from the account. The guard of the upstream that is chosen asks its [`ServiceThrottle`] whether the
+//! upstream bears it.
 
 mod account_ledger;
 mod ask_rate;
--- a/crates/coltsfootroute/src/retry/service_throttle.rs
+++ b/crates/coltsfootroute/src/retry/service_throttle.rs
@@ -1,10 +1,10 @@
-//! Bound on the retries into one service.
+//! Bound on the retries that reach an upstream.
 
 use super::{ThrottleSettings, retry_bucket::RetryBucket, retry_window::RetryWindow};
 use crate::{importance::Importance, time::MonotonicTime};
 
-/// Bounds the retries of this node into one service to a share of its calls, whichever client requests they
-/// belong to.
+/// Bounds the retries that reach an upstream to a share of its calls, whichever callers and client requests they
+/// belong to. Kept by the guard: each upstream's share adds up to that of its service.
 #[derive(Clone, Debug)]
 pub struct ServiceThrottle {
     bound: RetryBound,
@@ -28,7 +28,7 @@
         Self { bound }
     }
 
-    /// Counts a first attempt into the service.
+    /// Counts a first attempt.
     pub fn call(&mut self, now: MonotonicTime) {
         match &mut self.bound {
             RetryBound::Bucket(bucket) => bucket.call(),
@@ -36,7 +36,7 @@
         }
     }
 
-    /// Whether the service bears one more retry now; if so, it is counted.
+    /// Whether the upstream bears one more retry now, for a request of `importance`; if so, it is counted.
     pub fn try_retry(&mut self, now: MonotonicTime, importance: Importance) -> bool {
         match &mut self.bound {
             RetryBound::Bucket(bucket) => bucket.try_retry(now),
