--- a/crates/coltsfoot-node/src/dispatch/dispatcher.rs
+++ b/crates/coltsfoot-node/src/dispatch/dispatcher.rs
@@ -230,7 +230,8 @@
         call: &IncomingCall,
         importance: Importance,
     ) -> Option<ShedRefusal> {
-        if !self.control.is_on() {
+        // A call of a service without upstreams is told so where it is routed, at no cost.
+        if !self.control.is_on() || self.has_gone(&call.service) {
             return None;
         }
         let config = self.config.load()?;
