--- a/crates/coltsfoot-node/src/dispatch/guard.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard.rs
@@ -63,6 +63,7 @@
                 return self.refuse_guarded(&call, reason);
             }
         };
+        self.count_first_attempt(&call);
         if repeatable {
             return self.run(&call, deadline, span, permit).await;
         }
@@ -82,20 +83,28 @@
         }
     }
 
-    /// Counts a call against the bound on repeats that reach the upstream, and says whether it may pass. All callers
-    /// share the bound here, so that none is left with the part of it that its own few calls have earned.
+    /// Whether the call may reach the upstream by the bound on repeats. All callers share the bound here, so that none
+    /// is left with the part of it that its own few calls have earned.
     fn bears_repeat(&self, call: &CallRequest) -> bool {
-        let now = self.clock.now();
-        let mut throttle = self.throttle.borrow_mut();
         // The uncontrolled half of a measurement retries at each hop, bounded by its policy.
+        if !call.is_retry || !self.control.is_on() {
+            return true;
+        }
+        self.throttle.borrow_mut().try_retry(self.clock.now(), call.importance)
+    }
+
+    /// Counts a first attempt that is admitted, which earns a share of a repeat. One that a full guard refuses is asked
+    /// of others, and must not earn at each. Below work that is run again it is a repeat as well.
+    fn count_first_attempt(&self, call: &CallRequest) {
         if call.is_retry {
-            return !self.control.is_on() || throttle.try_retry(now, call.importance);
+            return;
         }
+        let now = self.clock.now();
+        let mut throttle = self.throttle.borrow_mut();
         throttle.call(now);
         if call.is_repeat {
             throttle.charge(now);
         }
-        true
     }
 
     /// A repeat that was granted has not reached the upstream.
