--- a/crates/coltsfootroute/src/routing/routing_settings.rs
+++ b/crates/coltsfootroute/src/routing/routing_settings.rs
@@ -14,7 +14,7 @@
         /// How many times worse an upstream of the own failure domain may look than one outside it,
         /// in percent, before a call that has no time to spare spills over; at least 100.
         ///
-        /// Bytes between failure domains are dear and serve nobody. Twice, as before, nearly every call with a large
+        /// Bytes between failure domains are dear and serve nobody. With twice nearly every call with a large
         /// body went to the fastest domain wherever upstreams differ by half in speed. Of 0.167 GB between domains
         /// on a day with trouble 0.120 were left with three to five times, at the same share of answers in time.
         pub domain_preference_percent: u32,
