--- a/crates/coltsfoot-node/src/clock.rs
+++ b/crates/coltsfoot-node/src/clock.rs
@@ -1,6 +1,6 @@
 //! The process's clocks, read here and handed to the library as arguments.
 
-use std::time::{Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use coltsfootroute::time::MonotonicTime;
 
@@ -38,3 +38,8 @@
     let elapsed = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX)
 }
+
+/// Whole microseconds, as events tell them.
+pub fn micros(time: Duration) -> u64 {
+    u64::try_from(time.as_micros()).unwrap_or(u64::MAX)
+}
--- a/crates/coltsfoot-node/src/dispatch.rs
+++ b/crates/coltsfoot-node/src/dispatch.rs
@@ -1,44 +1,29 @@
 //! The dispatch duty: one thread that takes calls in, routes them, guards the upstream beside the node
 //! and talks to the other nodes.
+//!
+//! Its parts know one another in one direction only: `ingress`, what enters here, knows `guard`, what protects
+//! the upstream beside the node; both know `links`, the connections to other nodes, and all of them `context`,
+//! which holds no request. `dispatch_rooms` joins them.
 
-mod attempt_count;
-mod calls_in_flight;
-mod client_request;
-mod clock_drift;
-mod control_traffic;
+mod context;
 mod dispatch_command;
 mod dispatch_handle;
+mod dispatch_parts;
+mod dispatch_rooms;
 mod dispatch_thread;
-mod dispatcher;
 mod entry_port;
 mod guard;
-mod guard_run;
-mod guard_state;
-mod incoming_call;
-mod introduction_desk;
-mod local_upstream;
-mod member_counts;
-mod nested_request;
-mod node_state;
+mod ingress;
+mod links;
 mod node_status;
-mod once_desk;
-mod once_run;
-mod peer_links;
-mod peer_server;
-mod request_record;
-mod retry_tokens;
-mod route_progress;
-mod routed_call;
-mod run_permit;
-mod service_pool;
 mod status_body;
-mod upstream_client;
 
+pub use context::NodeIdentity;
 pub use dispatch_command::DispatchCommand;
 pub use dispatch_handle::DispatchHandle;
-pub use dispatch_thread::{DispatchParts, DispatchThread, FrontDoor};
-pub use dispatcher::NodeIdentity;
-pub use entry_port::{EntryPort, EntryReply, UpstreamHeartbeat};
-pub use incoming_call::{CallOrigin, IncomingCall};
-pub use local_upstream::UpstreamAnnouncement;
-pub use upstream_client::end_to_end;
+pub use dispatch_parts::DispatchParts;
+pub use dispatch_thread::{DispatchThread, FrontDoor};
+pub use entry_port::{EntryPort, EntryReply};
+pub use guard::{UpstreamHeartbeat, end_to_end};
+pub use ingress::{CallOrigin, IncomingCall};
+pub use links::UpstreamAnnouncement;
--- a/crates/coltsfoot-node/src/dispatch/control_traffic.rs
+++ b/crates/coltsfoot-node/src/dispatch/context/control_traffic.rs
@@ -3,7 +3,7 @@
 //! They share connections with the calls, so their size is computed from the layout of the protocol
 //! instead of read from the connection.
 
-use super::dispatcher::Dispatcher;
+use super::NodeContext;
 use crate::metrics::{ControlKind, TrafficDirection};
 
 /// A question without its payload: `Call` and `Finish` messages of capnp-rpc with their segment tables
@@ -12,15 +12,15 @@
 /// An answer without its payload: a `Return` message with its segment table (96 bytes) and headers.
 const ANSWER_BYTES: usize = 96 + 52;
 
-impl Dispatcher {
+impl NodeContext {
     /// Counts a question to another node with payloads of so many bytes.
-    pub(super) fn count_asked(&self, kind: ControlKind, question: usize, answer: usize) {
+    pub fn count_asked(&self, kind: ControlKind, question: usize, answer: usize) {
         self.count(kind, TrafficDirection::Sent, QUESTION_BYTES + question);
         self.count(kind, TrafficDirection::Received, ANSWER_BYTES + answer);
     }
 
     /// Counts a question of another node with payloads of so many bytes.
-    pub(super) fn count_answered(&self, kind: ControlKind, question: usize, answer: usize) {
+    pub fn count_answered(&self, kind: ControlKind, question: usize, answer: usize) {
         self.count(kind, TrafficDirection::Received, QUESTION_BYTES + question);
         self.count(kind, TrafficDirection::Sent, ANSWER_BYTES + answer);
     }
--- a/crates/coltsfoot-node/src/dispatch/dispatch_command.rs
+++ b/crates/coltsfoot-node/src/dispatch/dispatch_command.rs
@@ -5,7 +5,7 @@
 use coltsfootroute::{id::NodeId, membership::MemberRecord, name::ServiceName};
 use tokio::sync::oneshot;
 
-use super::{incoming_call::IncomingCall, local_upstream::UpstreamAnnouncement};
+use super::{ingress::IncomingCall, links::UpstreamAnnouncement};
 use crate::{config::ConfigInForce, http::HttpReply};
 
 /// What the other duties ask of the dispatch duty.
--- /dev/null
+++ b/crates/coltsfoot-node/src/dispatch/dispatch_rooms.rs
@@ -0,0 +1,97 @@
+//! The parts of the dispatch duty, and how they are joined.
+
+use std::{cell::RefCell, rc::Rc};
+
+use coltsfoot_wire::peer::{CallReply, CallRequest, ClaimState};
+use coltsfootroute::id::RequestId;
+use rand::SeedableRng;
+use rand_pcg::Pcg64;
+
+use super::{
+    context::NodeContext,
+    dispatch_parts::DispatchParts,
+    entry_port::EntryPort,
+    guard::{CallGuard, GuardParts},
+    ingress::CallIngress,
+    links::{IntroductionDesk, IntroductionStore, PeerHandler, PeerLinks, TokenAnswer},
+};
+
+/// The parts of the dispatch duty. Each knows only those above it here.
+pub(super) struct DispatchRooms {
+    pub(super) context: Rc<NodeContext>,
+    pub(super) links: Rc<PeerLinks>,
+    pub(super) introduction: Rc<IntroductionDesk>,
+    pub(super) introductions: IntroductionStore,
+    pub(super) guard: Rc<CallGuard>,
+    pub(super) ingress: Rc<CallIngress>,
+}
+
+impl DispatchRooms {
+    /// The parts of a node that has just started.
+    pub(super) fn new(parts: DispatchParts) -> Self {
+        let context = Rc::new(NodeContext {
+            clock: parts.clock,
+            identity: parts.identity,
+            control: parts.control,
+            repeat_guard: parts.repeat_guard,
+            config: parts.config,
+            gossip: parts.gossip,
+            metrics: parts.metrics,
+            events: parts.events,
+            rng: RefCell::new(Pcg64::seed_from_u64(parts.seed)),
+            drift: Default::default(),
+        });
+        let links = Rc::new(PeerLinks::new(parts.clock));
+        let introductions = IntroductionStore::new(parts.store.clone());
+        let resumes = parts.dialect.expected_instance.is_some();
+        let introduction =
+            Rc::new(IntroductionDesk::new(context.clone(), introductions.clone(), resumes));
+        let guard_parts = GuardParts {
+            dialect: parts.dialect,
+            shed_policy: parts.shed_policy,
+            throttle: parts.throttle,
+            body_limit: parts.body_limit,
+            queue: parts.queue,
+            drain: parts.drain,
+            closing_time: parts.closing_time,
+            store: parts.store,
+            nodes: parts.nodes,
+        };
+        let guard = Rc::new(CallGuard::new(
+            context.clone(),
+            links.clone(),
+            introduction.clone(),
+            guard_parts,
+        ));
+        let ingress = Rc::new(CallIngress::new(
+            context.clone(),
+            links.clone(),
+            guard.clone(),
+            introductions.clone(),
+        ));
+        Self { context, links, introduction, introductions, guard, ingress }
+    }
+
+    /// The way in for a client front.
+    pub(super) fn entry(&self) -> EntryPort {
+        EntryPort::new(self.context.clone(), self.guard.clone(), self.ingress.clone())
+    }
+}
+
+impl PeerHandler for DispatchRooms {
+    fn context(&self) -> &NodeContext {
+        &self.context
+    }
+
+    async fn call(self: &Rc<Self>, call: CallRequest) -> CallReply {
+        self.guard.guard_call(call).await
+    }
+
+    fn take_token(&self, request: RequestId, take_id: u64) -> TokenAnswer {
+        self.ingress.take_own_token(request, take_id)
+    }
+
+    fn claim_state(&self, claim: RequestId) -> ClaimState {
+        self.guard.claim_state(claim)
+    }
+}
--- /dev/null
+++ b/crates/coltsfoot-node/src/dispatch/guard/admitted_call.rs
@@ -0,0 +1,237 @@
+//! What a call for the upstream beside the node passes before it runs.
+
+use std::rc::Rc;
+
+use coltsfoot_wire::peer::{CallReply, CallRequest, LevelNote};
+use coltsfootroute::{
+    admission::{AdmissionDecision, WaitingCall},
+    event::EventKind,
+    importance::Importance,
+    outcome::{CallOutcome, RefusalReason},
+    time::MonotonicTime,
+};
+use tokio::sync::oneshot;
+
+use super::{
+    call_guard::CallGuard,
+    calls_in_flight::CallSpan,
+    planned_stop::CallKind,
+    run_permit::{RunPermit, WaitPermit},
+};
+use crate::border::RepeatGuard;
+
+impl CallGuard {
+    /// Serves a call for the upstream beside the node.
+    pub async fn guard_call(self: &Rc<Self>, call: CallRequest) -> CallReply {
+        let arrived = self.context.clock.now();
+        let deadline = arrived + call.remaining;
+        let span =
+            CallSpan::new(call.request, call.importance, deadline, call.account, call.client);
+        let span = Rc::new(span.with_repeat(call.is_repeat));
+        let service = call.service.clone();
+        let mut reply = self.admit_and_run(call, deadline, &span).await;
+        reply.failed_below = span.has_failed_below();
+        reply.levels = span.levels();
+        reply.levels.push(LevelNote {
+            service,
+            guard: self.context.identity.node,
+            level: self.state.level(self.context.clock.now()),
+        });
+        reply
+    }
+
+    async fn admit_and_run(
+        self: &Rc<Self>,
+        call: CallRequest,
+        deadline: MonotonicTime,
+        span: &Rc<CallSpan>,
+    ) -> CallReply {
+        let Some(started) = self.start_call(CallKind::Guarded) else {
+            return self.refuse_guarded(&call, RefusalReason::Leaving);
+        };
+        let repeatable = match self.check_guarded(&call) {
+            Ok(repeatable) => repeatable,
+            Err(reason) => return self.refuse_guarded(&call, reason),
+        };
+        if !self.bears_repeat(&call) {
+            return self.refuse_guarded(&call, RefusalReason::RetryBudget);
+        }
+        let permit = match self.admit(&call, deadline).await {
+            Ok(permit) => permit,
+            Err(reason) => {
+                self.give_back_repeat(&call);
+                return self.refuse_guarded(&call, reason);
+            }
+        };
+        self.count_first_attempt(&call);
+        if repeatable {
+            return self.run(&call, deadline, span, permit).await;
+        }
+        // A run that must not be repeated goes on when its caller is gone: half of it would help nobody, and
+        // under a key its answer is kept. It counts as in flight until then.
+        let (guard, span) = (self.clone(), span.clone());
+        let run = async move {
+            let _started = started;
+            match guard.context.repeat_guard {
+                RepeatGuard::Claims => guard.run_once(&call, deadline, &span, permit).await,
+                RepeatGuard::Attempts => guard.run(&call, deadline, &span, permit).await,
+            }
+        };
+        match tokio::task::spawn_local(run).await {
+            Ok(reply) => reply,
+            Err(_) => self.refusal(RefusalReason::UpstreamFailed, CallOutcome::Unknown),
+        }
+    }
+
+    /// Whether the call may reach the upstream by the bound on repeats. All callers share the bound here, so that none
+    /// is left with the part of it that its own few calls have earned.
+    fn bears_repeat(&self, call: &CallRequest) -> bool {
+        // The uncontrolled half of a measurement retries at each hop, bounded by its policy.
+        if !call.is_retry || !self.context.control.is_on() {
+            return true;
+        }
+        self.throttle.borrow_mut().try_retry(self.context.clock.now(), call.importance)
+    }
+
+    /// Counts a first attempt that is admitted, which earns a share of a repeat. One that a full guard refuses is asked
+    /// of others, and must not earn at each. Below work that is run again it is a repeat as well.
+    fn count_first_attempt(&self, call: &CallRequest) {
+        if call.is_retry {
+            return;
+        }
+        let now = self.context.clock.now();
+        let mut throttle = self.throttle.borrow_mut();
+        throttle.call(now);
+        if call.is_repeat {
+            throttle.charge(now);
+        }
+    }
+
+    /// A repeat that was granted has not reached the upstream.
+    fn give_back_repeat(&self, call: &CallRequest) {
+        if call.is_retry {
+            self.throttle.borrow_mut().give_back(self.context.clock.now(), call.importance);
+        }
+    }
+
+    /// A refusal of a call that did not reach the upstream, counted and told with the state of the gate.
+    fn refuse_guarded(&self, call: &CallRequest, reason: RefusalReason) -> CallReply {
+        let gate = self.state.gate.borrow();
+        let load = gate.as_ref().map(|gate| (gate.in_flight(), gate.limit(), gate.queued()));
+        let (in_flight, limit, queued) = load.unwrap_or_default();
+        self.context.events.emit(EventKind::GuardRefused {
+            request: call.request,
+            service: call.service.clone(),
+            importance: call.importance,
+            reason,
+            in_flight,
+            limit,
+            queued,
+        });
+        self.refuse(call.importance, reason)
+    }
+
+    fn check_guarded(&self, call: &CallRequest) -> Result<bool, RefusalReason> {
+        let repeatable = self.check_operation(call)?;
+        match &*self.state.upstream.borrow() {
+            Some(upstream) if upstream.leaving => Err(RefusalReason::Leaving),
+            Some(upstream) if upstream.announcement.service == call.service => Ok(repeatable),
+            _ => Err(RefusalReason::NoUpstream),
+        }
+    }
+
+    /// Whether the operation may run again.
+    fn check_operation(&self, call: &CallRequest) -> Result<bool, RefusalReason> {
+        let config = self.context.config.in_force();
+        let operation = config
+            .as_ref()
+            .map_err(|reason| *reason)
+            .and_then(|config| config.operation(&call.service, &call.operation));
+        match (self.context.repeat_guard, operation) {
+            // The caller has checked the call by its configuration, which may be newer than this node's.
+            (RepeatGuard::Attempts, operation) => {
+                Ok(operation.is_ok_and(|operation| operation.repeatable))
+            }
+            (RepeatGuard::Claims, Ok(operation)) if operation.repeatable || call.key.is_some() => {
+                Ok(operation.repeatable)
+            }
+            (RepeatGuard::Claims, Ok(_)) => Err(RefusalReason::BadRequest),
+            (RepeatGuard::Claims, Err(reason)) => Err(reason),
+        }
+    }
+
+    /// Waits for the gate's verdict. Dropping the future withdraws the call.
+    async fn admit(
+        self: &Rc<Self>,
+        call: &CallRequest,
+        deadline: MonotonicTime,
+    ) -> Result<RunPermit, RefusalReason> {
+        let id = self.next_id();
+        if !self.context.control.is_on() {
+            return Ok(RunPermit::without_gate());
+        }
+        let (sender, receiver) = oneshot::channel();
+        self.state.waiting.borrow_mut().insert(id, sender);
+        let wait = WaitPermit::new(self.clone(), id);
+        let waiting = WaitingCall {
+            id,
+            importance: call.importance,
+            deadline,
+            client: call.client,
+            under_way: call.under_way,
+        };
+        let now = self.context.clock.now();
+        self.state.with_gate(|gate| gate.offer(now, waiting));
+        self.state.queue_changed.notify_one();
+        let decision = receiver.await;
+        self.count_decision(call, decision.as_ref().ok().copied());
+        match decision {
+            Ok(AdmissionDecision::Run) => Ok(wait.into_run()),
+            Ok(AdmissionDecision::Refuse(reason)) => Err(reason),
+            Err(_) => Err(RefusalReason::NoUpstream),
+        }
+    }
+
+    fn count_decision(&self, call: &CallRequest, decision: Option<AdmissionDecision>) {
+        let now = self.context.clock.now();
+        let mut breaches = self.state.breaches.borrow_mut();
+        match decision {
+            Some(AdmissionDecision::Run) => {
+                breaches.on_admission(now, &call.service, call.importance);
+                self.context.metrics.requests.admitted(call.importance);
+                self.emit_admitted(call);
+            }
+            Some(AdmissionDecision::Refuse(RefusalReason::Overload)) => {
+                let admitted = breaches.admitted_below(now, &call.service, call.importance);
+                if let Some(admitted) = admitted {
+                    self.report_breach(call, admitted);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn emit_admitted(&self, call: &CallRequest) {
+        let gate = self.state.gate.borrow();
+        let Some(gate) = gate.as_ref() else { return };
+        self.context.events.emit(EventKind::RequestAdmitted {
+            request: call.request,
+            service: call.service.clone(),
+            operation: call.operation.clone(),
+            importance: call.importance,
+            in_flight: gate.in_flight(),
+            limit: gate.limit(),
+        });
+    }
+
+    /// Reports a refusal for overload that is out of the order of importance.
+    fn report_breach(&self, call: &CallRequest, admitted: Importance) {
+        self.context.metrics.requests.importance_breached();
+        self.context.events.emit(EventKind::ImportanceBreached {
+            request: call.request,
+            service: call.service.clone(),
+            refused: call.importance,
+            admitted,
+        });
+    }
+}
--- /dev/null
+++ b/crates/coltsfoot-node/src/dispatch/guard/gate_upkeep.rs
@@ -0,0 +1,81 @@
+//! The gate in front of the upstream: its making, its wake-ups, its numbers.
+
+use std::rc::Rc;
+
+use coltsfootroute::{
+    admission::{AdmissionGate, AdmissionSettings, AimdLimit, ShedPolicy},
+    event::EventKind,
+};
+use tokio::time::sleep_until;
+
+use super::call_guard::CallGuard;
+
+/// An upstream whose slots are announced and that rejects with half of them free has a fault, not a lack of
+/// room.
+const TRUSTED_SHARE: f64 = 0.5;
+
+/// Slots of each hundred that stay free: upstreams are known to slow down when they are nearly full, from 95 in
+/// use on, by a third, which costs more than the slots bring.
+const FREE_PERCENT: u32 = 6;
+
+impl CallGuard {
+    /// Creates the gate, or adapts it to what the upstream says of itself.
+    pub(super) fn fit_gate(&self, slots: u32) {
+        let now = self.context.clock.now();
+        let fresh = self.state.gate.borrow().is_none();
+        if fresh {
+            let settings = AdmissionSettings::new(slots);
+            let queue = settings.queue_length.min(self.queue);
+            let settings = settings.with_queue_length(queue).with_shed_policy(self.shed_policy);
+            let (settings, limit) = match self.shed_policy {
+                ShedPolicy::Refusals => (settings, AimdLimit::new(slots)),
+                ShedPolicy::Demand => (
+                    settings.with_free_percent(FREE_PERCENT),
+                    AimdLimit::new(slots).with_trusted_share(TRUSTED_SHARE),
+                ),
+            };
+            let gate = AdmissionGate::with_limit(settings, limit);
+            *self.state.gate.borrow_mut() = Some(gate);
+        } else {
+            self.state.with_gate(|gate| gate.set_slots(now, slots));
+        }
+    }
+
+    /// Wakes the gate when a queued call expires.
+    pub async fn tick_gate(self: Rc<Self>) {
+        loop {
+            let wakeup = self.state.gate.borrow().as_ref().and_then(AdmissionGate::next_wakeup);
+            match wakeup {
+                Some(at) => tokio::select! {
+                    () = sleep_until(self.context.clock.instant_at(at).into()) => {
+                        let now = self.context.clock.now();
+                        self.state.with_gate(|gate| gate.tick(now));
+                    }
+                    () = self.state.queue_changed.notified() => {}
+                },
+                None => self.state.queue_changed.notified().await,
+            }
+        }
+    }
+
+    /// Copies the gate's numbers into the metrics.
+    pub fn report_gauges(&self) {
+        let gate = self.state.gate.borrow();
+        let Some(gate) = gate.as_ref() else { return };
+        self.context.metrics.requests.set_load(gate.in_flight() as usize, gate.queued() as usize);
+        self.context.metrics.requests.set_limit(gate.limit() as usize);
+        self.report_limit(gate.limit());
+    }
+
+    /// Reports a changed limit. Looked at with the gauges: the limit may move with each call.
+    fn report_limit(&self, limit: u32) {
+        let previous = self.state.reported_limit.replace(limit);
+        if previous == limit || previous == 0 {
+            return;
+        }
+        let upstream = self.state.upstream.borrow();
+        let Some(upstream) = upstream.as_ref() else { return };
+        let service = upstream.announcement.service.clone();
+        self.context.events.emit(EventKind::LimitChanged { service, previous, limit });
+    }
+}
--- a/crates/coltsfoot-node/src/dispatch/guard_run.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard/guard_run.rs
@@ -6,6 +6,7 @@
 use coltsfootroute::{
     admission::CallFinish,
     constants::CALL_PATH_PREFIX,
+    deadline::Remaining,
     event::{EventKind, HybridStamp},
     membership::InstanceName,
     outcome::{CallOutcome, RefusalReason},
@@ -14,17 +15,17 @@
 use tokio::time::{error::Elapsed, timeout_at};
 
 use super::{
+    call_guard::CallGuard,
     calls_in_flight::{CallSpan, context_text},
-    dispatcher::Dispatcher,
-    request_record::micros,
     run_permit::RunPermit,
     upstream_client::{UpstreamAnswer, UpstreamCall, UpstreamError},
 };
+use crate::clock::micros;
 
 /// First status of answers that say that the upstream failed.
 const FIRST_SERVER_ERROR: u16 = 500;
 
-impl Dispatcher {
+impl CallGuard {
     /// Runs a call on the upstream. Dropping the future stops the upstream's work.
     pub(super) async fn run(
         self: &Rc<Self>,
@@ -42,22 +43,22 @@
             return self.refusal(RefusalReason::Leaving, CallOutcome::NotRun);
         }
         let own = call.head.as_ref().and_then(|head| self.upstream_client.context_of(head));
-        let context = self.spans.enter(own, &mut *self.rng.borrow_mut(), span.clone());
-        let mut entered = EnteredSpan { dispatcher: self, context, span, answered: false };
+        let context = self.spans.enter(own, &mut *self.context.rng.borrow_mut(), span.clone());
+        let mut entered = EnteredSpan { guard: self, context, span, answered: false };
         let upstream_call = UpstreamCall {
             head: call.head.as_ref(),
             instance: instance.as_ref().map(InstanceName::as_str),
             path: format!("{CALL_PATH_PREFIX}{}/{}", call.service, call.operation),
             context: context_text(context),
-            remaining_ms: self.remaining_ms(deadline),
+            remaining_ms: Remaining::until(self.context.now(), deadline).0,
             key: call.key.as_deref(),
             content_type: &call.content_type,
             body: call.body.clone(),
         };
-        let started = self.clock.now();
-        let until = self.clock.instant_at(deadline).into();
+        let started = self.context.clock.now();
+        let until = self.context.clock.instant_at(deadline).into();
         let result = timeout_at(until, self.upstream_client.send(address, upstream_call)).await;
-        let upstream_time = self.clock.now().since(started);
+        let upstream_time = self.context.clock.now().since(started);
         entered.answered = result.is_ok();
         self.note_failure(call, &result, instance, upstream_time);
         let Ok(result) = result else {
@@ -83,7 +84,7 @@
             Ok(Err(err)) => err.to_string(),
             Err(_) => "no answer before the deadline".to_owned(),
         };
-        self.events.emit(EventKind::UpstreamCallFailed {
+        self.context.events.emit(EventKind::UpstreamCallFailed {
             request: call.request,
             service: call.service.clone(),
             error,
@@ -112,19 +113,19 @@
     }
 
     fn upstream_address(&self) -> Option<(SocketAddr, Option<InstanceName>)> {
-        let upstream = self.guard.upstream.borrow();
+        let upstream = self.state.upstream.borrow();
         let announcement = &upstream.as_ref()?.announcement;
         Some((announcement.address, announcement.instance.clone()))
     }
 
     fn has_withdrawn(&self) -> bool {
-        self.guard.upstream.borrow().as_ref().is_some_and(|upstream| upstream.has_withdrawn)
+        self.state.upstream.borrow().as_ref().is_some_and(|upstream| upstream.has_withdrawn)
     }
 }
 
 /// A call that the upstream works on; dropped before its answer, its nested calls are given up too.
 struct EnteredSpan<'a> {
-    dispatcher: &'a Dispatcher,
+    guard: &'a CallGuard,
     context: u128,
     span: &'a CallSpan,
     answered: bool,
@@ -132,7 +133,7 @@
 
 impl Drop for EnteredSpan<'_> {
     fn drop(&mut self) {
-        self.dispatcher.spans.leave(self.context, self.span);
+        self.guard.spans.leave(self.context, self.span);
         if !self.answered {
             self.span.cancel();
         }
--- a/crates/coltsfoot-node/src/dispatch/local_upstream.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard/local_upstream.rs
@@ -1,42 +1,29 @@
 //! The upstream beside the node: announcements, leave, silence.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{rc::Rc, time::Duration};
 
 use coltsfootroute::{
     event::EventKind,
-    membership::{InstanceName, UpstreamOffer},
+    membership::{HeartbeatVerdict, InstanceName, UpstreamOffer},
     name::ServiceName,
 };
 use http::StatusCode;
 
 use super::{
-    dispatcher::Dispatcher, guard_state::GuardedUpstream, introduction_desk::IntroducedUpstream,
+    call_guard::CallGuard, guard_state::GuardedUpstream, upstream_heartbeat::UpstreamHeartbeat,
+};
+use crate::{
+    dispatch::links::{UpstreamAnnouncement, UpstreamRow},
+    gossip::GossipCommand,
+    http::HttpReply,
 };
-use crate::{gossip::GossipCommand, http::HttpReply};
 
 /// An upstream that has not repeated its announcement for so long is taken as gone.
 const SILENCE_LIMIT: Duration = Duration::from_secs(5);
 
-/// What the upstream beside the node says of itself in `PUT /upstream`.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct UpstreamAnnouncement {
-    /// Service that the upstream is one of.
-    pub service: ServiceName,
-    /// Its life, if it names itself; calls then run on no other one.
-    #[serde(default)]
-    pub instance: Option<InstanceName>,
-    /// Where it takes calls.
-    pub address: SocketAddr,
-    /// Calls it can work on at once; at least 1.
-    pub slots: u32,
-    /// Connections it takes; at least 1.
-    pub connections: u32,
-}
-
-impl Dispatcher {
+impl CallGuard {
     /// Takes in an announcement, the first or a heartbeat.
-    pub(super) async fn announce_upstream(&self, announcement: UpstreamAnnouncement) -> HttpReply {
+    pub async fn announce_upstream(&self, announcement: UpstreamAnnouncement) -> HttpReply {
         if announcement.slots == 0 || announcement.connections == 0 {
             let body = serde_json::json!({ "message": "`slots` and `connections` are at least 1" });
             return HttpReply::json(StatusCode::BAD_REQUEST, &body);
@@ -47,7 +34,7 @@
         }
         if self.take_in(&announcement) {
             self.fit_gate(announcement.slots);
-            self.events.emit(EventKind::UpstreamAnnounced {
+            self.context.events.emit(EventKind::UpstreamAnnounced {
                 service: announcement.service.clone(),
                 upstream: announcement.address,
                 slots: announcement.slots,
@@ -58,43 +45,39 @@
                 slots: announcement.slots,
                 connections: announcement.connections,
             });
-            // A closed ring means that the process stops.
-            let _ = self.gossip.send(command).await;
-            self.introduction.want(Some(IntroducedUpstream {
-                service: announcement.service.clone(),
-                instance: announcement.instance.clone(),
-            }));
-            self.watch_callees(&announcement.service).await;
+            self.context.tell_gossip(command).await;
+            self.introduction.want(&announcement);
+            self.service_changed.notify_one();
         }
-        HttpReply::json(StatusCode::OK, &serde_json::json!({ "revision": self.revision() }))
+        HttpReply::json(StatusCode::OK, &serde_json::json!({ "revision": self.context.revision() }))
     }
 
     /// The upstream says that it takes no new work: only its leave is passed on, and a node that has not
     /// heard of it before learns who it is.
-    pub(super) async fn note_leaving(&self, announcement: UpstreamAnnouncement) {
+    pub async fn note_leaving(&self, announcement: UpstreamAnnouncement) {
         let is_known = self
-            .guard
+            .state
             .upstream
             .borrow()
             .as_ref()
             .is_some_and(|known| known.announcement.instance == announcement.instance);
         if !is_known {
-            *self.guard.upstream.borrow_mut() = Some(GuardedUpstream {
+            *self.state.upstream.borrow_mut() = Some(GuardedUpstream {
                 announcement,
-                heard: self.clock.now(),
+                heard: self.context.clock.now(),
                 leaving: false,
                 has_withdrawn: false,
             });
         }
-        if let Some(upstream) = self.guard.upstream.borrow_mut().as_mut() {
-            upstream.heard = self.clock.now();
+        if let Some(upstream) = self.state.upstream.borrow_mut().as_mut() {
+            upstream.heard = self.context.clock.now();
         }
         self.withdraw_named().await;
     }
 
     /// The upstream leaves, and names its lives: its row tells of that first, up to a bound, or else a restart
     /// might take it up again.
-    pub(super) async fn withdraw_named(&self) {
+    pub async fn withdraw_named(&self) {
         self.withdraw_upstream().await;
         if let Some(instance) = self.upstream_instance() {
             self.introduction.depart(instance);
@@ -104,13 +87,13 @@
 
     /// The life of the upstream beside the node that was heard of last, if it names itself.
     fn upstream_instance(&self) -> Option<InstanceName> {
-        self.guard.upstream.borrow().as_ref()?.announcement.instance.clone()
+        self.state.upstream.borrow().as_ref()?.announcement.instance.clone()
     }
 
     /// Whether the announcement says anything new.
     fn take_in(&self, announcement: &UpstreamAnnouncement) -> bool {
-        let heard = self.clock.now();
-        let mut upstream = self.guard.upstream.borrow_mut();
+        let heard = self.context.clock.now();
+        let mut upstream = self.state.upstream.borrow_mut();
         let same = upstream
             .as_ref()
             .is_some_and(|known| known.announcement == *announcement && !known.leaving);
@@ -124,8 +107,8 @@
     }
 
     /// The upstream leaves: nothing is dispatched to it from now on.
-    pub(super) async fn withdraw_upstream(&self) -> HttpReply {
-        if let Some(upstream) = self.guard.upstream.borrow_mut().as_mut() {
+    pub async fn withdraw_upstream(&self) -> HttpReply {
+        if let Some(upstream) = self.state.upstream.borrow_mut().as_mut() {
             upstream.has_withdrawn = true;
         }
         self.announce_leave().await;
@@ -133,21 +116,20 @@
     }
 
     /// Takes no new work for the upstream from now on, and tells everyone.
-    pub(super) async fn announce_leave(&self) {
+    pub async fn announce_leave(&self) {
         let left = self.mark_leaving();
         if let Some(left) = left {
-            self.events.emit(left);
+            self.context.events.emit(left);
             if !self.is_resumable() {
-                self.introduction.want(None);
+                self.introduction.retract();
             }
-            // A closed ring means that the process stops.
-            let _ = self.gossip.send(GossipCommand::Leave).await;
+            self.context.tell_gossip(GossipCommand::Leave).await;
         }
     }
 
     /// Whether the next life of this node shall take the upstream up again: it is the node that stops.
     fn is_resumable(&self) -> bool {
-        let upstream = self.guard.upstream.borrow();
+        let upstream = self.state.upstream.borrow();
         self.upstream_client.checks_instance()
             && upstream.as_ref().is_some_and(|upstream| {
                 !upstream.has_withdrawn && upstream.announcement.instance.is_some()
@@ -155,7 +137,7 @@
     }
 
     fn mark_leaving(&self) -> Option<EventKind> {
-        let mut upstream = self.guard.upstream.borrow_mut();
+        let mut upstream = self.state.upstream.borrow_mut();
         let upstream = upstream.as_mut().filter(|upstream| !upstream.leaving)?;
         upstream.leaving = true;
         Some(EventKind::UpstreamLeft {
@@ -165,10 +147,10 @@
     }
 
     /// Takes an upstream that has fallen silent as gone.
-    pub(super) async fn notice_silence(&self) {
-        let now = self.clock.now();
+    pub async fn notice_silence(&self) {
+        let now = self.context.clock.now();
         let silent = self
-            .guard
+            .state
             .upstream
             .borrow()
             .as_ref()
@@ -178,11 +160,61 @@
         }
     }
 
-    /// Watches what the upstream's operations call, so that members are known before the first call.
-    async fn watch_callees(&self, service: &ServiceName) {
-        let Some(config) = self.config.load() else { return };
-        for callee in config.callees(service) {
-            self.watch(&callee).await;
+    /// Service of the upstream beside the node that was heard of last.
+    pub fn service(&self) -> Option<ServiceName> {
+        Some(self.state.upstream.borrow().as_ref()?.announcement.service.clone())
+    }
+
+    /// Takes in a heartbeat of an upstream that names its lives. Returns once no new work reaches one that
+    /// leaves.
+    pub async fn hear(&self, heartbeat: UpstreamHeartbeat) -> HeartbeatVerdict {
+        let UpstreamHeartbeat { announcement, instance, sequence, is_leaving } = heartbeat;
+        // A late one must not bring back what the life before this one has seen off.
+        self.introduction.await_resumed().await;
+        let verdict = self.state.instances.borrow_mut().hear(&instance, sequence);
+        if verdict != HeartbeatVerdict::Fresh {
+            let departed = verdict == HeartbeatVerdict::Departed;
+            let ignored = EventKind::HeartbeatIgnored { instance, sequence, departed };
+            self.context.events.emit(ignored);
+            return verdict;
+        }
+        if is_leaving {
+            self.note_leaving(announcement).await;
+        } else {
+            self.announce_upstream(announcement).await;
+        }
+        verdict
+    }
+
+    /// The instance has left, or is about to: nothing is dispatched to it from now on.
+    pub async fn hear_leave(&self, instance: &InstanceName) {
+        self.introduction.await_resumed().await;
+        self.leave_instance(instance).await;
+    }
+
+    async fn leave_instance(&self, instance: &InstanceName) {
+        let is_present = self.state.instances.borrow_mut().leave(instance);
+        if is_present {
+            self.withdraw_named().await;
+        }
+    }
+
+    /// Takes the upstream up again that the life before this one guarded: its next heartbeat may be seconds
+    /// away. Another instance at its address refuses what is not meant for it.
+    pub async fn resume_upstream(self: Rc<Self>) {
+        match self.introduction.read_row().await {
+            Some(UpstreamRow::Serving(announcement)) => self.resume_serving(announcement).await,
+            Some(UpstreamRow::Departed { departed }) => self.leave_instance(&departed).await,
+            None => {}
+        }
+        self.introduction.note_resumed();
+    }
+
+    async fn resume_serving(&self, announcement: UpstreamAnnouncement) {
+        let Some(instance) = announcement.instance.clone() else { return };
+        let is_first = self.state.instances.borrow_mut().resume(&instance);
+        if is_first {
+            self.announce_upstream(announcement).await;
         }
     }
 }
--- /dev/null
+++ b/crates/coltsfoot-node/src/dispatch/guard/once_desk.rs
@@ -0,0 +1,56 @@
+//! The claims of this node: what must be stored or released.
+
+use std::{cell::RefCell, time::Duration};
+
+use coltsfootroute::{
+    once::{ClaimHolder, ErrandReply, ErrandRequest, OnceGuard, OnceSettings},
+    table::StoreUse,
+};
+use tokio::sync::Notify;
+
+use crate::store::StoreHandle;
+
+/// Time for one errand to the store.
+pub(super) const ERRAND_DEADLINE: Duration = Duration::from_secs(2);
+/// All nodes together sweep about once in so long.
+const SWEEP_PERIOD: Duration = Duration::from_secs(60);
+
+/// The claims of this node.
+pub struct OnceDesk {
+    pub(super) guard: RefCell<OnceGuard>,
+    pub(super) store: StoreHandle,
+    /// Woken when an errand may have come up.
+    pub(super) errands_changed: Notify,
+    /// Woken when a claim was settled in the table.
+    pub(super) settled: Notify,
+    /// Longest time that a caller's answer waits for its record.
+    pub(super) answer_wait: Duration,
+    pub(super) sweep_period: Duration,
+}
+
+impl OnceDesk {
+    /// No claims yet; `nodes` is the number of nodes that share the sweeping.
+    pub fn new(holder: ClaimHolder, store: StoreHandle, nodes: u32) -> Self {
+        let settings = OnceSettings::default();
+        Self {
+            answer_wait: settings.longest_answer_wait,
+            guard: RefCell::new(OnceGuard::new(holder, settings)),
+            store,
+            errands_changed: Notify::new(),
+            settled: Notify::new(),
+            sweep_period: SWEEP_PERIOD.saturating_mul(nodes.max(1)),
+        }
+    }
+
+    /// Asks the store what a claim owes it.
+    pub async fn carry_out(&self, request: ErrandRequest) -> ErrandReply {
+        match request {
+            ErrandRequest::Table(request) => ErrandReply::Table(
+                self.store.request(request, ERRAND_DEADLINE, StoreUse::Answer).await,
+            ),
+            ErrandRequest::PutObject { name, body } => ErrandReply::Object(
+                self.store.put_object(&name, body.into(), ERRAND_DEADLINE).await,
+            ),
+        }
+    }
+}
--- a/crates/coltsfoot-node/src/dispatch/once_run.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard/once_run.rs
@@ -19,7 +19,7 @@
 use tokio::time::{sleep, timeout};
 
 use super::{
-    calls_in_flight::CallSpan, dispatcher::Dispatcher, guard_run::answer_outcome,
+    call_guard::CallGuard, calls_in_flight::CallSpan, guard_run::answer_outcome,
     run_permit::RunPermit,
 };
 use crate::clock::wall_millis;
@@ -29,7 +29,7 @@
 /// Time to fetch a large answer.
 const OBJECT_DEADLINE: Duration = Duration::from_secs(2);
 
-impl Dispatcher {
+impl CallGuard {
     /// Claims the call's key, then runs the call, or says what became of the run before.
     pub(super) async fn run_once(
         self: &Rc<Self>,
@@ -43,7 +43,8 @@
             self.note_claim(call, &result);
             match result {
                 ClaimResult::Dispatch(ticket) => {
-                    let verdict = self.once.guard.borrow_mut().dispatch(ticket, self.clock.now());
+                    let verdict =
+                        self.once.guard.borrow_mut().dispatch(ticket, self.context.clock.now());
                     self.once.errands_changed.notify_one();
                     let DispatchVerdict::Run(run) = verdict else {
                         return self.refusal(RefusalReason::Deadline, CallOutcome::NotRun);
@@ -59,7 +60,7 @@
                     if let BusyVerdict::Refuse(outcome) = verdict {
                         return self.refusal(RefusalReason::KeyInProgress, outcome);
                     }
-                    if self.clock.now() + BUSY_PAUSE >= deadline {
+                    if self.context.clock.now() + BUSY_PAUSE >= deadline {
                         return self.refusal(RefusalReason::KeyInProgress, CallOutcome::Unknown);
                     }
                     sleep(BUSY_PAUSE).await;
@@ -74,7 +75,7 @@
     }
 
     async fn claim(&self, call: &CallRequest, deadline: MonotonicTime) -> ClaimResult {
-        let claim_id = ClaimId(self.rng.borrow_mut().random());
+        let claim_id = ClaimId(self.context.rng.borrow_mut().random());
         let once_call = self.once_call(call, deadline);
         let wall = WallTime(wall_millis());
         let mut step = self.once.guard.borrow_mut().begin(once_call, claim_id, wall);
@@ -86,16 +87,18 @@
                     return result;
                 }
             };
-            let time = deadline.since(self.clock.now());
+            let time = deadline.since(self.context.clock.now());
             let reply = self.once.store.request(request, time, StoreUse::Claim).await;
-            let next = self.once.guard.borrow_mut().on_reply(claim_id, &reply, self.clock.now());
+            let next =
+                self.once.guard.borrow_mut().on_reply(claim_id, &reply, self.context.clock.now());
             // Claims are never cancelled here, so the guard always knows this one.
             step = next.unwrap_or(ClaimStep::Done(ClaimResult::Interrupted));
         }
     }
 
     fn once_call(&self, call: &CallRequest, deadline: MonotonicTime) -> OnceCall {
-        let retention_s = self.config.load().and_then(|config| config.retention_s(&call.service));
+        let retention_s =
+            self.context.config.load().and_then(|config| config.retention_s(&call.service));
         OnceCall {
             key: OnceKey {
                 service: call.service.clone(),
@@ -111,7 +114,7 @@
     /// Stores how a run ended. The caller's answer waits for the record, up to a bound.
     async fn settle_run(&self, run: ClaimRun, reply: &CallReply) {
         let claim_id = run.claim_id();
-        let now = self.clock.now();
+        let now = self.context.clock.now();
         {
             let mut guard = self.once.guard.borrow_mut();
             match (&reply.body, reply.outcome) {
@@ -175,8 +178,8 @@
             ClaimResult::Busy(_) | ClaimResult::Interrupted => ClaimOutcome::InProgress,
             ClaimResult::Refuse(_) => ClaimOutcome::Unavailable,
         };
-        self.metrics.store.claimed(outcome);
-        self.events.emit(EventKind::ClaimDecided {
+        self.context.metrics.store.claimed(outcome);
+        self.context.events.emit(EventKind::ClaimDecided {
             request: call.request,
             service: call.service.clone(),
             operation: call.operation.clone(),
--- /dev/null
+++ b/crates/coltsfoot-node/src/dispatch/guard/planned_stop.rs
@@ -0,0 +1,105 @@
+//! Calls in flight, and the planned stop that waits for them.
+
+use std::{rc::Rc, time::Duration};
+
+use coltsfootroute::{
+    drain::{DrainPhase, DrainReport, StartAnswer},
+    event::EventKind,
+    time::MonotonicTime,
+};
+use tokio::{sync::oneshot, time::sleep};
+
+use super::call_guard::CallGuard;
+use crate::gossip::GossipCommand;
+
+/// How often a leaving node looks whether it is done.
+const DRAIN_POLL: Duration = Duration::from_millis(20);
+
+/// What a leaving node distinguishes when it takes calls.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CallKind {
+    /// A client's request, to be routed from here.
+    Client,
+    /// A call for the upstream beside the node.
+    Guarded,
+    /// A call nested below work under way beside the node.
+    Nested,
+}
+
+/// A call that counts as in flight until it is dropped.
+pub struct StartedCall {
+    guard: Rc<CallGuard>,
+}
+
+impl Drop for StartedCall {
+    fn drop(&mut self) {
+        self.guard.drain.borrow_mut().finished();
+    }
+}
+
+impl CallGuard {
+    /// Counts a call as in flight; `None` if a leaving node no longer takes its kind.
+    pub fn start_call(self: &Rc<Self>, kind: CallKind) -> Option<StartedCall> {
+        let mut drain = self.drain.borrow_mut();
+        let answer = match kind {
+            CallKind::Client => drain.client_started(self.context.now()),
+            CallKind::Guarded => drain.started(),
+            CallKind::Nested => drain.nested_started(),
+        };
+        (answer == StartAnswer::Started).then(|| StartedCall { guard: self.clone() })
+    }
+
+    /// Whether a planned stop has been asked for.
+    pub fn is_closing(&self) -> bool {
+        self.is_closing.get()
+    }
+
+    /// A planned stop: refuse new work, tell everyone, end when nothing is in flight.
+    pub async fn leave(self: Rc<Self>, done: oneshot::Sender<()>) {
+        // The upstream stays in service as long as clients still come here: leaving earlier would only take
+        // its slots away from everyone.
+        self.is_closing.set(true);
+        if self.closing_time > Duration::ZERO {
+            // Others turn to it only where no other upstream takes a call.
+            self.context.tell_gossip(GossipCommand::Leave).await;
+            sleep(self.closing_time).await;
+        }
+        let begun: MonotonicTime = self.context.now();
+        self.drain.borrow_mut().begin(begun);
+        let in_flight = u32::try_from(self.drain.borrow().in_flight()).unwrap_or(u32::MAX);
+        self.context.events.emit(EventKind::DrainBegun { in_flight });
+        self.announce_leave().await;
+        let mut reported = begun;
+        while !self.is_drained() {
+            sleep(DRAIN_POLL).await;
+            self.report_overdue(&mut reported);
+        }
+        self.introduction.settle().await;
+        let elapsed = self.context.now().since(begun).as_millis();
+        let elapsed_ms = u64::try_from(elapsed).unwrap_or(u64::MAX);
+        self.context.events.emit(EventKind::Drained { elapsed_ms });
+        let _ = done.send(());
+    }
+
+    /// Whether a leaving node may stop.
+    fn is_drained(&self) -> bool {
+        self.drain.borrow().phase(self.context.now()) == DrainPhase::Drained
+    }
+
+    /// Reports what keeps a planned stop from its end, once in each period. Nothing is cut off: whoever
+    /// stops the process decides.
+    fn report_overdue(&self, reported: &mut MonotonicTime) {
+        let now = self.context.now();
+        let Some(DrainReport { in_flight, waited }) = self.drain.borrow().overdue(now) else {
+            return;
+        };
+        if now.since(*reported) < self.drain_period {
+            return;
+        }
+        *reported = now;
+        self.context.events.emit(EventKind::DrainOverdue {
+            in_flight: u32::try_from(in_flight).unwrap_or(u32::MAX),
+            waited_ms: u64::try_from(waited.as_millis()).unwrap_or(u64::MAX),
+        });
+    }
+}
--- a/crates/coltsfoot-node/src/dispatch/run_permit.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard/run_permit.rs
@@ -4,33 +4,33 @@
 
 use coltsfootroute::admission::CallFinish;
 
-use super::dispatcher::Dispatcher;
+use super::call_guard::CallGuard;
 
 /// A call that waits for the gate's verdict; dropping it withdraws the call.
 pub struct WaitPermit {
-    dispatcher: Option<Rc<Dispatcher>>,
+    guard: Option<Rc<CallGuard>>,
     id: u64,
 }
 
 impl WaitPermit {
     /// The call `id`, just about to be offered.
-    pub fn new(dispatcher: Rc<Dispatcher>, id: u64) -> Self {
-        Self { dispatcher: Some(dispatcher), id }
+    pub fn new(guard: Rc<CallGuard>, id: u64) -> Self {
+        Self { guard: Some(guard), id }
     }
 
     /// The gate has let the call run.
     pub fn into_run(mut self) -> RunPermit {
-        RunPermit { dispatcher: self.dispatcher.take(), id: self.id }
+        RunPermit { guard: self.guard.take(), id: self.id }
     }
 }
 
 impl Drop for WaitPermit {
     fn drop(&mut self) {
-        let Some(dispatcher) = &self.dispatcher else { return };
-        let now = dispatcher.clock.now();
+        let Some(guard) = &self.guard else { return };
+        let now = guard.context.clock.now();
         let id = self.id;
-        dispatcher.guard.waiting.borrow_mut().swap_remove(&id);
-        dispatcher.guard.with_gate(|gate| {
+        guard.state.waiting.borrow_mut().swap_remove(&id);
+        guard.state.with_gate(|gate| {
             // The verdict may have been on its way: then the call holds a slot already.
             let mut verdicts = gate.cancel(now, id);
             verdicts.extend(gate.finish(now, id, CallFinish::Cancelled));
@@ -41,14 +41,14 @@
 
 /// A slot of the upstream; dropping it without [`RunPermit::finish`] counts as cancelled.
 pub struct RunPermit {
-    dispatcher: Option<Rc<Dispatcher>>,
+    guard: Option<Rc<CallGuard>>,
     id: u64,
 }
 
 impl RunPermit {
     /// A permit where no gate is in force.
     pub fn without_gate() -> Self {
-        Self { dispatcher: None, id: 0 }
+        Self { guard: None, id: 0 }
     }
 
     /// Gives the slot back.
@@ -57,10 +57,10 @@
     }
 
     fn give_back(&mut self, finish: CallFinish) {
-        let Some(dispatcher) = self.dispatcher.take() else { return };
-        let now = dispatcher.clock.now();
-        dispatcher.guard.with_gate(|gate| gate.finish(now, self.id, finish));
-        dispatcher.guard.queue_changed.notify_one();
+        let Some(guard) = self.guard.take() else { return };
+        let now = guard.context.clock.now();
+        guard.state.with_gate(|gate| gate.finish(now, self.id, finish));
+        guard.state.queue_changed.notify_one();
     }
 }
 
--- /dev/null
+++ b/crates/coltsfoot-node/src/dispatch/ingress.rs
@@ -0,0 +1,21 @@
+//! What enters here: requests of clients and of the upstream beside the node, on their way to an upstream.
+
+mod attempt_count;
+mod call_ingress;
+mod call_routing;
+mod client_request;
+mod incoming_call;
+mod member_counts;
+mod member_search;
+mod nested_request;
+mod pool_watch;
+mod request_record;
+mod retry_tokens;
+mod root_shedding;
+mod route_progress;
+mod routed_call;
+mod service_pool;
+
+pub use call_ingress::CallIngress;
+pub use incoming_call::{CallOrigin, IncomingCall};
+pub use member_counts::MemberCounts;
--- a/crates/coltsfoot-node/src/dispatch/attempt_count.rs
+++ b/crates/coltsfoot-node/src/dispatch/ingress/attempt_count.rs
@@ -4,11 +4,12 @@
     event::EventKind, id::NodeId, outcome::CallOutcome, routing::RouteResult, time::MonotonicTime,
 };
 
-use super::{dispatcher::Dispatcher, request_record::micros, routed_call::RoutedCall};
+use super::{call_ingress::CallIngress, routed_call::RoutedCall};
+use crate::clock::micros;
 
 /// Counts an attempt in its pool and reports it, from start to end, also when its future is dropped.
 pub struct AttemptCount<'a> {
-    dispatcher: &'a Dispatcher,
+    ingress: &'a CallIngress,
     call: &'a RoutedCall,
     node: NodeId,
     /// 1 for the first attempt.
@@ -23,33 +24,33 @@
 impl<'a> AttemptCount<'a> {
     /// The attempt number `attempt` starts, on the upstream beside `node`.
     pub fn start(
-        dispatcher: &'a Dispatcher,
+        ingress: &'a CallIngress,
         call: &'a RoutedCall,
         node: NodeId,
         attempt: usize,
     ) -> Self {
-        let started = dispatcher.clock.now();
+        let started = ingress.context.clock.now();
         let attempt = u32::try_from(attempt).unwrap_or(u32::MAX);
-        dispatcher.with_pool(&call.service, |pool| pool.started(started, node));
-        dispatcher.events.emit(EventKind::AttemptStarted {
+        ingress.with_pool(&call.service, |pool| pool.started(started, node));
+        ingress.context.events.emit(EventKind::AttemptStarted {
             request: call.request,
             service: call.service.clone(),
             guard: node,
             attempt,
         });
         let (result, outcome) = (RouteResult::Cancelled, CallOutcome::Unknown);
-        Self { dispatcher, call, node, attempt, started, result, outcome }
+        Self { ingress, call, node, attempt, started, result, outcome }
     }
 }
 
 impl Drop for AttemptCount<'_> {
     fn drop(&mut self) {
-        let now = self.dispatcher.clock.now();
+        let now = self.ingress.context.clock.now();
         let latency = now.since(self.started);
         let (node, result) = (self.node, self.result);
         let service = &self.call.service;
-        self.dispatcher.with_pool(service, |pool| pool.finished(now, node, latency, result));
-        self.dispatcher.events.emit(EventKind::AttemptFinished {
+        self.ingress.with_pool(service, |pool| pool.finished(now, node, latency, result));
+        self.ingress.context.events.emit(EventKind::AttemptFinished {
             request: self.call.request,
             service: service.clone(),
             guard: node,
--- /dev/null
+++ b/crates/coltsfoot-node/src/dispatch/ingress/call_ingress.rs
@@ -0,0 +1,70 @@
+//! State of what enters here.
+
+use std::{cell::RefCell, rc::Rc, time::Duration};
+
+use coltsfootroute::{
+    admission::{ReachedServices, RootGate},
+    deadline::{DeadlineCheck, ServiceTimes},
+    name::ServiceName,
+    retry::{AccountLedger, LedgerSettings, RetryPolicy},
+};
+use indexmap::IndexMap;
+use tokio::sync::Notify;
+
+use super::{member_counts::MemberCounts, service_pool::ServicePool};
+use crate::dispatch::{
+    context::NodeContext,
+    guard::CallGuard,
+    links::{IntroductionStore, PeerLinks},
+};
+
+/// Takes requests in and routes them to upstreams. The guard of the own upstream is one guard among others:
+/// calls go to it as to other nodes, and come back as replies.
+pub struct CallIngress {
+    pub(super) context: Rc<NodeContext>,
+    pub(super) links: Rc<PeerLinks>,
+    pub(super) guard: Rc<CallGuard>,
+    pub(super) introductions: IntroductionStore,
+    /// Upstreams of the watched services.
+    pub(in crate::dispatch) pools: RefCell<IndexMap<ServiceName, ServicePool>>,
+    /// Members of the own service and of the watched ones.
+    pub(in crate::dispatch) member_counts: RefCell<IndexMap<ServiceName, MemberCounts>>,
+    /// Woken whenever the members of some service changed.
+    pub(super) members_changed: Notify,
+    /// Retry accounts of the client requests that entered here.
+    pub(super) accounts: RefCell<AccountLedger>,
+    pub(super) policy: RetryPolicy,
+    /// Levels of the services, and what is refused by them where requests enter.
+    pub(super) root: RefCell<RootGate>,
+    /// Services that operations have reached, where the configuration does not declare it.
+    pub(super) reached: RefCell<ReachedServices>,
+    /// How long calls have taken of late.
+    pub(super) times: RefCell<ServiceTimes>,
+    pub(super) deadlines: DeadlineCheck,
+}
+
+impl CallIngress {
+    /// An ingress that watches no service yet.
+    pub fn new(
+        context: Rc<NodeContext>,
+        links: Rc<PeerLinks>,
+        guard: Rc<CallGuard>,
+        introductions: IntroductionStore,
+    ) -> Self {
+        Self {
+            context,
+            links,
+            guard,
+            introductions,
+            pools: RefCell::default(),
+            member_counts: RefCell::default(),
+            members_changed: Notify::new(),
+            accounts: RefCell::new(AccountLedger::new(LedgerSettings::default())),
+            policy: RetryPolicy::default(),
+            root: RefCell::new(RootGate::new()),
+            reached: RefCell::default(),
+            times: RefCell::new(ServiceTimes::default()),
+            deadlines: DeadlineCheck::new(Duration::ZERO),
+        }
+    }
+}
--- a/crates/coltsfoot-node/src/dispatch/routed_call.rs
+++ b/crates/coltsfoot-node/src/dispatch/ingress/call_routing.rs
@@ -1,102 +1,31 @@
 //! Sending a call to an upstream of its service: choice, attempts, retries.
 
-use std::{rc::Rc, time::Duration};
+use std::rc::Rc;
 
-use bytes::Bytes;
-use coltsfoot_wire::peer::{CallReply, CallRequest, LevelNote, ReplyBody, RequestHead};
+use coltsfoot_wire::peer::{CallReply, CallRequest, LevelNote, ReplyBody};
 use coltsfootroute::{
     admission::ShedLevel,
-    deadline::Remaining,
-    event::HybridStamp,
-    id::{NodeId, RequestId},
-    importance::Importance,
-    name::{OperationName, ServiceName},
+    id::NodeId,
+    name::ServiceName,
     outcome::{CallOutcome, RefusalReason},
     retry::{FailedAttempt, RetryDecision},
     routing::RouteResult,
-    time::MonotonicTime,
 };
 use tokio::time::{sleep, timeout_at};
 
 use super::{
     attempt_count::AttemptCount,
-    dispatcher::Dispatcher,
-    peer_links::PeerLink,
+    call_ingress::CallIngress,
+    pool_watch::FIRST_MEMBERS_WAIT,
     route_progress::{RouteEnd, RouteProgress},
-    service_pool::FIRST_MEMBERS_WAIT,
+    routed_call::RoutedCall,
 };
-
-/// Taken off the remaining time at each hop, so that a refusal from further down arrives in time.
-const HOP_MARGIN: Duration = Duration::from_millis(2);
+use crate::dispatch::links::PeerLink;
 
 /// Guards that may refuse one call, unsent, before a further attempt counts as a retry.
 const MAX_REROUTES: usize = 2;
 
-/// A call on its way to an upstream, with what the client request brings along.
-#[derive(Clone, Debug)]
-pub struct RoutedCall {
-    /// Client request.
-    pub request: RequestId,
-    /// Service called.
-    pub service: ServiceName,
-    /// Operation called.
-    pub operation: OperationName,
-    /// Importance of the client request.
-    pub importance: Importance,
-    /// Deadline on this node's clock.
-    pub deadline: MonotonicTime,
-    /// Node that keeps the retry account; `None` means no retry.
-    pub account: Option<NodeId>,
-    /// Hash of the client.
-    pub client: u64,
-    /// Whether the call is nested below work that runs already.
-    pub under_way: bool,
-    /// Whether the call above, or one above that, is not the first attempt.
-    pub is_repeat: bool,
-    /// Whether the operation may run again.
-    pub repeatable: bool,
-    /// Attempts that the operation allows; `None` where it sets no bound.
-    pub most_attempts: Option<u32>,
-    /// Idempotency key.
-    pub key: Option<String>,
-    /// Media type of the body.
-    pub content_type: String,
-    /// Head of a request to pass on; `None` for a call in the product's own form.
-    pub head: Option<RequestHead>,
-    /// Body.
-    pub body: Bytes,
-}
-
-impl RoutedCall {
-    fn to_request(
-        &self,
-        now: MonotonicTime,
-        is_retry: bool,
-        revision: u64,
-        stamp: HybridStamp,
-    ) -> CallRequest {
-        CallRequest {
-            request: self.request,
-            service: self.service.clone(),
-            operation: self.operation.clone(),
-            importance: self.importance,
-            remaining: self.deadline.since(now).saturating_sub(HOP_MARGIN),
-            account: self.account,
-            client: self.client,
-            under_way: self.under_way,
-            is_repeat: self.is_repeat || is_retry,
-            is_retry,
-            key: self.key.clone(),
-            content_type: self.content_type.clone(),
-            head: self.head.clone(),
-            body: self.body.clone(),
-            revision,
-            stamp,
-        }
-    }
-}
-
-impl Dispatcher {
+impl CallIngress {
     /// Sends a call to upstreams of its service until one answers, the retries end or the deadline
     /// passes. The outcome speaks of all attempts together.
     pub async fn route(self: &Rc<Self>, call: &RoutedCall) -> RouteEnd {
@@ -135,7 +64,7 @@
     async fn await_first_members(&self, call: &RoutedCall) {
         let watched_since = self.watch(&call.service).await;
         let until = call.deadline.min(watched_since + FIRST_MEMBERS_WAIT);
-        let until = self.clock.instant_at(until).into();
+        let until = self.context.clock.instant_at(until).into();
         loop {
             let changed = self.members_changed.notified();
             let is_empty = self.with_pool(&call.service, |pool| pool.is_empty()).unwrap_or(false);
@@ -154,15 +83,15 @@
             return self.no_upstream(&call.service);
         };
         if progress.denied.contains(&node) {
-            return self.refusal(RefusalReason::RetryBudget, CallOutcome::NotRun);
+            return self.guard.refusal(RefusalReason::RetryBudget, CallOutcome::NotRun);
         }
         progress.tried.push(node);
         let mut count = AttemptCount::start(self, call, node, progress.tried.len());
-        let until = self.clock.instant_at(call.deadline).into();
+        let until = self.context.clock.instant_at(call.deadline).into();
         let sending = self.send(node, call, progress.is_retry());
         let reply = match timeout_at(until, sending).await {
             Ok(reply) => reply,
-            Err(_) => self.refusal(RefusalReason::Deadline, CallOutcome::Unknown),
+            Err(_) => self.guard.refusal(RefusalReason::Deadline, CallOutcome::Unknown),
         };
         count.result = route_result(&reply);
         count.outcome = reply.outcome;
@@ -172,9 +101,9 @@
     /// A refusal for want of an upstream. Where the service has none at all, its level says so: requests that would
     /// reach it are refused where they enter, with a time to come back, and not after work in vain.
     fn no_upstream(&self, service: &ServiceName) -> CallReply {
-        let mut reply = self.refusal(RefusalReason::NoUpstream, CallOutcome::NotRun);
+        let mut reply = self.guard.refusal(RefusalReason::NoUpstream, CallOutcome::NotRun);
         if self.has_gone(service) {
-            let (service, guard) = (service.clone(), self.identity.node);
+            let (service, guard) = (service.clone(), self.context.identity.node);
             reply.levels.push(LevelNote { service, guard, level: ShedLevel::MAX });
         }
         reply
@@ -182,7 +111,7 @@
 
     /// An upstream not tried yet; where all have been, or as many as the operation allows, one of those.
     fn choose(&self, call: &RoutedCall, progress: &RouteProgress) -> Option<NodeId> {
-        let now = self.clock.now();
+        let now = self.context.clock.now();
         let tried = &progress.tried;
         if progress.has_reached_most(call.most_attempts) {
             return self
@@ -190,9 +119,9 @@
                 .flatten();
         }
         let time_left = call.deadline.since(now);
-        let mut rng = self.rng.borrow_mut();
+        let mut rng = self.context.rng.borrow_mut();
         let root = self.root.borrow();
-        let admitted = |guard| match self.control.is_on() {
+        let admitted = |guard| match self.context.control.is_on() {
             true => root
                 .levels()
                 .guard_level(now, &call.service, guard)
@@ -212,12 +141,12 @@
     }
 
     async fn send(self: &Rc<Self>, node: NodeId, call: &RoutedCall, is_retry: bool) -> CallReply {
-        if node == self.identity.node {
-            return self.guard_call(self.request_of(call, is_retry)).await;
+        if node == self.context.identity.node {
+            return self.guard.guard_call(self.request_of(call, is_retry)).await;
         }
         let Ok(link) = self.links.get(node).await else {
             self.note_contact(&call.service, false).await;
-            return self.refusal(RefusalReason::NoUpstream, CallOutcome::NotRun);
+            return self.guard.refusal(RefusalReason::NoUpstream, CallOutcome::NotRun);
         };
         // Made once the link is open: the time left is that at the sending.
         match self.send_over(&link, &self.request_of(call, is_retry)).await {
@@ -228,13 +157,18 @@
             Err(_) => {
                 self.links.failed(node, &link);
                 self.note_contact(&call.service, false).await;
-                self.refusal(RefusalReason::UpstreamFailed, CallOutcome::Unknown)
+                self.guard.refusal(RefusalReason::UpstreamFailed, CallOutcome::Unknown)
             }
         }
     }
 
     fn request_of(&self, call: &RoutedCall, is_retry: bool) -> CallRequest {
-        call.to_request(self.clock.now(), is_retry, self.revision(), self.events.stamp())
+        call.to_request(
+            self.context.clock.now(),
+            is_retry,
+            self.context.revision(),
+            self.context.events.stamp(),
+        )
     }
 
     async fn send_over(
@@ -246,7 +180,7 @@
         call.write(request.get().init_request());
         let response = request.send().promise.await?;
         let reply = CallReply::read(response.get()?.get_reply()?)?;
-        self.observe(reply.stamp);
+        self.context.observe(reply.stamp);
         Ok(reply)
     }
 
@@ -257,7 +191,7 @@
         reply: &CallReply,
         progress: &RouteProgress,
     ) -> bool {
-        let now = self.clock.now();
+        let now = self.context.clock.now();
         let failed = FailedAttempt {
             outcome: reply.outcome,
             reason: reply.reason(),
@@ -270,7 +204,7 @@
             shedding: self.is_shed(&call.service, call.importance),
             expected: self.times.borrow_mut().needed(now, &call.service, &call.operation),
         };
-        let decision = self.policy.decide(now, &mut *self.rng.borrow_mut(), &failed);
+        let decision = self.policy.decide(now, &mut *self.context.rng.borrow_mut(), &failed);
         let backoff = match decision {
             RetryDecision::Ask { backoff } => backoff,
             RetryDecision::GiveUp(cause) => {
@@ -284,11 +218,6 @@
         sleep(backoff).await;
         true
     }
-
-    /// Time left for an upstream, as its header tells it.
-    pub(super) fn remaining_ms(&self, deadline: MonotonicTime) -> u64 {
-        Remaining::until(self.clock.now(), deadline).0
-    }
 }
 
 /// Whether the guard refused the call before its upstream saw it, for a reason that another guard may not
--- a/crates/coltsfoot-node/src/dispatch/client_request.rs
+++ b/crates/coltsfoot-node/src/dispatch/ingress/client_request.rs
@@ -15,12 +15,8 @@
 };
 use rand::RngExt;
 
-use super::{
-    dispatcher::{CallKind, Dispatcher},
-    incoming_call::IncomingCall,
-    routed_call::RoutedCall,
-};
-use crate::{border::RepeatGuard, http::HttpReply};
+use super::{call_ingress::CallIngress, incoming_call::IncomingCall, routed_call::RoutedCall};
+use crate::{border::RepeatGuard, dispatch::guard::CallKind, http::HttpReply};
 
 /// A client request that passed the checks of its form.
 struct EntryCheck {
@@ -33,38 +29,34 @@
 
 /// Closes the retry account of a request when its final answer stands, or its client is gone.
 struct OpenAccount<'a> {
-    dispatcher: &'a Dispatcher,
+    ingress: &'a CallIngress,
     request: RequestId,
 }
 
 impl Drop for OpenAccount<'_> {
     fn drop(&mut self) {
-        let mut accounts = self.dispatcher.accounts.borrow_mut();
+        let mut accounts = self.ingress.accounts.borrow_mut();
         accounts.close(self.request);
     }
 }
 
-impl Dispatcher {
+impl CallIngress {
     /// Serves one request of a client.
-    pub(super) async fn serve_client(
-        self: &Rc<Self>,
-        call: IncomingCall,
-        client: IpAddr,
-    ) -> HttpReply {
-        let request = RequestId(self.rng.borrow_mut().random());
+    pub async fn serve_client(self: &Rc<Self>, call: IncomingCall, client: IpAddr) -> HttpReply {
+        let request = RequestId(self.context.rng.borrow_mut().random());
         let reply = self.serve_entry(request, call, client).await;
         let reply = HttpReply::from_call(request, reply);
-        if self.is_closing.get() { reply.with_close() } else { reply }
+        if self.guard.is_closing() { reply.with_close() } else { reply }
     }
 
     /// Serves one request of a client under an identity that its listener has found.
-    pub(super) async fn serve_entry(
+    pub async fn serve_entry(
         self: &Rc<Self>,
         request: RequestId,
         call: IncomingCall,
         client: IpAddr,
     ) -> CallReply {
-        let Some(_permit) = self.start_call(CallKind::Client) else {
+        let Some(_permit) = self.guard.start_call(CallKind::Client) else {
             return self.refuse_entry(
                 request,
                 &call,
@@ -87,19 +79,19 @@
             return CallReply::refusal(reason, CallOutcome::NotRun, retry_after.0);
         }
         let opened = self.accounts.borrow_mut().open(
-            self.clock.now(),
+            self.context.clock.now(),
             request,
             check.budget,
             check.deadline,
         );
-        let _account = OpenAccount { dispatcher: self, request };
+        let _account = OpenAccount { ingress: self, request };
         let routed = RoutedCall {
             request,
             service: call.service,
             operation: call.operation,
             importance: check.importance,
             deadline: check.deadline,
-            account: (opened == OpenAnswer::Opened).then_some(self.identity.node),
+            account: (opened == OpenAnswer::Opened).then_some(self.context.identity.node),
             client: client_hash(client),
             under_way: false,
             is_repeat: false,
@@ -114,7 +106,7 @@
     }
 
     fn check_entry(&self, call: &IncomingCall) -> Result<EntryCheck, RefusalReason> {
-        let config = self.config.in_force()?;
+        let config = self.context.config.in_force()?;
         let operation = config.operation(&call.service, &call.operation)?;
         let entry = operation.client.as_ref().ok_or(RefusalReason::UnknownOperation)?;
         self.check_key(operation, call)?;
@@ -135,7 +127,7 @@
         operation: &OperationEntry,
         call: &IncomingCall,
     ) -> Result<(), RefusalReason> {
-        let needs_key = self.repeat_guard == RepeatGuard::Claims && !operation.repeatable;
+        let needs_key = self.context.repeat_guard == RepeatGuard::Claims && !operation.repeatable;
         if needs_key && call.key.is_none() { Err(RefusalReason::BadRequest) } else { Ok(()) }
     }
 
@@ -145,8 +137,8 @@
         call: &IncomingCall,
         deadline: MonotonicTime,
     ) -> Result<(), RefusalReason> {
-        let now = self.clock.now();
-        let needed = match self.control.is_on() {
+        let now = self.context.clock.now();
+        let needed = match self.context.control.is_on() {
             true => self.times.borrow_mut().needed(now, &call.service, &call.operation),
             false => None,
         };
--- a/crates/coltsfoot-node/src/dispatch/nested_request.rs
+++ b/crates/coltsfoot-node/src/dispatch/ingress/nested_request.rs
@@ -11,13 +11,11 @@
 };
 use rand::RngExt;
 
-use super::{
-    calls_in_flight::{CallSpan, NestedMark},
-    dispatcher::{CallKind, Dispatcher},
-    incoming_call::IncomingCall,
-    routed_call::RoutedCall,
+use super::{call_ingress::CallIngress, incoming_call::IncomingCall, routed_call::RoutedCall};
+use crate::{
+    dispatch::guard::{CallKind, CallSpan, NestedMark},
+    http::HttpReply,
 };
-use crate::http::HttpReply;
 
 /// Deadline of a nested call that carries neither a context nor a deadline.
 const ORPHAN_DEADLINE: Duration = Duration::from_millis(1_000);
@@ -28,20 +26,20 @@
     most_attempts: Option<u32>,
 }
 
-impl Dispatcher {
+impl CallIngress {
     /// Serves one nested call.
-    pub(super) async fn serve_nested(
+    pub async fn serve_nested(
         self: &Rc<Self>,
         call: IncomingCall,
         context: Option<String>,
     ) -> HttpReply {
-        match context.and_then(|context| self.spans.find(&context)) {
+        match context.and_then(|context| self.guard.spans.find(&context)) {
             Some(span) => {
                 let request = span.request;
                 HttpReply::from_call(request, self.serve_below(call, span).await)
             }
             None => {
-                let request = RequestId(self.rng.borrow_mut().random());
+                let request = RequestId(self.context.rng.borrow_mut().random());
                 let reply = self.serve_in_span(request, call, None).await;
                 HttpReply::from_call(request, reply)
             }
@@ -49,11 +47,7 @@
     }
 
     /// Serves a call that is nested below `span`.
-    pub(super) async fn serve_below(
-        self: &Rc<Self>,
-        call: IncomingCall,
-        span: Rc<CallSpan>,
-    ) -> CallReply {
+    pub async fn serve_below(self: &Rc<Self>, call: IncomingCall, span: Rc<CallSpan>) -> CallReply {
         let mark = NestedMark::begin(span.clone());
         // A front sees for itself that the caller has gone; an upstream whose work is given up closes its
         // nested calls. Until then they go on: their upstreams are at work.
@@ -77,7 +71,7 @@
         tokio::select! {
             reply = self.serve_in_span(above.request, call, Some(above)) => reply,
             () = above.cancelled() => {
-                self.refusal(RefusalReason::UpstreamFailed, CallOutcome::Unknown)
+                self.guard.refusal(RefusalReason::UpstreamFailed, CallOutcome::Unknown)
             }
         }
     }
@@ -91,13 +85,13 @@
         let importance = span.map_or(Importance::Background, |span| span.importance);
         let kind = if span.is_some() { CallKind::Nested } else { CallKind::Guarded };
         // Work under way may go on calling while the node leaves.
-        let Some(_permit) = self.start_call(kind) else {
-            return self.refuse(importance, RefusalReason::Leaving);
+        let Some(_permit) = self.guard.start_call(kind) else {
+            return self.guard.refuse(importance, RefusalReason::Leaving);
         };
         let deadline = nested_deadline(&call, span);
         let check = match self.check_nested(&call, deadline) {
             Ok(check) => check,
-            Err(reason) => return self.refuse(importance, reason),
+            Err(reason) => return self.guard.refuse(importance, reason),
         };
         let routed = RoutedCall {
             request,
@@ -124,7 +118,7 @@
         call: &IncomingCall,
         deadline: MonotonicTime,
     ) -> Result<NestedCheck, RefusalReason> {
-        let config = self.config.in_force()?;
+        let config = self.context.config.in_force()?;
         let operation = config.operation(&call.service, &call.operation)?;
         self.check_key(operation, call)?;
         self.check_deadline(call, deadline)?;
--- a/crates/coltsfoot-node/src/dispatch/service_pool.rs
+++ b/crates/coltsfoot-node/src/dispatch/ingress/pool_watch.rs
@@ -1,6 +1,6 @@
-//! The upstreams of a called service, and since when they are watched.
+//! Which services this node watches, and what it is told of their members.
 
-use std::{sync::Arc, time::Duration};
+use std::{rc::Rc, sync::Arc, time::Duration};
 
 use coltsfootroute::{
     membership::{MemberRecord, MemberState},
@@ -9,24 +9,8 @@
     time::MonotonicTime,
 };
 
-use super::{dispatcher::Dispatcher, member_counts::MemberCounts};
-use crate::gossip::GossipCommand;
-
-/// The upstreams of a called service.
-pub struct ServicePool {
-    /// The upstreams.
-    pub pool: UpstreamPool,
-    /// Since when this node watches the service.
-    pub watched_since: MonotonicTime,
-    /// When the service was last called.
-    pub called: MonotonicTime,
-    /// When the gossip duty was last told that the service is in use.
-    told: MonotonicTime,
-    /// When the gossip duty was last told that a call has reached a member.
-    reached_told: Option<MonotonicTime>,
-    /// When it was last told that a call has failed to.
-    unreached_told: Option<MonotonicTime>,
-}
+use super::{call_ingress::CallIngress, member_counts::MemberCounts, service_pool::ServicePool};
+use crate::{config::ConfigInForce, gossip::GossipCommand};
 
 /// Longest wait for the first members of a service that this node has not called before.
 pub(super) const FIRST_MEMBERS_WAIT: Duration = Duration::from_millis(1_500);
@@ -38,7 +22,44 @@
 /// A service that has not been called for so long is no longer watched.
 const FORGET_AFTER: Duration = Duration::from_secs(600);
 
-impl Dispatcher {
+/// Schemas of at most so many services are watched whole, so that no client's first call waits.
+const EAGER_SERVICES: usize = 32;
+
+impl CallIngress {
+    /// A configuration is in force from now on.
+    pub async fn configure(&self, config: &Arc<ConfigInForce>) {
+        self.context.metrics.control.set_revision(config.revision());
+        for service in self.pinned_services() {
+            self.watch(&service).await;
+        }
+    }
+
+    /// Services watched whether they are called or not: all of a small schema, else what the upstream
+    /// beside the node calls.
+    fn pinned_services(&self) -> Vec<ServiceName> {
+        let Some(config) = self.context.config.load() else { return Vec::new() };
+        if config.service_count() <= EAGER_SERVICES {
+            return config.services();
+        }
+        let own = self.guard.service();
+        own.map(|service| config.callees(&service)).unwrap_or_default()
+    }
+
+    /// Watches what the operations of the upstream beside the node call whenever another one is there, so that
+    /// members are known before its first call.
+    pub async fn follow_upstream(self: Rc<Self>) {
+        loop {
+            self.guard.service_changed.notified().await;
+            let (Some(config), Some(service)) = (self.context.config.load(), self.guard.service())
+            else {
+                continue;
+            };
+            for callee in config.callees(&service) {
+                self.watch(&callee).await;
+            }
+        }
+    }
+
     /// Acts on the pool of `service`, if the node watches it.
     pub(super) fn with_pool<T>(
         &self,
@@ -50,7 +71,7 @@
 
     /// Whether `service` has no upstream that stays, and this node has watched it for long enough to know.
     pub(super) fn has_gone(&self, service: &ServiceName) -> bool {
-        let now = self.clock.now();
+        let now = self.context.clock.now();
         let pools = self.pools.borrow();
         let Some(entry) = pools.get(service) else { return false };
         entry.pool.is_empty() && now.since(entry.watched_since) >= FIRST_MEMBERS_WAIT
@@ -58,17 +79,16 @@
 
     /// Watches `service` from now on. Returns since when it has been watched.
     pub(super) async fn watch(&self, service: &ServiceName) -> MonotonicTime {
-        let now = self.clock.now();
+        let now = self.context.clock.now();
         if let Some((watched_since, was_cold)) = self.note_use(service, now) {
             if was_cold {
-                // A closed ring means that the process stops.
-                let _ = self.gossip.send(GossipCommand::Touch(service.clone())).await;
+                self.context.tell_gossip(GossipCommand::Touch(service.clone())).await;
             }
             return watched_since;
         }
         let pool = UpstreamPool::new(
-            self.identity.domain.clone(),
-            self.identity.region.clone(),
+            self.context.identity.domain.clone(),
+            self.context.identity.region.clone(),
             RoutingSettings::default(),
         );
         let entry = ServicePool {
@@ -105,12 +125,11 @@
             true => GossipCommand::Reached(service.clone()),
             false => GossipCommand::Unreached(service.clone()),
         };
-        // A closed ring means that the process stops.
-        let _ = self.gossip.send(command).await;
+        self.context.tell_gossip(command).await;
     }
 
     fn is_news(&self, service: &ServiceName, reached: bool) -> bool {
-        let now = self.clock.now();
+        let now = self.context.clock.now();
         let mut pools = self.pools.borrow_mut();
         let Some(entry) = pools.get_mut(service) else { return false };
         let told = if reached { &mut entry.reached_told } else { &mut entry.unreached_told };
@@ -122,8 +141,8 @@
     }
 
     /// Stops watching services that have not been called for long, unless they are pinned.
-    pub(super) async fn forget_unused(&self) {
-        let now = self.clock.now();
+    pub async fn forget_unused(&self) {
+        let now = self.context.clock.now();
         let pinned = self.pinned_services();
         let before = self.pools.borrow().len();
         self.pools.borrow_mut().retain(|service, entry| {
@@ -136,13 +155,12 @@
 
     async fn send_watches(&self) {
         let services = self.pools.borrow().keys().cloned().collect();
-        // A closed ring means that the process stops.
-        let _ = self.gossip.send(GossipCommand::Watch(services)).await;
+        self.context.tell_gossip(GossipCommand::Watch(services)).await;
     }
 
     /// Takes in the members of a watched service.
-    pub(super) fn update_members(&self, service: &ServiceName, members: &Arc<[MemberRecord]>) {
-        let now = self.clock.now();
+    pub fn update_members(&self, service: &ServiceName, members: &Arc<[MemberRecord]>) {
+        let now = self.context.clock.now();
         self.member_counts.borrow_mut().insert(service.clone(), MemberCounts::of(members));
         let infos = members.iter().filter_map(upstream_info);
         self.with_pool(service, |pool| pool.update(now, infos));
--- a/crates/coltsfoot-node/src/dispatch/request_record.rs
+++ b/crates/coltsfoot-node/src/dispatch/ingress/request_record.rs
@@ -13,11 +13,12 @@
 };
 
 use super::{
-    dispatcher::Dispatcher, incoming_call::IncomingCall, route_progress::RouteEnd,
+    call_ingress::CallIngress, incoming_call::IncomingCall, route_progress::RouteEnd,
     routed_call::RoutedCall,
 };
+use crate::clock::micros;
 
-impl Dispatcher {
+impl CallIngress {
     /// Routes a call that came in at `received`, and takes note of how it ended.
     pub(super) async fn route_and_record(
         self: &Rc<Self>,
@@ -36,7 +37,7 @@
         attempts: u32,
         received: MonotonicTime,
     ) {
-        let now = self.clock.now();
+        let now = self.context.clock.now();
         let taken = now.since(received);
         match &reply.body {
             ReplyBody::Answer { .. } => {
@@ -44,15 +45,18 @@
                     let mut times = self.times.borrow_mut();
                     times.record(now, &call.service, &call.operation, taken);
                 }
-                self.metrics.requests.answered(reply.outcome);
-                self.metrics.requests.upstream_latency(reply.upstream_time);
-                self.metrics.requests.added_latency(taken.saturating_sub(reply.upstream_time));
+                self.context.metrics.requests.answered(reply.outcome);
+                self.context.metrics.requests.upstream_latency(reply.upstream_time);
+                self.context
+                    .metrics
+                    .requests
+                    .added_latency(taken.saturating_sub(reply.upstream_time));
             }
             ReplyBody::Refusal { reason, .. } => {
-                self.metrics.requests.refused(*reason, call.importance);
+                self.context.metrics.requests.refused(*reason, call.importance);
             }
         }
-        self.events.emit(self.end_event(call, reply, attempts, taken));
+        self.context.events.emit(self.end_event(call, reply, attempts, taken));
     }
 
     fn end_event(
@@ -86,7 +90,7 @@
                     reason: *reason,
                     outcome,
                     attempts,
-                    revision: self.revision(),
+                    revision: self.context.revision(),
                     elapsed_us,
                 }
             }
@@ -117,7 +121,7 @@
         reason: RefusalReason,
         shed_by: Option<ServiceName>,
     ) -> CallReply {
-        self.events.emit(EventKind::RequestRefused {
+        self.context.events.emit(EventKind::RequestRefused {
             request,
             service: call.service.clone(),
             operation: call.operation.clone(),
@@ -127,18 +131,13 @@
             attempts: 0,
             severity: self.severity(shed_by.as_ref().unwrap_or(&call.service)),
             shed_by,
-            revision: self.revision(),
-            elapsed_us: micros(self.clock.now().since(call.received)),
+            revision: self.context.revision(),
+            elapsed_us: micros(self.context.clock.now().since(call.received)),
         });
-        self.refuse(importance, reason)
+        self.guard.refuse(importance, reason)
     }
 
     fn severity(&self, service: &ServiceName) -> u16 {
-        self.root.borrow().levels().level(self.clock.now(), service).severity()
+        self.root.borrow().levels().level(self.context.clock.now(), service).severity()
     }
 }
-
-/// Whole microseconds, as events tell them.
-pub(super) fn micros(time: Duration) -> u64 {
-    u64::try_from(time.as_micros()).unwrap_or(u64::MAX)
-}
--- a/crates/coltsfoot-node/src/dispatch/retry_tokens.rs
+++ b/crates/coltsfoot-node/src/dispatch/ingress/retry_tokens.rs
@@ -11,12 +11,14 @@
 use rand::RngExt;
 use tokio::time::timeout;
 
-use super::{
-    control_traffic::{TAKE_BYTES, WORD_BYTES},
-    dispatcher::Dispatcher,
-    routed_call::RoutedCall,
+use super::{call_ingress::CallIngress, routed_call::RoutedCall};
+use crate::{
+    dispatch::{
+        context::{TAKE_BYTES, WORD_BYTES},
+        links::TokenAnswer,
+    },
+    metrics::ControlKind,
 };
-use crate::metrics::ControlKind;
 
 fn denial_reason(denial: TakeDenial) -> DenialReason {
     match denial {
@@ -34,28 +36,20 @@
     }
 }
 
-/// What the account's node said.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct TokenAnswer {
-    pub(super) answer: TakeAnswer,
-    /// Tokens left in the account.
-    pub(super) remaining: u32,
-}
-
 /// Longest wait for the account's node; after it there is no retry.
 const TAKE_TIMEOUT: Duration = Duration::from_millis(250);
 
-impl Dispatcher {
+impl CallIngress {
     /// Takes a token from a retry account kept at this node.
-    pub(super) fn take_own_token(&self, request: RequestId, take_id: u64) -> TokenAnswer {
+    pub fn take_own_token(&self, request: RequestId, take_id: u64) -> TokenAnswer {
         let mut accounts = self.accounts.borrow_mut();
-        let answer = match accounts.take(self.clock.now(), request, take_id) {
+        let answer = match accounts.take(self.context.clock.now(), request, take_id) {
             LedgerAnswer::Granted => {
-                self.metrics.retries.granted(accounts.granted(request).unwrap_or_default());
+                self.context.metrics.retries.granted(accounts.granted(request).unwrap_or_default());
                 TakeAnswer::Granted
             }
             LedgerAnswer::Denied(denial) => {
-                self.metrics.retries.denied(denial_reason(denial));
+                self.context.metrics.retries.denied(denial_reason(denial));
                 take_answer(denial)
             }
         };
@@ -64,7 +58,7 @@
 
     /// Takes a token for one retry of `call` from its account.
     pub(super) async fn take_token(&self, call: &RoutedCall) -> bool {
-        if !self.control.is_on() {
+        if !self.context.control.is_on() {
             // The uncontrolled half of a measurement retries at each hop, bounded by its policy.
             return true;
         }
@@ -95,13 +89,13 @@
 
     /// A denial by this node and not by the account, which counts its own.
     fn deny_retry(&self, call: &RoutedCall, reason: DenialReason) {
-        self.metrics.retries.denied(reason);
+        self.context.metrics.retries.denied(reason);
         self.emit_denied(call, reason);
     }
 
     fn emit_denied(&self, call: &RoutedCall, reason: DenialReason) {
         let (request, service) = (call.request, call.service.clone());
-        self.events.emit(EventKind::RetryDenied { request, service, reason });
+        self.context.events.emit(EventKind::RetryDenied { request, service, reason });
     }
 
     fn note_token(&self, call: &RoutedCall, token: Option<TokenAnswer>) {
@@ -110,7 +104,7 @@
             return;
         };
         match token.answer {
-            TakeAnswer::Granted => self.events.emit(EventKind::RetryGranted {
+            TakeAnswer::Granted => self.context.events.emit(EventKind::RetryGranted {
                 request: call.request,
                 service: call.service.clone(),
                 remaining: token.remaining,
@@ -122,8 +116,8 @@
     }
 
     async fn ask_token(&self, account: NodeId, request: RequestId) -> Option<TokenAnswer> {
-        let take_id = self.rng.borrow_mut().random::<u64>();
-        if account == self.identity.node {
+        let take_id = self.context.rng.borrow_mut().random::<u64>();
+        if account == self.context.identity.node {
             return Some(self.take_own_token(request, take_id));
         }
         timeout(TAKE_TIMEOUT, self.ask_remote_token(account, request, take_id)).await.ok()?
@@ -141,7 +135,7 @@
         take.get().set_request_high(high);
         take.get().set_request_low(low);
         take.get().set_take_id(take_id);
-        self.count_asked(ControlKind::Account, TAKE_BYTES, WORD_BYTES);
+        self.context.count_asked(ControlKind::Account, TAKE_BYTES, WORD_BYTES);
         match take.send().promise.await {
             Ok(response) => {
                 let response = response.get().ok()?;
--- /dev/null
+++ b/crates/coltsfoot-node/src/dispatch/links.rs
@@ -0,0 +1,23 @@
+//! Connections to other nodes, and how nodes find one another.
+
+mod config_pull;
+mod introduced_upstream;
+mod introduction_desk;
+mod introduction_store;
+mod node_finder;
+mod peer_handler;
+mod peer_links;
+mod peer_server;
+mod upstream_announcement;
+mod upstream_row;
+
+pub use config_pull::pull_config;
+pub use introduced_upstream::IntroducedUpstream;
+pub use introduction_desk::IntroductionDesk;
+pub use introduction_store::IntroductionStore;
+pub use node_finder::find_others;
+pub use peer_handler::{PeerHandler, TokenAnswer};
+pub use peer_links::{PeerLink, PeerLinks};
+pub use peer_server::accept_peers;
+pub use upstream_announcement::UpstreamAnnouncement;
+pub use upstream_row::UpstreamRow;
--- a/crates/coltsfoot-node/src/dispatch/peer_links.rs
+++ b/crates/coltsfoot-node/src/dispatch/links/peer_links.rs
@@ -113,7 +113,7 @@
     }
 
     /// Number of connections.
-    pub fn len(&self) -> usize {
+    pub fn count(&self) -> usize {
         self.slots.borrow().len()
     }
 }
--- a/crates/coltsfoot-node/src/dispatch/peer_server.rs
+++ b/crates/coltsfoot-node/src/dispatch/links/peer_server.rs
@@ -12,27 +12,27 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::compat::TokioAsyncReadCompatExt as _;
 
-use super::{
-    control_traffic::{CLAIM_BYTES, SINCE_BYTES, TAKE_BYTES, WORD_BYTES},
-    dispatcher::Dispatcher,
+use super::PeerHandler;
+use crate::{
+    dispatch::context::{CLAIM_BYTES, SINCE_BYTES, TAKE_BYTES, WORD_BYTES},
+    metrics::ControlKind,
 };
-use crate::metrics::ControlKind;
 
 /// The interface as other nodes see it.
-struct PeerServer {
-    dispatcher: Rc<Dispatcher>,
+struct PeerServer<H> {
+    handler: Rc<H>,
 }
 
-impl peer::Server for PeerServer {
+impl<H: PeerHandler + 'static> peer::Server for PeerServer<H> {
     async fn call(
         self: Rc<Self>,
         params: peer::CallParams,
         mut results: peer::CallResults,
     ) -> Result<(), Error> {
         let call = CallRequest::read(params.get()?.get_request()?)?;
-        self.dispatcher.observe(call.stamp);
-        let mut reply = self.dispatcher.guard_call(call).await;
-        reply.stamp = self.dispatcher.events.stamp();
+        self.handler.context().observe(call.stamp);
+        let mut reply = self.handler.call(call).await;
+        reply.stamp = self.handler.context().events.stamp();
         reply.write(results.get().init_reply());
         Ok(())
     }
@@ -44,10 +44,10 @@
     ) -> Result<(), Error> {
         let params = params.get()?;
         let request = join_id(params.get_request_high(), params.get_request_low());
-        let token = self.dispatcher.take_own_token(request, params.get_take_id());
+        let token = self.handler.take_token(request, params.get_take_id());
         results.get().set_answer(write_take_answer(token.answer));
         results.get().set_remaining(token.remaining);
-        self.dispatcher.count_answered(ControlKind::Account, TAKE_BYTES, WORD_BYTES);
+        self.handler.context().count_answered(ControlKind::Account, TAKE_BYTES, WORD_BYTES);
         Ok(())
     }
 
@@ -56,9 +56,9 @@
         params: peer::ConfigSinceParams,
         mut results: peer::ConfigSinceResults,
     ) -> Result<(), Error> {
-        let delta = self.dispatcher.config_since(params.get()?.get_revision())?;
+        let delta = self.handler.context().config_since(params.get()?.get_revision())?;
         results.get().set_delta(&delta);
-        self.dispatcher.count_answered(ControlKind::Configuration, SINCE_BYTES, delta.len());
+        self.handler.context().count_answered(ControlKind::Configuration, SINCE_BYTES, delta.len());
         Ok(())
     }
 
@@ -69,17 +69,17 @@
     ) -> Result<(), Error> {
         let params = params.get()?;
         let claim = join_id(params.get_claim_high(), params.get_claim_low());
-        results.get().set_state(write_claim_state(self.dispatcher.claim_state(claim)));
-        self.dispatcher.count_answered(ControlKind::Claim, CLAIM_BYTES, WORD_BYTES);
+        results.get().set_state(write_claim_state(self.handler.claim_state(claim)));
+        self.handler.context().count_answered(ControlKind::Claim, CLAIM_BYTES, WORD_BYTES);
         Ok(())
     }
 }
 
 /// Accepts connections of other nodes for as long as the process runs.
-pub async fn accept_peers(listener: TcpListener, dispatcher: Rc<Dispatcher>) {
+pub async fn accept_peers<H: PeerHandler + 'static>(listener: TcpListener, handler: Rc<H>) {
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => serve_peer(stream, dispatcher.clone()),
+            Ok((stream, _)) => serve_peer(stream, handler.clone()),
             // Out of descriptors: closing connections frees some, so try again a little later.
             Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
         }
@@ -89,12 +89,12 @@
 /// Pause after a failed accept.
 const ACCEPT_PAUSE: std::time::Duration = std::time::Duration::from_millis(20);
 
-fn serve_peer(stream: TcpStream, dispatcher: Rc<Dispatcher>) {
+fn serve_peer<H: PeerHandler + 'static>(stream: TcpStream, handler: Rc<H>) {
     // Without it answers wait for the peer's delayed acknowledgement; a failure only costs time.
     let _ = stream.set_nodelay(true);
     let (reader, writer) = stream.compat().split();
     let network = VatNetwork::new(reader, writer, Side::Server, Default::default());
-    let server: peer::Client = capnp_rpc::new_client(PeerServer { dispatcher });
+    let server: peer::Client = capnp_rpc::new_client(PeerServer { handler });
     let system = RpcSystem::new(Box::new(network), Some(server.client));
     tokio::task::spawn_local(system);
 }
--- a/crates/coltsfoot-node/src/dispatch/node_status.rs
+++ b/crates/coltsfoot-node/src/dispatch/node_status.rs
@@ -4,47 +4,40 @@
 
 use coltsfootroute::{membership::MembershipStatus, name::ServiceName};
 use http::StatusCode;
-use tokio::{sync::oneshot, time::timeout};
+use tokio::time::timeout;
 
 use super::{
-    dispatcher::Dispatcher,
-    member_counts::MemberCounts,
+    dispatch_rooms::DispatchRooms,
+    ingress::MemberCounts,
     status_body::{MembershipBody, OverdueBody, PoolBody, ServiceBody, StatusBody, UpstreamBody},
 };
-use crate::{gossip::GossipCommand, http::HttpReply};
+use crate::http::HttpReply;
 
 /// Longest wait for the gossip duty's part of the state.
 const GOSSIP_WAIT: Duration = Duration::from_millis(500);
 
-impl Dispatcher {
+impl DispatchRooms {
     /// The state of the node, for operators.
     pub(super) async fn status(&self) -> HttpReply {
-        let membership = timeout(GOSSIP_WAIT, self.ask_gossip()).await.ok().flatten();
+        let membership = timeout(GOSSIP_WAIT, self.context.ask_gossip()).await.ok().flatten();
         HttpReply::json(StatusCode::OK, &self.status_body(membership))
     }
 
-    /// What the gossip duty knows; `None` if it is gone.
-    pub(super) async fn ask_gossip(&self) -> Option<MembershipStatus> {
-        let (reply, status) = oneshot::channel();
-        self.gossip.send(GossipCommand::Status(reply)).await.ok()?;
-        status.await.ok()
-    }
-
     fn status_body(&self, membership: Option<MembershipStatus>) -> StatusBody {
-        let now = self.clock.now();
-        let drain = self.drain.borrow();
-        let revision = self.revision();
+        let now = self.context.clock.now();
+        let drain = self.guard.drain.borrow();
+        let revision = self.context.revision();
         StatusBody {
-            node: self.identity.node.to_string(),
-            incarnation: self.identity.incarnation.0,
-            domain: self.identity.domain.to_string(),
-            region: self.identity.region.to_string(),
+            node: self.context.identity.node.to_string(),
+            incarnation: self.context.identity.incarnation.0,
+            domain: self.context.identity.domain.to_string(),
+            region: self.context.identity.region.to_string(),
             revision,
             ready: revision > 0 && !drain.closes_connections(),
             phase: drain.phase(now).as_str(),
             in_flight: drain.in_flight(),
             overdue: drain.overdue(now).map(OverdueBody::from),
-            links: self.links.len(),
+            links: self.links.count(),
             membership: membership.map(MembershipBody::from),
             services: self.service_bodies(),
             upstream: self.upstream_body(),
@@ -53,7 +46,7 @@
     }
 
     fn service_bodies(&self) -> Vec<ServiceBody> {
-        let counts = self.member_counts.borrow();
+        let counts = self.ingress.member_counts.borrow();
         let body = |(service, members): (&ServiceName, &MemberCounts)| ServiceBody {
             service: service.to_string(),
             members: *members,
@@ -62,8 +55,8 @@
     }
 
     fn pool_bodies(&self) -> Vec<PoolBody> {
-        let now = self.clock.now();
-        let pools = self.pools.borrow();
+        let now = self.context.clock.now();
+        let pools = self.ingress.pools.borrow();
         let bodies = pools
             .iter()
             .map(|(service, entry)| PoolBody::new(service.to_string(), &entry.pool.status(now)));
@@ -71,9 +64,9 @@
     }
 
     fn upstream_body(&self) -> Option<UpstreamBody> {
-        let upstream = self.guard.upstream.borrow();
+        let upstream = self.guard.state.upstream.borrow();
         let upstream = upstream.as_ref()?;
-        let gate = self.guard.gate.borrow();
+        let gate = self.guard.state.gate.borrow();
         let gate = gate.as_ref()?;
         Some(UpstreamBody {
             service: upstream.announcement.service.to_string(),
@@ -82,7 +75,7 @@
             in_flight: gate.in_flight(),
             queued: gate.queued(),
             queue: gate.queue_length(),
-            severity: gate.shed_level(self.clock.now()).severity(),
+            severity: gate.shed_level(self.context.clock.now()).severity(),
         })
     }
 }
--- a/crates/coltsfoot-node/src/dispatch/status_body.rs
+++ b/crates/coltsfoot-node/src/dispatch/status_body.rs
@@ -6,7 +6,7 @@
     routing::{PoolStatus, UpstreamPhase, UpstreamStatus},
 };
 
-use super::member_counts::MemberCounts;
+use super::ingress::MemberCounts;
 
 /// Upstreams named one by one in a pool, at most.
 const MAX_NAMED: usize = 32;
--- a/crates/coltsfoot-node/src/http/pipeline.rs
+++ b/crates/coltsfoot-node/src/http/pipeline.rs
@@ -6,11 +6,13 @@
 
 mod body_reader;
 mod connection;
+mod connection_limits;
 mod request_buffer;
 mod request_error;
 mod response_bytes;
 
-pub use connection::{ConnectionLimits, accept_connections};
+pub use connection::accept_connections;
+pub use connection_limits::ConnectionLimits;
 pub use request_error::FramingError;
 
 use bytes::Bytes;
--- a/crates/coltsfoot-node/src/http/pipeline/connection.rs
+++ b/crates/coltsfoot-node/src/http/pipeline/connection.rs
@@ -16,7 +16,8 @@
 };
 
 use super::{
-    FramingError, WholeRequest, WholeResponse, request_buffer::RequestBuffer, response_bytes,
+    ConnectionLimits, FramingError, WholeRequest, WholeResponse, request_buffer::RequestBuffer,
+    response_bytes,
 };
 
 /// Requests of one connection that are worked on at a time. Clients send two or three ahead.
@@ -34,19 +35,6 @@
 /// Leave to send a body that a client asks before.
 const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
 
-/// Bounds on one connection.
-#[derive(Clone, Copy, Debug)]
-pub struct ConnectionLimits {
-    /// Most bytes of a head.
-    pub head_bytes: usize,
-    /// Most bytes of a body.
-    pub body_bytes: usize,
-    /// Time from the first byte of a request to its last.
-    pub request_time: Duration,
-    /// Time that a connection without a request is kept.
-    pub idle_time: Duration,
-}
-
 /// How the answer to one request goes out.
 struct Reply {
     response: WholeResponse,
--- a/crates/coltsfoot-slopes/src/lib.rs
+++ b/crates/coltsfoot-slopes/src/lib.rs
@@ -9,5 +9,6 @@
 pub mod mesh;
 pub mod processor_clock;
 pub mod report;
+pub mod run;
 pub mod sample_schema;
 pub mod slopes;
--- a/crates/coltsfoot-slopes/src/main.rs
+++ b/crates/coltsfoot-slopes/src/main.rs
@@ -1,6 +1,6 @@
 //! Command `coltsfoot-slopes`.
 
-use coltsfoot_slopes::{arguments::SlopeArguments, slopes};
+use coltsfoot_slopes::{arguments::SlopeArguments, run::run};
 use stats_alloc::{INSTRUMENTED_SYSTEM, StatsAlloc};
 use std::alloc::System;
 
@@ -11,5 +11,5 @@
 fn main() -> anyhow::Result<()> {
     let matches = SlopeArguments::command().get_matches();
     let arguments = SlopeArguments::from_matches(&matches);
-    slopes::run(&arguments, &mut std::io::stdout().lock())
+    run(&arguments, &mut std::io::stdout().lock())
 }
--- a/crates/coltsfoot-slopes/src/slopes.rs
+++ b/crates/coltsfoot-slopes/src/slopes.rs
@@ -7,14 +7,11 @@
 mod news;
 mod spread;
 
-use std::{fs, io::Write, path::Path};
+use std::io::Write;
 
 use anyhow::Context as _;
 
-use crate::{
-    arguments::SlopeArguments,
-    report::{MeasuredSlope, draw},
-};
+use crate::report::MeasuredSlope;
 
 type Measurement = fn() -> anyhow::Result<Vec<MeasuredSlope>>;
 
@@ -43,37 +40,18 @@
     MEASUREMENTS.iter().map(|(name, ..)| *name).collect()
 }
 
-/// Runs the measurement asked for, or lists all.
+/// Name and subject of each measurement.
+pub fn subjects() -> impl Iterator<Item = (&'static str, &'static str)> {
+    MEASUREMENTS.iter().map(|(name, about, _)| (*name, *about))
+}
+
+/// Runs the measurement called `name`.
 ///
 /// # Errors
 ///
-/// If the measurement fails, or its files can't be written.
-pub fn run(arguments: &SlopeArguments, output: &mut impl Write) -> anyhow::Result<()> {
-    for slope in slopes_of(arguments, output)? {
-        write!(output, "{}", slope.to_lines())?;
-        if let Some(directory) = &arguments.out {
-            write_files(&slope, directory)?;
-        }
-    }
-    Ok(())
-}
-
-fn slopes_of(
-    arguments: &SlopeArguments,
-    output: &mut impl Write,
-) -> anyhow::Result<Vec<MeasuredSlope>> {
-    if let Some(file) = &arguments.csv {
-        let name = file.file_stem().context("a file name")?.to_string_lossy();
-        let slope = MeasuredSlope::from_csv(&name, &fs::read_to_string(file)?);
-        return Ok(vec![slope.context("not a table of points")?]);
-    }
-    let Some(wanted) = &arguments.name else {
-        for (name, about, _) in MEASUREMENTS {
-            writeln!(output, "{name}: {about}")?;
-        }
-        return Ok(Vec::new());
-    };
-    let found = MEASUREMENTS.iter().find(|(name, ..)| name == wanted);
+/// If there is none, or it fails.
+pub fn measure(name: &str) -> anyhow::Result<Vec<MeasuredSlope>> {
+    let found = MEASUREMENTS.iter().find(|(known, ..)| *known == name);
     let (.., measure) = found.context("no such measurement")?;
     measure()
 }
@@ -83,10 +61,3 @@
     // Progress that can't be shown is no reason to stop.
     let _ = writeln!(std::io::stderr(), "{name}: {x}: {y:.3}");
 }
-
-fn write_files(slope: &MeasuredSlope, directory: &Path) -> anyhow::Result<()> {
-    fs::create_dir_all(directory)?;
-    fs::write(directory.join(format!("{}.csv", slope.name)), slope.to_csv())?;
-    fs::write(directory.join(format!("{}.svg", slope.name)), draw(slope)?)?;
-    Ok(())
-}
--- a/crates/coltsfootroute/src/schema.rs
+++ b/crates/coltsfootroute/src/schema.rs
@@ -16,6 +16,7 @@
 mod service_entry;
 mod source_fields;
 mod source_node;
+mod source_notes;
 mod source_reader;
 
 pub use call_edge::CallEdge;
--- a/crates/coltsfootroute/src/schema/call_graph.rs
+++ b/crates/coltsfootroute/src/schema/call_graph.rs
@@ -1,6 +1,6 @@
 //! The call graph that a document declares, by operation.
 
-use super::{CallEdge, OperationEntry, SchemaDocument};
+use super::{CallEdge, OperationEntry, ServiceEntry};
 use crate::name::{OperationName, ServiceName};
 use indexmap::IndexMap;
 
@@ -56,10 +56,10 @@
 }
 
 impl<'a> CallGraph<'a> {
-    /// Indexes `document`; of operations declared twice the first counts.
-    pub fn new(document: &'a SchemaDocument) -> Self {
+    /// Indexes the `services` of a document; of operations declared twice the first counts.
+    pub fn new(services: &'a [ServiceEntry]) -> Self {
         let mut vertices = IndexMap::new();
-        for (i, service) in document.services.iter().enumerate() {
+        for (i, service) in services.iter().enumerate() {
             for (j, operation) in service.operations.iter().enumerate() {
                 let key = (&service.name, &operation.name);
                 vertices.entry(key).or_insert(Vertex { place: (i, j), operation });
--- a/crates/coltsfootroute/src/schema/schema_check.rs
+++ b/crates/coltsfootroute/src/schema/schema_check.rs
@@ -111,7 +111,7 @@
     }
 
     fn graph(&mut self) {
-        let graph = CallGraph::new(self.document);
+        let graph = CallGraph::new(&self.document.services);
         let survey = graph.survey();
         for cycle in &survey.cycles {
             let message = format!("cycle of calls: {}", cycle.chain.join(" -> "));
--- a/crates/coltsfootroute/src/schema/schema_document.rs
+++ b/crates/coltsfootroute/src/schema/schema_document.rs
@@ -31,7 +31,11 @@
         service: &ServiceName,
         operation: &OperationName,
     ) -> IndexSet<ServiceName> {
-        CallGraph::new(self).reachable((service, operation)).into_iter().cloned().collect()
+        CallGraph::new(&self.services)
+            .reachable((service, operation))
+            .into_iter()
+            .cloned()
+            .collect()
     }
 
     /// Services that operations of `service` call directly, each once.
--- a/crates/coltsfootroute/src/schema/schema_parser.rs
+++ b/crates/coltsfootroute/src/schema/schema_parser.rs
@@ -4,6 +4,7 @@
     SchemaDocument, SchemaError, SchemaErrors,
     schema_check::SchemaCheck,
     source_node::{SourceNode, SourceValue},
+    source_notes::SourceNotes,
     source_reader::SourceReader,
 };
 use indexmap::{IndexMap, IndexSet};
@@ -33,7 +34,7 @@
             .map_err(|error| syntax(&error))?;
         let mut reader = SourceReader::default();
         let document = reader.document(&root);
-        let SourceReader { mut errors, places } = reader;
+        let SourceNotes { mut errors, places } = reader.notes;
         if matches!(root.value, SourceValue::Map(_)) {
             errors.extend(faults_of_meaning(&document, &errors, &places));
         }
--- a/crates/coltsfootroute/src/schema/source_fields.rs
+++ b/crates/coltsfootroute/src/schema/source_fields.rs
@@ -3,14 +3,14 @@
 use super::{
     SchemaError,
     source_node::{SourceNode, SourceValue},
-    source_reader::SourceReader,
+    source_notes::SourceNotes,
 };
 use indexmap::IndexMap;
 use std::{fmt::Display, str::FromStr};
 
-/// Reads the fields of one mapping; reports unknown, duplicate, missing and mistyped ones to its reader.
+/// Reads the fields of one mapping; notes unknown, duplicate, missing and mistyped ones.
 pub(super) struct SourceFields<'a, 'r> {
-    reader: &'r mut SourceReader,
+    notes: &'r mut SourceNotes,
     node: &'a SourceNode,
     path: String,
     fields: IndexMap<&'a str, &'a SourceNode>,
@@ -21,14 +21,14 @@
 impl<'a, 'r> SourceFields<'a, 'r> {
     /// Opens `node`, whose path is `path`, and reports keys not in `known`.
     pub fn new(
-        reader: &'r mut SourceReader,
+        notes: &'r mut SourceNotes,
         node: &'a SourceNode,
         path: &str,
         known: &[&str],
     ) -> Self {
-        reader.places.insert(path.to_owned(), (node.line, node.column));
+        notes.places.insert(path.to_owned(), (node.line, node.column));
         let mut fields =
-            Self { reader, node, path: path.to_owned(), fields: IndexMap::new(), is_map: true };
+            Self { notes, node, path: path.to_owned(), fields: IndexMap::new(), is_map: true };
         match &node.value {
             SourceValue::Map(entries) => fields.open(entries, known),
             other => {
@@ -54,7 +54,7 @@
             } else if self.fields.insert(name, value).is_some() {
                 self.report(key, path, "duplicate field".to_owned());
             } else {
-                self.reader.places.insert(path, (value.line, value.column));
+                self.notes.places.insert(path, (value.line, value.column));
             }
         }
     }
@@ -162,7 +162,7 @@
     }
 
     fn report(&mut self, node: &SourceNode, field: String, message: String) {
-        self.reader.errors.push(SchemaError {
+        self.notes.errors.push(SchemaError {
             line: node.line,
             column: node.column,
             field,
--- a/crates/coltsfootroute/src/schema/source_reader.rs
+++ b/crates/coltsfootroute/src/schema/source_reader.rs
@@ -1,29 +1,26 @@
 //! Reads a schema from a YAML tree and gathers every fault of its form.
 
 use super::{
-    CallEdge, ClientEntry, OperationEntry, PathMatch, SchemaDocument, SchemaError, ServiceEntry,
-    source_fields::SourceFields, source_node::SourceNode,
+    CallEdge, ClientEntry, OperationEntry, PathMatch, SchemaDocument, ServiceEntry,
+    source_fields::SourceFields, source_node::SourceNode, source_notes::SourceNotes,
 };
 use crate::{
     importance::Importance,
     name::{OperationName, ServiceName},
 };
-use indexmap::IndexMap;
 
 /// Reads a document however faulty its form is: what is missing or wrong is reported and replaced by a
 /// stand-in, so that the rest can still be checked.
 #[derive(Default)]
 pub(super) struct SourceReader {
-    /// Faults of form found so far.
-    pub errors: Vec<SchemaError>,
-    /// Line and column of each field read, by path.
-    pub places: IndexMap<String, (u64, u64)>,
+    /// Faults and places found so far.
+    pub notes: SourceNotes,
 }
 
 impl SourceReader {
     /// Reads a whole document.
     pub fn document(&mut self, node: &SourceNode) -> SchemaDocument {
-        let mut fields = SourceFields::new(self, node, "", &["deployment", "services"]);
+        let mut fields = SourceFields::new(&mut self.notes, node, "", &["deployment", "services"]);
         let deployment = fields.text("deployment");
         let services = fields.list("services", true);
         SchemaDocument { deployment, services: self.each(services, Self::service) }
@@ -31,7 +28,7 @@
 
     fn service(&mut self, node: &SourceNode, path: &str) -> ServiceEntry {
         let known = ["name", "slots", "connections", "retention_s", "operations"];
-        let mut fields = SourceFields::new(self, node, path, &known);
+        let mut fields = SourceFields::new(&mut self.notes, node, path, &known);
         let name = ServiceName::from(fields.text("name"));
         let slots = fields.count("slots", None);
         let connections = fields.count("connections", None);
@@ -44,7 +41,7 @@
 
     fn operation(&mut self, node: &SourceNode, path: &str) -> OperationEntry {
         let known = ["name", "repeatable", "most_attempts", "client", "matches", "calls"];
-        let mut fields = SourceFields::new(self, node, path, &known);
+        let mut fields = SourceFields::new(&mut self.notes, node, path, &known);
         let name = OperationName::from(fields.text("name"));
         let repeatable = fields.flag("repeatable", true);
         let most_attempts = fields.optional_count("most_attempts");
@@ -58,7 +55,8 @@
     }
 
     fn path_match(&mut self, node: &SourceNode, path: &str) -> PathMatch {
-        let mut fields = SourceFields::new(self, node, path, &["host", "prefix", "weight"]);
+        let mut fields =
+            SourceFields::new(&mut self.notes, node, path, &["host", "prefix", "weight"]);
         let host = fields.text("host");
         let prefix = fields.text("prefix");
         let weight = fields.count("weight", Some(1));
@@ -67,7 +65,7 @@
 
     fn client(&mut self, node: &SourceNode, path: &str) -> ClientEntry {
         let known = ["importance", "deadline_ms", "retry_budget"];
-        let mut fields = SourceFields::new(self, node, path, &known);
+        let mut fields = SourceFields::new(&mut self.notes, node, path, &known);
         let importance = fields.parsed::<Importance>("importance").unwrap_or_default();
         let deadline_ms = fields.number("deadline_ms", None);
         let retry_budget = fields.count("retry_budget", None);
@@ -75,7 +73,8 @@
     }
 
     fn call(&mut self, node: &SourceNode, path: &str) -> CallEdge {
-        let mut fields = SourceFields::new(self, node, path, &["service", "operation", "fan_out"]);
+        let mut fields =
+            SourceFields::new(&mut self.notes, node, path, &["service", "operation", "fan_out"]);
         let service = ServiceName::from(fields.text("service"));
         let operation = OperationName::from(fields.text("operation"));
         let fan_out = fields.count("fan_out", Some(1));
