--- a/crates/coltsfoot-node/src/dispatch/entry_port.rs
+++ b/crates/coltsfoot-node/src/dispatch/entry_port.rs
@@ -10,7 +10,7 @@
 use coltsfootroute::{
     event::EventKind,
     id::RequestId,
-    membership::{HeartbeatVerdict, InstanceName},
+    membership::{HeartbeatVerdict, InstanceLife},
     time::MonotonicTime,
 };
 
@@ -102,7 +102,7 @@
     }
 
     /// The instance has left, or is about to: nothing is dispatched to it from now on.
-    pub async fn leave(&self, instance: &InstanceName) {
+    pub async fn leave(&self, instance: InstanceLife) {
         self.guard.hear_leave(instance).await;
     }
 }
--- a/crates/coltsfoot-node/src/dispatch/guard/local_upstream.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard/local_upstream.rs
@@ -4,7 +4,7 @@
 
 use coltsfootroute::{
     event::EventKind,
-    membership::{HeartbeatVerdict, InstanceName, UpstreamOffer},
+    membership::{BirthTime, HeartbeatVerdict, InstanceLife, UpstreamOffer},
     name::ServiceName,
 };
 use http::StatusCode;
@@ -13,6 +13,7 @@
     call_guard::CallGuard, guard_state::GuardedUpstream, upstream_heartbeat::UpstreamHeartbeat,
 };
 use crate::{
+    clock::wall_millis,
     dispatch::links::{UpstreamAnnouncement, UpstreamRow},
     gossip::GossipCommand,
     http::HttpReply,
@@ -60,7 +61,7 @@
             .upstream
             .borrow()
             .as_ref()
-            .is_some_and(|known| known.announcement.instance == announcement.instance);
+            .is_some_and(|known| known.announcement.life() == announcement.life());
         if !is_known {
             *self.state.upstream.borrow_mut() = Some(GuardedUpstream {
                 announcement,
@@ -79,15 +80,15 @@
     /// might take it up again.
     pub async fn withdraw_named(&self) {
         self.withdraw_upstream().await;
-        if let Some(instance) = self.upstream_instance() {
+        if let Some(instance) = self.upstream_life() {
             self.introduction.depart(instance);
         }
         self.introduction.settle().await;
     }
 
     /// The life of the upstream beside the node that was heard of last, if it names itself.
-    fn upstream_instance(&self) -> Option<InstanceName> {
-        self.state.upstream.borrow().as_ref()?.announcement.instance.clone()
+    fn upstream_life(&self) -> Option<InstanceLife> {
+        self.state.upstream.borrow().as_ref()?.announcement.life()
     }
 
     /// Whether the announcement says anything new.
@@ -156,6 +157,7 @@
             .as_ref()
             .is_some_and(|known| !known.leaving && now.since(known.heard) > SILENCE_LIMIT);
         if silent {
+            self.state.instances.borrow_mut().note_silence();
             self.withdraw_upstream().await;
         }
     }
@@ -174,7 +176,8 @@
         let verdict = self.state.instances.borrow_mut().hear(&instance, sequence);
         if verdict != HeartbeatVerdict::Fresh {
             let departed = verdict == HeartbeatVerdict::Departed;
-            let ignored = EventKind::HeartbeatIgnored { instance, sequence, departed };
+            let ignored =
+                EventKind::HeartbeatIgnored { instance: instance.name, sequence, departed };
             self.context.events.emit(ignored);
             return verdict;
         }
@@ -186,14 +189,16 @@
         verdict
     }
 
-    /// The instance has left, or is about to: nothing is dispatched to it from now on.
-    pub async fn hear_leave(&self, instance: &InstanceName) {
+    /// The instance has left, or is about to: nothing is dispatched to it from now on. A leave that does not say of which
+    /// life it is speaks of all until now.
+    pub async fn hear_leave(&self, instance: InstanceLife) {
         self.introduction.await_resumed().await;
-        self.leave_instance(instance).await;
+        let born = instance.born.unwrap_or_else(|| BirthTime(wall_millis()));
+        self.leave_instance(instance.with_born(Some(born))).await;
     }
 
-    async fn leave_instance(&self, instance: &InstanceName) {
-        let is_present = self.state.instances.borrow_mut().leave(instance);
+    async fn leave_instance(&self, instance: InstanceLife) {
+        let is_present = self.state.instances.borrow_mut().leave(&instance);
         if is_present {
             self.withdraw_named().await;
         }
@@ -204,14 +209,16 @@
     pub async fn resume_upstream(self: Rc<Self>) {
         match self.introduction.read_row().await {
             Some(UpstreamRow::Serving(announcement)) => self.resume_serving(announcement).await,
-            Some(UpstreamRow::Departed { departed }) => self.leave_instance(&departed).await,
+            Some(UpstreamRow::Departed { departed, born }) => {
+                self.leave_instance(InstanceLife::new(departed).with_born(born)).await;
+            }
             None => {}
         }
         self.introduction.note_resumed();
     }
 
     async fn resume_serving(&self, announcement: UpstreamAnnouncement) {
-        let Some(instance) = announcement.instance.clone() else { return };
+        let Some(instance) = announcement.life() else { return };
         let is_first = self.state.instances.borrow_mut().resume(&instance);
         if is_first {
             self.announce_upstream(announcement).await;
--- a/crates/coltsfoot-node/src/dispatch/links/introduction_desk.rs
+++ b/crates/coltsfoot-node/src/dispatch/links/introduction_desk.rs
@@ -8,7 +8,7 @@
 };
 
 use coltsfootroute::{
-    membership::{InstanceName, IntroductionRow},
+    membership::{InstanceLife, IntroductionRow},
     name::ServiceName,
     table::{RowCondition, RowKey, RowWrite, TableReply, TableRequest},
 };
@@ -44,7 +44,7 @@
     /// Whether they stand for certain. Invariant: only while `written` is something.
     is_certain: Cell<bool>,
     /// Life of the upstream whose leave the row shall tell of. Invariant: only while nothing is `wanted`.
-    departed: RefCell<Option<InstanceName>>,
+    departed: RefCell<Option<InstanceLife>>,
     /// Whether the row tells of it.
     is_departed_written: Cell<bool>,
     /// Whether what the life before this one has written is known, or past finding out.
@@ -79,7 +79,7 @@
         self.departed.take();
         *self.wanted.borrow_mut() = Some(IntroducedUpstream {
             service: announcement.service.clone(),
-            instance: announcement.instance.clone(),
+            instance: announcement.life(),
         });
         *self.announcement.borrow_mut() = Some(announcement.clone());
         self.wanted_changed.notify_one();
@@ -92,7 +92,7 @@
     }
 
     /// The upstream has said itself that it leaves: the rows shall tell of that.
-    pub fn depart(&self, instance: InstanceName) {
+    pub fn depart(&self, instance: InstanceLife) {
         self.wanted.take();
         *self.departed.borrow_mut() = Some(instance);
         self.is_departed_written.set(false);
@@ -185,7 +185,7 @@
         let Some(departed) = departed.filter(|_| !self.is_departed_written.get()) else {
             return true;
         };
-        let row = UpstreamRow::Departed { departed: departed.clone() };
+        let row = UpstreamRow::Departed { departed: departed.name.clone(), born: departed.born };
         // A name always has a JSON form.
         let write = self.upstream_write(serde_json::to_string(&row).ok());
         let request = TableRequest::Transact(write.into_iter().collect());
--- a/crates/coltsfoot-node/src/dispatch/links/upstream_announcement.rs
+++ b/crates/coltsfoot-node/src/dispatch/links/upstream_announcement.rs
@@ -2,7 +2,10 @@
 
 use std::net::SocketAddr;
 
-use coltsfootroute::{membership::InstanceName, name::ServiceName};
+use coltsfootroute::{
+    membership::{BirthTime, InstanceLife, InstanceName},
+    name::ServiceName,
+};
 
 /// What the upstream beside the node says of itself in `PUT /upstream`.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
@@ -10,9 +13,12 @@
 pub struct UpstreamAnnouncement {
     /// Service that the upstream is one of.
     pub service: ServiceName,
-    /// Its life, if it names itself; calls then run on no other one.
+    /// Its name, if it has one; calls then run on no other one.
     #[serde(default)]
     pub instance: Option<InstanceName>,
+    /// When it started, if it says so.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub born: Option<BirthTime>,
     /// Where it takes calls.
     pub address: SocketAddr,
     /// Calls it can work on at once; at least 1.
@@ -20,3 +26,11 @@
     /// Connections it takes; at least 1.
     pub connections: u32,
 }
+
+impl UpstreamAnnouncement {
+    /// The life that announces itself, if it has a name.
+    pub fn life(&self) -> Option<InstanceLife> {
+        let name = self.instance.clone()?;
+        Some(InstanceLife::new(name).with_born(self.born))
+    }
+}
--- a/crates/coltsfoot-node/src/dispatch/links/upstream_row.rs
+++ b/crates/coltsfoot-node/src/dispatch/links/upstream_row.rs
@@ -1,6 +1,6 @@
 //! The row by which a node finds its upstream again after a restart.
 
-use coltsfootroute::membership::InstanceName;
+use coltsfootroute::membership::{BirthTime, InstanceName};
 
 use super::UpstreamAnnouncement;
 
@@ -12,7 +12,10 @@
     Serving(UpstreamAnnouncement),
     /// The upstream has left: a late heartbeat of it changes nothing, whichever life of the node it reaches.
     Departed {
-        /// The life that has left.
+        /// Name of the upstream that has left.
         departed: InstanceName,
+        /// When the life that has left began, if it said so.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        born: Option<BirthTime>,
     },
 }
--- a/crates/coltsfootroute/src/membership.rs
+++ b/crates/coltsfootroute/src/membership.rs
@@ -14,6 +14,7 @@
 mod gossip_settings;
 mod group_view;
 mod instance_ledger;
+mod instance_life;
 mod introduction_row;
 mod introduction_scan;
 mod member_record;
@@ -35,7 +36,8 @@
 pub use gossip_payload::GossipPayload;
 pub use gossip_settings::GossipSettings;
 pub use group_view::{GroupView, MAX_BUCKETS, MergeOutcome};
-pub use instance_ledger::{HeartbeatVerdict, InstanceLedger, InstanceName};
+pub use instance_ledger::{HeartbeatVerdict, InstanceLedger};
+pub use instance_life::{BirthTime, InstanceLife, InstanceName};
 pub use introduction_row::IntroductionRow;
 pub use introduction_scan::IntroductionScan;
 pub use member_record::MemberRecord;
--- a/crates/coltsfootroute/tests/integration/membership/instances.rs
+++ b/crates/coltsfootroute/tests/integration/membership/instances.rs
@@ -1,9 +1,16 @@
 //! Heartbeats of one host's upstreams, late and out of order.
 
-use coltsfootroute::membership::{HeartbeatVerdict, InstanceLedger, InstanceName};
+use coltsfootroute::membership::{
+    BirthTime, HeartbeatVerdict, InstanceLedger, InstanceLife, InstanceName,
+};
 
-fn name(text: &str) -> InstanceName {
-    InstanceName::new(text)
+/// A life whose upstream does not say when it began.
+fn name(text: &str) -> InstanceLife {
+    InstanceLife::new(InstanceName::new(text))
+}
+
+fn life(text: &str, born: u64) -> InstanceLife {
+    name(text).with_born(Some(BirthTime(born)))
 }
 
 #[test]
@@ -54,3 +61,64 @@
     assert!(!was_present);
     assert_eq!(ledger.hear(&name("a"), 1), HeartbeatVerdict::Departed);
 }
+
+#[test]
+fn an_upstream_that_starts_again_under_its_name_counts_anew() {
+    let mut ledger = InstanceLedger::new();
+    ledger.hear(&life("a", 1_000), 40);
+
+    let reborn = ledger.hear(&life("a", 2_000), 1);
+    let late = ledger.hear(&life("a", 1_000), 41);
+
+    assert_eq!(reborn, HeartbeatVerdict::Fresh);
+    assert_eq!(late, HeartbeatVerdict::Departed);
+    assert_eq!(ledger.present(), Some(&life("a", 2_000)));
+}
+
+#[test]
+fn an_upstream_that_has_left_may_start_again_under_its_name() {
+    let mut ledger = InstanceLedger::new();
+    ledger.hear(&life("a", 1_000), 3);
+    ledger.leave(&life("a", 1_000));
+
+    let late = ledger.hear(&life("a", 1_000), 4);
+    let reborn = ledger.hear(&life("a", 2_000), 1);
+
+    assert_eq!((late, reborn), (HeartbeatVerdict::Departed, HeartbeatVerdict::Fresh));
+}
+
+/// A cut may hold a heartbeat back until its sender has crashed and another upstream has its address.
+#[test]
+fn a_heartbeat_of_a_life_never_heard_of_comes_too_late() {
+    let mut ledger = InstanceLedger::new();
+    ledger.hear(&life("b", 2_000), 1);
+
+    let late = ledger.hear(&life("a", 1_000), 7);
+
+    assert_eq!(late, HeartbeatVerdict::Departed);
+    assert_eq!(ledger.present(), Some(&life("b", 2_000)));
+}
+
+#[test]
+fn a_leave_of_the_life_before_does_not_end_the_present_one() {
+    let mut ledger = InstanceLedger::new();
+    ledger.hear(&life("a", 2_000), 1);
+
+    let was_present = ledger.leave(&life("a", 1_000));
+
+    assert!(!was_present);
+    assert_eq!(ledger.hear(&life("a", 2_000), 2), HeartbeatVerdict::Fresh);
+}
+
+/// The time of day may jump back between two starts.
+#[test]
+fn a_life_that_looks_old_takes_the_place_of_one_that_has_fallen_silent() {
+    let mut ledger = InstanceLedger::new();
+    ledger.hear(&life("a", 9_000), 5);
+
+    let before = ledger.hear(&life("b", 4_000), 1);
+    ledger.note_silence();
+    let after = ledger.hear(&life("b", 4_000), 2);
+
+    assert_eq!((before, after), (HeartbeatVerdict::Departed, HeartbeatVerdict::Fresh));
+}
