Addresses for processes are ports that no connection draws

Change: free_addresses gives out ports from 10,000 to 30,000, below those that the system draws, in turn over the process.

--- a/crates/coltsfoot-standin/src/loopback.rs
+++ b/crates/coltsfoot-standin/src/loopback.rs
@@ -21,13 +21,33 @@
     Ipv4Addr::new(127, second.max(1), third, fourth)
 }
 
-/// As many ports of `host` that are free now, all different. On an [`own_loopback`] they stay so.
+/// First port that [`free_addresses`] gives out.
+const FIRST_PORT: u16 = 10_000;
+/// Ports that it gives out, round and round; all are below those that the system draws for connections (from 32,768 on).
+const PORTS: usize = 20_000;
+
+/// As many ports of `host` that are free now, all different. Nothing takes them until they are bound: a connection to
+/// `host` has a source address of `host` as well, and the system draws its port from others than these.
 ///
 /// # Panics
 ///
 /// If the host has no free ports.
 pub fn free_addresses<const COUNT: usize>(host: Ipv4Addr) -> [SocketAddr; COUNT] {
     // Held together, so that none is given out twice.
-    let sockets = [(); COUNT].map(|()| TcpListener::bind((host, 0)).expect("a free port"));
+    let sockets = [(); COUNT].map(|()| free_socket(host).expect("a free port"));
     sockets.map(|socket| socket.local_addr().expect("a bound socket"))
 }
+
+fn free_socket(host: Ipv4Addr) -> Option<TcpListener> {
+    static NEXT: AtomicUsize = AtomicUsize::new(0);
+    // Processes that share an address begin at different places.
+    let begin = process::id() as usize * PORTS_OF_PROCESS;
+    (0..PORTS).find_map(|_| {
+        let offset = (begin + NEXT.fetch_add(1, Ordering::Relaxed)) % PORTS;
+        let port = FIRST_PORT + u16::try_from(offset).ok()?;
+        TcpListener::bind((host, port)).ok()
+    })
+}
+
+/// Ports between the places where two processes begin.
+const PORTS_OF_PROCESS: usize = 97;
--- a/crates/coltsfoot-standin/tests/integration/main.rs
+++ b/crates/coltsfoot-standin/tests/integration/main.rs
@@ -2,5 +2,6 @@
 
 mod arrivals;
 mod load;
+mod loopback;
 mod upstream;
 mod util;
