--- a/crates/coltsfoot-node/src/dispatch/dispatch_handle.rs
+++ b/crates/coltsfoot-node/src/dispatch/dispatch_handle.rs
@@ -1,5 +1,7 @@
 //! The way to the dispatch duty for the other threads.
 
+use std::time::Duration;
+
 use coltsfootroute::{
     id::RequestId,
     outcome::{CallOutcome, RefusalReason},
@@ -10,8 +12,8 @@
 use super::{DispatchCommand, IncomingCall, UpstreamAnnouncement};
 use crate::http::HttpReply;
 
-/// Seconds after which a caller may come back when the ring is full or the node stops.
-const RETRY_AFTER_S: u32 = 1;
+/// When a caller may come back if the ring is full or the node stops.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// Sends commands to the dispatch duty over a bounded ring.
 #[derive(Clone)]
@@ -37,7 +39,7 @@
                 RequestId(0),
                 RefusalReason::Leaving,
                 CallOutcome::Unknown,
-                RETRY_AFTER_S,
+                RETRY_AFTER,
             )
         })
     }
@@ -78,7 +80,7 @@
         mpsc::error::TrySendError::Full(_) => RefusalReason::Overload,
         mpsc::error::TrySendError::Closed(_) => RefusalReason::Leaving,
     };
-    HttpReply::refusal(RequestId(0), reason, CallOutcome::NotRun, RETRY_AFTER_S)
+    HttpReply::refusal(RequestId(0), reason, CallOutcome::NotRun, RETRY_AFTER)
 }
 
 fn stopping() -> HttpReply {
--- a/crates/coltsfoot-node/src/dispatch/guard/call_guard.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard/call_guard.rs
@@ -127,8 +127,15 @@
     /// A refusal with a jittered time to come back.
     pub fn refusal(&self, reason: RefusalReason, outcome: CallOutcome) -> CallReply {
         let mut rng = self.context.rng.borrow_mut();
-        let level = self.state.level(self.context.now());
-        let after = RetryAfter::draw(Importance::Normal, level, 1.0, &mut *rng);
+        let after = match reason {
+            RefusalReason::Leaving | RefusalReason::NoUpstream | RefusalReason::NoConfiguration => {
+                RetryAfter::draw_for_absence(&mut *rng)
+            }
+            _ => {
+                let level = self.state.level(self.context.now());
+                RetryAfter::draw(Importance::Normal, level, 1.0, &mut *rng)
+            }
+        };
         CallReply::refusal(reason, outcome, after.0)
     }
 }
--- a/crates/coltsfoot-node/src/dispatch/guard/upstream_client.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard/upstream_client.rs
@@ -23,6 +23,13 @@
 /// An idle connection is closed after this, well before an upstream would close it (5 s and more are usual):
 /// a call that crosses the upstream's close may have run.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
+/// A connection whose upstream has not acknowledged what was sent for so long is given up: on one host that takes
+/// microseconds.
+const UNACKNOWLEDGED_TIME: Duration = Duration::from_millis(1_500);
+/// Time between two probes of a connection on which nothing comes.
+const KEEPALIVE: Duration = Duration::from_secs(1);
+/// Probes without an answer until the connection is given up.
+const KEEPALIVE_RETRIES: u32 = 2;
 /// Time to open a connection to a process on the same host.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -89,6 +96,11 @@
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+        // Open connections may go silent while new ones work: each idle one would swallow a call until its deadline.
+        connector.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIME));
+        connector.set_keepalive(Some(KEEPALIVE));
+        connector.set_keepalive_interval(Some(KEEPALIVE));
+        connector.set_keepalive_retries(Some(KEEPALIVE_RETRIES));
         let client = Client::builder(TokioExecutor::new())
             .pool_timer(TokioTimer::new())
             .pool_idle_timeout(IDLE_TIMEOUT)
--- a/crates/coltsfoot-node/src/dispatch/ingress/call_routing.rs
+++ b/crates/coltsfoot-node/src/dispatch/ingress/call_routing.rs
@@ -1,6 +1,6 @@
 //! Sending a call to an upstream of its service: choice, attempts, retries.
 
-use std::rc::Rc;
+use std::{cell::Cell, rc::Rc};
 
 use coltsfoot_wire::peer::{CallReply, CallRequest, LevelNote, ReplyBody};
 use coltsfootroute::{
@@ -38,6 +38,9 @@
             self.learn_levels(&reply.levels);
             self.learn_reached(call, &reply.levels);
             progress.note_reached(&reply);
+            if was_sent {
+                progress.note_absent(&reply);
+            }
             if reply.outcome == CallOutcome::Completed {
                 return progress.end(reply);
             }
@@ -88,9 +91,14 @@
         progress.tried.push(node);
         let mut count = AttemptCount::start(self, call, node, progress.tried.len());
         let until = self.context.clock.instant_at(call.deadline).into();
-        let sending = self.send(node, call, progress.is_retry());
+        let is_sent = Cell::new(false);
+        let sending = self.send(node, call, progress.is_retry(), &is_sent);
         let reply = match timeout_at(until, sending).await {
             Ok(reply) => reply,
+            // Still without a connection, the call has gone nowhere, and its caller may be told so.
+            Err(_) if !is_sent.get() => {
+                self.guard.refusal(RefusalReason::Deadline, CallOutcome::NotRun)
+            }
             Err(_) => self.guard.refusal(RefusalReason::Deadline, CallOutcome::Unknown),
         };
         count.result = route_result(&reply);
@@ -130,8 +138,9 @@
         };
         self.with_pool(&call.service, |pool| {
             let fresh = pool.choose_admitted(now, &mut *rng, tried, time_left, admitted);
+            let absent = &progress.absent;
             let any =
-                fresh.or_else(|| pool.choose_admitted(now, &mut *rng, &[], time_left, admitted));
+                fresh.or_else(|| pool.choose_admitted(now, &mut *rng, absent, time_left, admitted));
             match call.head {
                 Some(_) => any.or_else(|| pool.choose_departing(now, tried)),
                 None => any,
@@ -140,29 +149,52 @@
         .flatten()
     }
 
-    async fn send(self: &Rc<Self>, node: NodeId, call: &RoutedCall, is_retry: bool) -> CallReply {
+    /// Sends a call to the guard beside `node`; `is_sent` tells whether it may have reached it.
+    async fn send(
+        self: &Rc<Self>,
+        node: NodeId,
+        call: &RoutedCall,
+        is_retry: bool,
+        is_sent: &Cell<bool>,
+    ) -> CallReply {
         if node == self.context.identity.node {
+            is_sent.set(true);
             // Boxed: most calls go to other nodes, and their tasks need no room for it.
             return Box::pin(self.guard.guard_call(self.request_of(call, is_retry))).await;
         }
-        let Ok(link) = self.links.call_link(node).await else {
-            self.note_contact(&call.service, false).await;
-            return self.guard.refusal(RefusalReason::NoUpstream, CallOutcome::NotRun);
-        };
-        // Made once the link is open: the time left is that at the sending.
-        match link.call(&self.request_of(call, is_retry)).await {
+        match self.send_over(node, call, is_retry, is_sent).await {
             Ok(reply) => {
                 self.context.observe(reply.stamp);
                 self.note_contact(&call.service, true).await;
                 reply
             }
-            Err(LinkError) => {
+            Err(err) => {
                 self.note_contact(&call.service, false).await;
-                self.guard.refusal(RefusalReason::UpstreamFailed, CallOutcome::Unknown)
+                match err {
+                    LinkError::Unreachable => {
+                        self.guard.refusal(RefusalReason::NoUpstream, CallOutcome::NotRun)
+                    }
+                    LinkError::Ended => {
+                        self.guard.refusal(RefusalReason::UpstreamFailed, CallOutcome::Unknown)
+                    }
+                }
             }
         }
     }
 
+    async fn send_over(
+        &self,
+        node: NodeId,
+        call: &RoutedCall,
+        is_retry: bool,
+        is_sent: &Cell<bool>,
+    ) -> Result<CallReply, LinkError> {
+        let link = self.links.call_link(node).await?;
+        is_sent.set(true);
+        // Made once the link is open: the time left is that at the sending.
+        link.call(&self.request_of(call, is_retry)).await
+    }
+
     fn request_of(&self, call: &RoutedCall, is_retry: bool) -> CallRequest {
         let (now, revision) = (self.context.now(), self.context.revision());
         call.to_request(now, is_retry, revision, self.context.events.stamp())
--- a/crates/coltsfoot-node/src/dispatch/ingress/route_progress.rs
+++ b/crates/coltsfoot-node/src/dispatch/ingress/route_progress.rs
@@ -21,6 +21,8 @@
     pub(super) reached: Vec<NodeId>,
     /// Nodes that would let no repeat pass for now.
     pub(super) denied: Vec<NodeId>,
+    /// Nodes that have no upstream for the call, or stop: they say the same when they are asked again.
+    pub(super) absent: Vec<NodeId>,
     /// The failure that tells most: the last answer of an upstream, or else the last refusal.
     kept: Option<CallReply>,
 }
@@ -41,6 +43,13 @@
         }
     }
 
+    /// Takes note of a guard that has just been asked and has no upstream for the call.
+    pub(super) fn note_absent(&mut self, reply: &CallReply) {
+        if is_absent(reply) {
+            self.absent.extend(self.tried.last());
+        }
+    }
+
     /// The guard tried last lets no repeat pass for now. Another may: upstreams that fail send their repeats to others,
     /// whose own calls have earned less.
     pub(super) fn note_denied(&mut self) {
@@ -93,6 +102,12 @@
     }
 }
 
+/// Whether the guard has refused the call, unsent, for want of an upstream.
+fn is_absent(reply: &CallReply) -> bool {
+    let is_unsent = !reply.reached_upstream && reply.outcome == CallOutcome::NotRun;
+    is_unsent && matches!(reply.reason(), Some(RefusalReason::NoUpstream | RefusalReason::Leaving))
+}
+
 fn is_answer(reply: &CallReply) -> bool {
     matches!(reply.body, ReplyBody::Answer { .. })
 }
--- a/crates/coltsfoot-node/src/dispatch/links/call_frame.rs
+++ b/crates/coltsfoot-node/src/dispatch/links/call_frame.rs
@@ -1,18 +1,21 @@
 //! Frames of the connection that calls go over.
 //!
-//! A frame is a word of eight bytes, little-endian, with the number of a call and the kind of the frame, and then, for
-//! a call and its reply, one Cap'n Proto message in its standard stream form.
+//! A frame is two numbers of four bytes, little-endian: one with the number of a call and the kind of the frame, and the
+//! length of what follows. That is, for a call and its reply, one Cap'n Proto message in its packed form: zeros make more
+//! than a third of a message without a body, and bytes between failure domains have their price.
 
 use std::io;
 
 use capnp::{
     message::{Builder, HeapAllocator, Reader, ReaderOptions},
     serialize::OwnedSegments,
+    serialize_packed,
 };
 use coltsfoot_wire::{
     peer::{CallReply, CallRequest, ReplyBody},
     peer_capnp::{call_reply, call_request},
 };
+use coltsfootroute::constants::MAX_BODY_BYTES;
 use futures_util::{AsyncRead, AsyncReadExt as _};
 
 /// What a caller sends first. A connection for other questions begins with the number of a message's segments, which
@@ -22,9 +25,12 @@
 pub(super) const FRAME_HEAD: usize = 8;
 
 const KIND_BITS: u32 = 8;
-const CALL: u64 = 1;
-const REPLY: u64 = 2;
-const CANCEL: u64 = 3;
+const CALL: u32 = 1;
+const REPLY: u32 = 2;
+const CANCEL: u32 = 3;
+
+/// Longest packed message: a body and as much again for everything else.
+const MAX_MESSAGE_BYTES: usize = 2 * MAX_BODY_BYTES;
 
 /// Room for a call or a reply beside its body, in words of eight bytes; more is allocated where it does not do.
 const USUAL_WORDS: u32 = 160;
@@ -33,23 +39,26 @@
 
 /// One frame, read.
 pub(super) enum CallFrame {
-    /// A call that the caller numbers; numbers are not used again on a connection.
-    Call(u64, Box<CallRequest>),
+    /// A call that the caller numbers.
+    Call(u32, Box<CallRequest>),
     /// The reply to a call.
-    Reply(u64, Box<CallReply>),
+    Reply(u32, Box<CallReply>),
     /// The caller has given the call up.
-    Cancel(u64),
+    Cancel(u32),
 }
 
+/// Numbers go from 0 up to this and then begin anew: no call is under way for so long.
+pub(super) const MAX_NUMBER: u32 = u32::MAX >> KIND_BITS;
+
 /// The frame of a call.
-pub(super) fn call_frame(number: u64, call: &CallRequest) -> Vec<u8> {
+pub(super) fn call_frame(number: u32, call: &CallRequest) -> Vec<u8> {
     let mut message = message_for(call.body.len());
     call.write(message.init_root::<call_request::Builder<'_>>());
     framed(number, CALL, &message)
 }
 
 /// The frame of a reply.
-pub(super) fn reply_frame(number: u64, reply: &CallReply) -> Vec<u8> {
+pub(super) fn reply_frame(number: u32, reply: &CallReply) -> Vec<u8> {
     let body = match &reply.body {
         ReplyBody::Answer { body, .. } => body.len(),
         ReplyBody::Refusal { .. } => 0,
@@ -60,8 +69,8 @@
 }
 
 /// The frame that gives a call up.
-pub(super) fn cancel_frame(number: u64) -> [u8; FRAME_HEAD] {
-    head(number, CANCEL)
+pub(super) fn cancel_frame(number: u32) -> [u8; FRAME_HEAD] {
+    head(number, CANCEL, 0)
 }
 
 /// Reads the next frame; `None` at the end of the connection.
@@ -72,21 +81,23 @@
 pub(super) async fn read_frame(
     reader: &mut (impl AsyncRead + Unpin),
 ) -> Result<Option<CallFrame>, capnp::Error> {
-    let mut bytes = [0; FRAME_HEAD];
-    match reader.read_exact(&mut bytes).await {
+    let mut head = [0; FRAME_HEAD];
+    match reader.read_exact(&mut head).await {
         Ok(()) => {}
         Err(err) if err.kind() == io::ErrorKind::UnexpectedEof => return Ok(None),
         Err(err) => return Err(err.into()),
     }
-    let word = u64::from_le_bytes(bytes);
+    let [word, length] =
+        [0, 4].map(|at| u32::from_le_bytes([0, 1, 2, 3].map(|byte| head[at + byte])));
     let number = word >> KIND_BITS;
+    let message = read_message(reader, length as usize);
     let frame = match word & ((1 << KIND_BITS) - 1) {
         CALL => {
-            let message = read_message(reader).await?;
+            let message = message.await?;
             CallFrame::Call(number, Box::new(CallRequest::read(message.get_root()?)?))
         }
         REPLY => {
-            let message = read_message(reader).await?;
+            let message = message.await?;
             CallFrame::Reply(number, Box::new(CallReply::read(message.get_root()?)?))
         }
         CANCEL => CallFrame::Cancel(number),
@@ -97,8 +108,14 @@
 
 async fn read_message(
     reader: &mut (impl AsyncRead + Unpin),
+    length: usize,
 ) -> Result<Reader<OwnedSegments>, capnp::Error> {
-    capnp_futures::serialize::read_message(reader, ReaderOptions::new()).await
+    if length > MAX_MESSAGE_BYTES {
+        return Err(capnp::Error::failed(format!("a message of {length} bytes")));
+    }
+    let mut bytes = vec![0; length];
+    reader.read_exact(&mut bytes).await?;
+    serialize_packed::read_message(&bytes[..], ReaderOptions::new())
 }
 
 fn message_for(body_bytes: usize) -> Builder<HeapAllocator> {
@@ -106,15 +123,22 @@
     Builder::new(HeapAllocator::new().first_segment_words(USUAL_WORDS + body_words))
 }
 
-fn framed(number: u64, kind: u64, message: &Builder<HeapAllocator>) -> Vec<u8> {
-    let words = message.size_in_words();
-    let mut bytes = Vec::with_capacity(FRAME_HEAD + (words + 2) * WORD_BYTES);
-    bytes.extend_from_slice(&head(number, kind));
+fn framed(number: u32, kind: u32, message: &Builder<HeapAllocator>) -> Vec<u8> {
+    let mut bytes = Vec::with_capacity(FRAME_HEAD + message.size_in_words() * WORD_BYTES);
+    bytes.extend_from_slice(&[0; FRAME_HEAD]);
     // Writing to a vector does not fail.
-    let _ = capnp::serialize::write_message(&mut bytes, message);
+    let _ = serialize_packed::write_message(&mut bytes, message);
+    let length = bytes.len() - FRAME_HEAD;
+    bytes[..FRAME_HEAD].copy_from_slice(&head(number, kind, length));
     bytes
 }
 
-fn head(number: u64, kind: u64) -> [u8; FRAME_HEAD] {
-    ((number << KIND_BITS) | kind).to_le_bytes()
+fn head(number: u32, kind: u32, length: usize) -> [u8; FRAME_HEAD] {
+    let word = ((number << KIND_BITS) | kind).to_le_bytes();
+    // Bodies are bounded, and messages with them.
+    let length = u32::try_from(length).unwrap_or(u32::MAX).to_le_bytes();
+    let mut head = [0; FRAME_HEAD];
+    head[..word.len()].copy_from_slice(&word);
+    head[word.len()..].copy_from_slice(&length);
+    head
 }
--- a/crates/coltsfoot-node/src/dispatch/links/call_link.rs
+++ b/crates/coltsfoot-node/src/dispatch/links/call_link.rs
@@ -15,7 +15,7 @@
 
 use super::{
     LinkError,
-    call_frame::{CallFrame, PREFACE, call_frame, cancel_frame, read_frame},
+    call_frame::{CallFrame, MAX_NUMBER, PREFACE, call_frame, cancel_frame, read_frame},
     link_stream::{LinkReader, LinkWriter, link_stream},
 };
 use crate::journal::LOG_TARGET;
@@ -28,9 +28,9 @@
 
 struct LinkState {
     writer: LinkWriter,
-    next_number: Cell<u64>,
+    next_number: Cell<u32>,
     /// Calls without a reply, by their number; `None` once the connection has ended.
-    open: RefCell<Option<IndexMap<u64, oneshot::Sender<CallReply>>>>,
+    open: RefCell<Option<IndexMap<u32, oneshot::Sender<CallReply>>>>,
 }
 
 impl CallLink {
@@ -57,22 +57,23 @@
     ///
     /// # Errors
     ///
-    /// [`LinkError`] if the connection ends first: the call may have run.
+    /// [`LinkError::Unreachable`] if the connection had ended before, [`LinkError::Ended`] if it ends first: then the call
+    /// may have run.
     pub async fn call(&self, call: &CallRequest) -> Result<CallReply, LinkError> {
         let number = self.state.next_number.get();
-        self.state.next_number.set(number + 1);
+        self.state.next_number.set((number + 1) & MAX_NUMBER);
         let (sender, receiver) = oneshot::channel();
-        self.state.open.borrow_mut().as_mut().ok_or(LinkError)?.insert(number, sender);
+        self.state.open.borrow_mut().as_mut().ok_or(LinkError::Unreachable)?.insert(number, sender);
         let _open = OpenCall { state: &self.state, number };
         self.state.writer.send(&call_frame(number, call));
-        receiver.await.map_err(|_| LinkError)
+        receiver.await.map_err(|_| LinkError::Ended)
     }
 }
 
 /// A call under way; dropped before its reply, the other node is told that it is given up.
 struct OpenCall<'a> {
     state: &'a LinkState,
-    number: u64,
+    number: u32,
 }
 
 impl Drop for OpenCall<'_> {
@@ -86,7 +87,7 @@
 
 impl LinkState {
     /// Takes a call out of those without a reply; `None` if it has one.
-    fn forget(&self, number: u64) -> Option<oneshot::Sender<CallReply>> {
+    fn forget(&self, number: u32) -> Option<oneshot::Sender<CallReply>> {
         self.open.borrow_mut().as_mut()?.swap_remove(&number)
     }
 }
--- a/crates/coltsfoot-node/src/dispatch/links/call_service.rs
+++ b/crates/coltsfoot-node/src/dispatch/links/call_service.rs
@@ -14,7 +14,7 @@
 use crate::journal::LOG_TARGET;
 
 /// Calls under way on one connection, by their number.
-type OpenCalls = Rc<RefCell<IndexMap<u64, AbortHandle>>>;
+type OpenCalls = Rc<RefCell<IndexMap<u32, AbortHandle>>>;
 
 /// Serves the calls of one connection until it ends; then what is under way is given up.
 pub async fn serve_calls<H: CallHandler + 'static>(
@@ -52,7 +52,7 @@
 }
 
 async fn serve_call<H: CallHandler>(
-    number: u64,
+    number: u32,
     call: Box<CallRequest>,
     handler: Rc<H>,
     writer: Rc<LinkWriter>,
--- a/crates/coltsfoot-node/src/dispatch/links/peer_links.rs
+++ b/crates/coltsfoot-node/src/dispatch/links/peer_links.rs
@@ -23,10 +23,16 @@
 /// A connection not used for so long is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 
-/// A connection to the node cannot be opened, and nothing was sent; or it ended with the call under way.
-#[derive(Clone, Copy, Debug, thiserror::Error)]
-#[error("the node cannot be reached")]
-pub struct LinkError;
+/// A node could not be asked, or did not answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum LinkError {
+    /// There is no connection: nothing was sent.
+    #[error("the node cannot be reached")]
+    Unreachable,
+    /// The connection ended with the call under way: it may have run.
+    #[error("the connection to the node has ended")]
+    Ended,
+}
 
 /// A connection to a node for questions other than calls.
 #[derive(Clone)]
@@ -60,7 +66,7 @@
     ///
     /// # Errors
     ///
-    /// [`LinkError`] if the node does not accept it in time.
+    /// [`LinkError::Unreachable`] if the node does not accept it in time.
     pub async fn get(&self, node: NodeId) -> Result<PeerLink, LinkError> {
         self.questions.get(self.clock.now(), node, async |place| open(node, place).await).await
     }
@@ -69,7 +75,7 @@
     ///
     /// # Errors
     ///
-    /// [`LinkError`] if the node does not accept it in time.
+    /// [`LinkError::Unreachable`] if the node does not accept it in time.
     pub async fn call_link(&self, node: NodeId) -> Result<CallLink, LinkError> {
         let open = async |place| Ok(CallLink::open(connect(node).await?, place));
         self.calls.get(self.clock.now(), node, open).await
@@ -112,10 +118,10 @@
 async fn connect(node: NodeId) -> Result<TcpStream, LinkError> {
     let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(node.0))
         .await
-        .map_err(|_| LinkError)?
-        .map_err(|_| LinkError)?;
-    stream.set_nodelay(true).map_err(|_| LinkError)?;
+        .map_err(|_| LinkError::Unreachable)?
+        .map_err(|_| LinkError::Unreachable)?;
+    stream.set_nodelay(true).map_err(|_| LinkError::Unreachable)?;
     // Without it a host that has gone without a word holds every call until its own deadline.
-    set_tcp_user_timeout(&stream, UNACKNOWLEDGED_MS).map_err(|_| LinkError)?;
+    set_tcp_user_timeout(&stream, UNACKNOWLEDGED_MS).map_err(|_| LinkError::Unreachable)?;
     Ok(stream)
 }
--- a/crates/coltsfoot-node/src/http/client_listener.rs
+++ b/crates/coltsfoot-node/src/http/client_listener.rs
@@ -1,5 +1,7 @@
 //! Handler of the listener for clients: calls, and nothing else.
 
+use std::time::Duration;
+
 use coltsfootroute::{
     id::RequestId,
     outcome::{CallOutcome, RefusalReason},
@@ -61,7 +63,12 @@
 
 /// The reply to a call that cannot be read; it ran nowhere.
 pub fn malformed(err: &RequestError) -> HttpReply {
-    let reply = HttpReply::refusal(RequestId(0), RefusalReason::BadRequest, CallOutcome::NotRun, 0);
+    let reply = HttpReply::refusal(
+        RequestId(0),
+        RefusalReason::BadRequest,
+        CallOutcome::NotRun,
+        Duration::ZERO,
+    );
     match err {
         RequestError::Header(_) => reply,
         // The rest of the body was not read, so the connection cannot carry another request.
--- a/crates/coltsfoot-node/src/http/http_reply.rs
+++ b/crates/coltsfoot-node/src/http/http_reply.rs
@@ -1,7 +1,9 @@
 //! Replies of both listeners.
 
+use std::time::Duration;
+
 use bytes::Bytes;
-use coltsfoot_wire::peer::{CallReply, ReplyBody};
+use coltsfoot_wire::peer::{CallReply, ReplyBody, whole_seconds};
 use coltsfootroute::{
     constants::{OUTCOME_HEADER, RETRY_AFTER_HEADER},
     id::RequestId,
@@ -56,7 +58,7 @@
         request: RequestId,
         reason: RefusalReason,
         outcome: CallOutcome,
-        retry_after_s: u32,
+        retry_after: Duration,
     ) -> Self {
         let status =
             StatusCode::from_u16(reason.status()).unwrap_or(StatusCode::SERVICE_UNAVAILABLE);
@@ -67,7 +69,7 @@
         };
         Self::json(status, &body).with_outcome(outcome).with_header(
             HeaderName::from_static(RETRY_AFTER_HEADER),
-            HeaderValue::from(retry_after_s),
+            HeaderValue::from(whole_seconds(retry_after)),
         )
     }
 
@@ -78,8 +80,8 @@
                 let status = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
                 Self::new(status, &content_type, body).with_outcome(reply.outcome)
             }
-            ReplyBody::Refusal { reason, retry_after_s } => {
-                Self::refusal(request, reason, reply.outcome, retry_after_s)
+            ReplyBody::Refusal { reason, retry_after } => {
+                Self::refusal(request, reason, reply.outcome, retry_after)
             }
         }
     }
--- a/crates/coltsfoot-wire/schema/peer.capnp
+++ b/crates/coltsfoot-wire/schema/peer.capnp
@@ -56,7 +56,8 @@
     }
     refusal :group {
       reason @4 :Text;
-      retryAfterSeconds @5 :UInt32;
+      retryAfterSeconds @5 :UInt32;   # rounded up, for nodes that know no better
+      retryAfterMillis @14 :UInt32;   # 0: as retryAfterSeconds says
     }
   }
   outcome @6 :Outcome;
--- a/crates/coltsfoot-wire/src/peer.rs
+++ b/crates/coltsfoot-wire/src/peer.rs
@@ -8,7 +8,7 @@
 mod request_head;
 mod take_answer;
 
-pub use call_reply::{CallReply, ReplyBody};
+pub use call_reply::{CallReply, ReplyBody, whole_seconds};
 pub use call_request::CallRequest;
 pub use claim_state::{ClaimState, read_claim_state, write_claim_state};
 pub use header_line::HeaderLine;
--- a/crates/coltsfoot-wire/src/peer/call_reply.rs
+++ b/crates/coltsfoot-wire/src/peer/call_reply.rs
@@ -55,16 +55,16 @@
     Refusal {
         /// Why.
         reason: RefusalReason,
-        /// When the caller may come back, in whole seconds.
-        retry_after_s: u32,
+        /// When the caller may come back, in whole milliseconds.
+        retry_after: Duration,
     },
 }
 
 impl CallReply {
     /// A refusal without levels.
-    pub fn refusal(reason: RefusalReason, outcome: CallOutcome, retry_after_s: u32) -> Self {
+    pub fn refusal(reason: RefusalReason, outcome: CallOutcome, retry_after: Duration) -> Self {
         Self {
-            body: ReplyBody::Refusal { reason, retry_after_s },
+            body: ReplyBody::Refusal { reason, retry_after },
             outcome,
             reached_upstream: false,
             failed_below: false,
@@ -94,10 +94,12 @@
                 answer.set_body(body);
                 answer.set_replayed(*replayed);
             }
-            ReplyBody::Refusal { reason, retry_after_s } => {
+            ReplyBody::Refusal { reason, retry_after } => {
                 let mut refusal = builder.reborrow().init_refusal();
                 refusal.set_reason(reason.as_str());
-                refusal.set_retry_after_seconds(*retry_after_s);
+                refusal.set_retry_after_seconds(whole_seconds(*retry_after));
+                let millis = u32::try_from(retry_after.as_millis()).unwrap_or(u32::MAX);
+                refusal.set_retry_after_millis(millis);
             }
         }
         builder.set_reached_upstream(self.reached_upstream);
@@ -134,7 +136,10 @@
             },
             call_reply::Which::Refusal(refusal) => ReplyBody::Refusal {
                 reason: read_reason(refusal.get_reason()?.to_str()?)?,
-                retry_after_s: refusal.get_retry_after_seconds(),
+                retry_after: match refusal.get_retry_after_millis() {
+                    0 => Duration::from_secs(refusal.get_retry_after_seconds().into()),
+                    millis => Duration::from_millis(millis.into()),
+                },
             },
         };
         let outcome = match reader.get_outcome()? {
@@ -158,3 +163,8 @@
         .find(|reason| reason.as_str() == text)
         .ok_or(WireError::OutOfRange { field: "reason" })
 }
+
+/// Seconds of `time`, rounded up: a caller that knows whole seconds only must not come back too soon.
+pub fn whole_seconds(time: Duration) -> u32 {
+    u32::try_from(time.as_millis().div_ceil(1_000)).unwrap_or(u32::MAX)
+}
