A stopped node ends when it is drained, not 1.3 s later

Between drained and stopped it waited 0.3 s for clients that had been told to go 2.5 s before, and 0.8 s for the host's listener: its server pauses for a second when its socket is closed under it. Ruled out: the next life's start (0.5 s of the platform, 0.03 s of ours).

Change: no such wait where the settings have a closing time; the host's listener is stopped and not closed first. No test: it would be one of times.

--- a/crates/coltsfoot-node/src/process/node_process.rs
+++ b/crates/coltsfoot-node/src/process/node_process.rs
@@ -27,8 +27,8 @@
     store::{StorePort, StoreThread},
 };
 
-/// Clients get so long to hear from refusals that the node leaves, before it refuses connections: one
-/// that the kernel has taken but the node has not is cut off then.
+/// Clients that were not told before get so long to hear from refusals that the node leaves, before it refuses
+/// connections: one that the kernel has taken but the node has not is cut off then.
 const REFUSAL_TIME: Duration = Duration::from_millis(300);
 /// After the last request has ended, its answer gets so long to reach the caller.
 const ANSWER_GRACE: Duration = Duration::from_millis(200);
@@ -39,6 +39,9 @@
     /// The product's client listener, unless a front serves clients.
     client: Option<HttpListener>,
     host: HttpListener,
+    /// Time in which clients are refused before connections are: none where they have been asked to go before. Whoever
+    /// waits for this node's upstream waits for it, too.
+    refusal_time: Duration,
     dispatch: DispatchHandle,
     config: ConfigHandle,
     metrics: Arc<NodeMetrics>,
@@ -113,6 +116,10 @@
             addresses,
             client,
             host: HttpListener::start_host(sockets.host, parts.host_state(reader, drain))?,
+            refusal_time: match settings.limits.drain_closing_ms {
+                0 => REFUSAL_TIME,
+                _ => Duration::ZERO,
+            },
             dispatch: parts.dispatch,
             config: parts.config,
             metrics: parts.metrics,
@@ -149,11 +156,12 @@
                 let _ = drained.await;
             });
         }
-        std::thread::sleep(REFUSAL_TIME);
+        std::thread::sleep(self.refusal_time);
+        // The host's own listener is not closed first: its server pauses for a second when its socket is, and nobody
+        // there has to go elsewhere.
         if let Some(client) = &self.client {
             client.close();
         }
-        self.host.close();
         std::thread::sleep(ANSWER_GRACE);
         if let Some(client) = self.client {
             client.stop();
