--- a/crates/coltsfoot-node/src/dispatch.rs
+++ b/crates/coltsfoot-node/src/dispatch.rs
@@ -3,13 +3,13 @@
 //!
 //! Its parts know one another in one direction only: `ingress`, what enters here, knows `guard`, what protects
 //! the upstream beside the node; both know `links`, the connections to other nodes, and all of them `context`,
-//! which holds no request. `dispatch_rooms` joins them.
+//! which holds no request. `dispatch_duty` joins them.
 
 mod context;
 mod dispatch_command;
+mod dispatch_duty;
 mod dispatch_handle;
 mod dispatch_parts;
-mod dispatch_rooms;
 mod dispatch_thread;
 mod entry_port;
 mod guard;
--- a/crates/coltsfoot-node/src/dispatch/dispatch_rooms.rs
+++ b/crates/coltsfoot-node/src/dispatch/dispatch_duty.rs
@@ -19,7 +19,7 @@
 };
 
 /// The parts of the dispatch duty. Each knows only those above it here.
-pub(super) struct DispatchRooms {
+pub(super) struct DispatchDuty {
     pub(super) context: Rc<NodeContext>,
     pub(super) links: Rc<PeerLinks>,
     pub(super) introduction: Rc<IntroductionDesk>,
@@ -28,7 +28,7 @@
     pub(super) ingress: Rc<CallIngress>,
 }
 
-impl DispatchRooms {
+impl DispatchDuty {
     /// The parts of a node that has just started.
     pub(super) fn new(parts: DispatchParts) -> Self {
         let context = Rc::new(NodeContext {
@@ -80,7 +80,7 @@
     }
 }
 
-impl CallHandler for DispatchRooms {
+impl CallHandler for DispatchDuty {
     async fn call(self: Rc<Self>, call: CallRequest) -> CallReply {
         self.context.observe(call.stamp);
         let mut reply = self.guard.guard_call(call).await;
@@ -89,7 +89,7 @@
     }
 }
 
-impl PeerHandler for DispatchRooms {
+impl PeerHandler for DispatchDuty {
     fn context(&self) -> &NodeContext {
         &self.context
     }
--- a/crates/coltsfoot-node/src/dispatch/dispatch_thread.rs
+++ b/crates/coltsfoot-node/src/dispatch/dispatch_thread.rs
@@ -11,8 +11,8 @@
 
 use super::{
     DispatchCommand, DispatchHandle,
+    dispatch_duty::DispatchDuty,
     dispatch_parts::DispatchParts,
-    dispatch_rooms::DispatchRooms,
     ingress::{CallOrigin, IncomingCall},
     links::{FinderStart, accept_peers, find_others, pull_config},
 };
@@ -77,22 +77,22 @@
     mut commands: mpsc::Receiver<DispatchCommand>,
 ) {
     let start = FinderStart { has_peers: parts.has_peers, first_start: parts.first_start };
-    let rooms = Rc::new(DispatchRooms::new(parts));
+    let duty = Rc::new(DispatchDuty::new(parts));
     // The listener is a bound socket in non-blocking mode, which is all the conversion asks for.
     let Ok(listener) = tokio::net::TcpListener::from_std(listener) else { return };
     if let Some(FrontDoor { front, listener }) = front {
         let Ok(listener) = tokio::net::TcpListener::from_std(listener) else { return };
-        spawn_local(front.serve(listener, rooms.entry()));
+        spawn_local(front.serve(listener, duty.entry()));
     }
-    spawn_local(accept_peers(listener, rooms.clone()));
-    rooms.start_tasks(start);
+    spawn_local(accept_peers(listener, duty.clone()));
+    duty.start_tasks(start);
     while let Some(command) = commands.recv().await {
         // Each command is a task of its own: none may hold up the ring.
-        spawn_local(rooms.clone().obey(command));
+        spawn_local(duty.clone().obey(command));
     }
 }
 
-impl DispatchRooms {
+impl DispatchDuty {
     /// Starts what runs beside the calls.
     fn start_tasks(self: &Rc<Self>, start: FinderStart) {
         spawn_local(self.clone().upkeep());
--- a/crates/coltsfoot-node/src/dispatch/guard.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard.rs
@@ -1,11 +1,10 @@
 //! What protects the upstream beside the node: admission, at most once, its lives, and a planned stop.
 
-mod admitted_call;
 mod call_guard;
 mod calls_in_flight;
 mod gate_upkeep;
-mod guard_run;
 mod guard_state;
+mod guarded_call;
 mod local_upstream;
 mod once_desk;
 mod once_errands;
@@ -14,6 +13,7 @@
 mod run_permit;
 mod upstream_client;
 mod upstream_heartbeat;
+mod upstream_run;
 
 pub use call_guard::{CallGuard, GuardParts};
 pub use calls_in_flight::{CallSpan, NestedMark};
--- a/crates/coltsfoot-node/src/dispatch/guard/once_run.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard/once_run.rs
@@ -19,8 +19,8 @@
 use tokio::time::{sleep, timeout};
 
 use super::{
-    call_guard::CallGuard, calls_in_flight::CallSpan, guard_run::answer_outcome,
-    run_permit::RunPermit,
+    call_guard::CallGuard, calls_in_flight::CallSpan, run_permit::RunPermit,
+    upstream_run::answer_outcome,
 };
 use crate::clock::wall_millis;
 
--- a/crates/coltsfoot-node/src/dispatch/node_status.rs
+++ b/crates/coltsfoot-node/src/dispatch/node_status.rs
@@ -7,7 +7,7 @@
 use tokio::time::timeout;
 
 use super::{
-    dispatch_rooms::DispatchRooms,
+    dispatch_duty::DispatchDuty,
     ingress::MemberCounts,
     status_body::{MembershipBody, OverdueBody, PoolBody, ServiceBody, StatusBody, UpstreamBody},
 };
@@ -16,7 +16,7 @@
 /// Longest wait for the gossip duty's part of the state.
 const GOSSIP_WAIT: Duration = Duration::from_millis(500);
 
-impl DispatchRooms {
+impl DispatchDuty {
     /// The state of the node, for operators.
     pub(super) async fn status(&self) -> HttpReply {
         let membership = timeout(GOSSIP_WAIT, self.context.ask_gossip()).await.ok().flatten();
