Read once more: one outgoing HTTP client, one way to the time, a plainer frame head

Cause: read again as a whole, the change had written some things twice or with more than they need. - The upstream's client had been given keep-alives as the store's client has them: both are made by OutgoingSettings now, with the same figures as before. - Whether an upstream refuses calls for another life was asked of the dialect in two places: UpstreamDialect::checks_instance. - context.clock.now() beside context.now(), and a jitter drawn by hand beside context.jittered. - A frame's head was put together byte by byte: one little-endian number of eight bytes, the same bytes on the wire. A message is read only where the kind of the frame has one. - LinkTable forgot nothing if its table was borrowed, which cannot happen. - GossipSettings::with_start_bytes was never called; a comment spoke of three messages a call; the tests had two fixtures for a call. Ruled out: one constructor for RoutedCall of client and nested requests, whose fields differ by half. Behaviour unchanged, no assertion changed.

--- a/crates/coltsfoot-node/src/border/upstream_dialect.rs
+++ b/crates/coltsfoot-node/src/border/upstream_dialect.rs
@@ -40,6 +40,11 @@
 }
 
 impl UpstreamDialect {
+    /// Whether the upstream refuses calls that are meant for another life of it.
+    pub fn checks_instance(&self) -> bool {
+        self.expected_instance.is_some()
+    }
+
     /// The product's own headers.
     pub fn own() -> Self {
         Self {
--- a/crates/coltsfoot-node/src/dispatch/dispatch_duty.rs
+++ b/crates/coltsfoot-node/src/dispatch/dispatch_duty.rs
@@ -45,7 +45,7 @@
         });
         let links = Rc::new(PeerLinks::new(parts.clock));
         let introductions = IntroductionStore::new(parts.store.clone());
-        let resumes = parts.dialect.expected_instance.is_some();
+        let resumes = parts.dialect.checks_instance();
         let introduction =
             Rc::new(IntroductionDesk::new(context.clone(), introductions.clone(), resumes));
         let guard_parts = GuardParts {
--- a/crates/coltsfoot-node/src/dispatch/guard/gate_upkeep.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard/gate_upkeep.rs
@@ -21,7 +21,7 @@
 impl CallGuard {
     /// Creates the gate, or adapts it to what the upstream says of itself.
     pub(super) fn fit_gate(&self, slots: u32) {
-        let now = self.context.clock.now();
+        let now = self.context.now();
         let fresh = self.state.gate.borrow().is_none();
         if fresh {
             let settings = AdmissionSettings::new(slots);
@@ -48,7 +48,7 @@
             match wakeup {
                 Some(at) => tokio::select! {
                     () = sleep_until(self.context.clock.instant_at(at).into()) => {
-                        let now = self.context.clock.now();
+                        let now = self.context.now();
                         self.state.with_gate(|gate| gate.tick(now));
                     }
                     () = self.state.queue_changed.notified() => {}
--- a/crates/coltsfoot-node/src/dispatch/guard/guarded_call.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard/guarded_call.rs
@@ -23,7 +23,7 @@
 impl CallGuard {
     /// Serves a call for the upstream beside the node.
     pub async fn guard_call(self: &Rc<Self>, call: CallRequest) -> CallReply {
-        let arrived = self.context.clock.now();
+        let arrived = self.context.now();
         let deadline = arrived + call.remaining;
         let span =
             CallSpan::new(call.request, call.importance, deadline, call.account, call.client);
@@ -35,7 +35,7 @@
         reply.levels.push(LevelNote {
             service,
             guard: self.context.identity.node,
-            level: self.state.level(self.context.clock.now()),
+            level: self.state.level(self.context.now()),
         });
         reply
     }
@@ -92,7 +92,7 @@
         if !call.is_retry || !self.context.control.is_on() {
             return true;
         }
-        self.throttle.borrow_mut().try_retry(self.context.clock.now(), call.importance)
+        self.throttle.borrow_mut().try_retry(self.context.now(), call.importance)
     }
 
     /// Counts a first attempt that is admitted, which earns a share of a repeat. One that a full guard refuses is asked
@@ -101,7 +101,7 @@
         if call.is_retry {
             return;
         }
-        let now = self.context.clock.now();
+        let now = self.context.now();
         let mut throttle = self.throttle.borrow_mut();
         throttle.call(now);
         if call.is_repeat {
@@ -112,7 +112,7 @@
     /// A repeat that was granted has not reached the upstream.
     fn give_back_repeat(&self, call: &CallRequest) {
         if call.is_retry {
-            self.throttle.borrow_mut().give_back(self.context.clock.now(), call.importance);
+            self.throttle.borrow_mut().give_back(self.context.now(), call.importance);
         }
     }
 
@@ -182,7 +182,7 @@
             client: call.client,
             under_way: call.under_way,
         };
-        let now = self.context.clock.now();
+        let now = self.context.now();
         self.state.with_gate(|gate| gate.offer(now, waiting));
         self.state.queue_changed.notify_one();
         let decision = receiver.await;
@@ -195,7 +195,7 @@
     }
 
     fn count_decision(&self, call: &CallRequest, decision: Option<AdmissionDecision>) {
-        let now = self.context.clock.now();
+        let now = self.context.now();
         let mut breaches = self.state.breaches.borrow_mut();
         match decision {
             Some(AdmissionDecision::Run) => {
--- a/crates/coltsfoot-node/src/dispatch/guard/local_upstream.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard/local_upstream.rs
@@ -65,13 +65,13 @@
         if !is_known {
             *self.state.upstream.borrow_mut() = Some(GuardedUpstream {
                 announcement,
-                heard: self.context.clock.now(),
+                heard: self.context.now(),
                 leaving: false,
                 has_withdrawn: false,
             });
         }
         if let Some(upstream) = self.state.upstream.borrow_mut().as_mut() {
-            upstream.heard = self.context.clock.now();
+            upstream.heard = self.context.now();
         }
         self.withdraw_named().await;
     }
@@ -93,7 +93,7 @@
 
     /// Whether the announcement says anything new.
     fn take_in(&self, announcement: &UpstreamAnnouncement) -> bool {
-        let heard = self.context.clock.now();
+        let heard = self.context.now();
         let mut upstream = self.state.upstream.borrow_mut();
         let same = upstream
             .as_ref()
@@ -149,7 +149,7 @@
 
     /// Takes an upstream that has fallen silent as gone.
     pub async fn notice_silence(&self) {
-        let now = self.context.clock.now();
+        let now = self.context.now();
         let silent = self
             .state
             .upstream
--- a/crates/coltsfoot-node/src/dispatch/guard/once_errands.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard/once_errands.rs
@@ -11,7 +11,6 @@
     },
     table::StoreUse,
 };
-use rand::RngExt;
 use tokio::{
     task::spawn_local,
     time::{sleep, sleep_until, timeout},
@@ -33,7 +32,7 @@
     /// Sends what claims owe the store, each as a task of its own.
     pub async fn run_errands(self: Rc<Self>) {
         loop {
-            let errand = self.once.guard.borrow_mut().next_errand(self.context.clock.now());
+            let errand = self.once.guard.borrow_mut().next_errand(self.context.now());
             if let Some(errand) = errand {
                 spawn_local(self.clone().run_errand(errand));
                 continue;
@@ -56,7 +55,7 @@
         while let Some(next) = request.take() {
             let reply = self.once.carry_out(next).await;
             let mut guard = self.once.guard.borrow_mut();
-            let follow = guard.on_errand_reply(claim_id, &reply, self.context.clock.now());
+            let follow = guard.on_errand_reply(claim_id, &reply, self.context.now());
             request = follow.map(|errand| errand.request);
         }
         self.once.settled.notify_waiters();
@@ -66,8 +65,7 @@
     /// Shrinks the records whose retention has ended, now and then.
     pub async fn sweep_records(self: Rc<Self>) {
         loop {
-            let jitter = self.context.rng.borrow_mut().random_range(0.5..1.5);
-            sleep(self.once.sweep_period.mul_f64(jitter)).await;
+            sleep(self.context.jittered(self.once.sweep_period)).await;
             self.sweep_once().await;
         }
     }
--- a/crates/coltsfoot-node/src/dispatch/guard/once_run.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard/once_run.rs
@@ -43,8 +43,7 @@
             self.note_claim(call, &result);
             match result {
                 ClaimResult::Dispatch(ticket) => {
-                    let verdict =
-                        self.once.guard.borrow_mut().dispatch(ticket, self.context.clock.now());
+                    let verdict = self.once.guard.borrow_mut().dispatch(ticket, self.context.now());
                     self.once.errands_changed.notify_one();
                     let DispatchVerdict::Run(run) = verdict else {
                         return self.refusal(RefusalReason::Deadline, CallOutcome::NotRun);
@@ -60,7 +59,7 @@
                     if let BusyVerdict::Refuse(outcome) = verdict {
                         return self.refusal(RefusalReason::KeyInProgress, outcome);
                     }
-                    if self.context.clock.now() + BUSY_PAUSE >= deadline {
+                    if self.context.now() + BUSY_PAUSE >= deadline {
                         return self.refusal(RefusalReason::KeyInProgress, CallOutcome::Unknown);
                     }
                     sleep(BUSY_PAUSE).await;
@@ -87,10 +86,9 @@
                     return result;
                 }
             };
-            let time = deadline.since(self.context.clock.now());
+            let time = deadline.since(self.context.now());
             let reply = self.once.store.request(request, time, StoreUse::Claim).await;
-            let next =
-                self.once.guard.borrow_mut().on_reply(claim_id, &reply, self.context.clock.now());
+            let next = self.once.guard.borrow_mut().on_reply(claim_id, &reply, self.context.now());
             // Claims are never cancelled here, so the guard always knows this one.
             step = next.unwrap_or(ClaimStep::Done(ClaimResult::Interrupted));
         }
@@ -114,7 +112,7 @@
     /// Stores how a run ended. The caller's answer waits for the record, up to a bound.
     async fn settle_run(&self, run: ClaimRun, reply: &CallReply) {
         let claim_id = run.claim_id();
-        let now = self.context.clock.now();
+        let now = self.context.now();
         {
             let mut guard = self.once.guard.borrow_mut();
             match (&reply.body, reply.outcome) {
--- a/crates/coltsfoot-node/src/dispatch/guard/run_permit.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard/run_permit.rs
@@ -27,7 +27,7 @@
 impl Drop for WaitPermit {
     fn drop(&mut self) {
         let Some(guard) = &self.guard else { return };
-        let now = guard.context.clock.now();
+        let now = guard.context.now();
         let id = self.id;
         guard.state.waiting.borrow_mut().swap_remove(&id);
         guard.state.with_gate(|gate| {
@@ -58,7 +58,7 @@
 
     fn give_back(&mut self, finish: CallFinish) {
         let Some(guard) = self.guard.take() else { return };
-        let now = guard.context.clock.now();
+        let now = guard.context.now();
         guard.state.with_gate(|gate| gate.finish(now, self.id, finish));
         guard.state.queue_changed.notify_one();
     }
--- a/crates/coltsfoot-node/src/dispatch/guard/upstream_client.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard/upstream_client.rs
@@ -10,15 +10,12 @@
 };
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
-use hyper_util::{
-    client::legacy::{
-        Client,
-        connect::{CaptureConnection, HttpConnector, capture_connection},
-    },
-    rt::{TokioExecutor, TokioTimer},
-};
+use hyper_util::client::legacy::connect::{CaptureConnection, capture_connection};
 
-use crate::border::UpstreamDialect;
+use crate::{
+    border::UpstreamDialect,
+    http::{OutgoingClient, OutgoingSettings},
+};
 
 /// An idle connection is closed after this, well before an upstream would close it (5 s and more are usual):
 /// a call that crosses the upstream's close may have run.
@@ -26,8 +23,6 @@
 /// A connection whose upstream has not acknowledged what was sent for so long is given up: on one host that takes
 /// microseconds.
 const UNACKNOWLEDGED_TIME: Duration = Duration::from_millis(1_500);
-/// Time between two probes of a connection on which nothing comes.
-const KEEPALIVE: Duration = Duration::from_secs(1);
 /// Probes without an answer until the connection is given up.
 const KEEPALIVE_RETRIES: u32 = 2;
 /// Time to open a connection to a process on the same host.
@@ -85,7 +80,7 @@
 
 /// Keeps the connections to the upstream.
 pub struct UpstreamClient {
-    client: Client<HttpConnector, Full<Bytes>>,
+    client: OutgoingClient,
     body_limit: usize,
     dialect: UpstreamDialect,
 }
@@ -93,20 +88,13 @@
 impl UpstreamClient {
     /// A client that takes answers of at most `body_limit` bytes.
     pub fn new(body_limit: usize, dialect: UpstreamDialect) -> Self {
-        let mut connector = HttpConnector::new();
-        connector.set_nodelay(true);
-        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
-        // Open connections may go silent while new ones work: each idle one would swallow a call until its deadline.
-        connector.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIME));
-        connector.set_keepalive(Some(KEEPALIVE));
-        connector.set_keepalive_interval(Some(KEEPALIVE));
-        connector.set_keepalive_retries(Some(KEEPALIVE_RETRIES));
-        let client = Client::builder(TokioExecutor::new())
-            .pool_timer(TokioTimer::new())
-            .pool_idle_timeout(IDLE_TIMEOUT)
-            // A call on a connection that died may have run: never repeated here.
-            .retry_canceled_requests(false)
-            .build(connector);
+        let settings = OutgoingSettings {
+            connect_timeout: CONNECT_TIMEOUT,
+            idle_timeout: IDLE_TIMEOUT,
+            keepalive_retries: KEEPALIVE_RETRIES,
+            unacknowledged_time: Some(UNACKNOWLEDGED_TIME),
+        };
+        let client = settings.client();
         Self { client, body_limit, dialect }
     }
 
@@ -117,7 +105,7 @@
 
     /// Whether the upstream refuses calls that are meant for another life of it.
     pub fn checks_instance(&self) -> bool {
-        self.dialect.expected_instance.is_some()
+        self.dialect.checks_instance()
     }
 
     /// Sends `call` and reads the whole answer. Dropping the future closes the connection, which
--- a/crates/coltsfoot-node/src/dispatch/guard/upstream_run.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard/upstream_run.rs
@@ -55,10 +55,10 @@
             content_type: &call.content_type,
             body: call.body.clone(),
         };
-        let started = self.context.clock.now();
+        let started = self.context.now();
         let until = self.context.clock.instant_at(deadline).into();
         let result = timeout_at(until, self.upstream_client.send(address, upstream_call)).await;
-        let upstream_time = self.context.clock.now().since(started);
+        let upstream_time = self.context.now().since(started);
         entered.answered = result.is_ok();
         self.note_failure(call, &result, instance, upstream_time);
         let Ok(result) = result else {
--- a/crates/coltsfoot-node/src/dispatch/ingress/attempt_count.rs
+++ b/crates/coltsfoot-node/src/dispatch/ingress/attempt_count.rs
@@ -29,7 +29,7 @@
         node: NodeId,
         attempt: usize,
     ) -> Self {
-        let started = ingress.context.clock.now();
+        let started = ingress.context.now();
         let attempt = u32::try_from(attempt).unwrap_or(u32::MAX);
         ingress.with_pool(&call.service, |pool| pool.started(started, node));
         ingress.context.events.emit(EventKind::AttemptStarted {
@@ -45,7 +45,7 @@
 
 impl Drop for AttemptCount<'_> {
     fn drop(&mut self) {
-        let now = self.ingress.context.clock.now();
+        let now = self.ingress.context.now();
         let latency = now.since(self.started);
         let (node, result) = (self.node, self.result);
         let service = &self.call.service;
--- a/crates/coltsfoot-node/src/dispatch/ingress/call_routing.rs
+++ b/crates/coltsfoot-node/src/dispatch/ingress/call_routing.rs
@@ -119,7 +119,7 @@
 
     /// An upstream not tried yet; where all have been, or as many as the operation allows, one of those.
     fn choose(&self, call: &RoutedCall, progress: &RouteProgress) -> Option<NodeId> {
-        let now = self.context.clock.now();
+        let now = self.context.now();
         let tried = &progress.tried;
         if progress.has_reached_most(call.most_attempts) {
             return self
@@ -207,7 +207,7 @@
         reply: &CallReply,
         progress: &RouteProgress,
     ) -> bool {
-        let now = self.context.clock.now();
+        let now = self.context.now();
         let failed = FailedAttempt {
             outcome: reply.outcome,
             reason: reply.reason(),
--- a/crates/coltsfoot-node/src/dispatch/ingress/client_request.rs
+++ b/crates/coltsfoot-node/src/dispatch/ingress/client_request.rs
@@ -79,7 +79,7 @@
             return CallReply::refusal(reason, CallOutcome::NotRun, retry_after.0);
         }
         let opened = self.accounts.borrow_mut().open(
-            self.context.clock.now(),
+            self.context.now(),
             request,
             check.budget,
             check.deadline,
@@ -137,7 +137,7 @@
         call: &IncomingCall,
         deadline: MonotonicTime,
     ) -> Result<(), RefusalReason> {
-        let now = self.context.clock.now();
+        let now = self.context.now();
         let needed = match self.context.control.is_on() {
             true => self.times.borrow_mut().needed(now, &call.service, &call.operation),
             false => None,
--- a/crates/coltsfoot-node/src/dispatch/ingress/pool_watch.rs
+++ b/crates/coltsfoot-node/src/dispatch/ingress/pool_watch.rs
@@ -71,7 +71,7 @@
 
     /// Whether `service` has no upstream that stays, and this node has watched it for long enough to know.
     pub(super) fn has_gone(&self, service: &ServiceName) -> bool {
-        let now = self.context.clock.now();
+        let now = self.context.now();
         let pools = self.pools.borrow();
         let Some(entry) = pools.get(service) else { return false };
         entry.pool.is_empty() && now.since(entry.watched_since) >= FIRST_MEMBERS_WAIT
@@ -79,7 +79,7 @@
 
     /// Watches `service` from now on. Returns since when it has been watched.
     pub(super) async fn watch(&self, service: &ServiceName) -> MonotonicTime {
-        let now = self.context.clock.now();
+        let now = self.context.now();
         if let Some((watched_since, was_cold)) = self.note_use(service, now) {
             if was_cold {
                 self.context.tell_gossip(GossipCommand::Touch(service.clone())).await;
@@ -129,7 +129,7 @@
     }
 
     fn is_news(&self, service: &ServiceName, reached: bool) -> bool {
-        let now = self.context.clock.now();
+        let now = self.context.now();
         let mut pools = self.pools.borrow_mut();
         let Some(entry) = pools.get_mut(service) else { return false };
         let told = if reached { &mut entry.reached_told } else { &mut entry.unreached_told };
@@ -142,7 +142,7 @@
 
     /// Stops watching services that have not been called for long, unless they are pinned.
     pub async fn forget_unused(&self) {
-        let now = self.context.clock.now();
+        let now = self.context.now();
         let pinned = self.pinned_services();
         let before = self.pools.borrow().len();
         self.pools.borrow_mut().retain(|service, entry| {
@@ -160,7 +160,7 @@
 
     /// Takes in the members of a watched service.
     pub fn update_members(&self, service: &ServiceName, members: &Arc<[MemberRecord]>) {
-        let now = self.context.clock.now();
+        let now = self.context.now();
         self.member_counts.borrow_mut().insert(service.clone(), MemberCounts::of(members));
         let infos = members.iter().filter_map(upstream_info);
         self.with_pool(service, |pool| pool.update(now, infos));
--- a/crates/coltsfoot-node/src/dispatch/ingress/request_record.rs
+++ b/crates/coltsfoot-node/src/dispatch/ingress/request_record.rs
@@ -37,7 +37,7 @@
         attempts: u32,
         received: MonotonicTime,
     ) {
-        let now = self.context.clock.now();
+        let now = self.context.now();
         let taken = now.since(received);
         match &reply.body {
             ReplyBody::Answer { .. } => {
@@ -132,12 +132,12 @@
             severity: self.severity(shed_by.as_ref().unwrap_or(&call.service)),
             shed_by,
             revision: self.context.revision(),
-            elapsed_us: micros(self.context.clock.now().since(call.received)),
+            elapsed_us: micros(self.context.now().since(call.received)),
         });
         self.guard.refuse(importance, reason)
     }
 
     fn severity(&self, service: &ServiceName) -> u16 {
-        self.root.borrow().levels().level(self.context.clock.now(), service).severity()
+        self.root.borrow().levels().level(self.context.now(), service).severity()
     }
 }
--- a/crates/coltsfoot-node/src/dispatch/ingress/retry_tokens.rs
+++ b/crates/coltsfoot-node/src/dispatch/ingress/retry_tokens.rs
@@ -43,7 +43,7 @@
     /// Takes a token from a retry account kept at this node.
     pub fn take_own_token(&self, request: RequestId, take_id: u64) -> TokenAnswer {
         let mut accounts = self.accounts.borrow_mut();
-        let answer = match accounts.take(self.context.clock.now(), request, take_id) {
+        let answer = match accounts.take(self.context.now(), request, take_id) {
             LedgerAnswer::Granted => {
                 self.context.metrics.retries.granted(accounts.granted(request).unwrap_or_default());
                 TakeAnswer::Granted
--- a/crates/coltsfoot-node/src/dispatch/ingress/root_shedding.rs
+++ b/crates/coltsfoot-node/src/dispatch/ingress/root_shedding.rs
@@ -12,7 +12,7 @@
 impl CallIngress {
     /// Takes in the levels that came with a reply.
     pub fn learn_levels(&self, notes: &[LevelNote]) {
-        let now = self.context.clock.now();
+        let now = self.context.now();
         let mut root = self.root.borrow_mut();
         let levels = root.levels_mut();
         for note in notes {
@@ -25,14 +25,14 @@
         // In the product's own interface the schema declares the calls.
         if call.head.is_some() && !notes.is_empty() {
             let services = notes.iter().map(|note| &note.service);
-            let now = self.context.clock.now();
+            let now = self.context.now();
             self.reached.borrow_mut().observe(now, &call.service, &call.operation, services);
         }
     }
 
     /// Whether `service` sheds work of this importance, wholly or in part.
     pub fn is_shed(&self, service: &ServiceName, importance: Importance) -> bool {
-        let level: ShedLevel = self.root.borrow().levels().level(self.context.clock.now(), service);
+        let level: ShedLevel = self.root.borrow().levels().level(self.context.now(), service);
         level.admitted_fraction(importance) < 1.0
     }
 
@@ -45,7 +45,7 @@
         let config = self.context.config.load()?;
         let learnt = self.reached.borrow().of(&call.service, &call.operation);
         let services = learnt.unwrap_or_else(|| config.reachable(&call.service, &call.operation));
-        let now = self.context.clock.now();
+        let now = self.context.now();
         let mut rng = self.context.rng.borrow_mut();
         let result = self.root.borrow_mut().admit(now, &services, importance, &mut *rng);
         result.err()
--- a/crates/coltsfoot-node/src/dispatch/links/call_frame.rs
+++ b/crates/coltsfoot-node/src/dispatch/links/call_frame.rs
@@ -87,17 +87,17 @@
         Err(err) if err.kind() == io::ErrorKind::UnexpectedEof => return Ok(None),
         Err(err) => return Err(err.into()),
     }
-    let [word, length] =
-        [0, 4].map(|at| u32::from_le_bytes([0, 1, 2, 3].map(|byte| head[at + byte])));
-    let number = word >> KIND_BITS;
-    let message = read_message(reader, length as usize);
-    let frame = match word & ((1 << KIND_BITS) - 1) {
+    let word = u64::from_le_bytes(head);
+    // The lower half is number and kind, the upper half the length.
+    let (tag, length) = (word as u32, (word >> u32::BITS) as usize);
+    let number = tag >> KIND_BITS;
+    let frame = match tag & ((1 << KIND_BITS) - 1) {
         CALL => {
-            let message = message.await?;
+            let message = read_message(reader, length).await?;
             CallFrame::Call(number, Box::new(CallRequest::read(message.get_root()?)?))
         }
         REPLY => {
-            let message = message.await?;
+            let message = read_message(reader, length).await?;
             CallFrame::Reply(number, Box::new(CallReply::read(message.get_root()?)?))
         }
         CANCEL => CallFrame::Cancel(number),
@@ -134,11 +134,8 @@
 }
 
 fn head(number: u32, kind: u32, length: usize) -> [u8; FRAME_HEAD] {
-    let word = ((number << KIND_BITS) | kind).to_le_bytes();
+    let tag = (number << KIND_BITS) | kind;
     // Bodies are bounded, and messages with them.
-    let length = u32::try_from(length).unwrap_or(u32::MAX).to_le_bytes();
-    let mut head = [0; FRAME_HEAD];
-    head[..word.len()].copy_from_slice(&word);
-    head[word.len()..].copy_from_slice(&length);
-    head
+    let length = u32::try_from(length).unwrap_or(u32::MAX);
+    ((u64::from(length) << u32::BITS) | u64::from(tag)).to_le_bytes()
 }
--- a/crates/coltsfoot-node/src/dispatch/links/link_stream.rs
+++ b/crates/coltsfoot-node/src/dispatch/links/link_stream.rs
@@ -46,7 +46,7 @@
 }
 
 /// The writing side of a connection. What is written while the same events are worked on goes out in one system
-/// call: a message would take two or three otherwise, and a call has three messages.
+/// call: by itself a message of capnp-rpc takes two or three, and a frame takes one.
 pub struct LinkWriter {
     queue: Rc<SendQueue>,
 }
--- a/crates/coltsfoot-node/src/dispatch/links/link_table.rs
+++ b/crates/coltsfoot-node/src/dispatch/links/link_table.rs
@@ -101,8 +101,7 @@
 }
 
 fn forget<L>(slots: &LinkSlots<L>, node: NodeId, serial: u64) {
-    // The connection's own end may drop its link, and that its place.
-    let Ok(mut slots) = slots.try_borrow_mut() else { return };
+    let mut slots = slots.borrow_mut();
     if slots.get(&node).is_some_and(|slot| slot.serial == serial) {
         slots.swap_remove(&node);
     }
--- a/crates/coltsfoot-node/src/dispatch/node_status.rs
+++ b/crates/coltsfoot-node/src/dispatch/node_status.rs
@@ -24,7 +24,7 @@
     }
 
     fn status_body(&self, membership: Option<MembershipStatus>) -> StatusBody {
-        let now = self.context.clock.now();
+        let now = self.context.now();
         let drain = self.guard.drain.borrow();
         let revision = self.context.revision();
         StatusBody {
@@ -55,7 +55,7 @@
     }
 
     fn pool_bodies(&self) -> Vec<PoolBody> {
-        let now = self.context.clock.now();
+        let now = self.context.now();
         let pools = self.ingress.pools.borrow();
         let bodies = pools
             .iter()
@@ -75,7 +75,7 @@
             in_flight: gate.in_flight(),
             queued: gate.queued(),
             queue: gate.queue_length(),
-            severity: gate.shed_level(self.context.clock.now()).severity(),
+            severity: gate.shed_level(self.context.now()).severity(),
         })
     }
 }
--- /dev/null
+++ b/crates/coltsfoot-node/src/http/outgoing.rs
@@ -0,0 +1,47 @@
+//! HTTP client for the requests that the node makes.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper_util::{
+    client::legacy::{Client, connect::HttpConnector},
+    rt::{TokioExecutor, TokioTimer},
+};
+
+/// Time between two probes of a connection on which nothing comes.
+const KEEPALIVE: Duration = Duration::from_secs(1);
+
+/// HTTP client for the requests that the node makes.
+pub type OutgoingClient = Client<HttpConnector, Full<Bytes>>;
+
+/// How connections are opened, watched and kept.
+pub struct OutgoingSettings {
+    /// Time to open a connection.
+    pub connect_timeout: Duration,
+    /// An idle connection is closed after this.
+    pub idle_timeout: Duration,
+    /// Probes a second apart without an answer until a connection is given up: open ones may go silent while new ones
+    /// work.
+    pub keepalive_retries: u32,
+    /// A connection whose peer has not acknowledged what was sent for so long is given up; `None`: the system's time.
+    pub unacknowledged_time: Option<Duration>,
+}
+
+impl OutgoingSettings {
+    /// A client that never repeats a request by itself: one on a connection that died may have been carried out.
+    pub fn client(&self) -> OutgoingClient {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(self.connect_timeout));
+        connector.set_tcp_user_timeout(self.unacknowledged_time);
+        connector.set_keepalive(Some(KEEPALIVE));
+        connector.set_keepalive_interval(Some(KEEPALIVE));
+        connector.set_keepalive_retries(Some(self.keepalive_retries));
+        Client::builder(TokioExecutor::new())
+            .pool_timer(TokioTimer::new())
+            .pool_idle_timeout(self.idle_timeout)
+            .retry_canceled_requests(false)
+            .build(connector)
+    }
+}
--- a/crates/coltsfoot-node/src/store/http_sender.rs
+++ b/crates/coltsfoot-node/src/store/http_sender.rs
@@ -5,13 +5,12 @@
 use bytes::Bytes;
 use http::{Method, Request, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
-use hyper_util::{
-    client::legacy::{Client, connect::HttpConnector},
-    rt::{TokioExecutor, TokioTimer},
-};
 
 use super::StoreReply;
-use crate::metrics::{ControlKind, NodeMetrics, TrafficDirection};
+use crate::{
+    http::{OutgoingClient, OutgoingSettings},
+    metrics::{ControlKind, NodeMetrics, TrafficDirection},
+};
 
 /// Largest reply taken, in bytes.
 const MAX_REPLY_BYTES: usize = 4 << 20;
@@ -19,33 +18,26 @@
 /// connection that the server closes at that moment would be uncertain for nothing.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(3);
 
-/// Time between two probes of a connection on which nothing comes.
-const KEEPALIVE: Duration = Duration::from_secs(1);
 /// Probes without an answer until the connection is given up.
 const KEEPALIVE_RETRIES: u32 = 3;
 
 /// Sends requests to the platform's services, each once, and counts their bytes.
 pub struct HttpSender {
-    client: Client<HttpConnector, Full<Bytes>>,
+    client: OutgoingClient,
     metrics: Arc<NodeMetrics>,
 }
 
 impl HttpSender {
     /// A sender that opens a connection within `connect_timeout`.
     pub fn new(connect_timeout: Duration, metrics: Arc<NodeMetrics>) -> Self {
-        let mut connector = HttpConnector::new();
-        connector.set_nodelay(true);
-        connector.set_connect_timeout(Some(connect_timeout));
-        // A service that has gone without a word is noticed while a long question waits for its answer.
-        connector.set_keepalive(Some(KEEPALIVE));
-        connector.set_keepalive_interval(Some(KEEPALIVE));
-        connector.set_keepalive_retries(Some(KEEPALIVE_RETRIES));
-        let client = Client::builder(TokioExecutor::new())
-            .pool_timer(TokioTimer::new())
-            .pool_idle_timeout(IDLE_TIMEOUT)
-            // The default repeats a request on a new connection: a write could run twice.
-            .retry_canceled_requests(false)
-            .build(connector);
+        // Keep-alives notice a service that has gone without a word while a long question waits for its answer.
+        let settings = OutgoingSettings {
+            connect_timeout,
+            idle_timeout: IDLE_TIMEOUT,
+            keepalive_retries: KEEPALIVE_RETRIES,
+            unacknowledged_time: None,
+        };
+        let client = settings.client();
         Self { client, metrics }
     }
 
--- a/crates/coltsfoot-node/tests/integration/links.rs
+++ b/crates/coltsfoot-node/tests/integration/links.rs
@@ -16,9 +16,6 @@
 use coltsfoot_wire::peer::{CallReply, CallRequest, ReplyBody};
 use coltsfootroute::{
     event::HybridStamp,
-    id::RequestId,
-    importance::Importance,
-    name::{OperationName, ServiceName},
     outcome::{CallOutcome, RefusalReason},
 };
 use futures_util::{AsyncReadExt as _, AsyncWriteExt as _};
@@ -31,6 +28,8 @@
     task::{JoinHandle, LocalSet, spawn_local, yield_now},
 };
 
+use crate::util::fake_peer::stock_call;
+
 /// What reached the connection, one entry a system call.
 type Writes = Rc<RefCell<Vec<Vec<u8>>>>;
 
@@ -211,24 +210,7 @@
 }
 
 fn call(body: &[u8]) -> CallRequest {
-    CallRequest {
-        request: RequestId(7),
-        service: ServiceName::new("licences"),
-        operation: OperationName::new("status"),
-        importance: Importance::Normal,
-        remaining: Duration::from_secs(1),
-        account: None,
-        client: 0,
-        under_way: false,
-        is_repeat: false,
-        is_retry: false,
-        key: None,
-        content_type: String::new(),
-        head: None,
-        body: Bytes::copy_from_slice(body),
-        revision: 1,
-        stamp: HybridStamp::default(),
-    }
+    CallRequest { body: Bytes::copy_from_slice(body), ..stock_call(HybridStamp::default()) }
 }
 
 fn body(reply: CallReply) -> Vec<u8> {
--- a/crates/coltsfoot-node/tests/integration/util/fake_peer.rs
+++ b/crates/coltsfoot-node/tests/integration/util/fake_peer.rs
@@ -28,13 +28,14 @@
         let client: peer::Client = system.bootstrap(Side::Server);
         tokio::task::spawn_local(system);
         let mut request = client.call_request();
-        call(stamp).write(request.get().init_request());
+        stock_call(stamp).write(request.get().init_request());
         let response = request.send().promise.await.expect("reply");
         CallReply::read(response.get().expect("result").get_reply().expect("reply")).expect("form")
     })
 }
 
-fn call(stamp: HybridStamp) -> CallRequest {
+/// A call without a body for an upstream of `stock`.
+pub fn stock_call(stamp: HybridStamp) -> CallRequest {
     CallRequest {
         request: RequestId(7),
         service: ServiceName::new("stock"),
--- a/crates/coltsfootroute/src/membership/gossip_settings.rs
+++ b/crates/coltsfootroute/src/membership/gossip_settings.rs
@@ -127,9 +127,4 @@
     pub fn with_bandwidth(self, bytes_per_second: u64, burst_bytes: u64) -> Self {
         Self { bytes_per_second, burst_bytes, start_bytes: burst_bytes, ..self }
     }
-
-    /// Lets more bytes go out after the start.
-    pub fn with_start_bytes(self, start_bytes: u64) -> Self {
-        Self { start_bytes, ..self }
-    }
 }
