Sight: ends of an upstream, what broke off with them, and a fingerprint of what was asked for

Cause: the logs tell failed calls one by one. Ruled out: a probe in regular intervals; the guard asks only after a call has broken off. Change: events upstream-ended and request-suspected, metric coltsfoot_upstream_ends_total. An end shows by a refused connection just after calls broke off, or by another life of the upstream; one that has said that it leaves does not count. No decision uses it yet.

--- a/crates/coltsfoot-node/src/dispatch/context.rs
+++ b/crates/coltsfoot-node/src/dispatch/context.rs
@@ -1,10 +1,12 @@
 //! What every part of the dispatch duty may use, and that holds no request.
 
+mod call_fingerprint;
 mod clock_drift;
 mod control_traffic;
 mod node_context;
 mod node_identity;
 
+pub use call_fingerprint::CallContent;
 pub use control_traffic::{CLAIM_BYTES, SINCE_BYTES, TAKE_BYTES, WORD_BYTES};
 pub use node_context::NodeContext;
 pub use node_identity::NodeIdentity;
--- a/crates/coltsfoot-node/src/dispatch/guard.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard.rs
@@ -2,6 +2,8 @@
 
 mod call_guard;
 mod calls_in_flight;
+mod cut_calls;
+mod end_watch;
 mod gate_upkeep;
 mod guard_state;
 mod guarded_call;
--- a/crates/coltsfoot-node/src/dispatch/guard/call_guard.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard/call_guard.rs
@@ -18,8 +18,8 @@
 use tokio::sync::Notify;
 
 use super::{
-    calls_in_flight::CallsInFlight, guard_state::GuardState, once_desk::OnceDesk,
-    upstream_client::UpstreamClient,
+    calls_in_flight::CallsInFlight, cut_calls::CutCalls, guard_state::GuardState,
+    once_desk::OnceDesk, upstream_client::UpstreamClient,
 };
 use crate::{
     border::UpstreamDialect,
@@ -65,6 +65,8 @@
     pub(in crate::dispatch) drain: RefCell<DrainState>,
     /// Woken when an upstream of another service may be beside the node.
     pub(in crate::dispatch) service_changed: Notify,
+    /// Calls that broke off last, until it is known whether the upstream ended with them.
+    pub(super) cut_calls: RefCell<Option<CutCalls>>,
     /// Bounds the repeats that reach the upstream.
     pub(super) throttle: RefCell<ServiceThrottle>,
     pub(super) upstream_client: UpstreamClient,
@@ -99,6 +101,7 @@
             drain_period: parts.drain.report_after,
             drain: RefCell::new(DrainState::new(parts.drain)),
             service_changed: Notify::new(),
+            cut_calls: RefCell::default(),
             throttle: RefCell::new(ServiceThrottle::new(context.now(), parts.throttle)),
             upstream_client: UpstreamClient::new(parts.body_limit, parts.dialect),
             is_closing: Cell::new(false),
--- /dev/null
+++ b/crates/coltsfoot-node/src/dispatch/guard/cut_calls.rs
@@ -0,0 +1,54 @@
+//! Calls that broke off, until it is known whether their upstream ended with them.
+
+use std::net::SocketAddr;
+
+use coltsfootroute::{
+    id::RequestId,
+    membership::InstanceName,
+    quarantine::{CrashId, RequestFingerprint},
+    time::MonotonicTime,
+};
+
+/// Calls told of one end at most. An upstream with more slots ends with more calls under way, but an end that has so
+/// many suspects says little of each.
+pub(super) const MOST_TOLD: usize = 128;
+
+/// A call that broke off.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct CutCall {
+    pub(super) request: RequestId,
+    pub(super) fingerprint: RequestFingerprint,
+    /// Whether the same request was answered here of late.
+    pub(super) answered: bool,
+}
+
+/// Calls of one life of the upstream that broke off at about the same time.
+#[derive(Clone, Debug)]
+pub(super) struct CutCalls {
+    /// The end of the upstream, if it is one.
+    pub(super) crash: CrashId,
+    /// Where the upstream listened.
+    pub(super) address: SocketAddr,
+    /// Its life, if it names itself.
+    pub(super) instance: Option<InstanceName>,
+    /// When the first broke off.
+    pub(super) since: MonotonicTime,
+    /// The calls. Invariant: at most [`MOST_TOLD`].
+    pub(super) calls: Vec<CutCall>,
+    /// All of them, those left out too.
+    pub(super) count: u32,
+    /// Whether the upstream is known to have ended.
+    pub(super) has_ended: bool,
+}
+
+impl CutCalls {
+    /// Adds a call; returns whether it is among those told.
+    pub(super) fn add(&mut self, call: CutCall) -> bool {
+        self.count += 1;
+        let is_told = self.calls.len() < MOST_TOLD;
+        if is_told {
+            self.calls.push(call);
+        }
+        is_told
+    }
+}
--- a/crates/coltsfoot-node/src/dispatch/guard/local_upstream.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard/local_upstream.rs
@@ -24,7 +24,10 @@
 
 impl CallGuard {
     /// Takes in an announcement, the first or a heartbeat.
-    pub async fn announce_upstream(&self, announcement: UpstreamAnnouncement) -> HttpReply {
+    pub async fn announce_upstream(
+        self: &Rc<Self>,
+        announcement: UpstreamAnnouncement,
+    ) -> HttpReply {
         if announcement.slots == 0 || announcement.connections == 0 {
             let body = serde_json::json!({ "message": "`slots` and `connections` are at least 1" });
             return HttpReply::json(StatusCode::BAD_REQUEST, &body);
@@ -33,6 +36,7 @@
             let body = serde_json::json!({ "message": "the node is leaving" });
             return HttpReply::json(StatusCode::SERVICE_UNAVAILABLE, &body);
         }
+        self.note_next_life(announcement.instance.as_ref());
         if self.take_in(&announcement) {
             self.fit_gate(announcement.slots);
             self.context.events.emit(EventKind::UpstreamAnnounced {
@@ -169,7 +173,7 @@
 
     /// Takes in a heartbeat of an upstream that names its lives. Returns once no new work reaches one that
     /// leaves.
-    pub async fn hear(&self, heartbeat: UpstreamHeartbeat) -> HeartbeatVerdict {
+    pub async fn hear(self: &Rc<Self>, heartbeat: UpstreamHeartbeat) -> HeartbeatVerdict {
         let UpstreamHeartbeat { announcement, instance, sequence, is_leaving } = heartbeat;
         // A late one must not bring back what the life before this one has seen off.
         self.introduction.await_resumed().await;
@@ -217,7 +221,7 @@
         self.introduction.note_resumed();
     }
 
-    async fn resume_serving(&self, announcement: UpstreamAnnouncement) {
+    async fn resume_serving(self: &Rc<Self>, announcement: UpstreamAnnouncement) {
         let Some(instance) = announcement.life() else { return };
         let is_first = self.state.instances.borrow_mut().resume(&instance);
         if is_first {
--- a/crates/coltsfoot-node/src/dispatch/guard/upstream_run.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard/upstream_run.rs
@@ -60,6 +60,9 @@
         let result = timeout_at(until, self.upstream_client.send(address, upstream_call)).await;
         let upstream_time = self.context.now().since(started);
         entered.answered = result.is_ok();
+        if matches!(result, Ok(Err(UpstreamError::CutOff))) {
+            self.note_cut(call, address, instance.clone());
+        }
         self.note_failure(call, &result, instance, upstream_time);
         let Ok(result) = result else {
             permit.finish(CallFinish::TimedOut);
@@ -118,7 +121,8 @@
         Some((announcement.address, announcement.instance.clone()))
     }
 
-    fn has_withdrawn(&self) -> bool {
+    /// Whether the upstream has said that it leaves, or fallen silent.
+    pub(super) fn has_withdrawn(&self) -> bool {
         self.state.upstream.borrow().as_ref().is_some_and(|upstream| upstream.has_withdrawn)
     }
 }
--- a/crates/coltsfoot-node/src/metrics/request_metrics.rs
+++ b/crates/coltsfoot-node/src/metrics/request_metrics.rs
@@ -24,6 +24,7 @@
     queued: IntGauge,
     limit: IntGauge,
     importance_breaches: IntCounter,
+    upstream_ends: IntCounter,
     added_latency: LatencyHistogram,
     upstream_latency: LatencyHistogram,
 }
@@ -60,6 +61,10 @@
                 "coltsfoot_importance_breaches_total",
                 "Requests refused for overload while less important work was admitted",
             )?,
+            upstream_ends: registry.counter(
+                "coltsfoot_upstream_ends_total",
+                "Unplanned ends of the upstream beside the node with calls under way",
+            )?,
             added_latency: LatencyHistogram::new(
                 registry,
                 "coltsfoot_added_latency_seconds",
@@ -104,6 +109,11 @@
         self.importance_breaches.inc();
     }
 
+    /// The upstream has ended with calls under way.
+    pub fn upstream_ended(&self) {
+        self.upstream_ends.inc();
+    }
+
     /// Time that the node added to a call.
     pub fn added_latency(&self, latency: Duration) {
         self.added_latency.observe(latency);
--- a/crates/coltsfootroute/src/event/event_kind.rs
+++ b/crates/coltsfootroute/src/event/event_kind.rs
@@ -12,6 +12,7 @@
     membership::InstanceName,
     name::{DomainName, OperationName, OperatorName, RegionName, ServiceName},
     outcome::{CallOutcome, RefusalReason},
+    quarantine::{CrashId, RequestFingerprint},
 };
 
 event_kinds! {
@@ -114,6 +115,33 @@
         /// Time from sending to the failure.
         elapsed_us: u64,
     }
+    /// The upstream beside the node ended with calls under way, unplanned.
+    UpstreamEnded("upstream-ended", Warn) {
+        /// Its service.
+        service: ServiceName,
+        /// Its address.
+        upstream: SocketAddr,
+        /// Its life, if it names itself.
+        instance: Option<InstanceName>,
+        /// This end.
+        crash: CrashId,
+        /// Calls that broke off with it.
+        cut_off: u32,
+        /// Whether it shows by a refused connection; else by the start of another life.
+        refused: bool,
+    }
+    /// A call broke off when its upstream ended. At most 128 of one end are told.
+    RequestSuspected("request-suspected", Info) {
+        /// The client request.
+        #[serde(with = "request_text")]
+        request: RequestId,
+        /// What it asked for.
+        fingerprint: RequestFingerprint,
+        /// The end.
+        crash: CrashId,
+        /// Whether the same was answered there of late, which clears it.
+        answered: bool,
+    }
     /// A request was turned away before a service was found for it.
     RequestDenied("request-denied", Info) {
         /// The client request.
@@ -379,6 +407,7 @@
             | Self::ImportanceBreached { service, .. }
             | Self::UpstreamAnnounced { service, .. }
             | Self::UpstreamLeft { service, .. }
+            | Self::UpstreamEnded { service, .. }
             | Self::LimitChanged { service, .. } => Some(service),
             _ => None,
         }
--- a/crates/coltsfootroute/src/event/event_text.rs
+++ b/crates/coltsfootroute/src/event/event_text.rs
@@ -9,6 +9,7 @@
     membership::InstanceName,
     name::{DomainName, OperationName, OperatorName, RegionName, ServiceName},
     outcome::{CallOutcome, RefusalReason},
+    quarantine::{CrashId, RequestFingerprint},
 };
 
 /// A value that an event's field can hold. Absent values have no text and are left out of the line.
@@ -48,6 +49,8 @@
     InstanceName,
     CallOutcome,
     RefusalReason,
+    CrashId,
+    RequestFingerprint,
 );
 
 impl<T: EventText> EventText for Option<T> {
--- a/crates/coltsfootroute/src/lib.rs
+++ b/crates/coltsfootroute/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod name;
 pub mod once;
 pub mod outcome;
+pub mod quarantine;
 pub mod retry;
 pub mod revision;
 pub mod routing;
