--- a/crates/coltsfoot-node/src/dispatch/context/call_fingerprint.rs
+++ b/crates/coltsfoot-node/src/dispatch/context/call_fingerprint.rs
@@ -20,12 +20,16 @@
     pub body: &'a [u8],
 }
 
-impl CallContent<'_> {
-    /// The fingerprint. A request that is passed on is known by its head, since a route may lead to another service
-    /// tomorrow; a call in the product's own form by its service and operation.
+impl<'a> CallContent<'a> {
+    /// The fingerprint.
     pub fn fingerprint(&self) -> RequestFingerprint {
-        let own_target;
-        let parts = match self.head {
+        RequestFingerprint::of(&self.parts())
+    }
+
+    /// What the fingerprint is made of. A request that is passed on is known by its head, since a route may lead to
+    /// another service tomorrow; a call in the product's own form by its service and operation.
+    pub fn parts(&self) -> FingerprintParts<'a> {
+        match self.head {
             Some(head) => FingerprintParts {
                 method: head.method.as_bytes(),
                 host: find(head, HOST.as_str()),
@@ -33,18 +37,14 @@
                 credential: find(head, AUTHORIZATION.as_str()),
                 body: self.body,
             },
-            None => {
-                own_target = format!("{}/{}", self.service, self.operation);
-                FingerprintParts {
-                    method: b"",
-                    host: b"",
-                    target: own_target.as_bytes(),
-                    credential: b"",
-                    body: self.body,
-                }
-            }
-        };
-        RequestFingerprint::of(&parts)
+            None => FingerprintParts {
+                method: b"",
+                host: self.service.as_str().as_bytes(),
+                target: self.operation.as_str().as_bytes(),
+                credential: b"",
+                body: self.body,
+            },
+        }
     }
 }
 
--- a/crates/coltsfoot-node/src/dispatch/dispatch_command.rs
+++ b/crates/coltsfoot-node/src/dispatch/dispatch_command.rs
@@ -29,6 +29,8 @@
         /// Takes the encoded delta, or `None` if the peer did not answer.
         reply: oneshot::Sender<Option<Vec<u8>>>,
     },
+    /// Ask a peer which requests it holds back.
+    PullQuarantine(NodeId),
     /// Report the state of the node.
     Status(oneshot::Sender<HttpReply>),
     /// Begin a planned stop; the sender is dropped when nothing is in flight any more.
--- a/crates/coltsfoot-node/src/dispatch/dispatch_duty.rs
+++ b/crates/coltsfoot-node/src/dispatch/dispatch_duty.rs
@@ -3,7 +3,7 @@
 use std::{cell::RefCell, rc::Rc};
 
 use coltsfoot_wire::peer::{CallReply, CallRequest, ClaimState};
-use coltsfootroute::id::RequestId;
+use coltsfootroute::{id::RequestId, quarantine::QuarantineNews};
 use rand::SeedableRng;
 use rand_pcg::Pcg64;
 
@@ -14,7 +14,8 @@
     guard::{CallGuard, GuardParts},
     ingress::CallIngress,
     links::{
-        CallHandler, IntroductionDesk, IntroductionStore, PeerHandler, PeerLinks, TokenAnswer,
+        CallHandler, IntroductionDesk, IntroductionStore, PeerHandler, PeerLinks, QuarantineDesk,
+        TokenAnswer,
     },
 };
 
@@ -24,6 +25,7 @@
     pub(super) links: Rc<PeerLinks>,
     pub(super) introduction: Rc<IntroductionDesk>,
     pub(super) introductions: IntroductionStore,
+    pub(super) quarantine: Rc<QuarantineDesk>,
     pub(super) guard: Rc<CallGuard>,
     pub(super) ingress: Rc<CallIngress>,
 }
@@ -48,6 +50,8 @@
         let resumes = parts.dialect.checks_instance();
         let introduction =
             Rc::new(IntroductionDesk::new(context.clone(), introductions.clone(), resumes));
+        let quarantine =
+            Rc::new(QuarantineDesk::new(context.clone(), links.clone(), parts.store.clone()));
         let guard_parts = GuardParts {
             dialect: parts.dialect,
             shed_policy: parts.shed_policy,
@@ -63,6 +67,7 @@
             context.clone(),
             links.clone(),
             introduction.clone(),
+            quarantine.clone(),
             guard_parts,
         ));
         let ingress = Rc::new(CallIngress::new(
@@ -70,8 +75,9 @@
             links.clone(),
             guard.clone(),
             introductions.clone(),
+            quarantine.clone(),
         ));
-        Self { context, links, introduction, introductions, guard, ingress }
+        Self { context, links, introduction, introductions, quarantine, guard, ingress }
     }
 
     /// The way in for a client front.
@@ -98,6 +104,11 @@
         self.ingress.take_own_token(request, take_id)
     }
 
+    fn hear_quarantine(&self, news: QuarantineNews, wants_all: bool) -> QuarantineNews {
+        self.quarantine.hear(news);
+        if wants_all { self.quarantine.all() } else { QuarantineNews::default() }
+    }
+
     fn claim_state(&self, claim: RequestId) -> ClaimState {
         self.guard.claim_state(claim)
     }
--- a/crates/coltsfoot-node/src/dispatch/dispatch_thread.rs
+++ b/crates/coltsfoot-node/src/dispatch/dispatch_thread.rs
@@ -102,6 +102,7 @@
             spawn_local(self.guard.clone().sweep_records());
         }
         spawn_local(self.introduction.clone().keep_introduced());
+        spawn_local(self.quarantine.clone().keep_cases());
         spawn_local(self.guard.clone().resume_upstream());
         spawn_local(self.ingress.clone().follow_upstream());
         spawn_local(self.clone().find_nodes(start));
@@ -126,11 +127,13 @@
             }
             DispatchCommand::Configure(config) => self.ingress.configure(&config).await,
             DispatchCommand::Members(service, members) => {
+                self.quarantine.note_members(&service, &members);
                 self.ingress.update_members(&service, &members)
             }
             DispatchCommand::PullConfig { peer, since, reply } => {
                 let _ = reply.send(pull_config(&self.context, &self.links, peer, since).await);
             }
+            DispatchCommand::PullQuarantine(peer) => self.quarantine.clone().pull(peer).await,
             DispatchCommand::Status(reply) => {
                 let _ = reply.send(self.status().await);
             }
--- a/crates/coltsfoot-node/src/dispatch/guard.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard.rs
@@ -7,6 +7,7 @@
 mod gate_upkeep;
 mod guard_state;
 mod guarded_call;
+mod held_call;
 mod local_upstream;
 mod once_desk;
 mod once_errands;
--- a/crates/coltsfoot-node/src/dispatch/guard/call_guard.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard/call_guard.rs
@@ -13,8 +13,10 @@
     importance::Importance,
     once::ClaimHolder,
     outcome::{CallOutcome, RefusalReason},
+    quarantine::AnsweredRequests,
     retry::{ServiceThrottle, ThrottleSettings},
 };
+use rand::RngExt;
 use tokio::sync::Notify;
 
 use super::{
@@ -25,7 +27,7 @@
     border::UpstreamDialect,
     dispatch::{
         context::NodeContext,
-        links::{IntroductionDesk, PeerLinks},
+        links::{IntroductionDesk, PeerLinks, QuarantineDesk},
     },
     store::StoreHandle,
 };
@@ -58,6 +60,8 @@
     pub(in crate::dispatch) context: Rc<NodeContext>,
     pub(in crate::dispatch) links: Rc<PeerLinks>,
     pub(in crate::dispatch) introduction: Rc<IntroductionDesk>,
+    /// Requests that end their upstreams.
+    pub(super) quarantine: Rc<QuarantineDesk>,
     /// The upstream, its gate, and the calls that wait at it.
     pub(in crate::dispatch) state: GuardState,
     /// Calls that the upstream works on.
@@ -67,6 +71,8 @@
     pub(in crate::dispatch) service_changed: Notify,
     /// Calls that broke off last, until it is known whether the upstream ended with them.
     pub(super) cut_calls: RefCell<Option<CutCalls>>,
+    /// Requests that the upstream has answered of late.
+    pub(super) answered: RefCell<AnsweredRequests>,
     /// Bounds the repeats that reach the upstream.
     pub(super) throttle: RefCell<ServiceThrottle>,
     pub(super) upstream_client: UpstreamClient,
@@ -89,13 +95,17 @@
         context: Rc<NodeContext>,
         links: Rc<PeerLinks>,
         introduction: Rc<IntroductionDesk>,
+        quarantine: Rc<QuarantineDesk>,
         parts: GuardParts,
     ) -> Self {
         let identity = &context.identity;
+        let answered = AnsweredRequests::new(context.rng.borrow_mut().random(), context.now());
         let holder = ClaimHolder { node: identity.node, incarnation: identity.incarnation };
         Self {
             links,
             introduction,
+            quarantine,
+            answered: RefCell::new(answered),
             state: GuardState::default(),
             spans: CallsInFlight::default(),
             drain_period: parts.drain.report_after,
--- a/crates/coltsfoot-node/src/dispatch/guard/cut_calls.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard/cut_calls.rs
@@ -5,14 +5,10 @@
 use coltsfootroute::{
     id::RequestId,
     membership::InstanceName,
-    quarantine::{CrashId, RequestFingerprint},
+    quarantine::{CrashId, MOST_SUSPECTS, RequestFingerprint},
     time::MonotonicTime,
 };
 
-/// Calls told of one end at most. An upstream with more slots ends with more calls under way, but an end that has so
-/// many suspects says little of each.
-pub(super) const MOST_TOLD: usize = 128;
-
 /// A call that broke off.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct CutCall {
@@ -33,7 +29,7 @@
     pub(super) instance: Option<InstanceName>,
     /// When the first broke off.
     pub(super) since: MonotonicTime,
-    /// The calls. Invariant: at most [`MOST_TOLD`].
+    /// The calls. Invariant: at most [`MOST_SUSPECTS`].
     pub(super) calls: Vec<CutCall>,
     /// All of them, those left out too.
     pub(super) count: u32,
@@ -45,7 +41,7 @@
     /// Adds a call; returns whether it is among those told.
     pub(super) fn add(&mut self, call: CutCall) -> bool {
         self.count += 1;
-        let is_told = self.calls.len() < MOST_TOLD;
+        let is_told = self.calls.len() < MOST_SUSPECTS;
         if is_told {
             self.calls.push(call);
         }
--- a/crates/coltsfoot-node/src/dispatch/guard/end_watch.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard/end_watch.rs
@@ -43,12 +43,13 @@
         if self.has_withdrawn() {
             return;
         }
+        let now = self.context.now();
+        let content = content_of(call);
         let cut = CutCall {
             request: call.request,
-            fingerprint: content_of(call).fingerprint(),
-            answered: false,
+            fingerprint: content.fingerprint(),
+            answered: self.answered.borrow_mut().contains(now, &content.parts()),
         };
-        let now = self.context.now();
         let mut open = self.cut_calls.borrow_mut();
         if let Some(calls) = open
             .as_mut()
@@ -76,6 +77,13 @@
         tokio::task::spawn_local(self.clone().ask_whether_ended(crash, address));
     }
 
+    /// The upstream has answered a call, whatever it says: the call did not end it.
+    pub(super) fn note_answered(self: &Rc<Self>, call: &CallRequest) {
+        let content = content_of(call);
+        self.answered.borrow_mut().note(self.context.now(), &content.parts());
+        self.quarantine.note_answer(content);
+    }
+
     /// Another life of the upstream has announced itself.
     pub(super) fn note_next_life(self: &Rc<Self>, instance: Option<&InstanceName>) {
         let now = self.context.now();
@@ -129,6 +137,8 @@
             let suspected = EventKind::RequestSuspected { request, fingerprint, crash, answered };
             self.context.events.emit(suspected);
         }
+        let suspects = calls.iter().filter(|cut| !cut.answered).map(|cut| cut.fingerprint);
+        self.quarantine.report(crash, suspects.collect());
     }
 }
 
--- a/crates/coltsfoot-node/src/dispatch/guard/guarded_call.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard/guarded_call.rs
@@ -53,6 +53,9 @@
             Ok(repeatable) => repeatable,
             Err(reason) => return self.refuse_guarded(&call, reason),
         };
+        if let Some(wait) = self.held_back(&call) {
+            return self.refuse_held(&call, wait);
+        }
         if !self.bears_repeat(&call) {
             return self.refuse_guarded(&call, RefusalReason::RetryBudget);
         }
@@ -63,6 +66,11 @@
                 return self.refuse_guarded(&call, reason);
             }
         };
+        // What was let in may have waited while others learnt of it.
+        if let Some(wait) = self.held_at_last(&call).await {
+            self.give_back_repeat(&call);
+            return self.refuse_held(&call, wait);
+        }
         self.count_first_attempt(&call);
         if repeatable {
             return self.run(&call, deadline, span, permit).await;
--- a/crates/coltsfoot-node/src/dispatch/guard/upstream_run.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard/upstream_run.rs
@@ -60,8 +60,10 @@
         let result = timeout_at(until, self.upstream_client.send(address, upstream_call)).await;
         let upstream_time = self.context.now().since(started);
         entered.answered = result.is_ok();
-        if matches!(result, Ok(Err(UpstreamError::CutOff))) {
-            self.note_cut(call, address, instance.clone());
+        match &result {
+            Ok(Ok(_)) => self.note_answered(call),
+            Ok(Err(UpstreamError::CutOff)) => self.note_cut(call, address, instance.clone()),
+            Ok(Err(_)) | Err(_) => {}
         }
         self.note_failure(call, &result, instance, upstream_time);
         let Ok(result) = result else {
--- a/crates/coltsfoot-node/src/dispatch/ingress/call_ingress.rs
+++ b/crates/coltsfoot-node/src/dispatch/ingress/call_ingress.rs
@@ -15,7 +15,7 @@
 use crate::dispatch::{
     context::NodeContext,
     guard::CallGuard,
-    links::{IntroductionStore, PeerLinks},
+    links::{IntroductionStore, PeerLinks, QuarantineDesk},
 };
 
 /// Takes requests in and routes them to upstreams. The guard of the own upstream is one guard among others:
@@ -25,6 +25,8 @@
     pub(super) links: Rc<PeerLinks>,
     pub(super) guard: Rc<CallGuard>,
     pub(super) introductions: IntroductionStore,
+    /// Requests that end their upstreams.
+    pub(super) quarantine: Rc<QuarantineDesk>,
     /// Upstreams of the watched services.
     pub(in crate::dispatch) pools: RefCell<IndexMap<ServiceName, ServicePool>>,
     /// Members of the own service and of the watched ones.
@@ -50,12 +52,14 @@
         links: Rc<PeerLinks>,
         guard: Rc<CallGuard>,
         introductions: IntroductionStore,
+        quarantine: Rc<QuarantineDesk>,
     ) -> Self {
         Self {
             context,
             links,
             guard,
             introductions,
+            quarantine,
             pools: RefCell::default(),
             member_counts: RefCell::default(),
             members_changed: Notify::new(),
--- a/crates/coltsfoot-node/src/dispatch/ingress/call_routing.rs
+++ b/crates/coltsfoot-node/src/dispatch/ingress/call_routing.rs
@@ -8,6 +8,7 @@
     id::NodeId,
     name::ServiceName,
     outcome::{CallOutcome, RefusalReason},
+    quarantine::QuarantineVerdict,
     retry::{FailedAttempt, RetryDecision},
     routing::RouteResult,
 };
@@ -20,7 +21,7 @@
     route_progress::{RouteEnd, RouteProgress},
     routed_call::RoutedCall,
 };
-use crate::dispatch::links::LinkError;
+use crate::dispatch::{context::CallContent, links::LinkError};
 
 /// Guards that may refuse one call, unsent, before a further attempt counts as a retry.
 const MAX_REROUTES: usize = 2;
@@ -29,8 +30,11 @@
     /// Sends a call to upstreams of its service until one answers, the retries end or the deadline
     /// passes. The outcome speaks of all attempts together.
     pub async fn route(self: &Rc<Self>, call: &RoutedCall) -> RouteEnd {
-        self.await_first_members(call).await;
         let mut progress = RouteProgress::default();
+        if let Some(reply) = self.refuse_held(call) {
+            return progress.end(reply);
+        }
+        self.await_first_members(call).await;
         loop {
             let tried_before = progress.tried.len();
             let reply = self.attempt(call, &mut progress).await;
@@ -63,6 +67,23 @@
         }
     }
 
+    /// The refusal of a call that ends its upstreams. A guard that knows of it refuses it too; here it goes no further.
+    fn refuse_held(&self, call: &RoutedCall) -> Option<CallReply> {
+        let content = CallContent {
+            service: &call.service,
+            operation: &call.operation,
+            head: call.head.as_ref(),
+            body: &call.body,
+        };
+        match self.quarantine.judge(call.request, content).1 {
+            QuarantineVerdict::Held(wait) => {
+                Some(CallReply::refusal(RefusalReason::Quarantined, CallOutcome::NotRun, wait))
+            }
+            // The guard asks for the trial.
+            QuarantineVerdict::Free | QuarantineVerdict::TrialDue => None,
+        }
+    }
+
     /// Waits for the members of a service that has only been watched for a moment.
     async fn await_first_members(&self, call: &RoutedCall) {
         let watched_since = self.watch(&call.service).await;
@@ -262,9 +283,13 @@
             RouteResult::Unreachable
         }
         // Says nothing of the upstream.
-        (ReplyBody::Refusal { reason: RefusalReason::RetryBudget, .. }, _) => {
-            RouteResult::Cancelled
-        }
+        (
+            ReplyBody::Refusal {
+                reason: RefusalReason::RetryBudget | RefusalReason::Quarantined,
+                ..
+            },
+            _,
+        ) => RouteResult::Cancelled,
         (ReplyBody::Refusal { .. }, CallOutcome::NotRun) => RouteResult::Refused,
         (ReplyBody::Refusal { .. }, _) => RouteResult::Failed,
     }
--- a/crates/coltsfoot-node/src/dispatch/links.rs
+++ b/crates/coltsfoot-node/src/dispatch/links.rs
@@ -13,6 +13,7 @@
 mod peer_handler;
 mod peer_links;
 mod peer_server;
+mod quarantine_desk;
 mod upstream_announcement;
 mod upstream_row;
 
@@ -27,5 +28,6 @@
 pub use peer_handler::{CallHandler, PeerHandler, TokenAnswer};
 pub use peer_links::{LinkError, PeerLink, PeerLinks};
 pub use peer_server::accept_peers;
+pub use quarantine_desk::QuarantineDesk;
 pub use upstream_announcement::UpstreamAnnouncement;
 pub use upstream_row::UpstreamRow;
--- a/crates/coltsfoot-node/src/dispatch/links/peer_handler.rs
+++ b/crates/coltsfoot-node/src/dispatch/links/peer_handler.rs
@@ -3,7 +3,7 @@
 use std::{future::Future, rc::Rc};
 
 use coltsfoot_wire::peer::{CallReply, CallRequest, ClaimState, TakeAnswer};
-use coltsfootroute::id::RequestId;
+use coltsfootroute::{id::RequestId, quarantine::QuarantineNews};
 
 use crate::dispatch::context::NodeContext;
 
@@ -30,6 +30,9 @@
     /// Takes a token from a retry account kept here.
     fn take_token(&self, request: RequestId, take_id: u64) -> TokenAnswer;
 
+    /// Takes in news of ended upstreams; returns all that this node knows of them if `wants_all`.
+    fn hear_quarantine(&self, news: QuarantineNews, wants_all: bool) -> QuarantineNews;
+
     /// What became of a claim of this life of the node.
     fn claim_state(&self, claim: RequestId) -> ClaimState;
 }
--- a/crates/coltsfoot-node/src/dispatch/links/peer_server.rs
+++ b/crates/coltsfoot-node/src/dispatch/links/peer_server.rs
@@ -5,7 +5,10 @@
 use capnp::Error;
 use capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side, twoparty::VatNetwork};
 use coltsfoot_wire::{
-    peer::{CallRequest, join_id, write_claim_state, write_take_answer},
+    peer::{
+        CallRequest, join_id, read_quarantine_news, write_claim_state, write_quarantine_news,
+        write_take_answer,
+    },
     peer_capnp::peer,
 };
 use futures_util::{AsyncReadExt as _, io::Cursor};
@@ -64,6 +67,20 @@
         Ok(())
     }
 
+    async fn tell_quarantine(
+        self: Rc<Self>,
+        params: peer::TellQuarantineParams,
+        mut results: peer::TellQuarantineResults,
+    ) -> Result<(), Error> {
+        let params = params.get()?;
+        let news = read_quarantine_news(params.get_news()?)?;
+        let heard = news.wire_bytes() + WORD_BYTES;
+        let reply = self.handler.hear_quarantine(news, params.get_wants_all());
+        write_quarantine_news(&reply, results.get().init_news());
+        self.handler.context().count_answered(ControlKind::Quarantine, heard, reply.wire_bytes());
+        Ok(())
+    }
+
     async fn claim_state(
         self: Rc<Self>,
         params: peer::ClaimStateParams,
--- /dev/null
+++ b/crates/coltsfoot-node/src/dispatch/links/quarantine_desk.rs
@@ -0,0 +1,327 @@
+//! What this node knows of requests that end their upstreams, how it tells others, and how it outlasts them.
+
+use std::{cell::RefCell, rc::Rc, time::Duration};
+
+use coltsfoot_wire::peer::{read_quarantine_news, write_quarantine_news};
+use coltsfootroute::{
+    event::EventKind,
+    id::{NodeId, RequestId},
+    membership::{MemberRecord, MemberState},
+    name::ServiceName,
+    quarantine::{
+        CaseTerm, CrashId, CrashReport, QuarantineChange, QuarantineNews, QuarantineRegister,
+        QuarantineRow, QuarantineVerdict, RequestFingerprint, TrialClaim, trial_claim,
+    },
+    table::{StoreUse, TableReply, TableRequest},
+};
+use indexmap::{IndexMap, IndexSet};
+use rand::seq::IteratorRandom as _;
+use tokio::{
+    sync::Notify,
+    time::{sleep, timeout},
+};
+
+use super::PeerLinks;
+use crate::{
+    clock::wall_millis,
+    dispatch::context::{CallContent, NodeContext, WORD_BYTES},
+    gossip::GossipCommand,
+    journal::LOG_TARGET,
+    metrics::ControlKind,
+    store::StoreHandle,
+};
+
+/// Nodes told at once by the guard that has seen an end: with it each node of a small deployment hears in one step.
+const FIRST_FANOUT: usize = 16;
+/// Nodes told by each that has heard something new. Four reach 98 in 100 nodes of any number within a few steps; the
+/// others see from the digest on gossip that they lack a case.
+const NEXT_FANOUT: usize = 4;
+/// Longest wait for a node that is told or asked.
+const TELL_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time one request to the table service may take.
+const STORE_DEADLINE: Duration = Duration::from_secs(2);
+/// First pause until the table service is asked again, doubled up to the longest.
+const FIRST_STORE_PAUSE: Duration = Duration::from_millis(500);
+/// Longest pause until the table service is asked again.
+const LONGEST_STORE_PAUSE: Duration = Duration::from_secs(10);
+/// Requests that this node has suspected itself and whose cases it writes down.
+const MOST_OWN_SUSPECTS: usize = 1_024;
+
+/// What this node knows of requests that end their upstreams, how it tells others, and how it outlasts them.
+///
+/// Ends of upstreams and cases go from node to node; cases also stand in the table service, so that nodes that all start
+/// anew still know them.
+pub struct QuarantineDesk {
+    context: Rc<NodeContext>,
+    links: Rc<PeerLinks>,
+    store: StoreHandle,
+    register: RefCell<QuarantineRegister>,
+    /// Present members of the services that this node watches.
+    peers: RefCell<IndexMap<ServiceName, Vec<NodeId>>>,
+    /// What this node's own upstream has ended with, the newest. Invariant: at most [`MOST_OWN_SUSPECTS`].
+    own_suspects: RefCell<IndexSet<RequestFingerprint>>,
+    /// Cases that this node has to write down.
+    unwritten: RefCell<IndexMap<RequestFingerprint, CaseTerm>>,
+    unwritten_changed: Notify,
+}
+
+impl QuarantineDesk {
+    /// Nothing known yet.
+    pub fn new(context: Rc<NodeContext>, links: Rc<PeerLinks>, store: StoreHandle) -> Self {
+        Self {
+            context,
+            links,
+            store,
+            register: RefCell::default(),
+            peers: RefCell::default(),
+            own_suspects: RefCell::default(),
+            unwritten: RefCell::default(),
+            unwritten_changed: Notify::new(),
+        }
+    }
+
+    /// Whether a call may be sent on; tells the journal if it may not.
+    pub fn judge(
+        &self,
+        request: RequestId,
+        content: CallContent<'_>,
+    ) -> (RequestFingerprint, QuarantineVerdict) {
+        let register = self.register.borrow();
+        if !register.has_cases() {
+            return (RequestFingerprint(0), QuarantineVerdict::Free);
+        }
+        let fingerprint = content.fingerprint();
+        let verdict = register.judge(self.context.now(), fingerprint);
+        if matches!(verdict, QuarantineVerdict::Held(_)) {
+            let term = register.term(fingerprint).0;
+            self.context.events.emit(EventKind::QuarantineRefused { request, fingerprint, term });
+        }
+        (fingerprint, verdict)
+    }
+
+    /// Asks for the one trial of a request that is held back; returns whether this node makes it.
+    pub async fn claim_trial(&self, request: RequestId, fingerprint: RequestFingerprint) -> bool {
+        let term = self.register.borrow().term(fingerprint);
+        // Others that come meanwhile are held back.
+        self.note_trial(fingerprint, TrialClaim::Unanswered);
+        let claim = TrialClaim::of(&self.ask(trial_claim(fingerprint, term)).await);
+        self.note_trial(fingerprint, claim);
+        let taken = claim == TrialClaim::Taken;
+        if taken {
+            self.context.events.emit(EventKind::QuarantineTrial { request, fingerprint });
+        }
+        taken
+    }
+
+    fn note_trial(&self, fingerprint: RequestFingerprint, claim: TrialClaim) {
+        let now = self.context.now();
+        self.register.borrow_mut().note_trial(now, fingerprint, claim);
+    }
+
+    /// The upstream beside this node has ended with these requests under way.
+    pub fn report(self: &Rc<Self>, crash: CrashId, suspects: Vec<RequestFingerprint>) {
+        if suspects.is_empty() {
+            return;
+        }
+        let mut own = self.own_suspects.borrow_mut();
+        for suspect in &suspects {
+            if own.len() >= MOST_OWN_SUSPECTS {
+                own.shift_remove_index(0);
+            }
+            own.insert(*suspect);
+        }
+        drop(own);
+        let report = CrashReport { crash, age: Duration::ZERO, suspects };
+        let news = QuarantineNews { crashes: vec![report], ..QuarantineNews::default() };
+        self.take_news(news, FIRST_FANOUT);
+    }
+
+    /// The upstream beside this node has answered a call.
+    pub fn note_answer(self: &Rc<Self>, content: CallContent<'_>) {
+        if !self.register.borrow().has_suspects() {
+            return;
+        }
+        let now = self.context.now();
+        let note = self.register.borrow_mut().note_answer(now, content.fingerprint());
+        if let Some(note) = note {
+            let answers = vec![note];
+            self.settle_changes();
+            self.tell(QuarantineNews { answers, ..QuarantineNews::default() }, FIRST_FANOUT);
+        }
+    }
+
+    /// An operator lets a request go; returns whether it was held back.
+    pub fn let_go(self: &Rc<Self>, fingerprint: RequestFingerprint) -> bool {
+        let now = self.context.now();
+        let was_held = self.register.borrow_mut().let_go(now, fingerprint);
+        if was_held {
+            self.own_suspects.borrow_mut().insert(fingerprint);
+            self.settle_changes();
+            let cases = self.register.borrow().cases(now);
+            self.tell(QuarantineNews { cases, ..QuarantineNews::default() }, FIRST_FANOUT);
+        }
+        was_held
+    }
+
+    /// All that is known.
+    pub fn all(&self) -> QuarantineNews {
+        self.register.borrow().all(self.context.now())
+    }
+
+    /// Takes in what another node tells, and passes on what is new of it.
+    pub fn hear(self: &Rc<Self>, news: QuarantineNews) {
+        self.take_news(news, NEXT_FANOUT);
+    }
+
+    /// Asks `peer` for all that it knows: what it holds back differs from what this node does.
+    pub async fn pull(self: Rc<Self>, peer: NodeId) {
+        let nothing = QuarantineNews::default();
+        let asked = timeout(TELL_TIMEOUT, self.exchange(peer, &nothing, true)).await;
+        if let Ok(Some(news)) = asked {
+            self.hear(news);
+        }
+    }
+
+    /// The members of a watched service.
+    pub fn note_members(&self, service: &ServiceName, members: &[MemberRecord]) {
+        let own = self.context.identity.node;
+        let present = members.iter().filter(|member| {
+            matches!(member.state, MemberState::Alive | MemberState::Suspect) && member.node != own
+        });
+        let nodes = present.map(|member| member.node).collect();
+        self.peers.borrow_mut().insert(service.clone(), nodes);
+    }
+
+    /// Reads the cases that stand in the table service, then writes down those of this node as they come.
+    pub async fn keep_cases(self: Rc<Self>) {
+        self.read_cases().await;
+        let mut pause = FIRST_STORE_PAUSE;
+        loop {
+            let changed = self.unwritten_changed.notified();
+            let next = self.unwritten.borrow().first().map(|(case, term)| (*case, *term));
+            let Some((fingerprint, term)) = next else {
+                changed.await;
+                continue;
+            };
+            let row = QuarantineRow { term, changed_ms: wall_millis() };
+            match self.ask(row.write(fingerprint)).await {
+                TableReply::Unavailable | TableReply::Uncertain => {
+                    sleep(self.context.jittered(pause)).await;
+                    pause = (pause * 2).min(LONGEST_STORE_PAUSE);
+                }
+                // A row that stands is another node's, of the same case.
+                TableReply::Committed | TableReply::Conflict(_) | TableReply::Rows(_) => {
+                    self.note_written(fingerprint, term);
+                    pause = FIRST_STORE_PAUSE;
+                }
+            }
+        }
+    }
+
+    fn note_written(&self, fingerprint: RequestFingerprint, term: CaseTerm) {
+        let mut unwritten = self.unwritten.borrow_mut();
+        if unwritten.get(&fingerprint) == Some(&term) {
+            unwritten.swap_remove(&fingerprint);
+        }
+    }
+
+    async fn read_cases(self: &Rc<Self>) {
+        let mut pause = FIRST_STORE_PAUSE;
+        loop {
+            if let TableReply::Rows(rows) = self.ask(QuarantineRow::scan()).await {
+                let wall = wall_millis();
+                let cases = rows.iter().filter_map(|row| QuarantineRow::read(row, wall));
+                let cases: Vec<_> = cases.collect();
+                if cases.len() < rows.len() {
+                    let faulty = rows.len() - cases.len();
+                    log::warn!(
+                        target: LOG_TARGET,
+                        "level=warn event=quarantine-rows-faulty count={faulty}"
+                    );
+                }
+                self.hear(QuarantineNews { cases, ..QuarantineNews::default() });
+                return;
+            }
+            sleep(self.context.jittered(pause)).await;
+            pause = (pause * 2).min(LONGEST_STORE_PAUSE);
+        }
+    }
+
+    fn take_news(self: &Rc<Self>, news: QuarantineNews, fanout: usize) {
+        let now = self.context.now();
+        let fresh = self.register.borrow_mut().merge(now, news);
+        self.settle_changes();
+        self.tell(fresh, fanout);
+    }
+
+    /// Tells the journal, the metrics and the gossip duty of cases that changed, and notes those to write down.
+    fn settle_changes(self: &Rc<Self>) {
+        let changes = self.register.borrow_mut().take_changes();
+        if changes.is_empty() {
+            return;
+        }
+        for QuarantineChange { fingerprint, term, crashes } in changes {
+            let held = term.is_held();
+            let term_number = term.0;
+            self.context.events.emit(EventKind::QuarantineChanged {
+                fingerprint,
+                term: term_number,
+                held,
+                crashes,
+            });
+            if self.own_suspects.borrow().contains(&fingerprint) {
+                self.unwritten.borrow_mut().insert(fingerprint, term);
+                self.unwritten_changed.notify_one();
+            }
+        }
+        let register = self.register.borrow();
+        let held =
+            register.cases(self.context.now()).iter().filter(|case| case.term.is_held()).count();
+        self.context.metrics.requests.set_quarantined(held);
+        let digest = register.digest();
+        let context = self.context.clone();
+        tokio::task::spawn_local(async move {
+            context.tell_gossip(GossipCommand::SetQuarantine(digest)).await;
+        });
+    }
+
+    fn tell(self: &Rc<Self>, news: QuarantineNews, fanout: usize) {
+        if news.is_empty() {
+            return;
+        }
+        let known: IndexSet<_> = self.peers.borrow().values().flatten().copied().collect();
+        let told = known.into_iter().sample(&mut *self.context.rng.borrow_mut(), fanout);
+        let news = Rc::new(news);
+        for peer in told {
+            let (desk, news) = (self.clone(), news.clone());
+            tokio::task::spawn_local(async move {
+                // One that can't be told hears from others, or sees by their digest that it lacks something.
+                let _ = timeout(TELL_TIMEOUT, desk.exchange(peer, &news, false)).await;
+            });
+        }
+    }
+
+    async fn exchange(
+        &self,
+        peer: NodeId,
+        news: &QuarantineNews,
+        wants_all: bool,
+    ) -> Option<QuarantineNews> {
+        let link = self.links.get(peer).await.ok()?;
+        let mut request = link.client().tell_quarantine_request();
+        request.get().set_wants_all(wants_all);
+        write_quarantine_news(news, request.get().init_news());
+        let Ok(response) = request.send().promise.await else {
+            self.links.failed(peer, &link);
+            return None;
+        };
+        let reply = read_quarantine_news(response.get().ok()?.get_news().ok()?).ok()?;
+        let (asked, answered) = (news.wire_bytes() + WORD_BYTES, reply.wire_bytes());
+        self.context.count_asked(ControlKind::Quarantine, asked, answered);
+        Some(reply)
+    }
+
+    async fn ask(&self, request: TableRequest) -> TableReply {
+        self.store.request(request, STORE_DEADLINE, StoreUse::Quarantine).await
+    }
+}
--- a/crates/coltsfoot-node/src/gossip/gossip_command.rs
+++ b/crates/coltsfoot-node/src/gossip/gossip_command.rs
@@ -23,6 +23,8 @@
     Unreached(ServiceName),
     /// A configuration revision is in force here.
     SetRevision(u64),
+    /// The node holds back the requests of this digest.
+    SetQuarantine(u64),
     /// Addresses of nodes read from the table service.
     Introduce(Vec<NodeId>),
     /// Ask some of these nodes, read from the table service, for their records now.
--- a/crates/coltsfoot-node/src/gossip/gossip_thread.rs
+++ b/crates/coltsfoot-node/src/gossip/gossip_thread.rs
@@ -199,6 +199,10 @@
                 self.engine.set_revision(revision);
                 Vec::new()
             }
+            GossipCommand::SetQuarantine(digest) => {
+                self.engine.set_quarantine(digest);
+                Vec::new()
+            }
             GossipCommand::Introduce(nodes) => {
                 self.engine.introduce(now, nodes);
                 Vec::new()
@@ -223,6 +227,9 @@
                 GossipEffect::RevisionBehind { peer, revision } => {
                     self.config.behind(ConfigCommand::Behind { peer, revision });
                 }
+                GossipEffect::QuarantineDiffers { peer } => {
+                    self.dispatch.tell(DispatchCommand::PullQuarantine(peer)).await;
+                }
                 GossipEffect::MemberUp { node, incarnation, .. } => {
                     self.events.emit(EventKind::MemberUp { member: node, incarnation });
                 }
--- a/crates/coltsfoot-node/src/metrics/control_kind.rs
+++ b/crates/coltsfoot-node/src/metrics/control_kind.rs
@@ -13,6 +13,8 @@
         Account => "account",
         /// Questions to the holder of a claim.
         Claim => "claim",
+        /// Requests that end their upstreams.
+        Quarantine => "quarantine",
         /// The platform's store.
         Store => "store",
         /// Operators, metrics and events.
--- a/crates/coltsfoot-node/src/metrics/request_metrics.rs
+++ b/crates/coltsfoot-node/src/metrics/request_metrics.rs
@@ -25,6 +25,7 @@
     limit: IntGauge,
     importance_breaches: IntCounter,
     upstream_ends: IntCounter,
+    quarantined: IntGauge,
     added_latency: LatencyHistogram,
     upstream_latency: LatencyHistogram,
 }
@@ -65,6 +66,10 @@
                 "coltsfoot_upstream_ends_total",
                 "Unplanned ends of the upstream beside the node with calls under way",
             )?,
+            quarantined: registry.gauge(
+                "coltsfoot_requests_quarantined",
+                "Requests held back since they have ended their upstreams",
+            )?,
             added_latency: LatencyHistogram::new(
                 registry,
                 "coltsfoot_added_latency_seconds",
@@ -114,6 +119,11 @@
         self.upstream_ends.inc();
     }
 
+    /// So many different requests are held back now.
+    pub fn set_quarantined(&self, held: usize) {
+        self.quarantined.set(gauge_value(held as u64));
+    }
+
     /// Time that the node added to a call.
     pub fn added_latency(&self, latency: Duration) {
         self.added_latency.observe(latency);
--- a/crates/coltsfoot-wire/schema/gossip.capnp
+++ b/crates/coltsfoot-wire/schema/gossip.capnp
@@ -48,6 +48,9 @@
 
     push @20 :Void;
   }
+
+  quarantine @21 :UInt64;
+  # Digest of the requests that the sender holds back; 0: none.
 }
 
 struct Address {
--- a/crates/coltsfoot-wire/schema/peer.capnp
+++ b/crates/coltsfoot-wire/schema/peer.capnp
@@ -70,6 +70,34 @@
   failedBelow @13 :Bool;      # the upstream made a nested call that was not served
 }
 
+struct CrashReport {
+  crash @0 :UInt64;           # drawn by the guard beside the upstream that ended
+  ageMillis @1 :UInt64;
+  suspects @2 :List(Fingerprint);
+}
+
+struct Fingerprint {
+  high @0 :UInt64;
+  low @1 :UInt64;
+}
+
+struct AnswerNote {
+  fingerprint @0 :Fingerprint;
+  ageMillis @1 :UInt64;
+}
+
+struct CaseNote {
+  fingerprint @0 :Fingerprint;
+  term @1 :UInt32;            # odd: held back
+  ageMillis @2 :UInt64;
+}
+
+struct QuarantineNews {
+  crashes @0 :List(CrashReport);
+  answers @1 :List(AnswerNote);
+  cases @2 :List(CaseNote);
+}
+
 enum TakeAnswer { granted @0; denied @1; noAccount @2; late @3; }
 
 enum ClaimState { notMine @0; neverDispatched @1; running @2; finished @3; }
@@ -80,4 +108,6 @@
       -> (answer :TakeAnswer, remaining :UInt32);
   configSince @2 (revision :UInt64) -> (delta :Data);  # JSON of a configuration delta
   claimState @3 (claimHigh :UInt64, claimLow :UInt64) -> (state :ClaimState);
+  tellQuarantine @4 (news :QuarantineNews, wantsAll :Bool) -> (news :QuarantineNews);
+  # With `wantsAll` all that the node knows comes back, else nothing.
 }
--- a/crates/coltsfoot-wire/src/gossip/decode.rs
+++ b/crates/coltsfoot-wire/src/gossip/decode.rs
@@ -38,6 +38,7 @@
     let names = NameTable::read(root.get_names()?)?;
     Ok(GossipMessage {
         revision: root.get_revision(),
+        quarantine: root.get_quarantine(),
         payload: read_payload(root, &names)?,
         updates: read_updates(root, &names)?,
     })
--- a/crates/coltsfoot-wire/src/gossip/encode.rs
+++ b/crates/coltsfoot-wire/src/gossip/encode.rs
@@ -19,6 +19,7 @@
     let mut builder = Builder::new_default();
     let mut root = builder.init_root::<gossip::Builder<'_>>();
     root.set_revision(message.revision);
+    root.set_quarantine(message.quarantine);
     let mut names = NameTable::new();
     write_payload(&mut root, &message.payload, &mut names)?;
     write_updates(&mut root, &message.updates, &mut names)?;
--- a/crates/coltsfoot-wire/src/peer.rs
+++ b/crates/coltsfoot-wire/src/peer.rs
@@ -5,6 +5,7 @@
 mod claim_state;
 mod header_line;
 mod level_note;
+mod quarantine_news;
 mod request_head;
 mod take_answer;
 
@@ -13,6 +14,7 @@
 pub use claim_state::{ClaimState, read_claim_state, write_claim_state};
 pub use header_line::HeaderLine;
 pub use level_note::LevelNote;
+pub use quarantine_news::{read_quarantine_news, write_quarantine_news};
 pub use request_head::RequestHead;
 pub use take_answer::{TakeAnswer, read_take_answer, write_take_answer};
 
--- a/crates/coltsfootroute/src/event/event_kind.rs
+++ b/crates/coltsfootroute/src/event/event_kind.rs
@@ -142,6 +142,35 @@
         /// Whether the same was answered there of late, which clears it.
         answered: bool,
     }
+    /// A request is held back from here on, or let go.
+    QuarantineChanged("quarantine-changed", Warn) {
+        /// What it asks for.
+        fingerprint: RequestFingerprint,
+        /// Changes of the case until now.
+        term: u32,
+        /// Whether it is held back.
+        held: bool,
+        /// Ends of upstreams that speak against it; 0 where others told of it.
+        crashes: u32,
+    }
+    /// A request was refused since the same has ended its upstreams.
+    QuarantineRefused("quarantine-refused", Info) {
+        /// The client request.
+        #[serde(with = "request_text")]
+        request: RequestId,
+        /// What it asks for.
+        fingerprint: RequestFingerprint,
+        /// Changes of the case until now.
+        term: u32,
+    }
+    /// A request that is held back is run once, to see whether it still ends its upstream.
+    QuarantineTrial("quarantine-trial", Warn) {
+        /// The client request.
+        #[serde(with = "request_text")]
+        request: RequestId,
+        /// What it asks for.
+        fingerprint: RequestFingerprint,
+    }
     /// A request was turned away before a service was found for it.
     RequestDenied("request-denied", Info) {
         /// The client request.
@@ -377,6 +406,7 @@
             | Self::RequestRefused { request, .. }
             | Self::RequestCompleted { request, .. }
             | Self::RequestDenied { request, .. }
+            | Self::QuarantineRefused { request, .. }
             | Self::GuardRefused { request, .. }
             | Self::UpstreamCallFailed { request, .. }
             | Self::RequestUnknown { request, .. }
--- a/crates/coltsfootroute/src/membership/gossip_effect.rs
+++ b/crates/coltsfootroute/src/membership/gossip_effect.rs
@@ -55,6 +55,11 @@
             /// Its revision.
             revision: u64,
         },
+        /// A peer holds back other requests that end their upstreams than this node.
+        QuarantineDiffers {
+            /// The peer to ask.
+            peer: NodeId,
+        },
         /// The first other node has answered, or there is none to ask.
         Joined,
         /// The own process had stopped for a while: what it knew may be stale, and it says so by a
--- a/crates/coltsfootroute/src/membership/gossip_engine.rs
+++ b/crates/coltsfootroute/src/membership/gossip_engine.rs
@@ -67,6 +67,10 @@
     outbox: VecDeque<(NodeId, GossipMessage)>,
     revision: u64,
     behind_noted: Option<(u64, MonotonicTime)>,
+    /// Digest of the requests that this node holds back.
+    quarantine: u64,
+    /// When a peer with another digest may be told of again.
+    quarantine_due: MonotonicTime,
     joined: bool,
     last_tick: MonotonicTime,
     effects: Vec<GossipEffect>,
@@ -110,6 +114,8 @@
             outbox: VecDeque::new(),
             revision: 0,
             behind_noted: None,
+            quarantine: 0,
+            quarantine_due: now,
             joined: false,
             last_tick: now,
             effects: Vec::new(),
@@ -143,6 +149,7 @@
     ) -> Vec<GossipEffect> {
         if from != self.me.node {
             self.note_revision(now, from, message.revision);
+            self.note_quarantine(now, from, message.quarantine);
             self.absorb_all(now, rng, from, &message);
             self.answer(now, rng, from, message);
         }
@@ -154,6 +161,11 @@
         self.revision = self.revision.max(revision);
     }
 
+    /// Sets the digest of the requests that this node holds back, carried on every message.
+    pub fn set_quarantine(&mut self, digest: u64) {
+        self.quarantine = digest;
+    }
+
     /// Live members of a watched service, or of the own one: alive or suspected.
     pub fn members(&self, service: &str) -> impl Iterator<Item = &MemberRecord> {
         self.groups.get(service).into_iter().flat_map(GroupView::live)
--- a/crates/coltsfootroute/src/membership/gossip_engine/joining.rs
+++ b/crates/coltsfootroute/src/membership/gossip_engine/joining.rs
@@ -20,6 +20,9 @@
 /// Shortest time between two reports of the same higher revision.
 const BEHIND_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Pause between two peers that are asked for what they hold back: while a case spreads many differ for a moment.
+const QUARANTINE_PAUSE: Duration = Duration::from_millis(200);
+
 impl GossipEngine {
     /// Adds addresses of nodes, read from elsewhere, to ask.
     pub fn introduce(&mut self, now: MonotonicTime, nodes: impl IntoIterator<Item = NodeId>) {
@@ -93,6 +96,15 @@
         }
     }
 
+    /// A peer holds back other requests than this node: one of the two lacks something, and each asks the other.
+    pub(super) fn note_quarantine(&mut self, now: MonotonicTime, peer: NodeId, digest: u64) {
+        if digest == self.quarantine || digest == 0 || now < self.quarantine_due {
+            return;
+        }
+        self.quarantine_due = now + QUARANTINE_PAUSE;
+        self.effects.push(GossipEffect::QuarantineDiffers { peer });
+    }
+
     /// A node outside the own group; also the last resort of a pull.
     pub(super) fn cross_target(&self, now: MonotonicTime, rng: &mut impl Rng) -> Option<NodeId> {
         let seed = self.seeds.sample(now, rng, 1).pop().map(|update| update.record.node);
--- a/crates/coltsfootroute/src/membership/gossip_engine/spreading.rs
+++ b/crates/coltsfootroute/src/membership/gossip_engine/spreading.rs
@@ -27,6 +27,7 @@
         to: NodeId,
         message: GossipMessage,
     ) -> bool {
+        let message = GossipMessage { quarantine: self.quarantine, ..message };
         let bytes = (message.wire_bytes() + DATAGRAM_OVERHEAD_BYTES) as u64;
         if !self.budget.try_take(now, priority, bytes) {
             self.counters.deferred += 1;
--- a/crates/coltsfootroute/src/membership/gossip_message.rs
+++ b/crates/coltsfootroute/src/membership/gossip_message.rs
@@ -11,6 +11,8 @@
 
 /// Bytes of the frame: segment table, root, list pointers.
 const FRAME_BYTES: usize = 28;
+/// Most bytes of the digest, which is not known until the message is sent.
+const QUARANTINE_BYTES: usize = 9;
 /// Bytes that a name costs beside its text: pointer and padding.
 const NAME_OVERHEAD_BYTES: usize = 6;
 
@@ -19,6 +21,8 @@
     pub struct GossipMessage {
         /// Revision of the configuration that the sender has in force.
         pub revision: u64,
+        /// Digest of the requests that the sender holds back; set as the message is sent.
+        pub quarantine: u64,
         /// What the message asks or answers.
         pub payload: GossipPayload,
         /// Records that travel along.
@@ -29,7 +33,7 @@
 impl GossipMessage {
     /// A message without updates.
     pub fn new(revision: u64, payload: GossipPayload) -> Self {
-        Self { revision, payload, updates: Vec::new() }
+        Self { revision, quarantine: 0, payload, updates: Vec::new() }
     }
 
     /// Upper bound of the encoded size, in bytes, headers of IP and UDP not included.
@@ -43,7 +47,12 @@
         }
         let names: usize = names.iter().map(|name| name_bytes(name)).sum();
         let updates: usize = self.updates.iter().map(MemberUpdate::wire_bytes).sum();
-        FRAME_BYTES + packed_bytes(self.revision) + self.payload.wire_bytes() + names + updates
+        FRAME_BYTES
+            + packed_bytes(self.revision)
+            + packed_bytes(self.quarantine)
+            + self.payload.wire_bytes()
+            + names
+            + updates
     }
 
     /// Adds updates, in their order, as long as the datagram stays within its bound; returns how many
@@ -52,7 +61,7 @@
         let mut added = 0;
         for update in updates {
             self.updates.push(update);
-            if self.wire_bytes() > MAX_DATAGRAM_BYTES {
+            if self.wire_bytes() + QUARANTINE_BYTES > MAX_DATAGRAM_BYTES {
                 self.updates.pop();
                 break;
             }
--- a/crates/coltsfootroute/src/outcome/refusal_reason.rs
+++ b/crates/coltsfootroute/src/outcome/refusal_reason.rs
@@ -32,12 +32,14 @@
         RetryBudget,
         /// The request is malformed: a header is missing, wrong or oversized.
         BadRequest,
+        /// The same request has ended the upstreams that ran it.
+        Quarantined,
     }
 }
 
 impl RefusalReason {
     /// All reasons.
-    pub const ALL: [Self; 13] = [
+    pub const ALL: [Self; 14] = [
         Self::Overload,
         Self::Leaving,
         Self::NoUpstream,
@@ -51,6 +53,7 @@
         Self::UnknownOperation,
         Self::RetryBudget,
         Self::BadRequest,
+        Self::Quarantined,
     ];
 
     /// The reason's name in a refusal's body, in logs and in metric labels.
@@ -69,6 +72,7 @@
             Self::UnknownOperation => "unknown-operation",
             Self::RetryBudget => "retry-budget",
             Self::BadRequest => "bad-request",
+            Self::Quarantined => "quarantined",
         }
     }
 
--- a/crates/coltsfootroute/src/quarantine/request_fingerprint.rs
+++ b/crates/coltsfootroute/src/quarantine/request_fingerprint.rs
@@ -32,8 +32,8 @@
 }
 
 impl RequestFingerprint {
-    /// The fingerprint of a request. Takes 0.3 µs and 1 µs for each KiB of the body, so that it is not taken of calls
-    /// that nothing is suspected of.
+    /// The fingerprint of a request. A hash over the whole body, so that it is not taken of calls while nothing is
+    /// suspected.
     pub fn of(parts: &FingerprintParts<'_>) -> Self {
         let mut hash = Sha256::new();
         for part in [parts.method, parts.host, parts.target, parts.credential, parts.body] {
--- a/crates/coltsfootroute/src/retry/retry_policy.rs
+++ b/crates/coltsfootroute/src/retry/retry_policy.rs
@@ -92,7 +92,8 @@
         | RefusalReason::StoreUnavailable
         | RefusalReason::UnknownOperation
         | RefusalReason::RetryBudget
-        | RefusalReason::BadRequest => true,
+        | RefusalReason::BadRequest
+        | RefusalReason::Quarantined => true,
         RefusalReason::Overload
         | RefusalReason::Leaving
         | RefusalReason::NoUpstream
--- a/crates/coltsfootroute/src/table/store_use.rs
+++ b/crates/coltsfootroute/src/table/store_use.rs
@@ -17,12 +17,14 @@
         NodeScan,
         /// Rows of one service of which no member is known.
         MemberScan,
+        /// Requests that are held back, and their trials.
+        Quarantine,
     }
 }
 
 impl StoreUse {
     /// All uses.
-    pub const ALL: [Self; 7] = [
+    pub const ALL: [Self; 8] = [
         Self::Claim,
         Self::Answer,
         Self::Config,
@@ -30,6 +32,7 @@
         Self::OwnRows,
         Self::NodeScan,
         Self::MemberScan,
+        Self::Quarantine,
     ];
 
     /// The use's name in metric labels.
@@ -42,6 +45,7 @@
             Self::OwnRows => "own-rows",
             Self::NodeScan => "node-scan",
             Self::MemberScan => "member-scan",
+            Self::Quarantine => "quarantine",
         }
     }
 
--- a/crates/coltsfootroute/tests/integration/main.rs
+++ b/crates/coltsfootroute/tests/integration/main.rs
@@ -6,6 +6,7 @@
 mod event;
 mod membership;
 mod once;
+mod quarantine;
 mod retry;
 mod revision;
 mod route_table;
--- a/crates/coltsfootroute/tests/integration/membership/scenario.rs
+++ b/crates/coltsfootroute/tests/integration/membership/scenario.rs
@@ -176,6 +176,9 @@
                 format!("left {service} {}", self.name(*node))
             }
             GossipEffect::RevisionBehind { revision, .. } => format!("behind {revision}"),
+            GossipEffect::QuarantineDiffers { peer } => {
+                format!("quarantine-differs {}", self.name(*peer))
+            }
             GossipEffect::Joined => "joined".to_owned(),
             GossipEffect::PauseDetected { .. } => "pause-detected".to_owned(),
             GossipEffect::Reincarnated { .. } => "reincarnated".to_owned(),
--- /dev/null
+++ b/crates/coltsfootroute/tests/integration/quarantine/register.rs
@@ -0,0 +1,210 @@
+//! The register of one node.
+
+use std::time::Duration;
+
+use coltsfootroute::{
+    quarantine::{
+        AnswerNote, CaseNote, CaseTerm, CrashId, CrashReport, QuarantineNews, QuarantineRegister,
+        QuarantineVerdict, RequestFingerprint, TrialClaim,
+    },
+    time::MonotonicTime,
+};
+
+const FATAL: RequestFingerprint = RequestFingerprint(0xfa7a1);
+const OTHER: RequestFingerprint = RequestFingerprint(0x07e4);
+/// Far enough from the origin that ages can be taken off.
+const START: MonotonicTime = MonotonicTime::from_millis(200_000_000);
+
+fn crash(id: u64, suspects: &[RequestFingerprint]) -> QuarantineNews {
+    let report =
+        CrashReport { crash: CrashId(id), age: Duration::ZERO, suspects: suspects.to_vec() };
+    QuarantineNews { crashes: vec![report], ..QuarantineNews::default() }
+}
+
+fn answer(fingerprint: RequestFingerprint) -> QuarantineNews {
+    let answers = vec![AnswerNote { fingerprint, age: Duration::ZERO }];
+    QuarantineNews { answers, ..QuarantineNews::default() }
+}
+
+/// A register that holds `FATAL` back, and when it began to.
+fn holding() -> (QuarantineRegister, MonotonicTime) {
+    let mut register = QuarantineRegister::default();
+    for id in 0..3 {
+        register.merge(at(id), crash(id, &[FATAL]));
+    }
+    (register, at(2))
+}
+
+/// So many seconds after the start.
+fn at(seconds: u64) -> MonotonicTime {
+    START + Duration::from_secs(seconds)
+}
+
+fn is_held(register: &QuarantineRegister, now: MonotonicTime) -> bool {
+    matches!(register.judge(now, FATAL), QuarantineVerdict::Held(_))
+}
+
+#[test]
+fn what_is_under_way_at_three_ends_is_held_back() {
+    let mut register = QuarantineRegister::default();
+
+    register.merge(at(0), crash(1, &[FATAL, OTHER]));
+    register.merge(at(1), crash(2, &[FATAL, OTHER]));
+    assert_eq!(register.judge(at(1), FATAL), QuarantineVerdict::Free);
+    register.merge(at(2), crash(3, &[FATAL]));
+
+    assert!(is_held(&register, at(2)));
+    assert_eq!(register.judge(at(2), OTHER), QuarantineVerdict::Free);
+    let changes = register.take_changes();
+    assert_eq!((changes.len(), changes[0].fingerprint, changes[0].crashes), (1, FATAL, 3));
+}
+
+#[test]
+fn one_end_told_often_counts_once() {
+    let mut register = QuarantineRegister::default();
+    assert!(!register.merge(at(0), crash(1, &[FATAL])).is_empty());
+    for second in 1..9 {
+        assert!(register.merge(at(second), crash(1, &[FATAL])).is_empty());
+    }
+    assert_eq!(register.judge(at(9), FATAL), QuarantineVerdict::Free);
+}
+
+#[test]
+fn suspects_of_one_end_may_be_told_in_parts() {
+    let mut register = QuarantineRegister::default();
+    for id in 0..3 {
+        register.merge(at(id), crash(id, &[OTHER]));
+        assert!(!register.merge(at(id), crash(id, &[FATAL])).is_empty());
+    }
+    assert!(is_held(&register, at(3)));
+}
+
+#[test]
+fn an_answer_clears_of_the_ends_before_it_and_just_after() {
+    let mut register = QuarantineRegister::default();
+    register.merge(at(0), crash(1, &[FATAL]));
+    register.merge(at(1), crash(2, &[FATAL]));
+    register.merge(at(2), answer(FATAL));
+    for id in 3..9 {
+        register.merge(at(id), crash(id, &[FATAL]));
+    }
+    assert_eq!(register.judge(at(9), FATAL), QuarantineVerdict::Free);
+}
+
+#[test]
+fn what_turns_bad_is_held_back_later() {
+    let mut register = QuarantineRegister::default();
+    register.merge(at(0), crash(1, &[FATAL]));
+    register.merge(at(1), answer(FATAL));
+    for id in 40..43 {
+        register.merge(at(id), crash(id, &[FATAL]));
+    }
+    assert!(is_held(&register, at(43)));
+}
+
+#[test]
+fn an_answer_lets_go_what_is_held_back() {
+    let (mut register, since) = holding();
+
+    register.merge(since, answer(FATAL));
+
+    assert_eq!(register.judge(since, FATAL), QuarantineVerdict::Free);
+    assert_eq!(register.term(FATAL), CaseTerm(2));
+}
+
+#[test]
+fn an_answer_from_long_before_lets_nothing_go() {
+    let (mut register, _) = holding();
+    let answers = vec![AnswerNote { fingerprint: FATAL, age: Duration::from_secs(60) }];
+
+    register.merge(at(3), QuarantineNews { answers, ..QuarantineNews::default() });
+
+    assert!(is_held(&register, at(3)));
+}
+
+#[test]
+fn ends_are_forgotten_in_time() {
+    let mut register = QuarantineRegister::default();
+    register.merge(at(0), crash(1, &[FATAL]));
+    register.merge(at(1), crash(2, &[FATAL]));
+    register.merge(at(700), crash(3, &[FATAL]));
+    assert_eq!(register.judge(at(700), FATAL), QuarantineVerdict::Free);
+}
+
+#[test]
+fn a_case_lapses_after_a_day() {
+    let (mut register, since) = holding();
+    register.note_trial(since, FATAL, TrialClaim::Spent);
+    let day = Duration::from_secs(24 * 3_600);
+
+    assert!(is_held(&register, since + day - Duration::from_secs(1)));
+    assert_eq!(register.judge(since + day, FATAL), QuarantineVerdict::Free);
+}
+
+#[test]
+fn one_trial_is_due_after_a_minute() {
+    let (mut register, since) = holding();
+    let minute = since + Duration::from_secs(60);
+
+    assert_eq!(register.judge(since, FATAL), QuarantineVerdict::Held(Duration::from_secs(60)));
+    assert_eq!(register.judge(minute, FATAL), QuarantineVerdict::TrialDue);
+    register.note_trial(minute, FATAL, TrialClaim::Unanswered);
+    assert!(is_held(&register, minute));
+    let later = minute + Duration::from_secs(10);
+    assert_eq!(register.judge(later, FATAL), QuarantineVerdict::TrialDue);
+    register.note_trial(later, FATAL, TrialClaim::Spent);
+
+    assert!(is_held(&register, later + Duration::from_secs(3_600)));
+}
+
+#[test]
+fn an_operator_lets_go_and_three_more_ends_hold_back_again() {
+    let (mut register, since) = holding();
+
+    assert!(register.let_go(since, FATAL));
+    assert!(!register.let_go(since, FATAL));
+    assert_eq!(register.judge(since, FATAL), QuarantineVerdict::Free);
+    register.merge(at(4), crash(10, &[FATAL]));
+    register.merge(at(5), crash(11, &[FATAL]));
+    assert_eq!(register.judge(at(5), FATAL), QuarantineVerdict::Free);
+    register.merge(at(6), crash(12, &[FATAL]));
+
+    assert!(is_held(&register, at(6)));
+    assert_eq!(register.term(FATAL), CaseTerm(3));
+}
+
+#[test]
+fn of_two_terms_the_higher_holds() {
+    let (mut register, since) = holding();
+    let told = |term| {
+        let note =
+            CaseNote { fingerprint: FATAL, term: CaseTerm(term), age: Duration::from_secs(1) };
+        QuarantineNews { cases: vec![note], ..QuarantineNews::default() }
+    };
+
+    assert!(register.merge(since, told(1)).is_empty());
+    assert!(!register.merge(since, told(2)).is_empty());
+    assert!(register.merge(since, told(1)).is_empty());
+
+    assert_eq!(register.judge(since, FATAL), QuarantineVerdict::Free);
+}
+
+/// Whoever crashes upstreams on purpose fills no more than the tables hold.
+#[test]
+fn tables_are_bounded() {
+    let mut register = QuarantineRegister::default();
+    for id in 0..3_600 {
+        let group = id / 3;
+        let suspects: Vec<_> =
+            (0..20).map(|index| RequestFingerprint(u128::from(group * 1_000 + index))).collect();
+        register.merge(at(0), crash(id, &suspects));
+    }
+    let all = register.all(at(0));
+    assert!(all.crashes.len() <= 128, "{}", all.crashes.len());
+    assert!(all.cases.len() <= 1_024, "{}", all.cases.len());
+
+    let many: Vec<_> = (0..200).map(RequestFingerprint).collect();
+    let mut register = QuarantineRegister::default();
+    register.merge(at(0), crash(1, &many));
+    assert_eq!(register.all(at(0)).crashes[0].suspects.len(), 128);
+}
