What lapses goes by the time since the host started, which a suspended host's steady clock does not count

Cause: the code read the steady clock only. It stands still while a host is suspended, so that what had lapsed for everybody else still held there: claims, deadlines, windows of repeats, levels, what is held back. Ruled out: the time of day, which jumps. Change: the node's clock reads CLOCK_BOOTTIME, and so every decision of the library goes by it. Timers of the runtime still stand still; each looks at the clock again when it fires. On waking the upstream gets a fresh time to be heard, connections to it are opened anew, and a call whose deadline has passed is not sent. event=host-suspended tells of it. Conclusion: tests of the clock, of the silence of the upstream and of the notice; a real suspension was not played.

--- a/crates/coltsfoot-node/src/dispatch/dispatch_thread.rs
+++ b/crates/coltsfoot-node/src/dispatch/dispatch_thread.rs
@@ -2,6 +2,7 @@
 
 use std::{io, net::TcpListener, rc::Rc, thread, time::Duration};
 
+use coltsfootroute::{event::EventKind, time::SuspensionWatch};
 use tokio::{
     runtime,
     sync::{mpsc, oneshot},
@@ -166,9 +167,15 @@
     async fn upkeep(self: Rc<Self>) {
         let mut period = interval(UPKEEP_PERIOD);
         let mut meter = DutyMeter::new(self.context.metrics.clone(), NodeDuty::Dispatch);
+        let mut suspensions = SuspensionWatch::default();
         loop {
             period.tick().await;
             meter.report();
+            if let Some(time) = suspensions.look(self.context.clock.suspended()) {
+                let suspended_ms = u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
+                self.context.events.emit(EventKind::HostSuspended { suspended_ms });
+                self.guard.note_suspension();
+            }
             self.links.close_idle();
             self.guard.notice_silence().await;
             self.ingress.forget_unused().await;
--- a/crates/coltsfoot-node/src/dispatch/guard/call_guard.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard/call_guard.rs
@@ -113,7 +113,7 @@
             service_changed: Notify::new(),
             cut_calls: RefCell::default(),
             throttle: RefCell::new(ServiceThrottle::new(context.now(), parts.throttle)),
-            upstream_client: UpstreamClient::new(parts.body_limit, parts.dialect),
+            upstream_client: UpstreamClient::new(context.clock, parts.body_limit, parts.dialect),
             is_closing: Cell::new(false),
             closing_time: parts.closing_time,
             queue: parts.queue,
--- a/crates/coltsfoot-node/src/dispatch/guard/guard_state.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard/guard_state.rs
@@ -4,7 +4,7 @@
 
 use coltsfootroute::{
     admission::{AdmissionDecision, AdmissionGate, AdmissionVerdict, BreachCounter, ShedLevel},
-    membership::InstanceLedger,
+    membership::{HeartbeatWatch, InstanceLedger},
     time::MonotonicTime,
 };
 use indexmap::IndexMap;
@@ -16,8 +16,8 @@
 pub struct GuardedUpstream {
     /// What it said of itself last.
     pub announcement: UpstreamAnnouncement,
-    /// When it said so.
-    pub heard: MonotonicTime,
+    /// Whether it has fallen silent.
+    pub heartbeats: HeartbeatWatch,
     /// Whether it leaves, or its node does: no new work.
     pub leaving: bool,
     /// Whether it has said itself that it leaves, or fallen silent: also work taken in before that is
--- a/crates/coltsfoot-node/src/dispatch/guard/local_upstream.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard/local_upstream.rs
@@ -1,10 +1,10 @@
 //! The upstream beside the node: announcements, leave, silence.
 
-use std::{rc::Rc, time::Duration};
+use std::rc::Rc;
 
 use coltsfootroute::{
     event::EventKind,
-    membership::{BirthTime, HeartbeatVerdict, InstanceLife, UpstreamOffer},
+    membership::{BirthTime, HeartbeatVerdict, HeartbeatWatch, InstanceLife, UpstreamOffer},
     name::ServiceName,
 };
 use http::StatusCode;
@@ -19,9 +19,6 @@
     http::HttpReply,
 };
 
-/// An upstream that has not repeated its announcement for so long is taken as gone.
-const SILENCE_LIMIT: Duration = Duration::from_secs(5);
-
 impl CallGuard {
     /// Takes in an announcement, the first or a heartbeat.
     pub async fn announce_upstream(
@@ -69,13 +66,13 @@
         if !is_known {
             *self.state.upstream.borrow_mut() = Some(GuardedUpstream {
                 announcement,
-                heard: self.context.now(),
+                heartbeats: HeartbeatWatch::new(self.context.now()),
                 leaving: false,
                 has_withdrawn: false,
             });
         }
         if let Some(upstream) = self.state.upstream.borrow_mut().as_mut() {
-            upstream.heard = self.context.now();
+            upstream.heartbeats.heard(self.context.now());
         }
         self.withdraw_named().await;
     }
@@ -97,14 +94,13 @@
 
     /// Whether the announcement says anything new.
     fn take_in(&self, announcement: &UpstreamAnnouncement) -> bool {
-        let heard = self.context.now();
         let mut upstream = self.state.upstream.borrow_mut();
         let same = upstream
             .as_ref()
             .is_some_and(|known| known.announcement == *announcement && !known.leaving);
         *upstream = Some(GuardedUpstream {
             announcement: announcement.clone(),
-            heard,
+            heartbeats: HeartbeatWatch::new(self.context.now()),
             leaving: false,
             has_withdrawn: false,
         });
@@ -151,6 +147,16 @@
         })
     }
 
+    /// The host was suspended: the upstream is given time to be heard again, and queued calls that have run out of theirs
+    /// are looked at.
+    pub fn note_suspension(&self) {
+        let now = self.context.now();
+        if let Some(upstream) = self.state.upstream.borrow_mut().as_mut() {
+            upstream.heartbeats.note_suspension(now);
+        }
+        self.state.queue_changed.notify_one();
+    }
+
     /// Takes an upstream that has fallen silent as gone.
     pub async fn notice_silence(&self) {
         let now = self.context.now();
@@ -159,7 +165,7 @@
             .upstream
             .borrow()
             .as_ref()
-            .is_some_and(|known| !known.leaving && now.since(known.heard) > SILENCE_LIMIT);
+            .is_some_and(|known| !known.leaving && known.heartbeats.is_silent(now));
         if silent {
             self.state.instances.borrow_mut().note_silence();
             self.withdraw_upstream().await;
--- a/crates/coltsfoot-node/src/dispatch/guard/upstream_client.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard/upstream_client.rs
@@ -1,9 +1,10 @@
 //! HTTP client of the upstream beside the node.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{cell::RefCell, net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
 use coltsfoot_wire::peer::{HeaderLine, RequestHead};
+use coltsfootroute::time::SuspensionWatch;
 use http::{
     HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode,
     header::{CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING},
@@ -14,6 +15,7 @@
 
 use crate::{
     border::UpstreamDialect,
+    clock::MonotonicClock,
     http::{OutgoingClient, OutgoingSettings},
 };
 
@@ -80,22 +82,28 @@
 
 /// Keeps the connections to the upstream.
 pub struct UpstreamClient {
-    client: OutgoingClient,
+    /// Replaced after a suspension, which idle connections may not have outlasted: the upstream closes them by its own
+    /// time, and a call that crosses its close may have run.
+    client: RefCell<OutgoingClient>,
+    clock: MonotonicClock,
+    suspensions: RefCell<SuspensionWatch>,
     body_limit: usize,
     dialect: UpstreamDialect,
 }
 
 impl UpstreamClient {
     /// A client that takes answers of at most `body_limit` bytes.
-    pub fn new(body_limit: usize, dialect: UpstreamDialect) -> Self {
-        let settings = OutgoingSettings {
-            connect_timeout: CONNECT_TIMEOUT,
-            idle_timeout: IDLE_TIMEOUT,
-            keepalive_retries: KEEPALIVE_RETRIES,
-            unacknowledged_time: Some(UNACKNOWLEDGED_TIME),
-        };
-        let client = settings.client();
-        Self { client, body_limit, dialect }
+    pub fn new(clock: MonotonicClock, body_limit: usize, dialect: UpstreamDialect) -> Self {
+        let client = RefCell::new(new_client());
+        Self { client, clock, suspensions: RefCell::default(), body_limit, dialect }
+    }
+
+    /// The connections to use now.
+    fn client(&self) -> OutgoingClient {
+        if self.suspensions.borrow_mut().look(self.clock.suspended()).is_some() {
+            *self.client.borrow_mut() = new_client();
+        }
+        self.client.borrow().clone()
     }
 
     /// The context of a request that is passed on, if it bears an identity.
@@ -132,7 +140,7 @@
         *request.body_mut() = Full::new(call.body);
         let connection = capture_connection(&mut request);
         let identity = self.dialect.identity(request.headers()).cloned();
-        let response = self.client.request(request).await.map_err(|err| {
+        let response = self.client().request(request).await.map_err(|err| {
             if err.is_connect() { UpstreamError::Unreachable } else { UpstreamError::CutOff }
         })?;
         if identity.as_ref() != self.dialect.identity(response.headers()) {
@@ -195,6 +203,16 @@
     }
 }
 
+fn new_client() -> OutgoingClient {
+    let settings = OutgoingSettings {
+        connect_timeout: CONNECT_TIMEOUT,
+        idle_timeout: IDLE_TIMEOUT,
+        keepalive_retries: KEEPALIVE_RETRIES,
+        unacknowledged_time: Some(UNACKNOWLEDGED_TIME),
+    };
+    settings.client()
+}
+
 type UpstreamRequest = Request<Full<Bytes>>;
 
 /// A request to pass on, without its body; `None` if its head is malformed.
--- a/crates/coltsfoot-node/src/dispatch/guard/upstream_run.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard/upstream_run.rs
@@ -42,6 +42,10 @@
         if self.has_withdrawn() {
             return self.refusal(RefusalReason::Leaving, CallOutcome::NotRun);
         }
+        // So may a suspension of the host: a timer that it held up still runs.
+        if self.context.now() >= deadline {
+            return self.refusal(RefusalReason::Deadline, CallOutcome::NotRun);
+        }
         let own = call.head.as_ref().and_then(|head| self.upstream_client.context_of(head));
         let context = self.spans.enter(own, &mut *self.context.rng.borrow_mut(), span.clone());
         let mut entered = EnteredSpan { guard: self, context, span, answered: false };
--- a/crates/coltsfoot-node/src/store/store_worker.rs
+++ b/crates/coltsfoot-node/src/store/store_worker.rs
@@ -19,13 +19,13 @@
     store_command::{ObjectAction, StoreCommand},
     store_reports::{failure_text, object_result, store_result},
 };
-use crate::{journal::EventSender, metrics::NodeMetrics};
+use crate::{clock::MonotonicClock, journal::EventSender, metrics::NodeMetrics};
 
 /// What the requests of the store thread share.
 pub(super) struct StoreWorker<P> {
     port: P,
     backoff: StoreBackoff,
-    started: Instant,
+    clock: MonotonicClock,
     policy: RefCell<StorePolicy>,
     metrics: Arc<NodeMetrics>,
     events: EventSender,
@@ -68,7 +68,7 @@
         };
         let backoff = settings.backoff.clone();
         let policy = RefCell::new(policy);
-        Self { port, backoff, started: Instant::now(), policy, metrics, events }
+        Self { port, backoff, clock: MonotonicClock::new(), policy, metrics, events }
     }
 
     pub(super) async fn carry_out(&self, command: StoreCommand) {
@@ -213,7 +213,7 @@
     }
 
     fn now(&self) -> MonotonicTime {
-        MonotonicTime::ZERO + self.started.elapsed()
+        self.clock.now()
     }
 }
 
--- a/crates/coltsfoot-node/tests/integration/main.rs
+++ b/crates/coltsfoot-node/tests/integration/main.rs
@@ -1,6 +1,7 @@
 //! Integration tests of the node.
 
 mod args;
+mod clock;
 mod events;
 mod introduction;
 mod journal;
--- a/crates/coltsfootroute/src/event/event_kind.rs
+++ b/crates/coltsfootroute/src/event/event_kind.rs
@@ -387,6 +387,11 @@
         /// The error of the last try.
         error: String,
     }
+    /// The host was suspended, and runs again.
+    HostSuspended("host-suspended", Warn) {
+        /// How long.
+        suspended_ms: u64,
+    }
     /// The limit on calls in flight to the upstream changed.
     LimitChanged("limit-changed", Debug) {
         /// Service of the upstream.
--- a/crates/coltsfootroute/src/membership.rs
+++ b/crates/coltsfootroute/src/membership.rs
@@ -13,6 +13,7 @@
 mod gossip_payload;
 mod gossip_settings;
 mod group_view;
+mod heartbeat_watch;
 mod instance_ledger;
 mod instance_life;
 mod introduction_row;
@@ -36,6 +37,7 @@
 pub use gossip_payload::GossipPayload;
 pub use gossip_settings::GossipSettings;
 pub use group_view::{GroupView, MAX_BUCKETS, MergeOutcome};
+pub use heartbeat_watch::HeartbeatWatch;
 pub use instance_ledger::{HeartbeatVerdict, InstanceLedger};
 pub use instance_life::{BirthTime, InstanceLife, InstanceName};
 pub use introduction_row::{IntroducedNode, IntroductionRow};
--- a/crates/coltsfootroute/tests/integration/main.rs
+++ b/crates/coltsfootroute/tests/integration/main.rs
@@ -13,4 +13,5 @@
 mod routing;
 mod schema;
 mod store_policy;
+mod suspension;
 mod util;
