--- a/crates/coltsfoot-standin/src/bin/coltsfoot-upstream.rs
+++ b/crates/coltsfoot-standin/src/bin/coltsfoot-upstream.rs
@@ -4,6 +4,8 @@
     io::{Write, stdout},
     net::SocketAddr,
     path::PathBuf,
+    sync::mpsc,
+    thread,
     time::Duration,
 };
 
@@ -11,15 +13,18 @@
 use coltsfoot_standin::{
     arguments::{option, read_schema, schema_option, take},
     termination::wait_for_termination,
-    upstream::{UpstreamServer, UpstreamSettings},
+    upstream::{UpstreamHandle, UpstreamServer, UpstreamSettings},
 };
 use coltsfootroute::name::ServiceName;
 
+/// How often it is looked whether a call has ended the upstream.
+const LOOK_PERIOD: Duration = Duration::from_millis(20);
+
 fn main() -> anyhow::Result<()> {
     let arguments = command().get_matches();
     let handle = UpstreamServer::start(read_settings(&arguments)?)?;
     writeln!(stdout(), "event=listening address={}", handle.address())?;
-    wait_for_termination()?;
+    wait_for_end(&handle)?;
     let counts = handle.stop();
     writeln!(
         stdout(),
@@ -33,6 +38,24 @@
     Ok(())
 }
 
+/// Waits until the process is told to stop.
+///
+/// # Errors
+///
+/// If a call has ended the upstream first, or signals can't be taken.
+fn wait_for_end(handle: &UpstreamHandle) -> anyhow::Result<()> {
+    let (sender, stopped) = mpsc::channel();
+    // Nobody receives once a call has ended the upstream.
+    thread::spawn(move || drop(sender.send(wait_for_termination())));
+    loop {
+        match stopped.recv_timeout(LOOK_PERIOD) {
+            Ok(signalled) => return Ok(signalled?),
+            Err(_) if handle.has_ended() => anyhow::bail!("a call has ended the upstream"),
+            Err(_) => {}
+        }
+    }
+}
+
 fn command() -> Command {
     Command::new("coltsfoot-upstream")
         .about("Plays one upstream of a deployment")
@@ -71,6 +94,7 @@
                 .default_value("4")
                 .value_parser(value_parser!(f64)),
         )
+        .arg(option("ends-on", "Text in a call's body that ends the process once it runs"))
         .arg(
             option("run-log", "File that gets a line for each non-repeatable run")
                 .value_parser(value_parser!(PathBuf)),
@@ -95,6 +119,7 @@
     settings.cold_start = Duration::from_millis(*take(arguments, "cold-start-ms")?);
     settings.cold_factor = *take(arguments, "cold-factor")?;
     settings.seed = *take(arguments, "seed")?;
+    settings.ends_on = arguments.get_one("ends-on").cloned();
     settings.run_log = arguments.get_one("run-log").cloned();
     Ok(settings)
 }
--- a/crates/coltsfoot-standin/src/upstream/call_handler.rs
+++ b/crates/coltsfoot-standin/src/upstream/call_handler.rs
@@ -72,6 +72,11 @@
 ) -> Answer {
     let key = request.key.as_deref().filter(|_| !operation.repeatable);
     let guard = RunGuard::new(state, &request.operation, key);
+    if state.is_fatal(&request.body) {
+        state.end();
+        // Ends with its connection.
+        std::future::pending::<()>().await;
+    }
     let result = work(state, client, operation, request).await;
     guard.end(result.is_ok());
     match result {
--- a/crates/coltsfoot-standin/src/upstream/upstream_handle.rs
+++ b/crates/coltsfoot-standin/src/upstream/upstream_handle.rs
@@ -39,6 +39,11 @@
         self.state.apply(command);
     }
 
+    /// Whether it has ended, if only by a call.
+    pub fn has_ended(&self) -> bool {
+        self.thread.is_finished()
+    }
+
     /// Leaves, finishes what runs and stops; returns the last counts.
     pub fn stop(self) -> CountsReport {
         let _ = self.stop.send(true);
--- a/crates/coltsfoot-standin/src/upstream/upstream_server.rs
+++ b/crates/coltsfoot-standin/src/upstream/upstream_server.rs
@@ -77,7 +77,15 @@
             max_connections,
             close_receiver,
         ));
-        announce_until(link.as_ref(), &mut stop).await;
+        let is_ended = tokio::select! {
+            () = state.ended() => true,
+            () = announce_until(link.as_ref(), &mut stop) => false,
+        };
+        if is_ended {
+            served.abort();
+            let _ = served.await;
+            return;
+        }
         state.leave();
         if let Some(link) = &link {
             link.leave().await;
--- a/crates/coltsfoot-standin/src/upstream/upstream_settings.rs
+++ b/crates/coltsfoot-standin/src/upstream/upstream_settings.rs
@@ -28,6 +28,8 @@
     pub cold_factor: f64,
     /// Seed of all random choices.
     pub seed: u64,
+    /// A call whose body holds this text ends the upstream as soon as it runs: its connections close without an answer.
+    pub ends_on: Option<String>,
     /// File to which each run of a non-repeatable operation adds a line when it starts, so that
     /// runs can be counted over several upstreams, also over those that were killed.
     pub run_log: Option<PathBuf>,
@@ -54,6 +56,7 @@
             cold_start: Duration::ZERO,
             cold_factor: Self::DEFAULT_COLD_FACTOR,
             seed: 1,
+            ends_on: None,
             run_log: None,
         }
     }
--- a/crates/coltsfoot-standin/src/upstream/upstream_state.rs
+++ b/crates/coltsfoot-standin/src/upstream/upstream_state.rs
@@ -12,6 +12,7 @@
 use coltsfootroute::{name::OperationName, schema::OperationEntry, schema::ServiceEntry};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
+use tokio::sync::Notify;
 
 use super::{
     ControlCommand, CountsReport, UpstreamError, UpstreamSettings, control_state::ControlState,
@@ -31,6 +32,8 @@
     service_time: ServiceTime,
     started: Instant,
     leaving: AtomicBool,
+    /// Woken when a call has ended the upstream.
+    ended: Notify,
     counts: Mutex<RunCounts>,
     control: Mutex<ControlState>,
     rng: Mutex<Pcg64>,
@@ -54,6 +57,7 @@
             service_time: ServiceTime::new(settings.service_time),
             started: Instant::now(),
             leaving: AtomicBool::new(false),
+            ended: Notify::new(),
             counts: Mutex::new(RunCounts::new(open_run_log(&settings)?)),
             control: Mutex::new(ControlState::new()),
             rng: Mutex::new(Pcg64::seed_from_u64(settings.seed)),
@@ -66,6 +70,22 @@
         self.service.operation(&OperationName::new(name))
     }
 
+    /// Whether a call with this body ends the upstream.
+    pub(super) fn is_fatal(&self, body: &[u8]) -> bool {
+        let text = self.settings.ends_on.as_ref().filter(|text| !text.is_empty());
+        text.is_some_and(|text| body.windows(text.len()).any(|part| part == text.as_bytes()))
+    }
+
+    /// A call ends the upstream.
+    pub(super) fn end(&self) {
+        self.ended.notify_one();
+    }
+
+    /// Waits until a call has ended the upstream.
+    pub(super) async fn ended(&self) {
+        self.ended.notified().await;
+    }
+
     /// The counters.
     pub(super) fn counts(&self) -> MutexGuard<'_, RunCounts> {
         lock(&self.counts)
--- a/crates/coltsfoot-standin/tests/integration/upstream.rs
+++ b/crates/coltsfoot-standin/tests/integration/upstream.rs
@@ -137,3 +137,29 @@
     assert_eq!((command.shed, command.health), (Some(false), Some(HealthMode::Lies)));
     assert!(serde_json::from_str::<ControlCommand>(r#"{"slowness": 2}"#).is_err());
 }
+
+#[test]
+fn a_call_that_is_to_end_it_takes_all_others_with_it() {
+    let mut settings = settings();
+    settings.ends_on = Some("crates".to_owned());
+    let upstream = start(settings);
+    let (address, runtime) = (upstream.address(), runtime());
+
+    let fatal = runtime.block_on(call(address, "lookup", &[]));
+
+    assert_eq!(fatal, None);
+    wait_for(&upstream, |_| upstream.has_ended());
+    assert_eq!(runtime.block_on(call(address, "lookup", &[])), None);
+}
+
+#[test]
+fn a_call_without_the_text_does_not_end_it() {
+    let mut settings = settings();
+    settings.ends_on = Some("another text".to_owned());
+    let upstream = start(settings);
+
+    let reply = runtime().block_on(call(upstream.address(), "lookup", &[]));
+
+    assert_eq!(reply.map(|reply| reply.status), Some(200));
+    assert_eq!(upstream.stop().runs, 1);
+}
