--- a/crates/coltsfoot-node/src/dispatch.rs
+++ b/crates/coltsfoot-node/src/dispatch.rs
@@ -16,6 +16,7 @@
 mod ingress;
 pub mod links;
 mod node_status;
+mod quarantine_body;
 mod status_body;
 
 pub use context::NodeIdentity;
--- a/crates/coltsfoot-node/src/dispatch/dispatch_command.rs
+++ b/crates/coltsfoot-node/src/dispatch/dispatch_command.rs
@@ -2,7 +2,9 @@
 
 use std::sync::Arc;
 
-use coltsfootroute::{id::NodeId, membership::MemberRecord, name::ServiceName};
+use coltsfootroute::{
+    id::NodeId, membership::MemberRecord, name::ServiceName, quarantine::RequestFingerprint,
+};
 use tokio::sync::oneshot;
 
 use super::{ingress::IncomingCall, links::UpstreamAnnouncement};
@@ -31,6 +33,10 @@
     },
     /// Ask a peer which requests it holds back.
     PullQuarantine(NodeId),
+    /// Report which requests are held back.
+    Quarantine(oneshot::Sender<HttpReply>),
+    /// Let a request go that is held back.
+    LetGo(RequestFingerprint, oneshot::Sender<HttpReply>),
     /// Report the state of the node.
     Status(oneshot::Sender<HttpReply>),
     /// Begin a planned stop; the sender is dropped when nothing is in flight any more.
--- a/crates/coltsfoot-node/src/dispatch/dispatch_handle.rs
+++ b/crates/coltsfoot-node/src/dispatch/dispatch_handle.rs
@@ -5,6 +5,7 @@
 use coltsfootroute::{
     id::RequestId,
     outcome::{CallOutcome, RefusalReason},
+    quarantine::RequestFingerprint,
 };
 use http::StatusCode;
 use tokio::sync::{mpsc, oneshot};
@@ -59,6 +60,16 @@
         self.ask(DispatchCommand::Status).await
     }
 
+    /// Which requests are held back.
+    pub async fn quarantine(&self) -> HttpReply {
+        self.ask(DispatchCommand::Quarantine).await
+    }
+
+    /// Lets a request go that is held back.
+    pub async fn let_go(&self, fingerprint: RequestFingerprint) -> HttpReply {
+        self.ask(|reply| DispatchCommand::LetGo(fingerprint, reply)).await
+    }
+
     /// Sends a command that needs no reply; waits while the ring is full.
     pub async fn tell(&self, command: DispatchCommand) {
         // A closed ring means that the process stops.
--- a/crates/coltsfoot-node/src/dispatch/dispatch_thread.rs
+++ b/crates/coltsfoot-node/src/dispatch/dispatch_thread.rs
@@ -16,6 +16,7 @@
     dispatch_parts::DispatchParts,
     ingress::{CallOrigin, IncomingCall},
     links::{FinderStart, accept_peers, find_others, pull_config},
+    quarantine_body::{let_go_reply, quarantine_reply},
 };
 use crate::{
     border::{ClientFront, RepeatGuard},
@@ -135,6 +136,12 @@
                 let _ = reply.send(pull_config(&self.context, &self.links, peer, since).await);
             }
             DispatchCommand::PullQuarantine(peer) => self.quarantine.clone().pull(peer).await,
+            DispatchCommand::Quarantine(reply) => {
+                let _ = reply.send(quarantine_reply(&self.quarantine));
+            }
+            DispatchCommand::LetGo(fingerprint, reply) => {
+                let _ = reply.send(let_go_reply(&self.quarantine, fingerprint));
+            }
             DispatchCommand::Status(reply) => {
                 let _ = reply.send(self.status().await);
             }
--- a/crates/coltsfoot-node/src/http/host_listener.rs
+++ b/crates/coltsfoot-node/src/http/host_listener.rs
@@ -25,6 +25,8 @@
 const OPERATOR_HEADER: &str = "coltsfoot-operator";
 /// Path that begins a planned stop.
 const DRAIN_PATH: &str = "/drain";
+/// Path of the requests that are held back.
+const QUARANTINE_PATH: &str = "/quarantine";
 /// Events in one page of `GET /events`.
 const EVENTS_PAGE: usize = 10_000;
 
@@ -60,6 +62,8 @@
         (Method::GET, "/schema") => ctx.state().config.show().await,
         (Method::GET, "/schema/history") => ctx.state().config.history().await,
         (Method::GET, "/status") => status(ctx).await,
+        (Method::GET, QUARANTINE_PATH) => ctx.state().dispatch.quarantine().await,
+        (Method::DELETE, path) => let_go(ctx, path).await,
         (Method::GET, "/events") => events(ctx),
         (Method::GET, "/metrics") => metrics(ctx),
         (Method::POST, DRAIN_PATH) => drain(ctx),
@@ -133,6 +137,17 @@
     }
 }
 
+async fn let_go(ctx: &WebContext<'_, HostState>, path: &str) -> HttpReply {
+    let Some(text) = path.strip_prefix(QUARANTINE_PATH).and_then(|rest| rest.strip_prefix('/'))
+    else {
+        return not_found();
+    };
+    match text.parse() {
+        Ok(fingerprint) => ctx.state().dispatch.let_go(fingerprint).await,
+        Err(_) => bad_request("a fingerprint has 32 hexadecimal digits"),
+    }
+}
+
 async fn status(ctx: &WebContext<'_, HostState>) -> HttpReply {
     ctx.state().dispatch.status().await
 }
