A lost failure domain does not flood the fleet with ends of upstreams

Cause: each end is told to every node in four messages of 2 KB; 783 upstreams that end at once would be 6.6 MB from each node. Ruled out: fewer suspects a message, which would leave out the one that matters. Change: a node tells of 32 ends at once and of 0.4 a second after that, within the 4 KB/s of its control; what it hears it still counts. Verdicts on calls as a type of their own.

--- a/crates/coltsfoot-node/src/dispatch/guard/held_call.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard/held_call.rs
@@ -3,29 +3,25 @@
 use std::{rc::Rc, time::Duration};
 
 use coltsfoot_wire::peer::{CallReply, CallRequest};
-use coltsfootroute::{
-    outcome::{CallOutcome, RefusalReason},
-    quarantine::QuarantineVerdict,
-};
+use coltsfootroute::outcome::{CallOutcome, RefusalReason};
 
 use super::{call_guard::CallGuard, end_watch::content_of};
+use crate::dispatch::links::HeldCall;
 
 impl CallGuard {
     /// How long the call is held back; `None` if it may go on, if only as a trial.
     pub(super) fn held_back(&self, call: &CallRequest) -> Option<Duration> {
-        match self.quarantine.judge(call.request, content_of(call)).1 {
-            QuarantineVerdict::Held(wait) => Some(wait),
-            QuarantineVerdict::Free | QuarantineVerdict::TrialDue => None,
+        match self.quarantine.judge(call.request, content_of(call))? {
+            HeldCall::Held(wait) => Some(wait),
+            HeldCall::TrialDue(_) => None,
         }
     }
 
     /// The same just before the call is sent, when a trial that is due is claimed.
     pub(super) async fn held_at_last(&self, call: &CallRequest) -> Option<Duration> {
-        let (fingerprint, verdict) = self.quarantine.judge(call.request, content_of(call));
-        match verdict {
-            QuarantineVerdict::Free => None,
-            QuarantineVerdict::Held(wait) => Some(wait),
-            QuarantineVerdict::TrialDue => {
+        match self.quarantine.judge(call.request, content_of(call))? {
+            HeldCall::Held(wait) => Some(wait),
+            HeldCall::TrialDue(fingerprint) => {
                 if self.quarantine.claim_trial(call.request, fingerprint).await {
                     return None;
                 }
@@ -34,7 +30,7 @@
         }
     }
 
-    /// Refuses a call that is held back. The next may have better luck after `wait`.
+    /// Refuses a call that is held back; its caller may ask again after `wait`.
     pub(super) fn refuse_held(self: &Rc<Self>, call: &CallRequest, wait: Duration) -> CallReply {
         self.context.metrics.requests.refused(RefusalReason::Quarantined, call.importance);
         CallReply::refusal(RefusalReason::Quarantined, CallOutcome::NotRun, wait)
--- a/crates/coltsfoot-node/src/dispatch/ingress/call_routing.rs
+++ b/crates/coltsfoot-node/src/dispatch/ingress/call_routing.rs
@@ -8,7 +8,6 @@
     id::NodeId,
     name::ServiceName,
     outcome::{CallOutcome, RefusalReason},
-    quarantine::QuarantineVerdict,
     retry::{FailedAttempt, RetryDecision},
     routing::RouteResult,
 };
@@ -21,7 +20,10 @@
     route_progress::{RouteEnd, RouteProgress},
     routed_call::RoutedCall,
 };
-use crate::dispatch::{context::CallContent, links::LinkError};
+use crate::dispatch::{
+    context::CallContent,
+    links::{HeldCall, LinkError},
+};
 
 /// Guards that may refuse one call, unsent, before a further attempt counts as a retry.
 const MAX_REROUTES: usize = 2;
@@ -75,12 +77,12 @@
             head: call.head.as_ref(),
             body: &call.body,
         };
-        match self.quarantine.judge(call.request, content).1 {
-            QuarantineVerdict::Held(wait) => {
+        match self.quarantine.judge(call.request, content)? {
+            HeldCall::Held(wait) => {
                 Some(CallReply::refusal(RefusalReason::Quarantined, CallOutcome::NotRun, wait))
             }
             // The guard asks for the trial.
-            QuarantineVerdict::Free | QuarantineVerdict::TrialDue => None,
+            HeldCall::TrialDue(_) => None,
         }
     }
 
--- a/crates/coltsfoot-node/src/dispatch/links.rs
+++ b/crates/coltsfoot-node/src/dispatch/links.rs
@@ -28,6 +28,6 @@
 pub use peer_handler::{CallHandler, PeerHandler, TokenAnswer};
 pub use peer_links::{LinkError, PeerLink, PeerLinks};
 pub use peer_server::accept_peers;
-pub use quarantine_desk::QuarantineDesk;
+pub use quarantine_desk::{HeldCall, QuarantineDesk};
 pub use upstream_announcement::UpstreamAnnouncement;
 pub use upstream_row::UpstreamRow;
--- a/crates/coltsfoot-node/src/dispatch/links/quarantine_desk.rs
+++ b/crates/coltsfoot-node/src/dispatch/links/quarantine_desk.rs
@@ -12,7 +12,7 @@
         CaseTerm, CrashId, CrashReport, QuarantineChange, QuarantineNews, QuarantineRegister,
         QuarantineRow, QuarantineVerdict, RequestFingerprint, TrialClaim, trial_claim,
     },
-    table::{StoreUse, TableReply, TableRequest},
+    table::{StoreUse, TableReply, TableRequest, TokenBucket},
 };
 use indexmap::{IndexMap, IndexSet};
 use rand::seq::IteratorRandom as _;
@@ -36,6 +36,11 @@
 /// Nodes told by each that has heard something new. Four reach 98 in 100 nodes of any number within a few steps; the
 /// others see from the digest on gossip that they lack a case.
 const NEXT_FANOUT: usize = 4;
+/// Ends that a node tells of or passes on in a second: at 8.4 KB each they stay within the 4 KB/s of a node's control.
+const CRASHES_PER_S: f64 = 0.4;
+/// Ends that it does at once. More upstreams end together when a failure domain is lost, which no request has done; one
+/// that comes a few times a second ends that many in some ten seconds, and is known after three.
+const CRASHES_BURST: f64 = 32.0;
 /// Longest wait for a node that is told or asked.
 const TELL_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time one request to the table service may take.
@@ -47,6 +52,15 @@
 /// Requests that this node has suspected itself and whose cases it writes down.
 const MOST_OWN_SUSPECTS: usize = 1_024;
 
+/// What is held against a call.
+#[derive(Clone, Copy, Debug)]
+pub enum HeldCall {
+    /// It is not sent on; its caller may ask again after this time.
+    Held(Duration),
+    /// The same, but for the one trial, which has to be claimed first.
+    TrialDue(RequestFingerprint),
+}
+
 /// What this node knows of requests that end their upstreams, how it tells others, and how it outlasts them.
 ///
 /// Ends of upstreams and cases go from node to node; cases also stand in the table service, so that nodes that all start
@@ -60,6 +74,8 @@
     peers: RefCell<IndexMap<ServiceName, Vec<NodeId>>>,
     /// What this node's own upstream has ended with, the newest. Invariant: at most [`MOST_OWN_SUSPECTS`].
     own_suspects: RefCell<IndexSet<RequestFingerprint>>,
+    /// Ends that may be told of now.
+    crash_budget: RefCell<TokenBucket>,
     /// Cases that this node has to write down.
     unwritten: RefCell<IndexMap<RequestFingerprint, CaseTerm>>,
     unwritten_changed: Notify,
@@ -75,28 +91,29 @@
             register: RefCell::default(),
             peers: RefCell::default(),
             own_suspects: RefCell::default(),
+            crash_budget: RefCell::new(TokenBucket::new(CRASHES_PER_S, CRASHES_BURST)),
             unwritten: RefCell::default(),
             unwritten_changed: Notify::new(),
         }
     }
 
-    /// Whether a call may be sent on; tells the journal if it may not.
-    pub fn judge(
-        &self,
-        request: RequestId,
-        content: CallContent<'_>,
-    ) -> (RequestFingerprint, QuarantineVerdict) {
+    /// What is held against a call, if anything; tells the journal if it may not be sent on.
+    pub fn judge(&self, request: RequestId, content: CallContent<'_>) -> Option<HeldCall> {
         let register = self.register.borrow();
         if !register.has_cases() {
-            return (RequestFingerprint(0), QuarantineVerdict::Free);
+            return None;
         }
         let fingerprint = content.fingerprint();
-        let verdict = register.judge(self.context.now(), fingerprint);
-        if matches!(verdict, QuarantineVerdict::Held(_)) {
-            let term = register.term(fingerprint).0;
-            self.context.events.emit(EventKind::QuarantineRefused { request, fingerprint, term });
+        match register.judge(self.context.now(), fingerprint) {
+            QuarantineVerdict::Free => None,
+            QuarantineVerdict::TrialDue => Some(HeldCall::TrialDue(fingerprint)),
+            QuarantineVerdict::Held(wait) => {
+                let term = register.term(fingerprint).0;
+                let refused = EventKind::QuarantineRefused { request, fingerprint, term };
+                self.context.events.emit(refused);
+                Some(HeldCall::Held(wait))
+            }
         }
-        (fingerprint, verdict)
     }
 
     /// Asks for the one trial of a request that is held back; returns whether this node makes it.
@@ -285,7 +302,11 @@
         });
     }
 
-    fn tell(self: &Rc<Self>, news: QuarantineNews, fanout: usize) {
+    fn tell(self: &Rc<Self>, mut news: QuarantineNews, fanout: usize) {
+        let now = self.context.now();
+        let mut budget = self.crash_budget.borrow_mut();
+        news.crashes.retain(|_| budget.take(now, 0.0, Duration::ZERO).is_some());
+        drop(budget);
         if news.is_empty() {
             return;
         }
