Read once more: one text of identities, one feed of a fingerprint's parts, one reading of a clock; a fingerprint once a call

Ruled out: the two looks at what is held back, before and after the wait at the gate: both are needed.

--- a/crates/coltsfoot-node/src/clock.rs
+++ b/crates/coltsfoot-node/src/clock.rs
@@ -57,8 +57,13 @@
 
 /// Time since the host has started, suspended or not.
 fn boot_time() -> Duration {
-    let time = clock_gettime(ClockId::Boottime);
-    // Counts from the start of the host: never negative.
+    read_clock(ClockId::Boottime)
+}
+
+/// What a clock of the system reads that counts from a start: that of the host, the process or a thread.
+pub(crate) fn read_clock(clock: ClockId) -> Duration {
+    let time = clock_gettime(clock);
+    // Never negative, for the same reason.
     let seconds = u64::try_from(time.tv_sec).unwrap_or(0);
     let nanos = u32::try_from(time.tv_nsec).unwrap_or(0);
     Duration::new(seconds, nanos)
--- a/crates/coltsfoot-node/src/dispatch/guard/calls_in_flight.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard/calls_in_flight.rs
@@ -1,7 +1,7 @@
 //! The calls that the upstream beside the node works on, found by the context it was given.
 
 use std::{
-    cell::{Cell, RefCell},
+    cell::{Cell, OnceCell, RefCell},
     cmp::Reverse,
     rc::Rc,
 };
@@ -12,12 +12,15 @@
     id::{NodeId, RequestId},
     importance::Importance,
     outcome::{CallOutcome, RefusalReason},
+    quarantine::RequestFingerprint,
     time::MonotonicTime,
 };
 use indexmap::IndexMap;
 use rand::{Rng, RngExt};
 use tokio::sync::Notify;
 
+use crate::dispatch::context::CallContent;
+
 /// Admission levels kept for one call at most; the most severe stay.
 const MAX_LEVELS: usize = 16;
 
@@ -35,6 +38,8 @@
     pub client: u64,
     /// Whether the call, or one above it, is not the first attempt.
     pub is_repeat: bool,
+    /// What the call asks for, once somebody has wanted to know: a hash over the whole body.
+    fingerprint: OnceCell<RequestFingerprint>,
     /// Whether a nested call may have reached an upstream.
     nested_ran: Cell<bool>,
     /// Whether a nested call ended without being served, where a further run of the call above would fare no
@@ -65,6 +70,7 @@
             account,
             client,
             is_repeat: false,
+            fingerprint: OnceCell::new(),
             nested_ran: Cell::new(false),
             failed_below: Cell::new(false),
             nested_open: Cell::new(0),
@@ -79,6 +85,11 @@
         Self { is_repeat, ..self }
     }
 
+    /// The fingerprint of the call, which has `content`.
+    pub fn fingerprint(&self, content: CallContent<'_>) -> RequestFingerprint {
+        *self.fingerprint.get_or_init(|| content.fingerprint())
+    }
+
     /// Whether a nested call has reached an upstream or may yet; then the call itself has run in part.
     pub fn may_have_nested(&self) -> bool {
         self.nested_ran.get() || self.nested_open.get() > 0
--- a/crates/coltsfoot-node/src/dispatch/guard/end_watch.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard/end_watch.rs
@@ -15,6 +15,7 @@
 
 use super::{
     call_guard::CallGuard,
+    calls_in_flight::CallSpan,
     cut_calls::{CutCall, CutCalls},
 };
 use crate::dispatch::context::CallContent;
@@ -37,6 +38,7 @@
     pub(super) fn note_cut(
         self: &Rc<Self>,
         call: &CallRequest,
+        span: &CallSpan,
         address: SocketAddr,
         instance: Option<InstanceName>,
     ) {
@@ -47,7 +49,7 @@
         let content = content_of(call);
         let cut = CutCall {
             request: call.request,
-            fingerprint: content.fingerprint(),
+            fingerprint: span.fingerprint(content),
             answered: self.answered.borrow_mut().contains(now, &content.parts()),
         };
         let mut open = self.cut_calls.borrow_mut();
@@ -78,10 +80,10 @@
     }
 
     /// The upstream has answered a call, whatever it says: the call did not end it.
-    pub(super) fn note_answered(self: &Rc<Self>, call: &CallRequest) {
+    pub(super) fn note_answered(self: &Rc<Self>, call: &CallRequest, span: &CallSpan) {
         let content = content_of(call);
         self.answered.borrow_mut().note(self.context.now(), &content.parts());
-        self.quarantine.note_answer(content);
+        self.quarantine.note_answer(|| span.fingerprint(content));
     }
 
     /// Another life of the upstream has announced itself.
--- a/crates/coltsfoot-node/src/dispatch/guard/guarded_call.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard/guarded_call.rs
@@ -53,7 +53,7 @@
             Ok(repeatable) => repeatable,
             Err(reason) => return self.refuse_guarded(&call, reason),
         };
-        if let Some(wait) = self.held_back(&call) {
+        if let Some(wait) = self.held_back(&call, span) {
             return self.refuse_held(&call, wait);
         }
         if !self.bears_repeat(&call) {
@@ -67,7 +67,7 @@
             }
         };
         // What was let in may have waited while others learnt of it.
-        if let Some(wait) = self.held_at_last(&call).await {
+        if let Some(wait) = self.held_at_last(&call, span).await {
             self.give_back_repeat(&call);
             return self.refuse_held(&call, wait);
         }
--- a/crates/coltsfoot-node/src/dispatch/guard/upstream_run.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard/upstream_run.rs
@@ -65,8 +65,8 @@
         let upstream_time = self.context.now().since(started);
         entered.answered = result.is_ok();
         match &result {
-            Ok(Ok(_)) => self.note_answered(call),
-            Ok(Err(UpstreamError::CutOff)) => self.note_cut(call, address, instance.clone()),
+            Ok(Ok(_)) => self.note_answered(call, span),
+            Ok(Err(UpstreamError::CutOff)) => self.note_cut(call, span, address, instance.clone()),
             Ok(Err(_)) | Err(_) => {}
         }
         self.note_failure(call, &result, instance, upstream_time);
--- a/crates/coltsfoot-node/src/dispatch/ingress/call_routing.rs
+++ b/crates/coltsfoot-node/src/dispatch/ingress/call_routing.rs
@@ -77,7 +77,7 @@
             head: call.head.as_ref(),
             body: &call.body,
         };
-        match self.quarantine.judge(call.request, content)? {
+        match self.quarantine.judge(call.request, || content.fingerprint())? {
             HeldCall::Held(wait) => {
                 Some(CallReply::refusal(RefusalReason::Quarantined, CallOutcome::NotRun, wait))
             }
--- a/crates/coltsfoot-node/src/dispatch/links/quarantine_desk.rs
+++ b/crates/coltsfoot-node/src/dispatch/links/quarantine_desk.rs
@@ -24,7 +24,7 @@
 use super::PeerLinks;
 use crate::{
     clock::wall_millis,
-    dispatch::context::{CallContent, NodeContext, WORD_BYTES},
+    dispatch::context::{NodeContext, WORD_BYTES},
     gossip::GossipCommand,
     journal::LOG_TARGET,
     metrics::ControlKind,
@@ -97,13 +97,18 @@
         }
     }
 
-    /// What is held against a call, if anything; tells the journal if it may not be sent on.
-    pub fn judge(&self, request: RequestId, content: CallContent<'_>) -> Option<HeldCall> {
+    /// What is held against a call, if anything; tells the journal if it may not be sent on. `fingerprint` is asked for only
+    /// while something is held back.
+    pub fn judge(
+        &self,
+        request: RequestId,
+        fingerprint: impl FnOnce() -> RequestFingerprint,
+    ) -> Option<HeldCall> {
         let register = self.register.borrow();
         if !register.has_cases() {
             return None;
         }
-        let fingerprint = content.fingerprint();
+        let fingerprint = fingerprint();
         match register.judge(self.context.now(), fingerprint) {
             QuarantineVerdict::Free => None,
             QuarantineVerdict::TrialDue => Some(HeldCall::TrialDue(fingerprint)),
@@ -153,13 +158,13 @@
         self.take_news(news, FIRST_FANOUT);
     }
 
-    /// The upstream beside this node has answered a call.
-    pub fn note_answer(self: &Rc<Self>, content: CallContent<'_>) {
+    /// The upstream beside this node has answered a call. `fingerprint` is asked for only while something is suspected.
+    pub fn note_answer(self: &Rc<Self>, fingerprint: impl FnOnce() -> RequestFingerprint) {
         if !self.register.borrow().has_suspects() {
             return;
         }
         let now = self.context.now();
-        let note = self.register.borrow_mut().note_answer(now, content.fingerprint());
+        let note = self.register.borrow_mut().note_answer(now, fingerprint());
         if let Some(note) = note {
             let answers = vec![note];
             self.settle_changes();
@@ -223,8 +228,7 @@
             let row = QuarantineRow { term, changed_ms: wall_millis() };
             match self.ask(row.write(fingerprint)).await {
                 TableReply::Unavailable | TableReply::Uncertain => {
-                    sleep(self.context.jittered(pause)).await;
-                    pause = (pause * 2).min(LONGEST_STORE_PAUSE);
+                    pause = self.await_store(pause).await;
                 }
                 // A row that stands is another node's, of the same case.
                 TableReply::Committed | TableReply::Conflict(_) | TableReply::Rows(_) => {
@@ -259,8 +263,7 @@
                 self.hear(QuarantineNews { cases, ..QuarantineNews::default() });
                 return;
             }
-            sleep(self.context.jittered(pause)).await;
-            pause = (pause * 2).min(LONGEST_STORE_PAUSE);
+            pause = self.await_store(pause).await;
         }
     }
 
@@ -342,6 +345,12 @@
         Some(reply)
     }
 
+    /// Waits for about `pause` until the table service may be asked again; returns the next pause.
+    async fn await_store(&self, pause: Duration) -> Duration {
+        sleep(self.context.jittered(pause)).await;
+        (pause * 2).min(LONGEST_STORE_PAUSE)
+    }
+
     async fn ask(&self, request: TableRequest) -> TableReply {
         self.store.request(request, STORE_DEADLINE, StoreUse::Quarantine).await
     }
--- a/crates/coltsfoot-node/src/metrics/host_usage.rs
+++ b/crates/coltsfoot-node/src/metrics/host_usage.rs
@@ -2,19 +2,21 @@
 
 use std::{fs, time::Duration};
 
-use rustix::time::{ClockId, Timespec, clock_gettime};
+use rustix::time::ClockId;
+
+use crate::clock::read_clock;
 
 /// Size of a memory page, in bytes, on the platforms supported.
 const PAGE_BYTES: u64 = 4_096;
 
 /// Processor time of the whole process so far.
 pub(super) fn process_processor_time() -> Duration {
-    to_duration(clock_gettime(ClockId::ProcessCPUTime))
+    read_clock(ClockId::ProcessCPUTime)
 }
 
 /// Processor time of the calling thread so far.
 pub(super) fn thread_processor_time() -> Duration {
-    to_duration(clock_gettime(ClockId::ThreadCPUTime))
+    read_clock(ClockId::ThreadCPUTime)
 }
 
 /// Resident memory of the process, in bytes; 0 where the system does not tell.
@@ -23,10 +25,3 @@
     let pages = text.split_ascii_whitespace().nth(1).and_then(|field| field.parse::<u64>().ok());
     pages.unwrap_or(0).saturating_mul(PAGE_BYTES)
 }
-
-fn to_duration(time: Timespec) -> Duration {
-    // These clocks count from the start of the process or thread: never negative.
-    let seconds = u64::try_from(time.tv_sec).unwrap_or(0);
-    let nanos = u32::try_from(time.tv_nsec).unwrap_or(0);
-    Duration::new(seconds, nanos)
-}
--- a/crates/coltsfootroute/src/macros.rs
+++ b/crates/coltsfootroute/src/macros.rs
@@ -86,3 +86,37 @@
         }
     };
 }
+
+/// Gives an identity of one unsigned number its text: all its hexadecimal digits, zeros included.
+macro_rules! hex_text {
+    ($name:ident($number:ty)) => {
+        impl std::fmt::Display for $name {
+            fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+                const DIGITS: usize = <$number>::BITS as usize / 4;
+                write!(f, "{:0DIGITS$x}", self.0)
+            }
+        }
+
+        impl std::str::FromStr for $name {
+            type Err = std::num::ParseIntError;
+
+            fn from_str(text: &str) -> Result<Self, Self::Err> {
+                <$number>::from_str_radix(text, 16).map(Self)
+            }
+        }
+
+        impl From<$name> for String {
+            fn from(id: $name) -> Self {
+                id.to_string()
+            }
+        }
+
+        impl TryFrom<String> for $name {
+            type Error = std::num::ParseIntError;
+
+            fn try_from(text: String) -> Result<Self, Self::Error> {
+                text.parse()
+            }
+        }
+    };
+}
--- a/crates/coltsfootroute/src/membership/heartbeat_watch.rs
+++ b/crates/coltsfootroute/src/membership/heartbeat_watch.rs
@@ -28,7 +28,7 @@
     /// The host was suspended until `now`. Its upstream could not be heard meanwhile, and may be as sound as before:
     /// without this each host that wakes takes its upstream out for up to a heartbeat.
     pub fn note_suspension(&mut self, now: MonotonicTime) {
-        self.since = now;
+        self.heard(now);
     }
 
     /// Whether the upstream has been silent for too long.
--- a/crates/coltsfootroute/src/once/claim_id.rs
+++ b/crates/coltsfootroute/src/once/claim_id.rs
@@ -1,7 +1,5 @@
 //! Identity of a claim.
 
-use std::fmt;
-
 use rand::{Rng, RngExt};
 
 value_type! {
@@ -18,22 +16,4 @@
     }
 }
 
-impl fmt::Display for ClaimId {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{:032x}", self.0)
-    }
-}
-
-impl From<ClaimId> for String {
-    fn from(id: ClaimId) -> Self {
-        id.to_string()
-    }
-}
-
-impl TryFrom<String> for ClaimId {
-    type Error = std::num::ParseIntError;
-
-    fn try_from(text: String) -> Result<Self, Self::Error> {
-        u128::from_str_radix(&text, 16).map(Self)
-    }
-}
+hex_text!(ClaimId(u128));
--- a/crates/coltsfootroute/src/quarantine/answered_requests.rs
+++ b/crates/coltsfootroute/src/quarantine/answered_requests.rs
@@ -70,10 +70,7 @@
             return None;
         }
         let mut hash = XxHash3_64::with_seed(self.seed);
-        for part in [parts.method, parts.host, parts.target, parts.credential, parts.body] {
-            hash.write(&(part.len() as u64).to_le_bytes());
-            hash.write(part);
-        }
+        parts.feed(|bytes| hash.write(bytes));
         Some(hash.finish())
     }
 }
--- a/crates/coltsfootroute/src/quarantine/request_fingerprint.rs
+++ b/crates/coltsfootroute/src/quarantine/request_fingerprint.rs
@@ -1,7 +1,5 @@
 //! What makes two requests the same, for the whole fleet.
 
-use std::{fmt, str::FromStr};
-
 use sha2::{Digest, Sha256};
 
 /// What a request asks for, and on whose behalf. Identities, deadlines and the host where it entered are left out: they
@@ -20,6 +18,16 @@
     pub body: &'a [u8],
 }
 
+impl FingerprintParts<'_> {
+    /// Gives all parts to a hash, each after its length, or else bytes could pass from one part to the next.
+    pub(super) fn feed(&self, mut update: impl FnMut(&[u8])) {
+        for part in [self.method, self.host, self.target, self.credential, self.body] {
+            update(&(part.len() as u64).to_le_bytes());
+            update(part);
+        }
+    }
+}
+
 value_type! {
     /// The first 128 bits of SHA-256 over a request's [parts](FingerprintParts), the same at every hop and node. Shown as
     /// 32 hexadecimal digits.
@@ -36,11 +44,7 @@
     /// suspected.
     pub fn of(parts: &FingerprintParts<'_>) -> Self {
         let mut hash = Sha256::new();
-        for part in [parts.method, parts.host, parts.target, parts.credential, parts.body] {
-            // With its length, or else bytes could pass from one part to the next.
-            hash.update((part.len() as u64).to_le_bytes());
-            hash.update(part);
-        }
+        parts.feed(|bytes| hash.update(bytes));
         let digest: [u8; 32] = hash.finalize().into();
         let mut first = [0; 16];
         first.copy_from_slice(&digest[..16]);
@@ -48,30 +52,4 @@
     }
 }
 
-impl fmt::Display for RequestFingerprint {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{:032x}", self.0)
-    }
-}
-
-impl FromStr for RequestFingerprint {
-    type Err = std::num::ParseIntError;
-
-    fn from_str(text: &str) -> Result<Self, Self::Err> {
-        u128::from_str_radix(text, 16).map(Self)
-    }
-}
-
-impl From<RequestFingerprint> for String {
-    fn from(fingerprint: RequestFingerprint) -> Self {
-        fingerprint.to_string()
-    }
-}
-
-impl TryFrom<String> for RequestFingerprint {
-    type Error = std::num::ParseIntError;
-
-    fn try_from(text: String) -> Result<Self, Self::Error> {
-        text.parse()
-    }
-}
+hex_text!(RequestFingerprint(u128));
