A leave is acknowledged once the store keeps it

Callers saw: requests sent to an upstream for up to four seconds after it had been told that it may leave, and lost with it.

Cause: the acknowledgement waited half a second for the row that tells the next life of the node, and was then given whether or not the row stood; a refused write was tried again half a minute later. Whoever killed the node in between had the leave forgotten: the old row said that the upstream served. A leave heard by a node that had not read its row was acknowledged without any write.

Ruled out: the node ignores late heartbeats while it lives (three heartbeat-ignored lines until the kill).

Change: the desk keeps what its rows shall tell and what they tell for certain as one value each; a leave is answered 503 until the two agree, and the row is tried again every half second. From the first word on the upstream gets no new work, as before. The introduction and the row of the leave are one transaction now, in place of two.

Why it holds: what is acknowledged stands in the store, which outlasts every node; what does not is said again by the upstream. The cost is an upstream that waits for its acknowledgement while the store is away, and then goes without one.

--- a/crates/coltsfoot-node/src/dispatch/entry_port.rs
+++ b/crates/coltsfoot-node/src/dispatch/entry_port.rs
@@ -8,15 +8,12 @@
 
 use coltsfoot_wire::peer::CallReply;
 use coltsfootroute::{
-    event::EventKind,
-    id::RequestId,
-    membership::{HeartbeatVerdict, InstanceLife},
-    time::MonotonicTime,
+    event::EventKind, id::RequestId, membership::InstanceLife, time::MonotonicTime,
 };
 
 use super::{
     context::NodeContext,
-    guard::{CallGuard, UpstreamHeartbeat},
+    guard::{CallGuard, UpstreamHeartbeat, UpstreamReceipt},
     ingress::{CallIngress, CallOrigin, IncomingCall},
 };
 use crate::config::ConfigInForce;
@@ -97,12 +94,12 @@
 
     /// Takes in a heartbeat of the upstream beside the node. Returns once no new work reaches an upstream
     /// that leaves.
-    pub async fn hear(&self, heartbeat: UpstreamHeartbeat) -> HeartbeatVerdict {
+    pub async fn hear(&self, heartbeat: UpstreamHeartbeat) -> UpstreamReceipt {
         self.guard.hear(heartbeat).await
     }
 
     /// The instance has left, or is about to: nothing is dispatched to it from now on.
-    pub async fn leave(&self, instance: InstanceLife) {
-        self.guard.hear_leave(instance).await;
+    pub async fn leave(&self, instance: InstanceLife) -> UpstreamReceipt {
+        self.guard.hear_leave(instance).await
     }
 }
--- a/crates/coltsfoot-node/src/dispatch/guard.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard.rs
@@ -16,6 +16,7 @@
 mod run_permit;
 mod upstream_client;
 mod upstream_heartbeat;
+mod upstream_receipt;
 mod upstream_run;
 
 pub use call_guard::{CallGuard, GuardParts};
@@ -23,3 +24,4 @@
 pub use planned_stop::CallKind;
 pub use upstream_client::end_to_end;
 pub use upstream_heartbeat::UpstreamHeartbeat;
+pub use upstream_receipt::UpstreamReceipt;
--- a/crates/coltsfoot-node/src/dispatch/guard/local_upstream.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard/local_upstream.rs
@@ -4,13 +4,16 @@
 
 use coltsfootroute::{
     event::EventKind,
-    membership::{BirthTime, HeartbeatVerdict, HeartbeatWatch, InstanceLife, UpstreamOffer},
+    membership::{
+        BirthTime, HeartbeatVerdict, HeartbeatWatch, InstanceLife, InstanceName, UpstreamOffer,
+    },
     name::ServiceName,
 };
 use http::StatusCode;
 
 use super::{
     call_guard::CallGuard, guard_state::GuardedUpstream, upstream_heartbeat::UpstreamHeartbeat,
+    upstream_receipt::UpstreamReceipt,
 };
 use crate::{
     clock::wall_millis,
@@ -56,7 +59,7 @@
 
     /// The upstream says that it takes no new work: only its leave is passed on, and a node that has not
     /// heard of it before learns who it is.
-    pub async fn note_leaving(&self, announcement: UpstreamAnnouncement) {
+    async fn note_leaving(&self, announcement: UpstreamAnnouncement) {
         let is_known = self
             .state
             .upstream
@@ -74,22 +77,7 @@
         if let Some(upstream) = self.state.upstream.borrow_mut().as_mut() {
             upstream.heartbeats.heard(self.context.now());
         }
-        self.withdraw_named().await;
-    }
-
-    /// The upstream leaves, and names its lives: its row tells of that first, up to a bound, or else a restart
-    /// might take it up again.
-    pub async fn withdraw_named(&self) {
         self.withdraw_upstream().await;
-        if let Some(instance) = self.upstream_life() {
-            self.introduction.depart(instance);
-        }
-        self.introduction.settle().await;
-    }
-
-    /// The life of the upstream beside the node that was heard of last, if it names itself.
-    fn upstream_life(&self) -> Option<InstanceLife> {
-        self.state.upstream.borrow().as_ref()?.announcement.life()
     }
 
     /// Whether the announcement says anything new.
@@ -179,41 +167,80 @@
 
     /// Takes in a heartbeat of an upstream that names its lives. Returns once no new work reaches one that
     /// leaves.
-    pub async fn hear(self: &Rc<Self>, heartbeat: UpstreamHeartbeat) -> HeartbeatVerdict {
-        let UpstreamHeartbeat { announcement, instance, sequence, is_leaving } = heartbeat;
+    pub async fn hear(self: &Rc<Self>, heartbeat: UpstreamHeartbeat) -> UpstreamReceipt {
+        if heartbeat.is_leaving {
+            return self.hear_draining(heartbeat).await;
+        }
+        let UpstreamHeartbeat { announcement, instance, sequence, .. } = heartbeat;
         // A late one must not bring back what the life before this one has seen off.
         self.introduction.await_resumed().await;
-        let verdict = self.state.instances.borrow_mut().hear(&instance, sequence);
+        if self.take_heartbeat(&instance, sequence) == HeartbeatVerdict::Fresh {
+            self.announce_upstream(announcement).await;
+        }
+        UpstreamReceipt::Acknowledged
+    }
+
+    async fn hear_draining(&self, heartbeat: UpstreamHeartbeat) -> UpstreamReceipt {
+        let UpstreamHeartbeat { announcement, instance, sequence, .. } = heartbeat;
+        match self.take_heartbeat(&instance, sequence) {
+            HeartbeatVerdict::Fresh => self.note_leaving(announcement).await,
+            // An older word of an upstream that has not left since changes nothing.
+            HeartbeatVerdict::Stale if !self.is_upstream_leaving() => {
+                return UpstreamReceipt::Acknowledged;
+            }
+            HeartbeatVerdict::Stale | HeartbeatVerdict::Departed => {}
+        }
+        self.keep_leave(instance).await
+    }
+
+    fn take_heartbeat(&self, instance: &InstanceLife, sequence: u64) -> HeartbeatVerdict {
+        let verdict = self.state.instances.borrow_mut().hear(instance, sequence);
         if verdict != HeartbeatVerdict::Fresh {
             let departed = verdict == HeartbeatVerdict::Departed;
-            let ignored =
-                EventKind::HeartbeatIgnored { instance: instance.name, sequence, departed };
-            self.context.events.emit(ignored);
-            return verdict;
-        }
-        if is_leaving {
-            self.note_leaving(announcement).await;
-        } else {
-            self.announce_upstream(announcement).await;
+            let instance = instance.name.clone();
+            self.context.events.emit(EventKind::HeartbeatIgnored { instance, sequence, departed });
         }
         verdict
     }
 
+    fn is_upstream_leaving(&self) -> bool {
+        self.state.upstream.borrow().as_ref().is_some_and(|upstream| upstream.leaving)
+    }
+
     /// The instance has left, or is about to: nothing is dispatched to it from now on. A leave that does not say of which
     /// life it is speaks of all until now.
-    pub async fn hear_leave(&self, instance: InstanceLife) {
-        self.introduction.await_resumed().await;
-        let born = instance.born.unwrap_or_else(|| BirthTime(wall_millis()));
-        self.leave_instance(instance.with_born(Some(born))).await;
+    pub async fn hear_leave(&self, instance: InstanceLife) -> UpstreamReceipt {
+        let until = instance.born.unwrap_or_else(|| BirthTime(wall_millis()));
+        self.leave_instance(instance.clone().with_born(Some(until))).await;
+        self.keep_leave(instance).await
     }
 
     async fn leave_instance(&self, instance: InstanceLife) {
         let is_present = self.state.instances.borrow_mut().leave(&instance);
         if is_present {
-            self.withdraw_named().await;
+            self.withdraw_upstream().await;
         }
     }
 
+    /// Acknowledges a leave once the node's row tells of it, which outlasts this node and all others. Until then the upstream
+    /// gets no new work either, and asks again. A life before the present one needs no row: no restart takes it up.
+    async fn keep_leave(&self, instance: InstanceLife) -> UpstreamReceipt {
+        let present = self.state.instances.borrow().present().cloned();
+        if present.is_some_and(|present| present != instance) {
+            return UpstreamReceipt::Acknowledged;
+        }
+        let name = instance.name.clone();
+        if self.introduction.depart(instance).await {
+            return UpstreamReceipt::Acknowledged;
+        }
+        self.not_yet(name, true)
+    }
+
+    fn not_yet(&self, instance: InstanceName, is_leaving: bool) -> UpstreamReceipt {
+        self.context.events.emit(EventKind::NotAcknowledged { instance, leaving: is_leaving });
+        UpstreamReceipt::NotYet
+    }
+
     /// Takes the upstream up again that the life before this one guarded: its next heartbeat may be seconds
     /// away. Another instance at its address refuses what is not meant for it.
     pub async fn resume_upstream(self: Rc<Self>) {
--- a/crates/coltsfoot-node/src/dispatch/links.rs
+++ b/crates/coltsfoot-node/src/dispatch/links.rs
@@ -10,12 +10,14 @@
 mod link_stream;
 mod link_table;
 mod node_finder;
+mod own_rows;
 mod peer_handler;
 mod peer_links;
 mod peer_server;
 mod quarantine_desk;
 mod upstream_announcement;
 mod upstream_row;
+mod upstream_row_writer;
 
 pub use call_link::CallLink;
 pub use call_service::serve_calls;
--- a/crates/coltsfoot-node/src/dispatch/links/introduction_desk.rs
+++ b/crates/coltsfoot-node/src/dispatch/links/introduction_desk.rs
@@ -10,43 +10,46 @@
 use coltsfootroute::{
     membership::{InstanceLife, IntroductionRow},
     name::ServiceName,
-    table::{RowCondition, RowKey, RowWrite, TableReply, TableRequest},
+    table::{RowKey, RowWrite, TableRequest},
 };
+use indexmap::IndexSet;
 use tokio::{sync::Notify, time::timeout};
 
-use super::{IntroducedUpstream, IntroductionStore, UpstreamAnnouncement, UpstreamRow};
-use crate::{dispatch::context::NodeContext, journal::LOG_TARGET};
+use super::{
+    IntroducedUpstream, IntroductionStore, UpstreamAnnouncement, UpstreamRow, own_rows::OwnRows,
+    upstream_row_writer::UpstreamRowWriter,
+};
+use crate::dispatch::context::NodeContext;
 
 /// Pause before a row that could not be written is written again; jittered.
 const WRITE_PAUSE: Duration = Duration::from_secs(30);
-/// How long a leaving node waits for its row to be gone.
-const REMOVE_WAIT: Duration = Duration::from_millis(500);
-
-/// How long the first heartbeats wait for what the life before this one has written: well within the second
-/// after which an upstream counts its heartbeat as lost.
+/// The same of a row that tells of a leave: its upstream waits for the acknowledgement, and repeats itself every second or
+/// two. Few upstreams leave at the same moment, so that a store that comes back is not flooded.
+const DEPARTED_PAUSE: Duration = Duration::from_millis(500);
+/// How long a leave waits for its row: together with a slow heartbeat within the second after which an upstream counts
+/// it as not acknowledged.
+const SETTLE_WAIT: Duration = Duration::from_millis(800);
+/// How long a heartbeat waits for what the life before this one has written: within the same second.
 const RESUME_WAIT: Duration = Duration::from_millis(700);
 
-/// Start of the keys of the rows by which nodes find their upstreams again.
+/// Start of the keys of the rows by which nodes find their upstreams.
 const UPSTREAM_PREFIX: &str = "upstream/";
 
 /// The node's own rows.
 pub struct IntroductionDesk {
     context: Rc<NodeContext>,
     store: IntroductionStore,
+    row: UpstreamRowWriter,
     /// Whether the upstream is found again after a restart: it refuses calls that are meant for another life of it.
     resumes: bool,
     /// What the upstream that the rows shall speak of says of itself.
     announcement: RefCell<Option<UpstreamAnnouncement>>,
-    /// What the rows shall speak of.
-    wanted: RefCell<Option<IntroducedUpstream>>,
-    /// What they speak of, or may speak of.
-    written: RefCell<Option<IntroducedUpstream>>,
-    /// Whether they stand for certain. Invariant: only while `written` is something.
-    is_certain: Cell<bool>,
-    /// Life of the upstream whose leave the row shall tell of. Invariant: only while nothing is `wanted`.
-    departed: RefCell<Option<InstanceLife>>,
-    /// Whether the row tells of it.
-    is_departed_written: Cell<bool>,
+    /// What the rows shall tell.
+    wanted: RefCell<OwnRows>,
+    /// What they tell for certain; `None` while that is open.
+    written: RefCell<Option<OwnRows>>,
+    /// Services under which others may find the node.
+    introduced_as: RefCell<IndexSet<ServiceName>>,
     /// Whether what the life before this one has written is known, or past finding out.
     has_resumed: Cell<bool>,
     resumed: Notify,
@@ -59,16 +62,16 @@
 impl IntroductionDesk {
     /// No rows yet; `resumes` says whether the upstream refuses calls that are meant for another life of it.
     pub fn new(context: Rc<NodeContext>, store: IntroductionStore, resumes: bool) -> Self {
+        let key = RowKey::new(&format!("{UPSTREAM_PREFIX}{}", context.identity.node));
         Self {
+            row: UpstreamRowWriter::new(store.clone(), key),
             context,
             store,
             resumes,
             announcement: RefCell::default(),
             wanted: RefCell::default(),
-            written: RefCell::default(),
-            is_certain: Cell::default(),
-            departed: RefCell::default(),
-            is_departed_written: Cell::default(),
+            written: RefCell::new(Some(OwnRows::Nothing)),
+            introduced_as: RefCell::default(),
             has_resumed: Cell::default(),
             resumed: Notify::new(),
             wanted_changed: Notify::new(),
@@ -79,33 +82,39 @@
 
     /// The rows shall speak of the upstream that announced itself so.
     pub fn want(&self, announcement: &UpstreamAnnouncement) {
-        self.departed.take();
-        *self.wanted.borrow_mut() = Some(IntroducedUpstream {
+        let upstream = IntroducedUpstream {
             service: announcement.service.clone(),
             instance: announcement.life(),
-        });
+        };
         *self.announcement.borrow_mut() = Some(announcement.clone());
-        self.wanted_changed.notify_one();
+        self.set_wanted(OwnRows::Serving(upstream));
     }
 
     /// The rows shall be gone.
     pub fn retract(&self) {
-        self.wanted.take();
-        self.wanted_changed.notify_one();
+        self.set_wanted(OwnRows::Nothing);
+    }
+
+    /// The upstream has said itself that it leaves: the rows shall tell of that. Returns whether they do, so that no later
+    /// life of this node takes the upstream up again; waits for that up to a bound.
+    pub async fn depart(&self, instance: InstanceLife) -> bool {
+        if !self.resumes {
+            self.retract();
+            return self.settle().await;
+        }
+        if !self.wanted.borrow().tells_of_leave(&instance) {
+            self.set_wanted(OwnRows::Departed(instance));
+        }
+        self.settle().await
     }
 
-    /// The upstream has said itself that it leaves: the rows shall tell of that.
-    pub fn depart(&self, instance: InstanceLife) {
-        self.wanted.take();
-        *self.departed.borrow_mut() = Some(instance);
-        self.is_departed_written.set(false);
+    fn set_wanted(&self, rows: OwnRows) {
+        *self.wanted.borrow_mut() = rows;
         self.wanted_changed.notify_one();
     }
 
     fn is_settled(&self) -> bool {
-        let wanted = self.wanted.borrow();
-        let tells = self.departed.borrow().is_none() || self.is_departed_written.get();
-        *wanted == *self.written.borrow() && self.is_certain.get() == wanted.is_some() && tells
+        self.written.borrow().as_ref() == Some(&*self.wanted.borrow())
     }
 
     /// Waits until it is known what the life before this one has written, up to a bound.
@@ -123,123 +132,106 @@
         self.resumed.notify_waiters();
     }
 
-    fn note(&self, written: Option<IntroducedUpstream>, is_certain: bool) {
-        *self.written.borrow_mut() = written;
-        self.is_certain.set(is_certain);
-        self.written_changed.notify_one();
-        self.introduced.notify_waiters();
-    }
-
     /// Waits until the node's own row has been written, or has been tried to be.
     pub async fn introduced(&self) {
         loop {
             let changed = self.introduced.notified();
-            if self.written.borrow().is_some() {
+            if !self.introduced_as.borrow().is_empty() {
                 return;
             }
             changed.await;
         }
     }
 
-    /// Waits until the row stands as wanted, up to a bound.
-    pub async fn settle(&self) {
+    /// Waits until the rows stand as wanted, up to a bound; returns whether they do.
+    pub async fn settle(&self) -> bool {
         let settled = async {
             while !self.is_settled() {
                 self.written_changed.notified().await;
             }
         };
-        // Past the bound the row stays and is stale: whoever reads it asks the node itself.
-        let _ = timeout(REMOVE_WAIT, settled).await;
+        timeout(SETTLE_WAIT, settled).await.is_ok()
     }
 
-    /// Keeps the node's own row as wanted.
+    /// Keeps the node's own rows as wanted.
     pub async fn keep_introduced(self: Rc<Self>) {
         loop {
-            let pause = match self.settle_introduction().await {
-                true => None,
-                false => Some(self.context.jittered(WRITE_PAUSE)),
-            };
+            self.write_wanted().await;
             let changed = self.wanted_changed.notified();
-            match pause {
-                Some(pause) => drop(timeout(pause, changed).await),
-                None => changed.await,
+            if self.is_settled() {
+                changed.await;
+                continue;
             }
+            let pause = match &*self.wanted.borrow() {
+                OwnRows::Departed(_) => DEPARTED_PAUSE,
+                OwnRows::Nothing | OwnRows::Serving(_) => WRITE_PAUSE,
+            };
+            // Either of the two is a reason to write again.
+            let _ = timeout(self.context.jittered(pause), changed).await;
         }
     }
 
-    /// Removes and writes what is due; returns whether the row stands as wanted.
-    async fn settle_introduction(&self) -> bool {
-        let wanted = self.wanted.borrow().clone();
-        let written = self.written.borrow().clone();
-        let is_certain = self.is_certain.get() && written == wanted;
-        let moves_from = written.filter(|written| {
-            wanted.as_ref().is_none_or(|wanted| wanted.service != written.service)
-        });
-        if let Some(upstream) = moves_from {
-            let remove = self.introduction_row(upstream.service).remove();
-            if !self.store.change_own(with_write(remove, self.upstream_write(None))).await {
-                return false;
-            }
-            self.note(None, false);
+    /// Writes the rows in one transaction, if they do not stand as wanted.
+    async fn write_wanted(&self) {
+        if self.is_settled() {
+            return;
         }
-        if !self.settle_departed().await {
-            return false;
+        let wanted = self.wanted.borrow().clone();
+        self.written.take();
+        let stands = self.write(&wanted).await;
+        let mut services = self.introduced_as.borrow_mut();
+        if stands {
+            services.clear();
         }
-        if let Some(upstream) = wanted.filter(|_| !is_certain) {
-            let write = self.introduction_row(upstream.service.clone()).write();
-            let done = self.store.change_own(with_write(write, self.resumable_write())).await;
-            // A write without an answer may stand all the same, and is removed like one that does.
-            self.note(Some(upstream), done);
+        // A write without an answer may stand all the same, and is removed like one that does.
+        services.extend(wanted.service().cloned());
+        drop(services);
+        if stands {
+            *self.written.borrow_mut() = Some(wanted);
         }
-        self.is_settled()
+        self.written_changed.notify_waiters();
+        self.introduced.notify_waiters();
     }
 
-    /// Tells of the upstream's leave if that is due; returns whether it is told.
-    async fn settle_departed(&self) -> bool {
-        let departed = self.departed.borrow().clone();
-        let Some(departed) = departed.filter(|_| !self.is_departed_written.get()) else {
-            return true;
-        };
-        let row = UpstreamRow::Departed { departed: departed.name.clone(), born: departed.born };
-        // A name always has a JSON form.
-        let write = self.upstream_write(serde_json::to_string(&row).ok());
-        let request = TableRequest::Transact(write.into_iter().collect());
-        if !self.store.change_own(request).await {
-            return false;
-        }
-        if self.departed.borrow().as_ref() == Some(&departed) {
-            self.is_departed_written.set(true);
-            self.written_changed.notify_one();
+    async fn write(&self, wanted: &OwnRows) -> bool {
+        let writes = self.introduction_writes(wanted);
+        if self.resumes {
+            return self.row.change(self.upstream_row(wanted).as_ref(), writes).await;
         }
-        true
+        writes.is_empty() || self.store.change_own(TableRequest::Transact(writes)).await
+    }
+
+    fn introduction_writes(&self, wanted: &OwnRows) -> Vec<RowWrite> {
+        let services = self.introduced_as.borrow();
+        let stale = services.iter().filter(|service| wanted.service() != Some(service));
+        let removals = stale.map(|service| self.introduction_row(service).removal());
+        removals
+            .chain(wanted.service().map(|service| self.introduction_row(service).write()))
+            .collect()
     }
 
-    fn introduction_row(&self, service: ServiceName) -> IntroductionRow {
+    fn introduction_row(&self, service: &ServiceName) -> IntroductionRow {
         IntroductionRow {
-            service,
+            service: service.clone(),
             node: self.context.identity.node,
             incarnation: self.context.identity.incarnation,
         }
     }
 
-    /// The write by which a restart finds the upstream again; `None` where it does not name its lives, since
-    /// another one might have its address by then.
-    fn resumable_write(&self) -> Option<RowWrite> {
-        let announcement = self.announcement.borrow();
-        let announcement = announcement.as_ref().filter(|known| known.instance.is_some())?;
-        // Names, addresses and numbers always have a JSON form.
-        let row = UpstreamRow::Serving(announcement.clone());
-        self.upstream_write(serde_json::to_string(&row).ok())
-    }
-
-    /// The write of the upstream's row, or its removal; `None` where no upstream is resumed.
-    fn upstream_write(&self, value: Option<String>) -> Option<RowWrite> {
-        let write = RowWrite { key: self.upstream_key(), condition: RowCondition::Any, value };
-        self.resumes.then_some(write)
-    }
-
-    fn upstream_key(&self) -> RowKey {
-        RowKey::new(&format!("{UPSTREAM_PREFIX}{}", self.context.identity.node))
+    /// The row by which a restart finds the upstream again; `None` where it does not name its lives, since another one might
+    /// have its address by then.
+    fn upstream_row(&self, wanted: &OwnRows) -> Option<UpstreamRow> {
+        match wanted {
+            OwnRows::Nothing => None,
+            OwnRows::Serving(_) => {
+                let announcement = self.announcement.borrow();
+                let named = announcement.as_ref().filter(|known| known.instance.is_some())?;
+                Some(UpstreamRow::Serving(named.clone()))
+            }
+            OwnRows::Departed(life) => {
+                Some(UpstreamRow::Departed { departed: life.name.clone(), born: life.born })
+            }
+        }
     }
 
     /// What the life before this one has written of its upstream.
@@ -247,29 +239,6 @@
         if !self.resumes {
             return None;
         }
-        let read = TableRequest::Read(self.upstream_key());
-        let TableReply::Rows(rows) = self.store.read_own(read).await else { return None };
-        let row = rows.first()?;
-        match serde_json::from_str(&row.value) {
-            Ok(row) => Some(row),
-            Err(err) => {
-                log::warn!(
-                    target: LOG_TARGET,
-                    "level=warn event=upstream-row-faulty error={:?}", err.to_string()
-                );
-                None
-            }
-        }
-    }
-}
-
-/// Adds a write to a transaction.
-fn with_write(request: TableRequest, write: Option<RowWrite>) -> TableRequest {
-    match request {
-        TableRequest::Transact(mut writes) => {
-            writes.extend(write);
-            TableRequest::Transact(writes)
-        }
-        other => other,
+        self.row.read().await.ok().flatten()
     }
 }
--- a/crates/coltsfootroute/src/event/event_kind.rs
+++ b/crates/coltsfootroute/src/event/event_kind.rs
@@ -190,6 +190,14 @@
         /// Whether the life has departed; else a newer heartbeat was heard before.
         departed: bool,
     }
+    /// What the upstream beside the node said was not acknowledged; it says it again.
+    NotAcknowledged("not-acknowledged", Warn) {
+        /// Life of the upstream.
+        instance: InstanceName,
+        /// Whether it leaves, and nothing that outlasts this node tells of it yet; else what the life before this one wrote
+        /// has not been read.
+        leaving: bool,
+    }
     /// A request has its complete answer.
     RequestCompleted("request-completed", Info) {
         /// The client request.
--- a/crates/coltsfootroute/src/membership/introduction_row.rs
+++ b/crates/coltsfootroute/src/membership/introduction_row.rs
@@ -3,7 +3,7 @@
 use crate::{
     id::{Incarnation, NodeId},
     name::ServiceName,
-    table::{RowCondition, RowKey, RowWrite, TableRequest},
+    table::{RowCondition, RowKey, RowWrite},
 };
 
 /// Common start of the keys.
@@ -35,13 +35,13 @@
 
 impl IntroductionRow {
     /// Writes the row over that of an earlier life.
-    pub fn write(&self) -> TableRequest {
-        self.transact(Some(self.incarnation.0.to_string()))
+    pub fn write(&self) -> RowWrite {
+        self.change(Some(self.incarnation.0.to_string()))
     }
 
     /// Removes the row.
-    pub fn remove(&self) -> TableRequest {
-        self.transact(None)
+    pub fn removal(&self) -> RowWrite {
+        self.change(None)
     }
 
     /// What a key says, if it is the key of such a row.
@@ -53,8 +53,8 @@
         })
     }
 
-    fn transact(&self, value: Option<String>) -> TableRequest {
+    fn change(&self, value: Option<String>) -> RowWrite {
         let key = RowKey::new(&format!("{PREFIX}{}/{}", self.service, self.node));
-        TableRequest::Transact(vec![RowWrite { key, condition: RowCondition::Any, value }])
+        RowWrite { key, condition: RowCondition::Any, value }
     }
 }
--- a/crates/coltsfootroute/tests/integration/membership/introduction.rs
+++ b/crates/coltsfootroute/tests/integration/membership/introduction.rs
@@ -29,11 +29,15 @@
     IntroductionRow { service: ServiceName::new(service), node, incarnation: Incarnation(1) }
 }
 
+fn alone(write: RowWrite) -> TableRequest {
+    TableRequest::Transact(vec![write])
+}
+
 fn filled() -> MemoryTable {
     let mut table = MemoryTable::default();
     for index in 0..ROWS {
         let service = if index % 2 == 0 { "anchor" } else { "medicals" };
-        assert_eq!(table.apply(&row(service, node(index)).write()), TableReply::Committed);
+        assert_eq!(table.apply(&alone(row(service, node(index)).write())), TableReply::Committed);
     }
     table
 }
@@ -58,7 +62,7 @@
 #[test]
 fn a_scan_of_a_service_finds_its_nodes_and_no_others() {
     let mut table = filled();
-    table.apply(&row("anchorage", node(200)).write());
+    table.apply(&alone(row("anchorage", node(200)).write()));
     let mut scan = IntroductionScan::of_service(&ServiceName::new("anchor"));
 
     let mut found = BTreeSet::new();
@@ -75,7 +79,7 @@
     let mut table = MemoryTable::default();
     let [stays, leaves] = [node(1), NodeId("[::1]:4711".parse().unwrap())];
     for node in [stays, leaves] {
-        table.apply(&row("anchor", node).write());
+        table.apply(&alone(row("anchor", node).write()));
     }
     table.apply(&TableRequest::Transact(vec![RowWrite {
         key: RowKey::new("introduction/anchor/nobody"),
@@ -87,7 +91,7 @@
     assert!(scan.is_at_start());
 
     let both = table.apply(&scan.request());
-    table.apply(&row("anchor", leaves).remove());
+    table.apply(&alone(row("anchor", leaves).removal()));
     let one = table.apply(&scan.request());
 
     assert_eq!(nodes(scan.take(&both)), [stays, leaves]);
@@ -110,7 +114,7 @@
     let mut table = MemoryTable::default();
     for (index, service) in ["licences", "logbook", "medicals", "renewals"].iter().enumerate() {
         for member in 0..40 {
-            table.apply(&row(service, node(index as u16 * 40 + member)).write());
+            table.apply(&alone(row(service, node(index as u16 * 40 + member)).write()));
         }
     }
     let mut rng = Pcg64::seed_from_u64(4);
