A node that has not read its row takes no heartbeat for a live upstream

Cause: a node that starts reads the row of its life before for at most 0.7 s, once; with the store away it then took the next heartbeat as it came. One that had been under way since before the leave brought the upstream back, and the row was never looked at again.

Change: ResumeWindow. While what the life before wrote has not been read, a heartbeat is answered 503 and changes nothing; the row is read again about every 0.25 s. After five seconds a heartbeat that comes must have been sent after the start, by an upstream whose leave nobody had acknowledged by then, and counts without the store.

Why it holds: a life acknowledges leaves only before the next one starts.

Ruled out: asking the upstream itself (health answers may be false either way here), and asking peers (all may have started anew).

--- a/crates/coltsfoot-node/src/dispatch/guard/local_upstream.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard/local_upstream.rs
@@ -173,7 +173,9 @@
         }
         let UpstreamHeartbeat { announcement, instance, sequence, .. } = heartbeat;
         // A late one must not bring back what the life before this one has seen off.
-        self.introduction.await_resumed().await;
+        if !self.introduction.await_resumed().await {
+            return self.not_yet(instance.name, false);
+        }
         if self.take_heartbeat(&instance, sequence) == HeartbeatVerdict::Fresh {
             self.announce_upstream(announcement).await;
         }
--- a/crates/coltsfoot-node/src/dispatch/links/introduction_desk.rs
+++ b/crates/coltsfoot-node/src/dispatch/links/introduction_desk.rs
@@ -8,12 +8,15 @@
 };
 
 use coltsfootroute::{
-    membership::{InstanceLife, IntroductionRow},
+    membership::{InstanceLife, IntroductionRow, ResumeWindow},
     name::ServiceName,
     table::{RowKey, RowWrite, TableRequest},
 };
 use indexmap::IndexSet;
-use tokio::{sync::Notify, time::timeout};
+use tokio::{
+    sync::Notify,
+    time::{sleep, timeout},
+};
 
 use super::{
     IntroducedUpstream, IntroductionStore, UpstreamAnnouncement, UpstreamRow, own_rows::OwnRows,
@@ -31,6 +34,8 @@
 const SETTLE_WAIT: Duration = Duration::from_millis(800);
 /// How long a heartbeat waits for what the life before this one has written: within the same second.
 const RESUME_WAIT: Duration = Duration::from_millis(700);
+/// Pause before that is read again; jittered.
+const RESUME_PAUSE: Duration = Duration::from_millis(250);
 
 /// Start of the keys of the rows by which nodes find their upstreams.
 const UPSTREAM_PREFIX: &str = "upstream/";
@@ -51,7 +56,7 @@
     /// Services under which others may find the node.
     introduced_as: RefCell<IndexSet<ServiceName>>,
     /// Whether what the life before this one has written is known, or past finding out.
-    has_resumed: Cell<bool>,
+    resume: Cell<ResumeWindow>,
     resumed: Notify,
     wanted_changed: Notify,
     written_changed: Notify,
@@ -62,6 +67,10 @@
 impl IntroductionDesk {
     /// No rows yet; `resumes` says whether the upstream refuses calls that are meant for another life of it.
     pub fn new(context: Rc<NodeContext>, store: IntroductionStore, resumes: bool) -> Self {
+        let mut resume = ResumeWindow::new(context.now());
+        if !resumes {
+            resume.note_read();
+        }
         let key = RowKey::new(&format!("{UPSTREAM_PREFIX}{}", context.identity.node));
         Self {
             row: UpstreamRowWriter::new(store.clone(), key),
@@ -72,7 +81,7 @@
             wanted: RefCell::default(),
             written: RefCell::new(Some(OwnRows::Nothing)),
             introduced_as: RefCell::default(),
-            has_resumed: Cell::default(),
+            resume: Cell::new(resume),
             resumed: Notify::new(),
             wanted_changed: Notify::new(),
             written_changed: Notify::new(),
@@ -117,18 +126,25 @@
         self.written.borrow().as_ref() == Some(&*self.wanted.borrow())
     }
 
-    /// Waits until it is known what the life before this one has written, up to a bound.
-    pub async fn await_resumed(&self) {
-        if self.has_resumed.get() {
-            return;
+    /// Waits until it is known what the life before this one has written, up to a bound; returns whether it is, or no
+    /// leave that it may have acknowledged matters any more.
+    pub async fn await_resumed(&self) -> bool {
+        if self.is_resuming() {
+            // Past the bound the store is down or slow.
+            let _ = timeout(RESUME_WAIT, self.resumed.notified()).await;
         }
-        // Past the bound the store is down or slow: the heartbeat counts as it is.
-        let _ = timeout(RESUME_WAIT, self.resumed.notified()).await;
+        !self.is_resuming()
     }
 
-    /// What the life before this one has written is known, or past finding out.
+    fn is_resuming(&self) -> bool {
+        self.resume.get().is_open(self.context.now())
+    }
+
+    /// What the life before this one has written is known.
     pub fn note_resumed(&self) {
-        self.has_resumed.set(true);
+        let mut resume = self.resume.get();
+        resume.note_read();
+        self.resume.set(resume);
         self.resumed.notify_waiters();
     }
 
@@ -234,11 +250,15 @@
         }
     }
 
-    /// What the life before this one has written of its upstream.
+    /// What the life before this one has written of its upstream. Reads until the store tells, and gives up once no leave
+    /// matters any more that may stand there.
     pub async fn read_row(&self) -> Option<UpstreamRow> {
-        if !self.resumes {
-            return None;
+        while self.is_resuming() {
+            if let Ok(row) = self.row.read().await {
+                return row;
+            }
+            sleep(self.context.jittered(RESUME_PAUSE)).await;
         }
-        self.row.read().await.ok().flatten()
+        None
     }
 }
--- a/crates/coltsfootroute/tests/integration/membership.rs
+++ b/crates/coltsfootroute/tests/integration/membership.rs
@@ -6,5 +6,6 @@
 mod introduction;
 mod merge;
 mod network;
+mod resume;
 mod scenario;
 mod start;
