A write that was given up does not undo a leave

Callers would see: an upstream whose leave was acknowledged taken up again by the next life of its node.

Cause: the row was written whatever stood there. The store may carry out a write seconds after its sender has given it up; one that says that the upstream serves then lands over the one that tells of its leave.

Change: the row is written only over the version that was last read, and read again after each write that did not stand (one read more for a leave; none for a start, which has just read it).

--- a/crates/coltsfoot-node/src/dispatch/links/upstream_row_writer.rs
+++ b/crates/coltsfoot-node/src/dispatch/links/upstream_row_writer.rs
@@ -1,20 +1,27 @@
 //! Reads and writes of the row by which a node finds its upstream again after a restart.
 
+use std::cell::Cell;
+
 use coltsfootroute::table::{RowCondition, RowKey, RowWrite, TableReply, TableRequest};
 
 use super::{IntroductionStore, UpstreamRow};
 use crate::journal::LOG_TARGET;
 
 /// Reads and writes of the row by which a node finds its upstream again after a restart.
+///
+/// The row is written only over the version that was last read. A write without an answer may be carried out seconds
+/// later; its condition has failed by then if a later write stands, so that it never undoes a leave.
 pub(super) struct UpstreamRowWriter {
     store: IntroductionStore,
     key: RowKey,
+    /// What the next write finds; `None` until it is read, and again after each write.
+    expected: Cell<Option<RowCondition>>,
 }
 
 impl UpstreamRowWriter {
-    /// The row `key`.
+    /// Nothing has been read yet of the row `key`.
     pub(super) fn new(store: IntroductionStore, key: RowKey) -> Self {
-        Self { store, key }
+        Self { store, key, expected: Cell::default() }
     }
 
     /// What the row says: `Err` where the store has not told, `Ok(None)` where there is none that can be used.
@@ -23,7 +30,11 @@
         let TableReply::Rows(rows) = self.store.read_own(read).await else {
             return Err(RowUnread);
         };
-        let Some(row) = rows.first() else { return Ok(None) };
+        let Some(row) = rows.first() else {
+            self.expected.set(Some(RowCondition::Absent));
+            return Ok(None);
+        };
+        self.expected.set(Some(RowCondition::Version(row.version)));
         match serde_json::from_str(&row.value) {
             Ok(row) => Ok(Some(row)),
             Err(err) => {
@@ -38,10 +49,17 @@
 
     /// Writes or removes the row together with `others`; returns whether all of it stands for certain.
     pub(super) async fn change(&self, row: Option<&UpstreamRow>, others: Vec<RowWrite>) -> bool {
+        if self.expected.get().is_none() && self.read().await.is_err() {
+            return false;
+        }
+        // A write that fails tells nothing of what stands now.
+        let Some(condition) = self.expected.take() else { return false };
         // Names, addresses and numbers always have a JSON form.
         let value = row.and_then(|row| serde_json::to_string(row).ok());
         let mut writes = others;
-        writes.push(RowWrite { key: self.key.clone(), condition: RowCondition::Any, value });
+        if value.is_some() || condition != RowCondition::Absent {
+            writes.push(RowWrite { key: self.key.clone(), condition, value });
+        }
         self.store.change_own(TableRequest::Transact(writes)).await
     }
 }
