--- a/crates/coltsfootroute/src/event.rs
+++ b/crates/coltsfootroute/src/event.rs
@@ -14,6 +14,7 @@
 mod event_level;
 mod event_record;
 mod event_ring;
+mod event_subject;
 mod event_text;
 mod hybrid_clock;
 mod hybrid_stamp;
