An operator hears whether a request that was let go is written down

Callers would see a request held back again, after an operator had let it go and was told 200, once all nodes start anew while the table service is away.

Cause: the answer to DELETE /quarantine/{fingerprint} was given before the row was written.

Change: the answer waits up to a second for the row: 200 if it stands, 202 with a message if it does not yet; the request is let go at all nodes either way, and the row is written once the table service answers.

Looked at besides, by reading: a configuration is answered after its commit, and 503 without an answer of the table service; a claim is written before the run that it allows. Neither is acknowledged early.

--- a/crates/coltsfoot-node/src/dispatch/dispatch_thread.rs
+++ b/crates/coltsfoot-node/src/dispatch/dispatch_thread.rs
@@ -140,7 +140,7 @@
                 let _ = reply.send(quarantine_reply(&self.quarantine));
             }
             DispatchCommand::LetGo(fingerprint, reply) => {
-                let _ = reply.send(let_go_reply(&self.quarantine, fingerprint));
+                let _ = reply.send(let_go_reply(&self.quarantine, fingerprint).await);
             }
             DispatchCommand::Status(reply) => {
                 let _ = reply.send(self.status().await);
--- a/crates/coltsfoot-node/src/dispatch/links.rs
+++ b/crates/coltsfoot-node/src/dispatch/links.rs
@@ -3,6 +3,7 @@
 mod call_frame;
 mod call_link;
 mod call_service;
+mod case_keeper;
 mod config_pull;
 mod introduced_upstream;
 mod introduction_desk;
@@ -30,6 +31,6 @@
 pub use peer_handler::{CallHandler, PeerHandler, TokenAnswer};
 pub use peer_links::{LinkError, PeerLink, PeerLinks};
 pub use peer_server::accept_peers;
-pub use quarantine_desk::{HeldCall, QuarantineDesk};
+pub use quarantine_desk::{HeldCall, LetGoResult, QuarantineDesk};
 pub use upstream_announcement::UpstreamAnnouncement;
 pub use upstream_row::UpstreamRow;
--- a/crates/coltsfoot-node/src/dispatch/links/quarantine_desk.rs
+++ b/crates/coltsfoot-node/src/dispatch/links/quarantine_desk.rs
@@ -9,24 +9,19 @@
     membership::{MemberRecord, MemberState},
     name::ServiceName,
     quarantine::{
-        CaseTerm, CrashId, CrashReport, QuarantineChange, QuarantineNews, QuarantineRegister,
-        QuarantineRow, QuarantineVerdict, RequestFingerprint, TrialClaim, trial_claim,
+        CrashId, CrashReport, QuarantineChange, QuarantineNews, QuarantineRegister,
+        QuarantineVerdict, RequestFingerprint, TrialClaim,
     },
-    table::{StoreUse, TableReply, TableRequest, TokenBucket},
+    table::TokenBucket,
 };
 use indexmap::{IndexMap, IndexSet};
 use rand::seq::IteratorRandom as _;
-use tokio::{
-    sync::Notify,
-    time::{sleep, timeout},
-};
+use tokio::time::timeout;
 
-use super::PeerLinks;
+use super::{PeerLinks, case_keeper::CaseKeeper};
 use crate::{
-    clock::wall_millis,
     dispatch::context::{NodeContext, WORD_BYTES},
     gossip::GossipCommand,
-    journal::LOG_TARGET,
     metrics::ControlKind,
     store::StoreHandle,
 };
@@ -43,12 +38,6 @@
 const CRASHES_BURST: f64 = 32.0;
 /// Longest wait for a node that is told or asked.
 const TELL_TIMEOUT: Duration = Duration::from_secs(1);
-/// Time one request to the table service may take.
-const STORE_DEADLINE: Duration = Duration::from_secs(2);
-/// First pause until the table service is asked again, doubled up to the longest.
-const FIRST_STORE_PAUSE: Duration = Duration::from_millis(500);
-/// Longest pause until the table service is asked again.
-const LONGEST_STORE_PAUSE: Duration = Duration::from_secs(10);
 /// Requests that this node has suspected itself and whose cases it writes down.
 const MOST_OWN_SUSPECTS: usize = 1_024;
 
@@ -61,6 +50,18 @@
     TrialDue(RequestFingerprint),
 }
 
+/// What became of an operator's word that a request is let go.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LetGoResult {
+    /// It was not held back.
+    NotHeld,
+    /// It is let go, and stays so whatever becomes of the nodes.
+    Kept,
+    /// It is let go here and told to others, and not written down yet: if all nodes start anew before the table service
+    /// answers it is held back again.
+    Unkept,
+}
+
 /// What this node knows of requests that end their upstreams, how it tells others, and how it outlasts them.
 ///
 /// Ends of upstreams and cases go from node to node; cases also stand in the table service, so that nodes that all start
@@ -68,7 +69,7 @@
 pub struct QuarantineDesk {
     context: Rc<NodeContext>,
     links: Rc<PeerLinks>,
-    store: StoreHandle,
+    keeper: CaseKeeper,
     register: RefCell<QuarantineRegister>,
     /// Present members of the services that this node watches.
     peers: RefCell<IndexMap<ServiceName, Vec<NodeId>>>,
@@ -76,24 +77,20 @@
     own_suspects: RefCell<IndexSet<RequestFingerprint>>,
     /// Ends that may be told of now.
     crash_budget: RefCell<TokenBucket>,
-    /// Cases that this node has to write down.
-    unwritten: RefCell<IndexMap<RequestFingerprint, CaseTerm>>,
-    unwritten_changed: Notify,
 }
 
 impl QuarantineDesk {
     /// Nothing known yet.
     pub fn new(context: Rc<NodeContext>, links: Rc<PeerLinks>, store: StoreHandle) -> Self {
+        let keeper = CaseKeeper::new(context.clone(), store);
         Self {
             context,
             links,
-            store,
+            keeper,
             register: RefCell::default(),
             peers: RefCell::default(),
             own_suspects: RefCell::default(),
             crash_budget: RefCell::new(TokenBucket::new(CRASHES_PER_S, CRASHES_BURST)),
-            unwritten: RefCell::default(),
-            unwritten_changed: Notify::new(),
         }
     }
 
@@ -126,7 +123,7 @@
         let term = self.register.borrow().term(fingerprint);
         // Others that come meanwhile are held back.
         self.note_trial(fingerprint, TrialClaim::Unanswered);
-        let claim = TrialClaim::of(&self.ask(trial_claim(fingerprint, term)).await);
+        let claim = self.keeper.claim_trial(fingerprint, term).await;
         self.note_trial(fingerprint, claim);
         let taken = claim == TrialClaim::Taken;
         if taken {
@@ -172,17 +169,20 @@
         }
     }
 
-    /// An operator lets a request go; returns whether it was held back.
-    pub fn let_go(self: &Rc<Self>, fingerprint: RequestFingerprint) -> bool {
+    /// An operator lets a request go. Waits up to a bound until that is written down.
+    pub async fn let_go(self: &Rc<Self>, fingerprint: RequestFingerprint) -> LetGoResult {
         let now = self.context.now();
-        let was_held = self.register.borrow_mut().let_go(now, fingerprint);
-        if was_held {
-            self.own_suspects.borrow_mut().insert(fingerprint);
-            self.settle_changes();
-            let cases = self.register.borrow().cases(now);
-            self.tell(QuarantineNews { cases, ..QuarantineNews::default() }, FIRST_FANOUT);
+        if !self.register.borrow_mut().let_go(now, fingerprint) {
+            return LetGoResult::NotHeld;
+        }
+        self.own_suspects.borrow_mut().insert(fingerprint);
+        self.settle_changes();
+        let cases = self.register.borrow().cases(now);
+        self.tell(QuarantineNews { cases, ..QuarantineNews::default() }, FIRST_FANOUT);
+        match self.keeper.await_written(fingerprint).await {
+            true => LetGoResult::Kept,
+            false => LetGoResult::Unkept,
         }
-        was_held
     }
 
     /// All that is known.
@@ -216,55 +216,9 @@
 
     /// Reads the cases that stand in the table service, then writes down those of this node as they come.
     pub async fn keep_cases(self: Rc<Self>) {
-        self.read_cases().await;
-        let mut pause = FIRST_STORE_PAUSE;
-        loop {
-            let changed = self.unwritten_changed.notified();
-            let next = self.unwritten.borrow().first().map(|(case, term)| (*case, *term));
-            let Some((fingerprint, term)) = next else {
-                changed.await;
-                continue;
-            };
-            let row = QuarantineRow { term, changed_ms: wall_millis() };
-            match self.ask(row.write(fingerprint)).await {
-                TableReply::Unavailable | TableReply::Uncertain => {
-                    pause = self.await_store(pause).await;
-                }
-                // A row that stands is another node's, of the same case.
-                TableReply::Committed | TableReply::Conflict(_) | TableReply::Rows(_) => {
-                    self.note_written(fingerprint, term);
-                    pause = FIRST_STORE_PAUSE;
-                }
-            }
-        }
-    }
-
-    fn note_written(&self, fingerprint: RequestFingerprint, term: CaseTerm) {
-        let mut unwritten = self.unwritten.borrow_mut();
-        if unwritten.get(&fingerprint) == Some(&term) {
-            unwritten.swap_remove(&fingerprint);
-        }
-    }
-
-    async fn read_cases(self: &Rc<Self>) {
-        let mut pause = FIRST_STORE_PAUSE;
-        loop {
-            if let TableReply::Rows(rows) = self.ask(QuarantineRow::scan()).await {
-                let wall = wall_millis();
-                let cases = rows.iter().filter_map(|row| QuarantineRow::read(row, wall));
-                let cases: Vec<_> = cases.collect();
-                if cases.len() < rows.len() {
-                    let faulty = rows.len() - cases.len();
-                    log::warn!(
-                        target: LOG_TARGET,
-                        "level=warn event=quarantine-rows-faulty count={faulty}"
-                    );
-                }
-                self.hear(QuarantineNews { cases, ..QuarantineNews::default() });
-                return;
-            }
-            pause = self.await_store(pause).await;
-        }
+        let cases = self.keeper.read_cases().await;
+        self.hear(QuarantineNews { cases, ..QuarantineNews::default() });
+        self.keeper.write_cases().await;
     }
 
     fn take_news(self: &Rc<Self>, news: QuarantineNews, fanout: usize) {
@@ -290,8 +244,7 @@
                 crashes,
             });
             if self.own_suspects.borrow().contains(&fingerprint) {
-                self.unwritten.borrow_mut().insert(fingerprint, term);
-                self.unwritten_changed.notify_one();
+                self.keeper.write_down(fingerprint, term);
             }
         }
         let register = self.register.borrow();
@@ -344,14 +297,4 @@
         self.context.count_asked(ControlKind::Quarantine, asked, answered);
         Some(reply)
     }
-
-    /// Waits for about `pause` until the table service may be asked again; returns the next pause.
-    async fn await_store(&self, pause: Duration) -> Duration {
-        sleep(self.context.jittered(pause)).await;
-        (pause * 2).min(LONGEST_STORE_PAUSE)
-    }
-
-    async fn ask(&self, request: TableRequest) -> TableReply {
-        self.store.request(request, STORE_DEADLINE, StoreUse::Quarantine).await
-    }
 }
--- a/crates/coltsfoot-node/src/dispatch/quarantine_body.rs
+++ b/crates/coltsfoot-node/src/dispatch/quarantine_body.rs
@@ -5,7 +5,7 @@
 use coltsfootroute::quarantine::RequestFingerprint;
 use http::StatusCode;
 
-use super::links::QuarantineDesk;
+use super::links::{LetGoResult, QuarantineDesk};
 use crate::http::HttpReply;
 
 /// One case, as operators see it.
@@ -33,15 +33,20 @@
 }
 
 /// Lets a request go.
-pub(super) fn let_go_reply(
+pub(super) async fn let_go_reply(
     desk: &Rc<QuarantineDesk>,
     fingerprint: RequestFingerprint,
 ) -> HttpReply {
-    match desk.let_go(fingerprint) {
-        true => HttpReply::json(StatusCode::OK, &serde_json::json!({ "held": false })),
-        false => {
-            let body = serde_json::json!({ "message": "no such request is held back" });
-            HttpReply::json(StatusCode::NOT_FOUND, &body)
+    let (status, body) = match desk.let_go(fingerprint).await {
+        LetGoResult::Kept => (StatusCode::OK, serde_json::json!({ "held": false })),
+        LetGoResult::Unkept => {
+            let message = "let go, and not written down yet: the table service does not answer";
+            (StatusCode::ACCEPTED, serde_json::json!({ "held": false, "message": message }))
         }
-    }
+        LetGoResult::NotHeld => {
+            let message = "no such request is held back";
+            (StatusCode::NOT_FOUND, serde_json::json!({ "message": message }))
+        }
+    };
+    HttpReply::json(status, &body)
 }
