The row of a leave bears the birth of the life that was heard; a stale read does not hold the introduction up

A leave that does not say when its life began took the place of the birth that heartbeats had told: the row said nothing of it, and after a restart a late heartbeat that does was taken for another life. The life that was heard goes into the row now.

A write over a row that had changed since the start failed, and was tried again after half a minute, the introduction with it: newcomers would not have found the node until then. It is read and written again at once.

And a word of leaving that is older than the newest of an upstream that serves is not acknowledged: nothing is done for it.

--- a/crates/coltsfoot-node/src/dispatch/guard/local_upstream.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard/local_upstream.rs
@@ -186,9 +186,9 @@
         let UpstreamHeartbeat { announcement, instance, sequence, .. } = heartbeat;
         match self.take_heartbeat(&instance, sequence) {
             HeartbeatVerdict::Fresh => self.note_leaving(announcement).await,
-            // An older word of an upstream that has not left since changes nothing.
+            // An older word of an upstream that serves since changes nothing, and nothing is promised for it.
             HeartbeatVerdict::Stale if !self.is_upstream_leaving() => {
-                return UpstreamReceipt::Acknowledged;
+                return self.not_yet(instance.name, true);
             }
             HeartbeatVerdict::Stale | HeartbeatVerdict::Departed => {}
         }
@@ -213,15 +213,19 @@
     /// life it is speaks of all until now.
     pub async fn hear_leave(&self, instance: InstanceLife) -> UpstreamReceipt {
         let until = instance.born.unwrap_or_else(|| BirthTime(wall_millis()));
-        self.leave_instance(instance.clone().with_born(Some(until))).await;
-        self.keep_leave(instance).await
+        let left = self.leave_instance(instance.clone().with_born(Some(until))).await;
+        // The life that was heard may say when it began where its leave does not.
+        self.keep_leave(left.unwrap_or(instance)).await
     }
 
-    async fn leave_instance(&self, instance: InstanceLife) {
-        let is_present = self.state.instances.borrow_mut().leave(&instance);
-        if is_present {
-            self.withdraw_upstream().await;
+    /// Takes in a leave; returns the present life if it is that one.
+    async fn leave_instance(&self, instance: InstanceLife) -> Option<InstanceLife> {
+        let present = self.state.instances.borrow().present().cloned();
+        if !self.state.instances.borrow_mut().leave(&instance) {
+            return None;
         }
+        self.withdraw_upstream().await;
+        present
     }
 
     /// Acknowledges a leave once the node's row tells of it, which outlasts this node and all others. Until then the upstream
--- a/crates/coltsfoot-node/src/dispatch/links/introduction_desk.rs
+++ b/crates/coltsfoot-node/src/dispatch/links/introduction_desk.rs
@@ -10,7 +10,7 @@
 use coltsfootroute::{
     membership::{InstanceLife, IntroductionRow, ResumeWindow},
     name::ServiceName,
-    table::{RowKey, RowWrite, TableRequest},
+    table::{RowKey, RowWrite, TableReply, TableRequest},
 };
 use indexmap::IndexSet;
 use tokio::{
@@ -214,7 +214,8 @@
         if self.resumes {
             return self.row.change(self.upstream_row(wanted).as_ref(), writes).await;
         }
-        writes.is_empty() || self.store.change_own(TableRequest::Transact(writes)).await
+        writes.is_empty()
+            || self.store.change_own(TableRequest::Transact(writes)).await == TableReply::Committed
     }
 
     fn introduction_writes(&self, wanted: &OwnRows) -> Vec<RowWrite> {
--- a/crates/coltsfoot-node/src/dispatch/links/introduction_store.rs
+++ b/crates/coltsfoot-node/src/dispatch/links/introduction_store.rs
@@ -30,9 +30,9 @@
         self.ask(request, StoreUse::OwnRows).await
     }
 
-    /// Changes the node's own rows; returns whether the change stands for certain.
-    pub async fn change_own(&self, request: TableRequest) -> bool {
-        self.ask(request, StoreUse::OwnRows).await == TableReply::Committed
+    /// Changes the node's own rows.
+    pub async fn change_own(&self, request: TableRequest) -> TableReply {
+        self.ask(request, StoreUse::OwnRows).await
     }
 
     /// The next part of a scan of all nodes' rows.
--- a/crates/coltsfoot-node/src/dispatch/links/upstream_row_writer.rs
+++ b/crates/coltsfoot-node/src/dispatch/links/upstream_row_writer.rs
@@ -49,14 +49,26 @@
 
     /// Writes or removes the row together with `others`; returns whether all of it stands for certain.
     pub(super) async fn change(&self, row: Option<&UpstreamRow>, others: Vec<RowWrite>) -> bool {
+        let was_read_before = self.expected.get().is_some();
+        match self.write_over(row, &others).await {
+            TableReply::Committed => true,
+            // A late write of an earlier life has come in between.
+            TableReply::Conflict(_) if was_read_before => {
+                self.write_over(row, &others).await == TableReply::Committed
+            }
+            _ => false,
+        }
+    }
+
+    /// Writes over what was read last, or is read now. What stands after a write is not known.
+    async fn write_over(&self, row: Option<&UpstreamRow>, others: &[RowWrite]) -> TableReply {
         if self.expected.get().is_none() && self.read().await.is_err() {
-            return false;
+            return TableReply::Unavailable;
         }
-        // A write that fails tells nothing of what stands now.
-        let Some(condition) = self.expected.take() else { return false };
+        let Some(condition) = self.expected.take() else { return TableReply::Unavailable };
         // Names, addresses and numbers always have a JSON form.
         let value = row.and_then(|row| serde_json::to_string(row).ok());
-        let mut writes = others;
+        let mut writes = others.to_vec();
         if value.is_some() || condition != RowCondition::Absent {
             writes.push(RowWrite { key: self.key.clone(), condition, value });
         }
