--- a/crates/coltsfoot-node/src/border/upstream_dialect.rs
+++ b/crates/coltsfoot-node/src/border/upstream_dialect.rs
@@ -2,7 +2,9 @@
 
 use coltsfoot_wire::peer::{HeaderLine, RequestHead};
 use coltsfootroute::{
-    constants::{CONTEXT_HEADER, DEADLINE_HEADER, IDEMPOTENCY_KEY_HEADER, OUTCOME_HEADER},
+    constants::{
+        CONTEXT_HEADER, DEADLINE_HEADER, IDEMPOTENCY_KEY_HEADER, OUTCOME_HEADER, TEAM_HEADER,
+    },
     outcome::CallOutcome,
 };
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode, header::CONTENT_ENCODING};
@@ -28,6 +30,8 @@
     pub context: Option<HeaderName>,
     /// To the upstream: idempotency key.
     pub key: Option<HeaderName>,
+    /// To the upstream: the team whose client request it is.
+    pub team: Option<HeaderName>,
     /// To the upstream: the instance that alone may run the call.
     pub expected_instance: Option<HeaderName>,
     /// Answer: the call has not run.
@@ -51,6 +55,7 @@
             deadline: HeaderName::from_static(DEADLINE_HEADER),
             context: Some(HeaderName::from_static(CONTEXT_HEADER)),
             key: Some(HeaderName::from_static(IDEMPOTENCY_KEY_HEADER)),
+            team: Some(HeaderName::from_static(TEAM_HEADER)),
             expected_instance: None,
             not_run: NotRunMark {
                 header: HeaderName::from_static(OUTCOME_HEADER),
--- a/crates/coltsfoot-node/src/config.rs
+++ b/crates/coltsfoot-node/src/config.rs
@@ -10,6 +10,7 @@
 mod config_origin;
 mod config_replies;
 mod config_thread;
+mod freshness_cell;
 mod submit_desk;
 mod submit_request;
 
@@ -21,4 +22,5 @@
 pub use config_in_force::ConfigInForce;
 pub use config_origin::ConfigOrigin;
 pub use config_thread::{ConfigParts, ConfigThread};
+pub use freshness_cell::FreshnessCell;
 pub use submit_request::SubmitRequest;
--- a/crates/coltsfoot-node/src/config/config_in_force.rs
+++ b/crates/coltsfoot-node/src/config/config_in_force.rs
@@ -7,6 +7,7 @@
     outcome::RefusalReason,
     revision::{ConfigState, Revision},
     schema::{OperationEntry, RouteTable, SchemaDocument},
+    team::{RequestRanks, TeamTable},
 };
 use indexmap::IndexMap;
 
@@ -18,6 +19,8 @@
     state: ConfigState,
     document: SchemaDocument,
     routes: RouteTable,
+    teams: TeamTable,
+    ranks: RequestRanks,
     /// Worked out when an operation is first called: most nodes take in few of all operations.
     reachable: Mutex<ReachableServices>,
 }
@@ -27,7 +30,19 @@
     pub fn new(state: ConfigState, seed: u64) -> Self {
         let document = state.document();
         let routes = RouteTable::new(&document, seed);
-        Self { state, document, routes, reachable: Mutex::default() }
+        let teams = TeamTable::new(state.teams());
+        let ranks = RequestRanks::new(&document);
+        Self { state, document, routes, teams, ranks, reachable: Mutex::default() }
+    }
+
+    /// Importance of requests by team and operation.
+    pub fn ranks(&self) -> &RequestRanks {
+        &self.ranks
+    }
+
+    /// Teams by their keys.
+    pub fn teams(&self) -> &TeamTable {
+        &self.teams
     }
 
     /// Operations by host and path.
--- a/crates/coltsfoot-node/src/config/config_thread.rs
+++ b/crates/coltsfoot-node/src/config/config_thread.rs
@@ -15,12 +15,13 @@
 };
 
 use super::{
-    ConfigCell, ConfigCommand, ConfigHandle, ConfigOrigin,
+    ConfigCell, ConfigCommand, ConfigHandle, ConfigOrigin, FreshnessCell,
     config_book::ConfigBook,
     config_replies,
     submit_desk::{FinishedErrand, SubmitDesk},
 };
 use crate::{
+    clock::MonotonicClock,
     dispatch::{DispatchCommand, DispatchHandle},
     gossip::GossipCommand,
     journal::EventSender,
@@ -35,6 +36,9 @@
 /// Pause between reads of the head once a configuration is in force: gossip is what spreads revisions.
 const HEAD_READ_PERIOD: Duration = Duration::from_secs(600);
 
+/// Where keys are to be revoked within a bound, the head is read so many times within it.
+const READS_IN_BOUND: u32 = 4;
+
 /// What the configuration duty is made of.
 pub struct ConfigParts {
     /// Who accepts configurations.
@@ -45,6 +49,12 @@
     pub peers: Vec<NodeId>,
     /// Where the configuration in force stands.
     pub cell: ConfigCell,
+    /// The newest proof that the configuration in force is the newest.
+    pub freshness: FreshnessCell,
+    /// Clock of the process.
+    pub clock: MonotonicClock,
+    /// Time after which a key that was taken away runs nothing; `None`: no proof is needed.
+    pub revoke_within: Option<Duration>,
     /// The platform's table service.
     pub store: StoreHandle,
     /// The dispatch duty.
@@ -111,6 +121,10 @@
 
     fn pause(&self) -> Duration {
         match self.parts.cell.load() {
+            Some(config) if !config.teams().is_empty() => {
+                let bound = self.parts.revoke_within.map(|bound| bound / READS_IN_BOUND);
+                bound.unwrap_or(HEAD_READ_PERIOD).min(HEAD_READ_PERIOD)
+            }
             Some(_) => HEAD_READ_PERIOD,
             None => FIRST_READ_PERIOD,
         }
@@ -158,6 +172,7 @@
     }
 
     async fn read_head(&mut self) {
+        let asked = self.parts.clock.now();
         let mut reader = HeadReader::new().with_held(self.book.held_chain());
         let mut request = reader.start();
         let newest = loop {
@@ -173,7 +188,9 @@
             }
         };
         let newest = newest.as_ref().map(|row| (&row.record, &row.document));
+        let revision = newest.map_or(self.book.held(), |(record, _)| record.revision);
         self.hear_store(newest).await;
+        self.parts.freshness.note_own(asked, revision);
     }
 
     async fn hear_accepted(&mut self, record: &RevisionRecord, document: &SchemaDocument) {
@@ -200,6 +217,7 @@
         let Some(config) = self.book.take_newer() else { return };
         let revision = config.revision();
         self.parts.cell.store(config.clone());
+        self.parts.freshness.hold(Revision(revision));
         self.parts.events.emit(self.book.in_force_event());
         self.parts.dispatch.tell(DispatchCommand::Configure(config)).await;
         // A closed ring means that the process stops.
--- /dev/null
+++ b/crates/coltsfoot-node/src/config/freshness_cell.rs
@@ -0,0 +1,56 @@
+//! The newest proof that the configuration in force is the newest, for all threads.
+
+use std::{
+    sync::{Arc, Mutex, MutexGuard},
+    time::Duration,
+};
+
+use coltsfootroute::{
+    freshness::{ConfigFreshness, RevisionProof, StoreTime},
+    revision::Revision,
+    time::MonotonicTime,
+};
+
+/// The newest proof that the configuration in force is the newest, for all threads. Held for some instructions at a time.
+#[derive(Clone, Default)]
+pub struct FreshnessCell {
+    freshness: Arc<Mutex<ConfigFreshness>>,
+}
+
+impl FreshnessCell {
+    /// Takes in what the store answered to a question asked at `asked`.
+    pub fn note_store(&self, asked: MonotonicTime, proof: RevisionProof) {
+        self.lock().note_store(asked, proof);
+    }
+
+    /// Takes in that this node has itself found `revision` to be the newest after `asked`.
+    pub fn note_own(&self, asked: MonotonicTime, revision: Revision) {
+        self.lock().note_own(asked, revision);
+    }
+
+    /// Takes in a proof of another node.
+    pub fn note(&self, proof: RevisionProof) {
+        self.lock().note(proof);
+    }
+
+    /// How long ago the configuration in force may last have been the newest; `None` without any proof. Ask before the
+    /// configuration is read: one that is put in force in between is newer than what is proved.
+    pub fn age(&self, now: MonotonicTime) -> Option<Duration> {
+        self.lock().age(now)
+    }
+
+    /// The store's time of the newest proof, for others that hold `revision` or a later one.
+    pub fn told(&self, revision: Revision) -> Option<StoreTime> {
+        self.lock().told(revision)
+    }
+
+    /// A revision is in force from now on.
+    pub(super) fn hold(&self, revision: Revision) {
+        self.lock().hold(revision);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, ConfigFreshness> {
+        // Each change leaves it whole.
+        self.freshness.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+    }
+}
--- a/crates/coltsfoot-node/src/dispatch/context.rs
+++ b/crates/coltsfoot-node/src/dispatch/context.rs
@@ -7,6 +7,8 @@
 mod node_identity;
 
 pub use call_fingerprint::CallContent;
-pub use control_traffic::{CLAIM_BYTES, SINCE_BYTES, TAKE_BYTES, WORD_BYTES};
+pub use control_traffic::{
+    CLAIM_BYTES, CREDIT_BYTES, GRANT_BYTES, SINCE_BYTES, TAKE_BYTES, WORD_BYTES,
+};
 pub use node_context::NodeContext;
 pub use node_identity::NodeIdentity;
--- a/crates/coltsfoot-node/src/dispatch/context/call_fingerprint.rs
+++ b/crates/coltsfoot-node/src/dispatch/context/call_fingerprint.rs
@@ -2,7 +2,7 @@
 
 use coltsfoot_wire::peer::{HeaderLine, RequestHead};
 use coltsfootroute::{
-    name::{OperationName, ServiceName},
+    name::{OperationName, ServiceName, TeamName},
     quarantine::{FingerprintParts, RequestFingerprint},
 };
 use http::header::{AUTHORIZATION, HOST};
@@ -14,6 +14,8 @@
     pub service: &'a ServiceName,
     /// Operation called.
     pub operation: &'a OperationName,
+    /// Team whose client request it is; its keys are not passed on.
+    pub team: Option<&'a TeamName>,
     /// Head of a request to pass on; `None` for a call in the product's own form.
     pub head: Option<&'a RequestHead>,
     /// Body.
@@ -34,18 +36,25 @@
                 method: head.method.as_bytes(),
                 host: find(head, HOST.as_str()),
                 target: head.target.as_bytes(),
-                credential: find(head, AUTHORIZATION.as_str()),
+                credential: self.credential(head),
                 body: self.body,
             },
             None => FingerprintParts {
                 method: b"",
                 host: self.service.as_str().as_bytes(),
                 target: self.operation.as_str().as_bytes(),
-                credential: b"",
+                credential: self.team.map_or(b"", |team| team.as_str().as_bytes()),
                 body: self.body,
             },
         }
     }
+
+    fn credential(&self, head: &'a RequestHead) -> &'a [u8] {
+        match self.team {
+            Some(team) => team.as_str().as_bytes(),
+            None => find(head, AUTHORIZATION.as_str()),
+        }
+    }
 }
 
 fn find<'a>(head: &'a RequestHead, name: &str) -> &'a [u8] {
--- a/crates/coltsfoot-node/src/dispatch/context/control_traffic.rs
+++ b/crates/coltsfoot-node/src/dispatch/context/control_traffic.rs
@@ -38,3 +38,7 @@
 pub const SINCE_BYTES: usize = 8;
 /// Payload of an answer that is one word.
 pub const WORD_BYTES: usize = 8;
+/// Payload of a question for credit: asker, number, and a name of usual length.
+pub const CREDIT_BYTES: usize = 64;
+/// Payload of its answer.
+pub const GRANT_BYTES: usize = 16;
--- a/crates/coltsfoot-node/src/dispatch/context/node_context.rs
+++ b/crates/coltsfoot-node/src/dispatch/context/node_context.rs
@@ -11,7 +11,7 @@
 use crate::{
     border::RepeatGuard,
     clock::MonotonicClock,
-    config::ConfigCell,
+    config::{ConfigCell, FreshnessCell},
     gossip::GossipCommand,
     journal::{EventSender, LOG_TARGET},
     metrics::NodeMetrics,
@@ -30,6 +30,10 @@
     pub repeat_guard: RepeatGuard,
     /// Configuration in force, written by the configuration duty.
     pub config: ConfigCell,
+    /// The newest proof that the configuration in force is the newest.
+    pub freshness: FreshnessCell,
+    /// Age beyond which such a proof is too old for work that needs a key; `None`: none is needed.
+    pub proof_time: Option<Duration>,
     /// Commands to the gossip duty.
     pub gossip: mpsc::Sender<GossipCommand>,
     /// Metrics of the node.
--- a/crates/coltsfoot-node/src/dispatch/dispatch_duty.rs
+++ b/crates/coltsfoot-node/src/dispatch/dispatch_duty.rs
@@ -1,9 +1,14 @@
 //! The parts of the dispatch duty, and how they are joined.
 
-use std::{cell::RefCell, rc::Rc};
+use std::{cell::RefCell, rc::Rc, time::Duration};
 
 use coltsfoot_wire::peer::{CallReply, CallRequest, ClaimState};
-use coltsfootroute::{id::RequestId, quarantine::QuarantineNews};
+use coltsfootroute::{
+    id::{NodeId, RequestId},
+    name::TeamName,
+    quarantine::QuarantineNews,
+    quota::CreditGrant,
+};
 use rand::SeedableRng;
 use rand_pcg::Pcg64;
 
@@ -14,11 +19,20 @@
     guard::{CallGuard, GuardParts},
     ingress::CallIngress,
     links::{
-        CallHandler, IntroductionDesk, IntroductionStore, PeerHandler, PeerLinks, QuarantineDesk,
-        TokenAnswer,
+        CallHandler, CreditOwner, CreditWish, IntroductionDesk, IntroductionStore, PeerHandler,
+        PeerLinks, QuarantineDesk, TokenAnswer,
     },
 };
 
+/// Part of the time to revoke a key that a proof may be old. The rest is for clocks and for what the store's answer was held
+/// up in the store itself, before the time in it was read.
+const PROOF_PARTS: (u32, u32) = (4, 5);
+
+/// Age beyond which a proof is too old where keys are to be revoked within `bound`.
+fn proof_time(bound: Duration) -> Duration {
+    bound * PROOF_PARTS.0 / PROOF_PARTS.1
+}
+
 /// The parts of the dispatch duty. Each knows only those above it here.
 pub(super) struct DispatchDuty {
     pub(super) context: Rc<NodeContext>,
@@ -26,6 +40,7 @@
     pub(super) introduction: Rc<IntroductionDesk>,
     pub(super) introductions: IntroductionStore,
     pub(super) quarantine: Rc<QuarantineDesk>,
+    pub(super) owner: Rc<CreditOwner>,
     pub(super) guard: Rc<CallGuard>,
     pub(super) ingress: Rc<CallIngress>,
 }
@@ -39,6 +54,8 @@
             control: parts.control,
             repeat_guard: parts.repeat_guard,
             config: parts.config,
+            freshness: parts.freshness,
+            proof_time: parts.revoke_within.map(proof_time),
             gossip: parts.gossip,
             metrics: parts.metrics,
             events: parts.events,
@@ -52,6 +69,7 @@
             Rc::new(IntroductionDesk::new(context.clone(), introductions.clone(), resumes));
         let quarantine =
             Rc::new(QuarantineDesk::new(context.clone(), links.clone(), parts.store.clone()));
+        let owner = Rc::new(CreditOwner::new(context.clone()));
         let guard_parts = GuardParts {
             dialect: parts.dialect,
             shed_policy: parts.shed_policy,
@@ -76,8 +94,9 @@
             guard.clone(),
             introductions.clone(),
             quarantine.clone(),
+            owner.clone(),
         ));
-        Self { context, links, introduction, introductions, quarantine, guard, ingress }
+        Self { context, links, introduction, introductions, quarantine, owner, guard, ingress }
     }
 
     /// The way in for a client front.
@@ -109,6 +128,10 @@
         if wants_all { self.quarantine.all() } else { QuarantineNews::default() }
     }
 
+    fn take_credit(&self, asker: NodeId, team: &TeamName, wish: CreditWish) -> Option<CreditGrant> {
+        self.owner.ask(asker, team, wish)
+    }
+
     fn claim_state(&self, claim: RequestId) -> ClaimState {
         self.guard.claim_state(claim)
     }
--- a/crates/coltsfoot-node/src/dispatch/dispatch_parts.rs
+++ b/crates/coltsfoot-node/src/dispatch/dispatch_parts.rs
@@ -9,7 +9,7 @@
 use crate::{
     border::{RepeatGuard, UpstreamDialect},
     clock::MonotonicClock,
-    config::ConfigCell,
+    config::{ConfigCell, FreshnessCell},
     gossip::GossipCommand,
     journal::EventSender,
     metrics::NodeMetrics,
@@ -35,6 +35,10 @@
     pub throttle: ThrottleSettings,
     /// Configuration in force, written by the configuration duty.
     pub config: ConfigCell,
+    /// The newest proof that the configuration in force is the newest.
+    pub freshness: FreshnessCell,
+    /// Time after which a key that was taken away runs nothing; `None`: no proof is needed.
+    pub revoke_within: Option<Duration>,
     /// Most bytes of a body.
     pub body_limit: usize,
     /// Most calls waiting in front of the upstream.
--- a/crates/coltsfoot-node/src/dispatch/dispatch_thread.rs
+++ b/crates/coltsfoot-node/src/dispatch/dispatch_thread.rs
@@ -130,6 +130,7 @@
             DispatchCommand::Configure(config) => self.ingress.configure(&config).await,
             DispatchCommand::Members(service, members) => {
                 self.quarantine.note_members(&service, &members);
+                self.owner.note_members(&service, &members);
                 self.ingress.update_members(&service, &members)
             }
             DispatchCommand::PullConfig { peer, since, reply } => {
@@ -186,6 +187,8 @@
             self.links.close_idle();
             self.guard.notice_silence().await;
             self.ingress.forget_unused().await;
+            self.ingress.forget_quotas();
+            self.owner.prune();
             self.guard.report_gauges();
         }
     }
--- a/crates/coltsfoot-node/src/dispatch/guard/calls_in_flight.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard/calls_in_flight.rs
@@ -11,6 +11,7 @@
     admission::ShedLevel,
     id::{NodeId, RequestId},
     importance::Importance,
+    name::TeamName,
     outcome::{CallOutcome, RefusalReason},
     quarantine::RequestFingerprint,
     time::MonotonicTime,
@@ -36,6 +37,8 @@
     pub account: Option<NodeId>,
     /// Hash of the client.
     pub client: u64,
+    /// Team whose client request it is.
+    pub team: Option<TeamName>,
     /// Whether the call, or one above it, is not the first attempt.
     pub is_repeat: bool,
     /// What the call asks for, once somebody has wanted to know: a hash over the whole body.
@@ -69,6 +72,7 @@
             deadline,
             account,
             client,
+            team: None,
             is_repeat: false,
             fingerprint: OnceCell::new(),
             nested_ran: Cell::new(false),
@@ -80,6 +84,11 @@
         }
     }
 
+    /// Says whose client request it is.
+    pub fn with_team(self, team: Option<TeamName>) -> Self {
+        Self { team, ..self }
+    }
+
     /// Says whether the call, or one above it, is not the first attempt.
     pub fn with_repeat(self, is_repeat: bool) -> Self {
         Self { is_repeat, ..self }
--- a/crates/coltsfoot-node/src/dispatch/guard/end_watch.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard/end_watch.rs
@@ -149,6 +149,7 @@
     CallContent {
         service: &call.service,
         operation: &call.operation,
+        team: call.team.as_ref(),
         head: call.head.as_ref(),
         body: &call.body,
     }
--- a/crates/coltsfoot-node/src/dispatch/guard/guarded_call.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard/guarded_call.rs
@@ -27,7 +27,7 @@
         let deadline = arrived + call.remaining;
         let span =
             CallSpan::new(call.request, call.importance, deadline, call.account, call.client);
-        let span = Rc::new(span.with_repeat(call.is_repeat));
+        let span = Rc::new(span.with_team(call.team.clone()).with_repeat(call.is_repeat));
         let service = call.service.clone();
         let mut reply = self.admit_and_run(call, deadline, &span).await;
         reply.failed_below = span.has_failed_below();
--- a/crates/coltsfoot-node/src/dispatch/guard/upstream_client.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard/upstream_client.rs
@@ -59,6 +59,8 @@
     pub remaining_ms: u64,
     /// Instance that alone may run the call, if it names itself.
     pub instance: Option<&'a str>,
+    /// Team whose client request it is.
+    pub team: Option<&'a str>,
     /// Idempotency key.
     pub key: Option<&'a str>,
     /// Media type of the body.
@@ -137,6 +139,7 @@
         let headers = request.headers_mut();
         headers.append(&self.dialect.deadline, HeaderValue::from(call.remaining_ms));
         self.add_instance(headers, &call);
+        self.set_team(headers, &call);
         *request.body_mut() = Full::new(call.body);
         let connection = capture_connection(&mut request);
         let identity = self.dialect.identity(request.headers()).cloned();
@@ -173,6 +176,15 @@
         }
     }
 
+    /// Says whose request it is, in place of whatever the caller has said of it.
+    fn set_team(&self, headers: &mut HeaderMap, call: &UpstreamCall<'_>) {
+        let Some(name) = &self.dialect.team else { return };
+        headers.remove(name);
+        if let Some(value) = call.team.and_then(|team| HeaderValue::from_str(team).ok()) {
+            headers.append(name, value);
+        }
+    }
+
     async fn read_answer(
         &self,
         response: Response<Incoming>,
--- a/crates/coltsfoot-node/src/dispatch/guard/upstream_run.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard/upstream_run.rs
@@ -9,6 +9,7 @@
     deadline::Remaining,
     event::{EventKind, HybridStamp},
     membership::InstanceName,
+    name::TeamName,
     outcome::{CallOutcome, RefusalReason},
     time::MonotonicTime,
 };
@@ -55,6 +56,7 @@
             path: format!("{CALL_PATH_PREFIX}{}/{}", call.service, call.operation),
             context: context_text(context),
             remaining_ms: Remaining::until(self.context.now(), deadline).0,
+            team: call.team.as_ref().map(TeamName::as_str),
             key: call.key.as_deref(),
             content_type: &call.content_type,
             body: call.body.clone(),
--- a/crates/coltsfoot-node/src/dispatch/ingress.rs
+++ b/crates/coltsfoot-node/src/dispatch/ingress.rs
@@ -15,6 +15,9 @@
 mod route_progress;
 mod routed_call;
 mod service_pool;
+mod team_access;
+mod team_credits;
+mod team_quota;
 
 pub use call_ingress::CallIngress;
 pub use incoming_call::{CallOrigin, IncomingCall};
--- a/crates/coltsfoot-node/src/dispatch/ingress/call_ingress.rs
+++ b/crates/coltsfoot-node/src/dispatch/ingress/call_ingress.rs
@@ -5,17 +5,17 @@
 use coltsfootroute::{
     admission::{ReachedServices, RootGate},
     deadline::{DeadlineCheck, ServiceTimes},
-    name::ServiceName,
+    name::{ServiceName, TeamName},
     retry::{AccountLedger, LedgerSettings, RetryPolicy},
 };
 use indexmap::IndexMap;
 use tokio::sync::Notify;
 
-use super::{member_counts::MemberCounts, service_pool::ServicePool};
+use super::{member_counts::MemberCounts, service_pool::ServicePool, team_quota::TeamQuota};
 use crate::dispatch::{
     context::NodeContext,
     guard::CallGuard,
-    links::{IntroductionStore, PeerLinks, QuarantineDesk},
+    links::{CreditOwner, IntroductionStore, PeerLinks, QuarantineDesk},
 };
 
 /// Takes requests in and routes them to upstreams. The guard of the own upstream is one guard among others:
@@ -27,6 +27,10 @@
     pub(super) introductions: IntroductionStore,
     /// Requests that end their upstreams.
     pub(super) quarantine: Rc<QuarantineDesk>,
+    /// The credit of teams that this node owns.
+    pub(super) owner: Rc<CreditOwner>,
+    /// The credit of teams whose requests enter here.
+    pub(super) quotas: RefCell<IndexMap<TeamName, Rc<TeamQuota>>>,
     /// Upstreams of the watched services.
     pub(in crate::dispatch) pools: RefCell<IndexMap<ServiceName, ServicePool>>,
     /// Members of the own service and of the watched ones.
@@ -53,6 +57,7 @@
         guard: Rc<CallGuard>,
         introductions: IntroductionStore,
         quarantine: Rc<QuarantineDesk>,
+        owner: Rc<CreditOwner>,
     ) -> Self {
         Self {
             context,
@@ -60,6 +65,8 @@
             guard,
             introductions,
             quarantine,
+            owner,
+            quotas: RefCell::default(),
             pools: RefCell::default(),
             member_counts: RefCell::default(),
             members_changed: Notify::new(),
--- a/crates/coltsfoot-node/src/dispatch/ingress/call_routing.rs
+++ b/crates/coltsfoot-node/src/dispatch/ingress/call_routing.rs
@@ -74,6 +74,7 @@
         let content = CallContent {
             service: &call.service,
             operation: &call.operation,
+            team: call.team.as_ref(),
             head: call.head.as_ref(),
             body: &call.body,
         };
--- a/crates/coltsfoot-node/src/dispatch/ingress/client_request.rs
+++ b/crates/coltsfoot-node/src/dispatch/ingress/client_request.rs
@@ -1,26 +1,38 @@
 //! Taking a client request in: checks, retry account, routing, final answer.
 
-use std::{net::IpAddr, rc::Rc, time::Duration};
+use std::{
+    hash::{Hash, Hasher},
+    net::IpAddr,
+    rc::Rc,
+    time::Duration,
+};
 
-use coltsfoot_wire::peer::CallReply;
+use coltsfoot_wire::peer::{CallReply, ReplyBody};
 use coltsfootroute::{
     admission::ShedRefusal,
     deadline::DeadlineVerdict,
     id::RequestId,
     importance::Importance,
+    name::TeamName,
     outcome::{CallOutcome, RefusalReason},
     retry::OpenAnswer,
-    schema::{ClientEntry, OperationEntry},
+    schema::{ClientEntry, OperationEntry, TeamEntry},
     time::MonotonicTime,
 };
 use rand::RngExt;
 
-use super::{call_ingress::CallIngress, incoming_call::IncomingCall, routed_call::RoutedCall};
+use super::{
+    call_ingress::CallIngress, incoming_call::IncomingCall, routed_call::RoutedCall,
+    team_credits::CreditDenied,
+};
 use crate::{border::RepeatGuard, dispatch::guard::CallKind, http::HttpReply};
 
 /// A client request that passed the checks of its form.
 struct EntryCheck {
     importance: Importance,
+    team: Option<TeamEntry>,
+    /// Turns of the team in each round of a queue.
+    turns: u32,
     deadline: MonotonicTime,
     budget: u32,
     repeatable: bool,
@@ -78,6 +90,14 @@
             self.refuse_entry(request, &call, check.importance, reason, Some(service));
             return CallReply::refusal(reason, CallOutcome::NotRun, retry_after.0);
         }
+        let taken = match &check.team {
+            Some(team) => self.take_credit(team).await,
+            None => Ok(None),
+        };
+        let taken = match taken {
+            Ok(taken) => taken,
+            Err(denied) => return self.refuse_for_rate(request, &call, check.importance, &denied),
+        };
         let opened = self.accounts.borrow_mut().open(
             self.context.now(),
             request,
@@ -92,7 +112,11 @@
             importance: check.importance,
             deadline: check.deadline,
             account: (opened == OpenAnswer::Opened).then_some(self.context.identity.node),
-            client: client_hash(client),
+            client: match &check.team {
+                Some(team) => queue_share(&team.name, check.turns, request),
+                None => hash_of(&client),
+            },
+            team: check.team.map(|team| team.name),
             under_way: false,
             is_repeat: false,
             repeatable: check.repeatable,
@@ -102,18 +126,42 @@
             head: call.head,
             body: call.body,
         };
-        self.route_and_record(&routed, call.received).await
+        let reply = self.route_and_record(&routed, call.received).await;
+        if let Some(taken) = taken.filter(|_| reply.outcome == CallOutcome::NotRun) {
+            self.give_back(&taken);
+        }
+        reply
+    }
+
+    /// A refusal of a request for which its team has no credit.
+    fn refuse_for_rate(
+        &self,
+        request: RequestId,
+        call: &IncomingCall,
+        importance: Importance,
+        denied: &CreditDenied,
+    ) -> CallReply {
+        let mut reply = self.refuse_entry(request, call, importance, denied.reason, None);
+        if let (ReplyBody::Refusal { retry_after, .. }, Some(wait)) = (&mut reply.body, denied.wait)
+        {
+            // On top of the wait the hint spreads those who come back for the same credit.
+            *retry_after += wait;
+        }
+        reply
     }
 
     fn check_entry(&self, call: &IncomingCall) -> Result<EntryCheck, RefusalReason> {
-        let config = self.context.config.in_force()?;
-        let operation = config.operation(&call.service, &call.operation)?;
+        let proved = self.proved_config()?;
+        let operation = proved.config.operation(&call.service, &call.operation)?;
         let entry = operation.client.as_ref().ok_or(RefusalReason::UnknownOperation)?;
+        let team = self.find_team(call, entry, &proved)?;
         self.check_key(operation, call)?;
         let deadline = entry_deadline(entry, call);
         self.check_deadline(call, deadline)?;
         Ok(EntryCheck {
-            importance: entry.importance,
+            importance: proved.config.ranks().importance(entry, team.as_ref()),
+            turns: team.as_ref().map_or(1, |team| proved.config.teams().turns(team)),
+            team,
             deadline,
             budget: entry.retry_budget,
             repeatable: operation.repeatable,
@@ -156,8 +204,13 @@
     call.received + call.remaining.map_or(most, |remaining| remaining.min(most))
 }
 
-fn client_hash(client: IpAddr) -> u64 {
-    use std::hash::{Hash, Hasher};
+/// Which of its turns in a queue a team's request takes. A team is one client, however many hosts its requests come from,
+/// but one with as many turns as its rate deserves.
+fn queue_share(team: &TeamName, turns: u32, request: RequestId) -> u64 {
+    hash_of(&(team, request.0 % u128::from(turns)))
+}
+
+fn hash_of(client: &impl Hash) -> u64 {
     let mut hasher = twox_hash::XxHash64::with_seed(0);
     client.hash(&mut hasher);
     hasher.finish()
--- a/crates/coltsfoot-node/src/dispatch/ingress/incoming_call.rs
+++ b/crates/coltsfoot-node/src/dispatch/ingress/incoming_call.rs
@@ -6,6 +6,7 @@
 use coltsfoot_wire::peer::RequestHead;
 use coltsfootroute::{
     name::{OperationName, ServiceName},
+    team::KeyDigest,
     time::MonotonicTime,
 };
 
@@ -33,6 +34,8 @@
     pub service: ServiceName,
     /// Operation called.
     pub operation: OperationName,
+    /// Digest of the key that the caller shows, if it shows one.
+    pub credential: Option<KeyDigest>,
     /// Idempotency key.
     pub key: Option<String>,
     /// Remaining time that the caller states.
--- a/crates/coltsfoot-node/src/dispatch/ingress/nested_request.rs
+++ b/crates/coltsfoot-node/src/dispatch/ingress/nested_request.rs
@@ -101,6 +101,7 @@
             deadline,
             account: span.and_then(|span| span.account),
             client: span.map_or(0, |span| span.client),
+            team: span.and_then(|span| span.team.clone()),
             under_way: span.is_some(),
             is_repeat: span.is_some_and(|span| span.is_repeat),
             repeatable: check.repeatable,
--- a/crates/coltsfoot-node/src/dispatch/ingress/routed_call.rs
+++ b/crates/coltsfoot-node/src/dispatch/ingress/routed_call.rs
@@ -8,7 +8,7 @@
     event::HybridStamp,
     id::{NodeId, RequestId},
     importance::Importance,
-    name::{OperationName, ServiceName},
+    name::{OperationName, ServiceName, TeamName},
     time::MonotonicTime,
 };
 
@@ -32,6 +32,8 @@
     pub account: Option<NodeId>,
     /// Hash of the client.
     pub client: u64,
+    /// Team whose client request it is; `None` where no key was needed.
+    pub team: Option<TeamName>,
     /// Whether the call is nested below work that runs already.
     pub under_way: bool,
     /// Whether the call above, or one above that, is not the first attempt.
@@ -67,6 +69,7 @@
             remaining: self.deadline.since(now).saturating_sub(HOP_MARGIN),
             account: self.account,
             client: self.client,
+            team: self.team.clone(),
             under_way: self.under_way,
             is_repeat: self.is_repeat || is_retry,
             is_retry,
--- /dev/null
+++ b/crates/coltsfoot-node/src/dispatch/ingress/team_access.rs
@@ -0,0 +1,60 @@
+//! Whose request it is that enters here, and whether its key stands.
+
+use std::{sync::Arc, time::Duration};
+
+use coltsfootroute::{
+    outcome::RefusalReason,
+    schema::{ClientEntry, TeamEntry},
+};
+
+use super::{
+    call_ingress::CallIngress,
+    incoming_call::{CallOrigin, IncomingCall},
+};
+use crate::config::ConfigInForce;
+
+/// A key that is not known here is denied where the configuration was the newest so short a time ago; else it may be one
+/// that was added since.
+const NEWS_TIME: Duration = Duration::from_secs(2);
+
+/// The configuration in force, and how old the proof is that it is the newest.
+pub(super) struct ProvedConfig {
+    pub(super) config: Arc<ConfigInForce>,
+    proof_age: Option<Duration>,
+}
+
+impl CallIngress {
+    /// The configuration in force with its proof.
+    pub(super) fn proved_config(&self) -> Result<ProvedConfig, RefusalReason> {
+        // In this order: the age of a proof holds for any later configuration as well.
+        let proof_age = self.context.freshness.age(self.context.now());
+        Ok(ProvedConfig { config: self.context.config.in_force()?, proof_age })
+    }
+
+    /// The team whose request a call is, by its key; `None` where it needs no key.
+    pub(super) fn find_team(
+        &self,
+        call: &IncomingCall,
+        entry: &ClientEntry,
+        proved: &ProvedConfig,
+    ) -> Result<Option<TeamEntry>, RefusalReason> {
+        let teams = proved.config.teams();
+        if teams.is_empty() || entry.keyless {
+            return Ok(None);
+        }
+        let Some(key) = call.credential else {
+            return Err(match call.origin {
+                CallOrigin::Client { .. } => RefusalReason::UnknownKey,
+                CallOrigin::Upstream { .. } => RefusalReason::Orphaned,
+            });
+        };
+        let is_within = |most| proved.proof_age.is_some_and(|age| age <= most);
+        match teams.holder(&key) {
+            Some(team) if self.context.proof_time.is_none_or(is_within) => Ok(Some(team.clone())),
+            None if self.context.proof_time.is_none() || is_within(NEWS_TIME) => {
+                Err(RefusalReason::UnknownKey)
+            }
+            _ => Err(RefusalReason::StaleConfiguration),
+        }
+    }
+}
--- /dev/null
+++ b/crates/coltsfoot-node/src/dispatch/links/credit_owner.rs
@@ -0,0 +1,106 @@
+//! The credit of the teams that this node owns.
+
+use std::{cell::RefCell, collections::VecDeque, rc::Rc};
+
+use coltsfootroute::{
+    id::NodeId,
+    membership::{MemberRecord, MemberState},
+    name::{ServiceName, TeamName},
+    quota::{CreditGrant, CreditLedger, CreditQuestion, SETTLING_TIME, ranked_owners},
+    time::MonotonicTime,
+};
+use indexmap::IndexMap;
+
+use crate::dispatch::context::NodeContext;
+
+/// Members of a service that stay, in order.
+type PresentNodes = Vec<NodeId>;
+
+/// A question of a node for the credit of a team.
+#[derive(Clone, Copy, Debug)]
+pub struct CreditWish {
+    /// Requests to take in.
+    pub wanted: u32,
+    /// Requests that were taken in unasked since the asker was last answered.
+    pub used: u32,
+}
+
+/// The credit of the teams that this node owns, and who owns that of the others.
+pub struct CreditOwner {
+    context: Rc<NodeContext>,
+    ledger: RefCell<CreditLedger>,
+    /// Members of each watched service.
+    present: RefCell<IndexMap<ServiceName, PresentNodes>>,
+    /// What the members of the own service were of late, and until when; oldest first.
+    past: RefCell<VecDeque<(MonotonicTime, PresentNodes)>>,
+    started: MonotonicTime,
+}
+
+impl CreditOwner {
+    /// The owner of a node that has just started.
+    pub fn new(context: Rc<NodeContext>) -> Self {
+        let started = context.now();
+        Self {
+            context,
+            ledger: RefCell::default(),
+            present: RefCell::default(),
+            past: RefCell::default(),
+            started,
+        }
+    }
+
+    /// The members of a watched service, or of the own one.
+    pub fn note_members(&self, service: &ServiceName, members: &[MemberRecord]) {
+        let present = members.iter().filter(|member| member.state == MemberState::Alive);
+        let mut present: PresentNodes = present.map(|member| member.node).collect();
+        present.sort_unstable();
+        let own = self.context.identity.node;
+        let is_own = present.contains(&own);
+        let before = self.present.borrow_mut().insert(service.clone(), present.clone());
+        let before = before.unwrap_or_default();
+        if (is_own || before.contains(&own)) && before != present {
+            self.past.borrow_mut().push_back((self.context.now(), before));
+        }
+    }
+
+    /// Gives out credit of `team`; `None` if another node owns it.
+    pub fn ask(&self, asker: NodeId, team: &TeamName, wish: CreditWish) -> Option<CreditGrant> {
+        let config = self.context.config.load()?;
+        let limit = config.teams().team(team)?.rate?;
+        if !self.present.borrow().values().any(|nodes| self.is_first(team, nodes)) {
+            return None;
+        }
+        let CreditWish { wanted, used } = wish;
+        let question = CreditQuestion { asker, team, limit, wanted, used };
+        let is_sole = self.is_sole(team);
+        Some(self.ledger.borrow_mut().ask(self.context.now(), question, is_sole))
+    }
+
+    /// The member of `service` that owns the credit of `team`, as far as this node knows.
+    pub fn owner_in(&self, service: &ServiceName, team: &TeamName) -> Option<NodeId> {
+        first_of(team, self.present.borrow().get(service)?)
+    }
+
+    /// Forgets credit that nobody asks for.
+    pub fn prune(&self) {
+        self.ledger.borrow_mut().prune(self.context.now());
+    }
+
+    /// Whether no other node can have owned the credit of `team` of late.
+    fn is_sole(&self, team: &TeamName) -> bool {
+        let now = self.context.now();
+        let is_recent = |time: &MonotonicTime| now.since(*time) < SETTLING_TIME;
+        let mut past = self.past.borrow_mut();
+        while past.pop_front_if(|(until, _)| !is_recent(until)).is_some() {}
+        !is_recent(&self.started) && past.iter().all(|(_, nodes)| self.is_first(team, nodes))
+    }
+
+    fn is_first(&self, team: &TeamName, nodes: &[NodeId]) -> bool {
+        let own = self.context.identity.node;
+        nodes.contains(&own) && first_of(team, nodes) == Some(own)
+    }
+}
+
+fn first_of(team: &TeamName, nodes: &[NodeId]) -> Option<NodeId> {
+    ranked_owners(team, nodes.iter().copied()).first().copied()
+}
--- a/crates/coltsfoot-node/src/dispatch/links/peer_handler.rs
+++ b/crates/coltsfoot-node/src/dispatch/links/peer_handler.rs
@@ -3,8 +3,14 @@
 use std::{future::Future, rc::Rc};
 
 use coltsfoot_wire::peer::{CallReply, CallRequest, ClaimState, TakeAnswer};
-use coltsfootroute::{id::RequestId, quarantine::QuarantineNews};
-
+use coltsfootroute::{
+    id::{NodeId, RequestId},
+    name::TeamName,
+    quarantine::QuarantineNews,
+    quota::CreditGrant,
+};
+
+use super::CreditWish;
 use crate::dispatch::context::NodeContext;
 
 /// What the node that keeps a retry account says to a request for a token.
@@ -33,6 +39,9 @@
     /// Takes in news of ended upstreams; returns all that this node knows of them if `wants_all`.
     fn hear_quarantine(&self, news: QuarantineNews, wants_all: bool) -> QuarantineNews;
 
+    /// Gives out credit of `team`; `None` if another node owns it.
+    fn take_credit(&self, asker: NodeId, team: &TeamName, wish: CreditWish) -> Option<CreditGrant>;
+
     /// What became of a claim of this life of the node.
     fn claim_state(&self, claim: RequestId) -> ClaimState;
 }
--- a/crates/coltsfoot-node/src/dispatch/links/peer_server.rs
+++ b/crates/coltsfoot-node/src/dispatch/links/peer_server.rs
@@ -6,22 +6,25 @@
 use capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side, twoparty::VatNetwork};
 use coltsfoot_wire::{
     peer::{
-        CallRequest, join_id, read_quarantine_news, write_claim_state, write_quarantine_news,
-        write_take_answer,
+        CallRequest, join_id, read_address, read_quarantine_news, write_claim_state,
+        write_quarantine_news, write_take_answer,
     },
     peer_capnp::peer,
 };
+use coltsfootroute::{id::NodeId, name::TeamName, quota::CreditGrant};
 use futures_util::{AsyncReadExt as _, io::Cursor};
 use tokio::net::{TcpListener, TcpStream};
 
 use super::{
-    PeerHandler,
+    CreditWish, PeerHandler,
     call_frame::{FRAME_HEAD, PREFACE},
     call_service::serve_calls,
     link_stream::{LinkReader, LinkWriter, link_stream},
 };
 use crate::{
-    dispatch::context::{CLAIM_BYTES, SINCE_BYTES, TAKE_BYTES, WORD_BYTES},
+    dispatch::context::{
+        CLAIM_BYTES, CREDIT_BYTES, GRANT_BYTES, SINCE_BYTES, TAKE_BYTES, WORD_BYTES,
+    },
     metrics::ControlKind,
 };
 
@@ -81,6 +84,29 @@
         Ok(())
     }
 
+    async fn take_credit(
+        self: Rc<Self>,
+        params: peer::TakeCreditParams,
+        mut results: peer::TakeCreditResults,
+    ) -> Result<(), Error> {
+        let params = params.get()?;
+        let asker = NodeId(
+            read_address(params.get_asker()?).map_err(|err| Error::failed(err.to_string()))?,
+        );
+        let team = TeamName::new(params.get_team()?.to_str()?);
+        let wish = CreditWish { wanted: params.get_wanted(), used: params.get_used() };
+        let grant = self.handler.take_credit(asker, &team, wish);
+        let mut answer = results.get();
+        answer.set_is_owner(grant.is_some());
+        if let Some(CreditGrant { granted, wait, share_milli }) = grant {
+            answer.set_granted(granted);
+            answer.set_wait_micros(u32::try_from(wait.as_micros()).unwrap_or(u32::MAX));
+            answer.set_share_milli(share_milli);
+        }
+        self.handler.context().count_answered(ControlKind::Quota, CREDIT_BYTES, GRANT_BYTES);
+        Ok(())
+    }
+
     async fn claim_state(
         self: Rc<Self>,
         params: peer::ClaimStateParams,
--- a/crates/coltsfoot-node/src/gossip/gossip_thread.rs
+++ b/crates/coltsfoot-node/src/gossip/gossip_thread.rs
@@ -5,12 +5,14 @@
 use coltsfoot_wire::gossip::{decode, encode};
 use coltsfootroute::{
     event::EventKind,
+    freshness::RevisionProof,
     id::{Incarnation, NodeId},
     membership::{
         DATAGRAM_OVERHEAD_BYTES, GossipEffect, GossipEngine, GossipMessage, GossipSettings,
         MAX_DATAGRAM_BYTES, MemberRecord, MemberState,
     },
     name::ServiceName,
+    revision::Revision,
 };
 use indexmap::IndexSet;
 use rand::SeedableRng;
@@ -24,7 +26,7 @@
 use super::GossipCommand;
 use crate::{
     clock::MonotonicClock,
-    config::{ConfigCommand, ConfigHandle},
+    config::{ConfigCommand, ConfigHandle, FreshnessCell},
     dispatch::{DispatchCommand, DispatchHandle},
     journal::EventSender,
     metrics::{
@@ -51,6 +53,8 @@
     pub dispatch: DispatchHandle,
     /// The configuration duty, told of peers that are ahead.
     pub config: ConfigHandle,
+    /// The newest proof that the configuration in force is the newest: told to others, and learnt from them.
+    pub freshness: FreshnessCell,
     /// Metrics of the node.
     pub metrics: Arc<NodeMetrics>,
     /// Events of the node.
@@ -67,6 +71,7 @@
     socket: tokio::net::UdpSocket,
     dispatch: DispatchHandle,
     config: ConfigHandle,
+    freshness: FreshnessCell,
     metrics: Arc<NodeMetrics>,
     events: EventSender,
 }
@@ -101,6 +106,7 @@
             socket,
             dispatch: parts.dispatch,
             config: parts.config,
+            freshness: parts.freshness,
             metrics: parts.metrics,
             events: parts.events,
         };
@@ -163,7 +169,12 @@
     fn receive(&mut self, datagram: &[u8], from: NodeId) -> Vec<GossipEffect> {
         self.count_datagram(TrafficDirection::Received, datagram.len());
         match decode(datagram) {
-            Ok(message) => self.engine.receive(self.clock.now(), &mut self.rng, from, message),
+            Ok(message) => {
+                if let Some(at) = message.confirmed {
+                    self.freshness.note(RevisionProof { revision: Revision(message.revision), at });
+                }
+                self.engine.receive(self.clock.now(), &mut self.rng, from, message)
+            }
             Err(err) => {
                 log::debug!("event=gossip-malformed from={from} error={:?}", err.to_string());
                 Vec::new()
@@ -220,7 +231,7 @@
         let mut changed = IndexSet::new();
         for effect in effects {
             match effect {
-                GossipEffect::Send { to, message } => self.send(to, &message).await,
+                GossipEffect::Send { to, message } => self.send(to, message).await,
                 GossipEffect::Changed { service } => {
                     changed.insert(service);
                 }
@@ -262,8 +273,9 @@
         record.map_or(Incarnation(0), |record| record.incarnation)
     }
 
-    async fn send(&self, to: NodeId, message: &GossipMessage) {
-        match encode(message) {
+    async fn send(&self, to: NodeId, message: GossipMessage) {
+        let confirmed = self.freshness.told(Revision(message.revision));
+        match encode(&GossipMessage { confirmed, ..message }) {
             Ok(datagram) => {
                 self.count_datagram(TrafficDirection::Sent, datagram.len());
                 // A datagram that cannot be sent is as good as lost, which the engine expects.
--- a/crates/coltsfoot-node/src/http/request_parts.rs
+++ b/crates/coltsfoot-node/src/http/request_parts.rs
@@ -5,13 +5,14 @@
 use bytes::{Bytes, BytesMut};
 use coltsfootroute::{
     constants::{CONTEXT_HEADER, DEADLINE_HEADER, IDEMPOTENCY_KEY_HEADER, MAX_KEY_BYTES},
+    team::KeyDigest,
     time::MonotonicTime,
 };
 use http::{HeaderMap, Method, Uri, header::CONTENT_TYPE};
 use tokio::time::timeout;
 use xitca_web::body::{BodyExt, RequestBody};
 
-use super::call_path::CallPath;
+use super::{bearer_key::bearer_key, call_path::CallPath};
 use crate::dispatch::{CallOrigin, IncomingCall};
 
 /// Time a caller has to send the whole body of its request.
@@ -55,6 +56,8 @@
 /// The headers of a call that the node reads.
 #[derive(Clone, Debug, Default)]
 pub struct CallHeaders {
+    /// Digest of the key that the caller shows.
+    pub credential: Option<KeyDigest>,
     /// Idempotency key.
     pub key: Option<String>,
     /// Remaining time that the caller states.
@@ -82,7 +85,8 @@
             .map_err(|_| RequestError::Header(DEADLINE_HEADER))?;
         let context = text(headers, CONTEXT_HEADER)?.map(str::to_owned);
         let content_type = text(headers, CONTENT_TYPE.as_str())?.unwrap_or_default().to_owned();
-        Ok(Self { key, remaining, context, content_type })
+        let credential = bearer_key(headers);
+        Ok(Self { credential, key, remaining, context, content_type })
     }
 
     /// The call to `path` that came in at `received`; the context stands in `origin`, if at all.
@@ -97,6 +101,7 @@
             origin,
             service: path.service,
             operation: path.operation,
+            credential: self.credential,
             key: self.key,
             remaining: self.remaining,
             content_type: self.content_type,
--- a/crates/coltsfoot-node/src/metrics/control_kind.rs
+++ b/crates/coltsfoot-node/src/metrics/control_kind.rs
@@ -15,6 +15,8 @@
         Claim => "claim",
         /// Requests that end their upstreams.
         Quarantine => "quarantine",
+        /// Credit of rate-limited teams.
+        Quota => "quota",
         /// The platform's store.
         Store => "store",
         /// Operators, metrics and events.
--- a/crates/coltsfoot-node/src/process/node_parts.rs
+++ b/crates/coltsfoot-node/src/process/node_parts.rs
@@ -15,7 +15,7 @@
 use crate::{
     border::{RepeatGuard, UpstreamDialect},
     clock::MonotonicClock,
-    config::{ConfigCell, ConfigHandle, ConfigOrigin, ConfigParts},
+    config::{ConfigCell, ConfigHandle, ConfigOrigin, ConfigParts, FreshnessCell},
     dispatch::{DispatchHandle, DispatchParts, NodeIdentity},
     gossip::{GossipCommand, GossipParts},
     http::{ClientState, HostState, PartLimits},
@@ -45,6 +45,8 @@
     pub seed: u64,
     /// Where the configuration in force stands.
     pub cell: ConfigCell,
+    /// The newest proof that the configuration in force is the newest.
+    pub freshness: FreshnessCell,
     /// The platform's services.
     pub store: StoreHandle,
     /// The dispatch duty.
@@ -74,6 +76,7 @@
             ),
             dispatch: self.dispatch.clone(),
             config: self.config.clone(),
+            freshness: self.freshness.clone(),
             metrics: self.metrics.clone(),
             events: self.events.clone(),
             seed: self.seed.wrapping_add(1),
@@ -92,6 +95,8 @@
             shed_policy: self.shed_policy,
             throttle: self.settings.retries.throttle(),
             config: self.cell.clone(),
+            freshness: self.freshness.clone(),
+            revoke_within: limits.revoke_within(),
             body_limit: self.part_limits().body_bytes,
             queue: u32::try_from(limits.queue).unwrap_or(u32::MAX),
             drain: DrainSettings::default()
@@ -116,6 +121,9 @@
             node: self.identity.node,
             peers: self.settings_peers().collect(),
             cell: self.cell.clone(),
+            freshness: self.freshness.clone(),
+            clock: self.clock,
+            revoke_within: self.settings.limits.revoke_within(),
             store: self.store.clone(),
             dispatch: self.dispatch.clone(),
             gossip: self.gossip.clone(),
--- a/crates/coltsfoot-node/src/process/node_process.rs
+++ b/crates/coltsfoot-node/src/process/node_process.rs
@@ -17,7 +17,7 @@
 use crate::{
     border::{ClientFront, NodeBorder},
     clock::{MonotonicClock, wall_millis},
-    config::{ConfigCell, ConfigHandle, ConfigThread},
+    config::{ConfigCell, ConfigHandle, ConfigThread, FreshnessCell},
     dispatch::{DispatchCommand, DispatchHandle, DispatchThread, FrontDoor, NodeIdentity},
     gossip::GossipThread,
     http::HttpListener,
@@ -44,6 +44,8 @@
     refusal_time: Duration,
     dispatch: DispatchHandle,
     config: ConfigHandle,
+    freshness: FreshnessCell,
+    clock: MonotonicClock,
     metrics: Arc<NodeMetrics>,
     events: EventSender,
     journal: JournalHandle,
@@ -98,6 +100,7 @@
             shed_policy: border.shed_policy,
             seed,
             cell: ConfigCell::default(),
+            freshness: FreshnessCell::default(),
             store,
             dispatch,
             config,
@@ -122,6 +125,8 @@
             },
             dispatch: parts.dispatch,
             config: parts.config,
+            freshness: parts.freshness,
+            clock: parts.clock,
             metrics: parts.metrics,
             events: parts.events,
             journal,
@@ -138,6 +143,16 @@
         self.config.clone()
     }
 
+    /// Where whoever follows an outside history proves that the configuration in force is the newest.
+    pub fn freshness(&self) -> FreshnessCell {
+        self.freshness.clone()
+    }
+
+    /// Clock of the node.
+    pub fn clock(&self) -> MonotonicClock {
+        self.clock
+    }
+
     /// Metrics of the node.
     pub fn metrics(&self) -> Arc<NodeMetrics> {
         self.metrics.clone()
--- a/crates/coltsfoot-node/src/settings/limit_settings.rs
+++ b/crates/coltsfoot-node/src/settings/limit_settings.rs
@@ -1,5 +1,7 @@
 //! Bounds on what a node takes and keeps.
 
+use std::time::Duration;
+
 use coltsfootroute::constants::MAX_BODY_BYTES;
 
 use super::field_reader::FieldReader;
@@ -12,6 +14,9 @@
 /// Largest bound on the head of a request, in bytes: the listeners' buffer.
 pub const MAX_HEADER_BYTES: u64 = 64 * 1024;
 
+/// Longest time to revoke a key: an hour.
+const MAX_REVOKE_MS: u64 = 3_600_000;
+
 /// Bounds on what a node takes and keeps.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct LimitSettings {
@@ -28,6 +33,9 @@
     pub drain_notice_ms: u64,
     /// Time in seconds after which a planned stop reports what is still in flight; it waits on.
     pub drain_max_s: u64,
+    /// Time in milliseconds after which a key that was taken away runs nothing, also where a node hears of no change: it then
+    /// refuses work that needs a key until it knows again. 0: no bound.
+    pub revoke_within_ms: u64,
     /// Seed of the random generator; drawn from the system where absent.
     pub seed: Option<u64>,
 }
@@ -46,7 +54,15 @@
             drain_closing_ms: reader.number("drain_closing_ms", 0, 0..=60_000),
             drain_notice_ms: reader.number("drain_notice_ms", DEFAULT_DRAIN_NOTICE_MS, 0..=60_000),
             drain_max_s: reader.number("drain_max_s", DEFAULT_DRAIN_MAX_S, 1..=3_600),
+            revoke_within_ms: reader.number("revoke_within_ms", 0, 0..=MAX_REVOKE_MS),
             seed: reader.optional("seed"),
         }
     }
 }
+
+impl LimitSettings {
+    /// Time after which a key that was taken away runs nothing; `None`: no bound.
+    pub fn revoke_within(&self) -> Option<Duration> {
+        (self.revoke_within_ms > 0).then(|| Duration::from_millis(self.revoke_within_ms))
+    }
+}
--- a/crates/coltsfoot-node/tests/integration/util/fake_peer.rs
+++ b/crates/coltsfoot-node/tests/integration/util/fake_peer.rs
@@ -44,6 +44,7 @@
         remaining: Duration::from_secs(5),
         account: None,
         client: 0,
+        team: None,
         under_way: false,
         is_repeat: false,
         is_retry: false,
--- a/crates/coltsfoot-node/tests/integration/util/world.rs
+++ b/crates/coltsfoot-node/tests/integration/util/world.rs
@@ -277,7 +277,8 @@
 fn read_schema(name: &str) -> (String, SchemaDocument) {
     let path = format!("{}/tests/schemas/{name}.yaml", env!("CARGO_MANIFEST_DIR"));
     let text = std::fs::read_to_string(&path).unwrap_or_else(|err| panic!("{path}: {err}"));
-    let empty = SchemaDocument { deployment: String::new(), services: Vec::new() };
+    let empty =
+        SchemaDocument { deployment: String::new(), services: Vec::new(), teams: Vec::new() };
     let document = SchemaDocument::from_yaml(&text).unwrap_or(empty);
     (text, document)
 }
--- a/crates/coltsfoot-slopes/src/sample_schema.rs
+++ b/crates/coltsfoot-slopes/src/sample_schema.rs
@@ -24,7 +24,7 @@
 /// operations.
 pub fn sample_schema(services: usize) -> SchemaDocument {
     let entries = (0..services).map(|index| service_entry(index, services)).collect();
-    SchemaDocument { deployment: "sample".to_owned(), services: entries }
+    SchemaDocument { deployment: "sample".to_owned(), services: entries, teams: Vec::new() }
 }
 
 /// The same with `count` services changed.
@@ -57,6 +57,7 @@
         importance: Importance::ALL[operation],
         deadline_ms: DEADLINE_MS,
         retry_budget: RETRY_BUDGET,
+        keyless: false,
     });
     let callees = callees(index, services);
     let own = callees.into_iter().skip(operation).step_by(OPERATIONS);
--- a/crates/coltsfoot-slopes/src/slopes/decisions.rs
+++ b/crates/coltsfoot-slopes/src/slopes/decisions.rs
@@ -208,6 +208,7 @@
         remaining: Duration::from_millis(900),
         account: Some(NodeId(NODE.into())),
         client: 7,
+        team: None,
         under_way: true,
         is_repeat: false,
         is_retry: false,
--- a/crates/coltsfoot-standin/tests/integration/util.rs
+++ b/crates/coltsfoot-standin/tests/integration/util.rs
@@ -25,7 +25,12 @@
 
 /// One service with a repeatable and a non-repeatable operation, neither with nested calls.
 pub fn schema() -> SchemaDocument {
-    let client = ClientEntry { importance: Importance::Normal, deadline_ms: 5000, retry_budget: 1 };
+    let client = ClientEntry {
+        importance: Importance::Normal,
+        deadline_ms: 5000,
+        retry_budget: 1,
+        keyless: false,
+    };
     let operation = |name, repeatable| OperationEntry {
         name: OperationName::new(name),
         repeatable,
@@ -41,7 +46,7 @@
         retention_s: 60,
         operations: vec![operation("lookup", true), operation("reserve", false)],
     };
-    SchemaDocument { deployment: "test".to_owned(), services: vec![service] }
+    SchemaDocument { deployment: "test".to_owned(), services: vec![service], teams: Vec::new() }
 }
 
 /// Settings of a quick upstream.
--- a/crates/coltsfoot-wire/schema/gossip.capnp
+++ b/crates/coltsfoot-wire/schema/gossip.capnp
@@ -51,6 +51,9 @@
 
   quarantine @21 :UInt64;
   # Digest of the requests that the sender holds back; 0: none.
+
+  confirmedMillis @22 :UInt64;
+  # When the store's clock showed this, no revision was newer than the one above; 0: not known.
 }
 
 struct Address {
--- a/crates/coltsfoot-wire/schema/peer.capnp
+++ b/crates/coltsfoot-wire/schema/peer.capnp
@@ -36,6 +36,7 @@
   head @15 :RequestHead;      # absent: the product's own form of a call
   isRepeat @16 :Bool;         # the call, or one above it, is not the first attempt
   isRetry @17 :Bool;          # the call itself has reached an upstream before
+  team @18 :Text;             # whose request it is; empty: nobody's in particular
 }
 
 enum Outcome { completed @0; notRun @1; unknown @2; }
@@ -110,4 +111,8 @@
   claimState @3 (claimHigh :UInt64, claimLow :UInt64) -> (state :ClaimState);
   tellQuarantine @4 (news :QuarantineNews, wantsAll :Bool) -> (news :QuarantineNews);
   # With `wantsAll` all that the node knows comes back, else nothing.
+  takeCredit @5 (asker :Address, team :Text, wanted :UInt32, used :UInt32)
+      -> (isOwner :Bool, granted :UInt32, waitMicros :UInt32, shareMilli :UInt32);
+  # Credit for so many requests of a team, of the node that owns it; `used` were taken in unasked meanwhile. `waitMicros` until there is more, `shareMilli` the
+  # asker's part of the rate in thousandths of a request a second.
 }
--- a/crates/coltsfoot-wire/src/gossip/decode.rs
+++ b/crates/coltsfoot-wire/src/gossip/decode.rs
@@ -7,6 +7,7 @@
 
 use capnp::{message::ReaderOptions, serialize_packed};
 use coltsfootroute::{
+    freshness::StoreTime,
     id::{Incarnation, NodeId},
     membership::{
         GossipMessage, GossipPayload, MAX_BUCKETS, MAX_DATAGRAM_BYTES, MemberRecord, MemberState,
@@ -39,6 +40,7 @@
     Ok(GossipMessage {
         revision: root.get_revision(),
         quarantine: root.get_quarantine(),
+        confirmed: Some(StoreTime(root.get_confirmed_millis())).filter(|time| time.0 > 0),
         payload: read_payload(root, &names)?,
         updates: read_updates(root, &names)?,
     })
--- a/crates/coltsfoot-wire/src/gossip/encode.rs
+++ b/crates/coltsfoot-wire/src/gossip/encode.rs
@@ -20,6 +20,7 @@
     let mut root = builder.init_root::<gossip::Builder<'_>>();
     root.set_revision(message.revision);
     root.set_quarantine(message.quarantine);
+    root.set_confirmed_millis(message.confirmed.map_or(0, |confirmed| confirmed.0));
     let mut names = NameTable::new();
     write_payload(&mut root, &message.payload, &mut names)?;
     write_updates(&mut root, &message.updates, &mut names)?;
--- a/crates/coltsfoot-wire/src/peer.rs
+++ b/crates/coltsfoot-wire/src/peer.rs
@@ -18,6 +18,8 @@
 pub use request_head::RequestHead;
 pub use take_answer::{TakeAnswer, read_take_answer, write_take_answer};
 
+pub use crate::address::{read_address, write_address};
+
 use coltsfootroute::{id::RequestId, importance::Importance};
 
 use crate::wire_error::WireError;
--- a/crates/coltsfoot-wire/src/peer/call_request.rs
+++ b/crates/coltsfoot-wire/src/peer/call_request.rs
@@ -7,7 +7,7 @@
     event::HybridStamp,
     id::{NodeId, RequestId},
     importance::Importance,
-    name::{OperationName, ServiceName},
+    name::{OperationName, ServiceName, TeamName},
 };
 
 use super::{RequestHead, join_id, read_importance, split_id};
@@ -34,6 +34,8 @@
     pub account: Option<NodeId>,
     /// Hash of the client, for fairness within one importance.
     pub client: u64,
+    /// Team whose request it is, if its caller had to show a key.
+    pub team: Option<TeamName>,
     /// Whether the call is nested below work that runs already.
     pub under_way: bool,
     /// Whether this call, or one above it, is not the first attempt: an upstream may have worked on it.
@@ -68,6 +70,9 @@
             write_address(node.0, builder.reborrow().init_account());
         }
         builder.set_client(self.client);
+        if let Some(team) = &self.team {
+            builder.set_team(team.as_str());
+        }
         builder.set_under_way(self.under_way);
         builder.set_is_repeat(self.is_repeat);
         builder.set_is_retry(self.is_retry);
@@ -97,6 +102,7 @@
             false => None,
         };
         let key = reader.get_key()?.to_str()?;
+        let team = reader.get_team()?.to_str()?;
         Ok(Self {
             request: join_id(reader.get_request_high(), reader.get_request_low()),
             service: ServiceName::new(reader.get_service()?.to_str()?),
@@ -105,6 +111,7 @@
             remaining: Duration::from_micros(reader.get_remaining_micros()),
             account,
             client: reader.get_client(),
+            team: (!team.is_empty()).then(|| TeamName::new(team)),
             under_way: reader.get_under_way(),
             is_repeat: reader.get_is_repeat(),
             is_retry: reader.get_is_retry(),
--- a/crates/coltsfootctl/src/arguments.rs
+++ b/crates/coltsfootctl/src/arguments.rs
@@ -31,6 +31,10 @@
             Command::new("drain").about("Has a node leave: it takes no new work").arg(node()),
         )
         .subcommand(Command::new("events").about("Shows a node's last events").arg(node()))
+        .subcommand(
+            Command::new("digest-key")
+                .about("Reads a team's key from standard input and prints its digest"),
+        )
         .subcommand(
             Command::new("completions")
                 .about("Prints shell completions")
--- a/crates/coltsfootctl/src/command.rs
+++ b/crates/coltsfootctl/src/command.rs
@@ -1,5 +1,6 @@
 //! The commands.
 
+mod key_digest;
 mod node_commands;
 mod schema_documents;
 mod schema_history;
@@ -17,6 +18,8 @@
 use coltsfootroute::schema::SchemaDocument;
 use std::{fs, net::SocketAddr};
 
+pub use key_digest::digest_key;
+
 /// Carries out one call of the command line.
 ///
 /// # Errors
@@ -44,6 +47,7 @@
         Action::Status(node) => node_commands::status(format, &client(*node)).await,
         Action::Drain(node) => node_commands::drain(format, &client(*node)).await,
         Action::Events(node) => node_commands::events(format, &client(*node)).await,
+        Action::DigestKey => key_digest::digest_key(format, std::io::stdin()),
         Action::Completions(shell) => Ok(completions(*shell)),
     }
 }
--- a/crates/coltsfootctl/src/command/schema_documents.rs
+++ b/crates/coltsfootctl/src/command/schema_documents.rs
@@ -16,10 +16,18 @@
 /// Checks a schema file.
 pub fn check(format: OutputFormat, file: &str) -> Result<Report, ControlError> {
     let document = read_document(file)?;
-    let (services, content) = (document.services.len(), ContentDigest::of_document(&document));
+    let (services, teams) = (document.services.len(), document.teams.len());
+    let content = ContentDigest::of_document(&document);
     let deployment = &document.deployment;
-    let text = format!("{file}: deployment {deployment}, {services} services, digest {content}");
-    let value = json!({ "deployment": deployment, "services": services, "content": content });
+    let text = format!(
+        "{file}: deployment {deployment}, {services} services, {teams} teams, digest {content}"
+    );
+    let value = json!({
+        "deployment": deployment,
+        "services": services,
+        "teams": teams,
+        "content": content,
+    });
     Ok(Report::new(format, &text, &value))
 }
 
--- a/crates/coltsfootctl/src/control_error.rs
+++ b/crates/coltsfootctl/src/control_error.rs
@@ -47,6 +47,9 @@
         /// Why.
         reason: String,
     },
+    /// No key was given, or none that can be one.
+    #[error("expected a key of 1 to 4,096 bytes on standard input")]
+    Key,
     /// The history can't be trusted.
     #[error("the history can't be trusted: {0}")]
     Untrusted(HistoryFault),
@@ -63,7 +66,9 @@
             Self::Conflict(_) => ExitCode::Conflict,
             Self::Refused { status: 503, .. } | Self::Unreachable { .. } => ExitCode::Unavailable,
             Self::Untrusted(_) | Self::Lacking(_) => ExitCode::Untrusted,
-            Self::File { .. } | Self::Refused { .. } | Self::Malformed { .. } => ExitCode::Failed,
+            Self::File { .. } | Self::Refused { .. } | Self::Malformed { .. } | Self::Key => {
+                ExitCode::Failed
+            }
         }
     }
 }
--- a/crates/coltsfootctl/src/invocation/action.rs
+++ b/crates/coltsfootctl/src/invocation/action.rs
@@ -24,6 +24,8 @@
     Drain(SocketAddr),
     /// Show a node's events.
     Events(SocketAddr),
+    /// Print the digest of a key.
+    DigestKey,
     /// Print shell completions.
     Completions(Shell),
 }
@@ -37,6 +39,7 @@
             "status" => Self::Status(required(matches, "node")),
             "drain" => Self::Drain(required(matches, "node")),
             "events" => Self::Events(required(matches, "node")),
+            "digest-key" => Self::DigestKey,
             _ => Self::Completions(required(matches, "shell")),
         }
     }
--- a/crates/coltsfootctl/src/lib.rs
+++ b/crates/coltsfootctl/src/lib.rs
@@ -12,7 +12,7 @@
 mod output;
 
 pub use arguments::arguments;
-pub use command::run;
+pub use command::{digest_key, run};
 pub use control_error::ControlError;
 pub use exit_code::ExitCode;
 pub use invocation::{Action, HistoryAction, InputSource, Invocation, OutputFormat, SubmitAction};
--- a/crates/coltsfootctl/tests/integration/commands.rs
+++ b/crates/coltsfootctl/tests/integration/commands.rs
@@ -1,7 +1,9 @@
 //! Each command against canned answers and files: what is sent, what is printed, how it ends.
 
 use crate::fake_node::FakeNode;
-use coltsfootctl::{ExitCode, Invocation, Report, arguments, run};
+use coltsfootctl::{
+    ControlError, ExitCode, Invocation, OutputFormat, Report, arguments, digest_key, run,
+};
 use coltsfootroute::{
     name::{OperatorName, ServiceName},
     revision::{
@@ -290,3 +292,34 @@
 
     assert!(report.output.contains("history"), "{}", report.output);
 }
+
+#[rstest]
+#[case::plain("test")]
+#[case::with_a_line_end("test\n")]
+fn a_key_is_printed_as_its_digest_alone(#[case] input: &str) {
+    let report = digest_key(OutputFormat::Table, input.as_bytes()).expect("a key");
+
+    let digest = "9f86d081884c7d659a2feaa0c55ad015a3bf4f1b2b0b822cd15d6c15b0f00a08\n";
+    assert_eq!((report.output.as_str(), report.complaint.as_str()), (digest, ""));
+}
+
+#[rstest]
+#[case::nothing("")]
+#[case::a_line_end("\n")]
+#[case::a_whole_file(&"k".repeat(5_000))]
+fn what_cannot_be_a_key_has_no_digest(#[case] input: &str) {
+    let error = digest_key(OutputFormat::Json, input.as_bytes()).expect_err("no key");
+
+    assert!(matches!(error, ControlError::Key));
+    assert_eq!(error.code(), ExitCode::Failed);
+}
+
+#[test]
+fn a_schema_with_teams_is_checked_and_shows_digests_only() {
+    let path = concat!(env!("CARGO_MANIFEST_DIR"), "/../../samples/teams.yaml");
+
+    let report = control(&["schema", "check", path]);
+
+    assert_eq!(report.code, ExitCode::Done, "{}", report.complaint);
+    assert!(report.output.contains("1 services, 2 teams"), "{}", report.output);
+}
--- a/crates/coltsfootroute/src/constants.rs
+++ b/crates/coltsfootroute/src/constants.rs
@@ -6,6 +6,8 @@
 pub const DEADLINE_HEADER: &str = "coltsfoot-deadline-ms";
 /// Request header between node and upstream: opaque context of the client request.
 pub const CONTEXT_HEADER: &str = "coltsfoot-context";
+/// Request header between node and upstream: the team whose client request it is.
+pub const TEAM_HEADER: &str = "coltsfoot-team";
 /// Response header: the [`CallOutcome`](crate::outcome::CallOutcome).
 pub const OUTCOME_HEADER: &str = "coltsfoot-outcome";
 /// Response header of a refusal: whole seconds to wait, jittered.
--- a/crates/coltsfootroute/src/membership/gossip_message.rs
+++ b/crates/coltsfootroute/src/membership/gossip_message.rs
@@ -3,6 +3,7 @@
 use indexmap::IndexSet;
 
 use super::{GossipPayload, MemberUpdate, member_update::packed_bytes};
+use crate::freshness::StoreTime;
 
 /// Largest datagram, in bytes of payload: passes every usual path unfragmented.
 pub const MAX_DATAGRAM_BYTES: usize = 1_200;
@@ -13,6 +14,8 @@
 const FRAME_BYTES: usize = 28;
 /// Most bytes of the digest, which is not known until the message is sent.
 const QUARANTINE_BYTES: usize = 9;
+/// Most bytes of the confirmation, which is not known until the message is sent either.
+const CONFIRMED_BYTES: usize = 9;
 /// Bytes that a name costs beside its text: pointer and padding.
 const NAME_OVERHEAD_BYTES: usize = 6;
 
@@ -23,6 +26,8 @@
         pub revision: u64,
         /// Digest of the requests that the sender holds back; set as the message is sent.
         pub quarantine: u64,
+        /// When the store's clock showed this, no revision was newer than `revision`; set as the message is sent.
+        pub confirmed: Option<StoreTime>,
         /// What the message asks or answers.
         pub payload: GossipPayload,
         /// Records that travel along.
@@ -33,7 +38,7 @@
 impl GossipMessage {
     /// A message without updates.
     pub fn new(revision: u64, payload: GossipPayload) -> Self {
-        Self { revision, quarantine: 0, payload, updates: Vec::new() }
+        Self { revision, quarantine: 0, confirmed: None, payload, updates: Vec::new() }
     }
 
     /// Upper bound of the encoded size, in bytes, headers of IP and UDP not included.
@@ -50,6 +55,7 @@
         FRAME_BYTES
             + packed_bytes(self.revision)
             + packed_bytes(self.quarantine)
+            + packed_bytes(self.confirmed.map_or(0, |confirmed| confirmed.0))
             + self.payload.wire_bytes()
             + names
             + updates
@@ -61,7 +67,7 @@
         let mut added = 0;
         for update in updates {
             self.updates.push(update);
-            if self.wire_bytes() + QUARANTINE_BYTES > MAX_DATAGRAM_BYTES {
+            if self.wire_bytes() + QUARANTINE_BYTES + CONFIRMED_BYTES > MAX_DATAGRAM_BYTES {
                 self.updates.pop();
                 break;
             }
--- a/crates/coltsfootroute/src/outcome/refusal_reason.rs
+++ b/crates/coltsfootroute/src/outcome/refusal_reason.rs
@@ -34,12 +34,22 @@
         BadRequest,
         /// The same request has ended the upstreams that ran it.
         Quarantined,
+        /// The request has no key that a team holds.
+        UnknownKey,
+        /// The node does not know for certain that the key still stands.
+        StaleConfiguration,
+        /// The team has sent as many requests as it may.
+        RateLimited,
+        /// No node that keeps the team's rate can be asked.
+        RateUnknown,
+        /// The work that the call is nested below has ended, or is not known here.
+        Orphaned,
     }
 }
 
 impl RefusalReason {
     /// All reasons.
-    pub const ALL: [Self; 14] = [
+    pub const ALL: [Self; 19] = [
         Self::Overload,
         Self::Leaving,
         Self::NoUpstream,
@@ -54,6 +64,11 @@
         Self::RetryBudget,
         Self::BadRequest,
         Self::Quarantined,
+        Self::UnknownKey,
+        Self::StaleConfiguration,
+        Self::RateLimited,
+        Self::RateUnknown,
+        Self::Orphaned,
     ];
 
     /// The reason's name in a refusal's body, in logs and in metric labels.
@@ -73,6 +88,11 @@
             Self::RetryBudget => "retry-budget",
             Self::BadRequest => "bad-request",
             Self::Quarantined => "quarantined",
+            Self::UnknownKey => "unknown-key",
+            Self::StaleConfiguration => "stale-configuration",
+            Self::RateLimited => "rate-limited",
+            Self::RateUnknown => "rate-unknown",
+            Self::Orphaned => "orphaned",
         }
     }
 
@@ -83,6 +103,8 @@
             Self::KeyConflict | Self::KeyExpired => 409,
             Self::UnknownOperation => 404,
             Self::BadRequest => 400,
+            Self::UnknownKey => 401,
+            Self::RateLimited => 429,
             _ => 503,
         }
     }
--- a/crates/coltsfootroute/src/retry/retry_policy.rs
+++ b/crates/coltsfootroute/src/retry/retry_policy.rs
@@ -93,7 +93,12 @@
         | RefusalReason::UnknownOperation
         | RefusalReason::RetryBudget
         | RefusalReason::BadRequest
-        | RefusalReason::Quarantined => true,
+        | RefusalReason::Quarantined
+        | RefusalReason::UnknownKey
+        | RefusalReason::StaleConfiguration
+        | RefusalReason::RateLimited
+        | RefusalReason::RateUnknown
+        | RefusalReason::Orphaned => true,
         RefusalReason::Overload
         | RefusalReason::Leaving
         | RefusalReason::NoUpstream
--- a/crates/coltsfootroute/src/revision.rs
+++ b/crates/coltsfootroute/src/revision.rs
@@ -49,6 +49,7 @@
 pub use conflict_body::ConflictBody;
 pub use content_digest::ContentDigest;
 pub use delta_fault::DeltaFault;
+pub(crate) use digest_macros::digest_bytes;
 pub use document_body::DocumentBody;
 pub use entry_change::EntryChange;
 pub use failure_body::FailureBody;
--- a/crates/coltsfootroute/src/revision/config_delta.rs
+++ b/crates/coltsfootroute/src/revision/config_delta.rs
@@ -1,6 +1,7 @@
 //! Difference between two revisions, as it travels between nodes.
 
 use super::{EntryChange, Revision, RevisionRecord};
+use crate::schema::TeamEntry;
 
 record_type! {
     /// Leads a node from any revision in `from..to` to revision `to`.
@@ -18,6 +19,9 @@
         pub deployment: String,
         /// The services, in order of their names.
         pub changes: Vec<EntryChange>,
+        /// All teams, in order of their names, where one of them changed; a snapshot without them has none.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        pub teams: Option<Vec<TeamEntry>>,
     }
 }
 
--- a/crates/coltsfootroute/src/revision/config_state.rs
+++ b/crates/coltsfootroute/src/revision/config_state.rs
@@ -6,9 +6,10 @@
 };
 use crate::{
     name::ServiceName,
-    schema::{SchemaDocument, ServiceEntry},
+    schema::{SchemaDocument, ServiceEntry, TeamEntry},
 };
 use indexmap::IndexMap;
+use std::sync::Arc;
 
 /// Most removed services remembered. Deltas from before the oldest one forgotten become full snapshots.
 pub const MAX_TOMBSTONES: usize = 1_024;
@@ -22,6 +23,10 @@
     deployment: String,
     /// Services, in order of their names.
     entries: IndexMap<ServiceName, ConfigEntry>,
+    /// Teams, in order of their names.
+    teams: Arc<Vec<TeamEntry>>,
+    /// A revision not earlier than the last one that changed a team.
+    teams_revision: Revision,
     /// Services removed after `floor`, with the revision that removed them, oldest first.
     tombstones: IndexMap<ServiceName, Revision>,
     /// Lowest revision since which every change is known; deltas from below it are full snapshots.
@@ -34,6 +39,8 @@
 struct Candidate {
     deployment: String,
     entries: IndexMap<ServiceName, ConfigEntry>,
+    teams: Arc<Vec<TeamEntry>>,
+    teams_revision: Revision,
     tombstones: IndexMap<ServiceName, Revision>,
     floor: Revision,
 }
@@ -74,10 +81,16 @@
         self.entries.values()
     }
 
-    /// The whole configuration as a document, services in order of their names.
+    /// The teams, in order of their names.
+    pub fn teams(&self) -> &[TeamEntry] {
+        &self.teams
+    }
+
+    /// The whole configuration as a document, services and teams in order of their names.
     pub fn document(&self) -> SchemaDocument {
         let services = self.entries().map(|entry| (*entry.service).clone()).collect();
-        SchemaDocument { deployment: self.deployment.clone(), services }
+        let teams = (*self.teams).clone();
+        SchemaDocument { deployment: self.deployment.clone(), services, teams }
     }
 
     /// Puts a whole document in force, as read from the table service.
@@ -116,7 +129,8 @@
         });
         let mut changes: Vec<_> = kept.chain(removed).collect();
         changes.sort_by(|left, right| left.name.cmp(&right.name));
-        Some(ConfigDelta { from, record, deployment: self.deployment.clone(), changes })
+        let teams = (self.teams_revision > from).then(|| (*self.teams).clone());
+        Some(ConfigDelta { from, record, deployment: self.deployment.clone(), changes, teams })
     }
 
     /// Applies a delta from a peer, whole or not at all.
@@ -161,18 +175,39 @@
         });
         let entries: IndexMap<_, _> = fresh.collect();
         let deployment = document.deployment.clone();
+        let (teams, teams_revision) = self.newer_teams(revision, document.teams.clone());
         if revision != self.revision().next() {
             // A revision skipped may have changed a service there and back, which can't be seen from here.
-            return Candidate { deployment, entries, tombstones: IndexMap::new(), floor: revision };
+            let tombstones = IndexMap::new();
+            let floor = revision;
+            return Candidate { deployment, entries, teams, teams_revision, tombstones, floor };
         }
         let mut tombstones = self.tombstones.clone();
         tombstones.extend(self.entries.keys().map(|name| (name.clone(), revision)));
         tombstones.retain(|name, _| !entries.contains_key(name));
-        Candidate { deployment, entries, tombstones, floor: self.floor }
+        let floor = self.floor;
+        Candidate { deployment, entries, teams, teams_revision, tombstones, floor }
+    }
+
+    /// The teams at `revision`, and since when they are so.
+    fn newer_teams(
+        &self,
+        revision: Revision,
+        mut teams: Vec<TeamEntry>,
+    ) -> (Arc<Vec<TeamEntry>>, Revision) {
+        teams.sort_by(|left, right| left.name.cmp(&right.name));
+        if teams == *self.teams {
+            return (self.teams.clone(), self.teams_revision);
+        }
+        (Arc::new(teams), revision)
     }
 
     fn candidate_of_delta(&self, delta: &ConfigDelta) -> Candidate {
         let mut candidate = self.base_of_delta(delta);
+        if let Some(teams) = &delta.teams {
+            let newer = self.newer_teams(delta.to(), teams.clone());
+            (candidate.teams, candidate.teams_revision) = newer;
+        }
         for change in &delta.changes {
             let name = change.name.clone();
             candidate.entries.shift_remove(&name);
@@ -197,10 +232,14 @@
         if delta.is_snapshot() {
             // A snapshot doesn't tell what was changed before it.
             let (entries, tombstones) = (IndexMap::new(), IndexMap::new());
-            return Candidate { deployment, entries, tombstones, floor: delta.to() };
+            let (teams, teams_revision) = self.newer_teams(delta.to(), Vec::new());
+            let floor = delta.to();
+            return Candidate { deployment, entries, teams, teams_revision, tombstones, floor };
         }
         let (entries, tombstones) = (self.entries.clone(), self.tombstones.clone());
-        Candidate { deployment, entries, tombstones, floor: self.floor }
+        let (teams, teams_revision) = (self.teams.clone(), self.teams_revision);
+        let floor = self.floor;
+        Candidate { deployment, entries, teams, teams_revision, tombstones, floor }
     }
 
     /// Puts `candidate` in force if its content is that of `record`.
@@ -215,9 +254,16 @@
         }
         candidate.forget_old_tombstones();
         let changed = changed_names(&self.entries, &candidate.entries, |entry| entry.digest);
-        let Candidate { deployment, entries, tombstones, floor } = candidate;
-        let (record_held, is_outside) = (Some(record.clone()), self.is_outside);
-        *self = Self { record: record_held, deployment, entries, tombstones, floor, is_outside };
+        *self = Self {
+            record: Some(record.clone()),
+            deployment: candidate.deployment,
+            entries: candidate.entries,
+            teams: candidate.teams,
+            teams_revision: candidate.teams_revision,
+            tombstones: candidate.tombstones,
+            floor: candidate.floor,
+            is_outside: self.is_outside,
+        };
         Ok(Applied::Raised { revision: record.revision, changed })
     }
 }
@@ -226,7 +272,7 @@
     fn digest(&self) -> ContentDigest {
         let digests: Vec<_> =
             self.entries.iter().map(|(name, entry)| (name, entry.digest)).collect();
-        ContentDigest::of_services(&self.deployment, &digests)
+        ContentDigest::of_parts(&self.deployment, &digests, &self.teams)
     }
 
     /// Keeps the tombstones that a delta can still need, and not too many.
--- a/crates/coltsfootroute/src/revision/content_digest.rs
+++ b/crates/coltsfootroute/src/revision/content_digest.rs
@@ -3,14 +3,15 @@
 use super::digest_macros::digest_type;
 use crate::{
     name::ServiceName,
-    schema::{SchemaDocument, ServiceEntry},
+    schema::{SchemaDocument, ServiceEntry, TeamEntry},
 };
 
 digest_type! {
     /// Digest of what a configuration says, whatever the order of its services.
     ///
     /// Of a service: SHA-256 of its compact JSON. Of a whole configuration: SHA-256 of the compact JSON
-    /// `[deployment, [[name, digest of the service], …]]`, services in order of their names.
+    /// `[deployment, [[name, digest of the service], …]]`, services in order of their names; where there are teams, a third
+    /// entry lists them, in order of theirs.
     ContentDigest
 }
 
@@ -26,12 +27,21 @@
             document.services.iter().map(|service| (&service.name, Self::of_service(service)));
         let mut sorted: Vec<_> = digests.collect();
         sorted.sort();
-        Self::of_services(&document.deployment, &sorted)
+        let mut teams = document.teams.clone();
+        teams.sort_by(|left, right| left.name.cmp(&right.name));
+        Self::of_parts(&document.deployment, &sorted, &teams)
     }
 
-    /// Digest of a whole configuration from those of its services, in order of their names.
-    pub(super) fn of_services(deployment: &str, sorted: &[(&ServiceName, Self)]) -> Self {
-        Self::of_json(&(deployment, sorted))
+    /// Digest of a whole configuration from those of its services and from its teams, both in order of their names.
+    pub(super) fn of_parts(
+        deployment: &str,
+        services: &[(&ServiceName, Self)],
+        teams: &[TeamEntry],
+    ) -> Self {
+        if teams.is_empty() {
+            return Self::of_json(&(deployment, services));
+        }
+        Self::of_json(&(deployment, services, teams))
     }
 
     fn of_json(value: &impl serde::Serialize) -> Self {
--- a/crates/coltsfootroute/src/revision/digest_macros.rs
+++ b/crates/coltsfootroute/src/revision/digest_macros.rs
@@ -49,18 +49,22 @@
 
             fn from_str(text: &str) -> Result<Self, String> {
                 let fault = || format!("expected 64 hexadecimal digits, found `{text}`");
-                if text.len() != 64 || !text.is_ascii() {
-                    return Err(fault());
-                }
-                let mut bytes = [0; 32];
-                for (index, byte) in bytes.iter_mut().enumerate() {
-                    let digits = &text[2 * index..2 * index + 2];
-                    *byte = u8::from_str_radix(digits, 16).map_err(|_| fault())?;
-                }
-                Ok(Self(bytes))
+                crate::revision::digest_bytes(text).map(Self).ok_or_else(fault)
             }
         }
     };
 }
 
 pub(super) use digest_type;
+
+/// The bytes of a digest that is written as 64 hexadecimal digits.
+pub(crate) fn digest_bytes(text: &str) -> Option<[u8; 32]> {
+    let mut bytes = [0; 32];
+    if text.len() != 2 * bytes.len() || !text.is_ascii() {
+        return None;
+    }
+    for (index, byte) in bytes.iter_mut().enumerate() {
+        *byte = u8::from_str_radix(&text[2 * index..2 * index + 2], 16).ok()?;
+    }
+    Some(bytes)
+}
--- a/crates/coltsfootroute/src/revision/submission.rs
+++ b/crates/coltsfootroute/src/revision/submission.rs
@@ -243,7 +243,7 @@
 }
 
 fn empty_document() -> SchemaDocument {
-    SchemaDocument { deployment: String::new(), services: Vec::new() }
+    SchemaDocument { deployment: String::new(), services: Vec::new(), teams: Vec::new() }
 }
 
 /// Services added, changed or removed, in order of their names.
--- a/crates/coltsfootroute/src/schema/client_entry.rs
+++ b/crates/coltsfootroute/src/schema/client_entry.rs
@@ -14,5 +14,14 @@
         pub deadline_ms: u64,
         /// Retries granted to the whole request, over all its calls and however deep; 0 forbids them.
         pub retry_budget: u32,
+        /// Whether clients need no key, where the schema declares teams.
+        #[serde(default, skip_serializing_if = "is_false")]
+        pub keyless: bool,
     }
 }
+
+// The form that serde asks for.
+#[allow(clippy::trivially_copy_pass_by_ref)]
+fn is_false(flag: &bool) -> bool {
+    !flag
+}
--- a/crates/coltsfootroute/src/schema/schema_change.rs
+++ b/crates/coltsfootroute/src/schema/schema_change.rs
@@ -8,7 +8,7 @@
     #[serde(deny_unknown_fields)]
     pub struct SchemaChange {
         /// What changed: `deployment`, `service a`, `service a/operation`, `service a/operation -> b/callee`,
-        /// or a `.field` of one.
+        /// `team a`, or a `.field` of one.
         pub item: String,
         /// Value before; `None` if the item is new.
         pub before: Option<String>,
--- a/crates/coltsfootroute/src/schema/schema_check.rs
+++ b/crates/coltsfootroute/src/schema/schema_check.rs
@@ -1,9 +1,13 @@
 //! Checks of meaning, on a document whose form is right.
 
 use super::{
-    CallEdge, OperationEntry, PathMatch, SchemaDocument, ServiceEntry, call_graph::CallGraph,
+    CallEdge, OperationEntry, PathMatch, SchemaDocument, ServiceEntry, TeamEntry,
+    call_graph::CallGraph,
+};
+use crate::{
+    name::{OperationName, ServiceName, TeamName},
+    team::KeyDigest,
 };
-use crate::name::{OperationName, ServiceName};
 use indexmap::{IndexMap, IndexSet};
 
 /// Longest name, in bytes.
@@ -29,6 +33,7 @@
         let mut check = Self { document, declared: declared(document), findings: Vec::new() };
         check.name("deployment", &document.deployment);
         check.services();
+        check.teams();
         check.graph();
         check.findings
     }
@@ -81,6 +86,40 @@
         }
     }
 
+    fn teams(&mut self) {
+        let (mut names, mut holders) = (IndexSet::new(), IndexMap::new());
+        for (index, team) in self.document.teams.iter().enumerate() {
+            let path = format!("teams[{index}]");
+            self.name(&format!("{path}.name"), team.name.as_str());
+            if !names.insert(&team.name) {
+                let message = format!("duplicate team `{}`", shortened(team.name.as_str()));
+                self.find(format!("{path}.name"), message);
+            }
+            if let Some(rate) = team.rate {
+                self.at_least_one(format!("{path}.rate.per_s"), rate.per_s.into());
+            }
+            for (place, key) in team.keys.iter().enumerate() {
+                self.key(format!("{path}.keys[{place}]"), team, key, &mut holders);
+            }
+        }
+    }
+
+    fn key(
+        &mut self,
+        path: String,
+        team: &'a TeamEntry,
+        key: &'a KeyDigest,
+        holders: &mut IndexMap<&'a KeyDigest, &'a TeamName>,
+    ) {
+        if *key == KeyDigest::of_key(b"") {
+            self.find(path.clone(), "the digest of an empty key".to_owned());
+        }
+        if let Some(holder) = holders.insert(key, &team.name) {
+            let holder = shortened(holder.as_str());
+            self.find(path, format!("duplicate key: `{holder}` holds it as well"));
+        }
+    }
+
     fn path_match(&mut self, path: &str, operation: &OperationEntry, path_match: &PathMatch) {
         self.at_least_one(format!("{path}.weight"), path_match.weight.into());
         if path_match.host.is_empty() {
--- a/crates/coltsfootroute/src/schema/schema_diff.rs
+++ b/crates/coltsfootroute/src/schema/schema_diff.rs
@@ -1,6 +1,6 @@
 //! Difference between two schemas.
 
-use super::{OperationEntry, SchemaChange, SchemaDocument, ServiceEntry};
+use super::{OperationEntry, SchemaChange, SchemaDocument, ServiceEntry, TeamEntry};
 use indexmap::{IndexMap, IndexSet};
 use std::fmt;
 
@@ -55,9 +55,27 @@
     for service in &document.services {
         flatten_service(service, &mut items);
     }
+    for team in &document.teams {
+        flatten_team(team, &mut items);
+    }
     items
 }
 
+fn flatten_team(team: &TeamEntry, items: &mut IndexMap<String, String>) {
+    let name = format!("team {}", team.name);
+    items.insert(name.clone(), String::new());
+    if let Some(importance) = team.importance {
+        items.insert(format!("{name}.importance"), importance.to_string());
+    }
+    if let Some(rate) = team.rate {
+        let rate = format!("{} a second, {} on top", rate.per_s, rate.burst);
+        items.insert(format!("{name}.rate"), rate);
+    }
+    for key in &team.keys {
+        items.insert(format!("{name}.key {}", key.short()), String::new());
+    }
+}
+
 fn flatten_service(service: &ServiceEntry, items: &mut IndexMap<String, String>) {
     let name = format!("service {}", service.name);
     items.insert(name.clone(), String::new());
@@ -85,6 +103,9 @@
         items.insert(format!("{name}.client.importance"), client.importance.to_string());
         items.insert(format!("{name}.client.deadline_ms"), client.deadline_ms.to_string());
         items.insert(format!("{name}.client.retry_budget"), client.retry_budget.to_string());
+        if client.keyless {
+            items.insert(format!("{name}.client.keyless"), client.keyless.to_string());
+        }
     }
     for call in &operation.calls {
         let mut item = format!("{name} -> {}/{}", call.service, call.operation);
--- a/crates/coltsfootroute/src/schema/schema_document.rs
+++ b/crates/coltsfootroute/src/schema/schema_document.rs
@@ -1,11 +1,11 @@
 //! A whole schema.
 
-use super::{ServiceEntry, call_graph::CallGraph};
+use super::{ServiceEntry, TeamEntry, call_graph::CallGraph};
 use crate::name::{OperationName, ServiceName};
 use indexmap::IndexSet;
 
 record_type! {
-    /// What an operator submits: every service of one deployment.
+    /// What an operator submits: every service and team of one deployment.
     #[derive(serde::Serialize, serde::Deserialize, schemars::JsonSchema)]
     #[serde(deny_unknown_fields)]
     pub struct SchemaDocument {
@@ -14,6 +14,9 @@
         pub deployment: String,
         /// Services, in order of declaration.
         pub services: Vec<ServiceEntry>,
+        /// Teams, in order of declaration. Where there are none, clients need no key.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        pub teams: Vec<TeamEntry>,
     }
 }
 
--- a/crates/coltsfootroute/src/schema/source_fields.rs
+++ b/crates/coltsfootroute/src/schema/source_fields.rs
@@ -1,7 +1,6 @@
 //! The fields of one mapping of a YAML tree.
 
 use super::{
-    SchemaError,
     source_node::{SourceNode, SourceValue},
     source_notes::SourceNotes,
 };
@@ -162,12 +161,7 @@
     }
 
     fn report(&mut self, node: &SourceNode, field: String, message: String) {
-        self.notes.errors.push(SchemaError {
-            line: node.line,
-            column: node.column,
-            field,
-            message,
-        });
+        self.notes.report(node, field, message);
     }
 
     fn path_of(&self, name: &str) -> String {
--- a/crates/coltsfootroute/src/schema/source_notes.rs
+++ b/crates/coltsfootroute/src/schema/source_notes.rs
@@ -2,7 +2,7 @@
 
 use indexmap::IndexMap;
 
-use super::SchemaError;
+use super::{SchemaError, source_node::SourceNode};
 
 /// What reading a schema's text finds besides the document.
 #[derive(Default)]
@@ -12,3 +12,10 @@
     /// Line and column of each field read, by path.
     pub places: IndexMap<String, (u64, u64)>,
 }
+
+impl SourceNotes {
+    /// Notes a fault of `node`, which stands in `field`.
+    pub fn report(&mut self, node: &SourceNode, field: String, message: String) {
+        self.errors.push(SchemaError { line: node.line, column: node.column, field, message });
+    }
+}
--- a/crates/coltsfootroute/src/schema/source_reader.rs
+++ b/crates/coltsfootroute/src/schema/source_reader.rs
@@ -1,12 +1,16 @@
 //! Reads a schema from a YAML tree and gathers every fault of its form.
 
 use super::{
-    CallEdge, ClientEntry, OperationEntry, PathMatch, SchemaDocument, ServiceEntry,
-    source_fields::SourceFields, source_node::SourceNode, source_notes::SourceNotes,
+    CallEdge, ClientEntry, OperationEntry, PathMatch, RateLimit, SchemaDocument, ServiceEntry,
+    TeamEntry,
+    source_fields::SourceFields,
+    source_node::{SourceNode, SourceValue},
+    source_notes::SourceNotes,
 };
 use crate::{
     importance::Importance,
-    name::{OperationName, ServiceName},
+    name::{OperationName, ServiceName, TeamName},
+    team::KeyDigest,
 };
 
 /// Reads a document however faulty its form is: what is missing or wrong is reported and replaced by a
@@ -20,10 +24,45 @@
 impl SourceReader {
     /// Reads a whole document.
     pub fn document(&mut self, node: &SourceNode) -> SchemaDocument {
-        let mut fields = SourceFields::new(&mut self.notes, node, "", &["deployment", "services"]);
+        let known = ["deployment", "services", "teams"];
+        let mut fields = SourceFields::new(&mut self.notes, node, "", &known);
         let deployment = fields.text("deployment");
         let services = fields.list("services", true);
-        SchemaDocument { deployment, services: self.each(services, Self::service) }
+        let teams = fields.list("teams", false);
+        let services = self.each(services, Self::service);
+        SchemaDocument { deployment, services, teams: self.each(teams, Self::team) }
+    }
+
+    fn team(&mut self, node: &SourceNode, path: &str) -> TeamEntry {
+        let known = ["name", "keys", "importance", "rate"];
+        let mut fields = SourceFields::new(&mut self.notes, node, path, &known);
+        let name = TeamName::from(fields.text("name"));
+        let importance = fields.optional("importance").is_some();
+        let importance = importance.then(|| fields.parsed::<Importance>("importance")).flatten();
+        let keys = fields.list("keys", true);
+        let rate = fields.optional("rate");
+        let keys = self.each(keys, Self::key).into_iter().flatten().collect();
+        let rate = rate.map(|(path, node)| self.rate(node, &path));
+        TeamEntry { name, keys, importance, rate }
+    }
+
+    /// The digest of a key. What is no digest may be a key: the report does not repeat it.
+    fn key(&mut self, node: &SourceNode, path: &str) -> Option<KeyDigest> {
+        self.notes.places.insert(path.to_owned(), (node.line, node.column));
+        let fault = match &node.value {
+            SourceValue::Text(text) => match text.parse() {
+                Ok(digest) => return Some(digest),
+                Err(fault) => format!("{fault}"),
+            },
+            other => format!("expected text, found {}", other.kind()),
+        };
+        self.notes.report(node, path.to_owned(), fault);
+        None
+    }
+
+    fn rate(&mut self, node: &SourceNode, path: &str) -> RateLimit {
+        let mut fields = SourceFields::new(&mut self.notes, node, path, &["per_s", "burst"]);
+        RateLimit { per_s: fields.count("per_s", None), burst: fields.count("burst", Some(0)) }
     }
 
     fn service(&mut self, node: &SourceNode, path: &str) -> ServiceEntry {
@@ -64,12 +103,13 @@
     }
 
     fn client(&mut self, node: &SourceNode, path: &str) -> ClientEntry {
-        let known = ["importance", "deadline_ms", "retry_budget"];
+        let known = ["importance", "deadline_ms", "retry_budget", "keyless"];
         let mut fields = SourceFields::new(&mut self.notes, node, path, &known);
         let importance = fields.parsed::<Importance>("importance").unwrap_or_default();
         let deadline_ms = fields.number("deadline_ms", None);
         let retry_budget = fields.count("retry_budget", None);
-        ClientEntry { importance, deadline_ms, retry_budget }
+        let keyless = fields.flag("keyless", false);
+        ClientEntry { importance, deadline_ms, retry_budget, keyless }
     }
 
     fn call(&mut self, node: &SourceNode, path: &str) -> CallEdge {
--- a/crates/coltsfootroute/src/table/token_bucket.rs
+++ b/crates/coltsfootroute/src/table/token_bucket.rs
@@ -55,6 +55,38 @@
         Some(wait)
     }
 
+    /// The bucket without any token, as of `now`.
+    pub fn emptied(self, now: MonotonicTime) -> Self {
+        Self { level: 0, refilled: now, ..self }
+    }
+
+    /// Takes up to `wanted` tokens; returns how many there were.
+    pub fn take_some(&mut self, now: MonotonicTime, wanted: u32) -> u32 {
+        self.refill(now);
+        let whole = u32::try_from(self.level / MILLI).unwrap_or_default();
+        let taken = whole.min(wanted);
+        self.level -= i64::from(taken) * MILLI;
+        taken
+    }
+
+    /// Takes tokens that have been used already, if need be in advance: up to a full bucket.
+    pub fn charge(&mut self, now: MonotonicTime, used: u32) {
+        self.refill(now);
+        self.level = (self.level - i64::from(used) * MILLI).max(-self.burst);
+    }
+
+    /// Time until there is a token, as of the last refill.
+    pub fn time_to_token(&self) -> Duration {
+        self.time_to_refill((MILLI - self.level).max(0))
+    }
+
+    /// Another rate and burst from `now` on; tokens beyond the burst are lost.
+    pub fn reshape(&mut self, now: MonotonicTime, rate: f64, burst: f64) {
+        self.refill(now);
+        let Self { rate, burst, .. } = Self::new(rate, burst);
+        *self = Self { rate, burst, level: self.level.min(burst), ..*self };
+    }
+
     fn refill(&mut self, now: MonotonicTime) {
         let elapsed = i64::try_from(now.since(self.refilled).as_micros()).unwrap_or(i64::MAX);
         let gained = elapsed.saturating_mul(self.rate.0) / MICROS_PER_SECOND;
--- /dev/null
+++ b/crates/coltsfootroute/tests/integration/freshness.rs
@@ -0,0 +1,264 @@
+//! Proof that a configuration is the newest: what it proves, to whom, and for how long.
+
+use std::time::Duration;
+
+use coltsfootroute::{
+    freshness::{ConfigFreshness, RevisionProof, StoreTime},
+    revision::Revision,
+    time::MonotonicTime,
+};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64;
+
+fn at(millis: u64) -> MonotonicTime {
+    MonotonicTime::from_millis(millis)
+}
+
+fn millis(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+fn proof(revision: u64, at: u64) -> RevisionProof {
+    RevisionProof { revision: Revision(revision), at: StoreTime(at) }
+}
+
+/// A node that holds revision 3 and has asked the store at 1,000 ms; the store's clock then showed 50,000 ms.
+fn proved() -> ConfigFreshness {
+    let mut freshness = ConfigFreshness::default();
+    freshness.hold(Revision(3));
+    freshness.note_store(at(1_000), proof(3, 50_000));
+    freshness
+}
+
+#[test]
+fn without_an_answer_nothing_is_proved() {
+    let mut freshness = ConfigFreshness::default();
+    freshness.hold(Revision(3));
+
+    assert_eq!(freshness.age(at(1_000)), None);
+    // Nor by others: where their times lie on this node's clock is not known.
+    freshness.note(proof(3, 50_000));
+    assert_eq!(freshness.age(at(1_000)), None);
+}
+
+#[test]
+fn an_answer_counts_from_its_question_however_long_it_was_held_up() {
+    let freshness = proved();
+
+    assert_eq!(freshness.age(at(4_500)), Some(millis(3_500)));
+}
+
+#[test]
+fn the_proof_of_another_node_counts_from_the_time_in_it_however_late_it_comes() {
+    let mut freshness = proved();
+
+    freshness.note(proof(3, 52_000));
+
+    let age = freshness.age(at(9_000)).expect("a proof");
+    // At the earliest 2 s after the question at 1 s, less what clocks may drift apart.
+    assert!((millis(6_000)..millis(6_010)).contains(&age), "{age:?}");
+}
+
+#[test]
+fn a_proof_of_a_newer_revision_counts_once_that_is_in_force() {
+    let mut freshness = proved();
+
+    freshness.note(proof(4, 52_000));
+    let before = freshness.age(at(4_000));
+    freshness.hold(Revision(4));
+    let after = freshness.age(at(4_000));
+
+    assert_eq!(before, Some(millis(3_000)));
+    assert!(after.is_some_and(|age| age < millis(1_010)), "{after:?}");
+}
+
+#[test]
+fn an_older_proof_changes_nothing() {
+    let mut freshness = proved();
+    freshness.note(proof(3, 52_000));
+    let before = freshness.age(at(4_000));
+
+    freshness.note(proof(3, 51_000));
+    freshness.note_store(at(1_000), proof(3, 50_000));
+
+    assert_eq!(freshness.age(at(4_000)), before);
+}
+
+#[test]
+fn a_proof_from_the_time_to_come_proves_nothing() {
+    let mut freshness = proved();
+
+    freshness.note(proof(3, 90_000));
+
+    assert_eq!(freshness.age(at(4_000)), None);
+}
+
+#[test]
+fn others_are_told_only_what_holds_for_the_revision_that_goes_with_it() {
+    let freshness = proved();
+
+    assert_eq!(freshness.told(Revision(3)), Some(StoreTime(50_000)));
+    assert_eq!(freshness.told(Revision(4)), Some(StoreTime(50_000)));
+    assert_eq!(freshness.told(Revision(2)), None);
+}
+
+#[test]
+fn a_store_without_a_clock_proves_something_to_who_asked() {
+    let mut freshness = ConfigFreshness::default();
+    freshness.hold(Revision(3));
+
+    freshness.note_own(at(1_000), Revision(3));
+    freshness.note_own(at(2_000), Revision(4));
+
+    // Revision 4 is the newest, and not in force: the node knows that it is behind.
+    assert_eq!(freshness.age(at(3_000)), None);
+    freshness.hold(Revision(4));
+    assert_eq!(freshness.age(at(3_000)), Some(millis(1_000)));
+}
+
+/// Pattern: nodes with clocks of their own ask now and then, tell one another what they know, and every message may be held
+/// up for seconds. Whatever a node takes to be the time of its proof, its revision really was the newest then.
+#[test]
+fn no_delay_makes_a_proof_look_younger_than_it_is() {
+    for seed in 0..200 {
+        let mut world = ProofWorld::new(seed);
+        for _ in 0..400 {
+            world.step();
+        }
+        assert!(world.proved > 0, "seed {seed}: nothing was ever proved");
+    }
+}
+
+const NODES: usize = 5;
+
+/// A message under way, in true time.
+struct Message {
+    arrives: u64,
+    to: usize,
+    content: Content,
+}
+
+enum Content {
+    /// The store's answer to a question that was asked at this time of the node's clock, and reached the store then.
+    Answer { asked: MonotonicTime, reached: u64 },
+    /// What another node tells.
+    Told(RevisionProof),
+}
+
+struct ProofWorld {
+    rng: Pcg64,
+    /// True time in milliseconds.
+    now: u64,
+    /// When each revision was accepted: revision `n` at place `n`.
+    accepted: Vec<u64>,
+    nodes: Vec<ProofNode>,
+    messages: Vec<Message>,
+    /// Ages that were looked at and were there.
+    proved: usize,
+}
+
+struct ProofNode {
+    freshness: ConfigFreshness,
+    held: usize,
+    /// What its clock showed at true time 0, and its speed against true time in millionths.
+    offset: u64,
+    speed: u64,
+}
+
+impl ProofNode {
+    fn clock(&self, now: u64) -> MonotonicTime {
+        at(self.offset) + Duration::from_nanos(now * self.speed)
+    }
+}
+
+/// What the store's clock showed at true time 0.
+const STORE_OFFSET: u64 = 777_000;
+
+impl ProofWorld {
+    fn new(seed: u64) -> Self {
+        let mut rng = Pcg64::seed_from_u64(seed);
+        let nodes = (0..NODES).map(|_| ProofNode {
+            freshness: ConfigFreshness::default(),
+            held: 0,
+            offset: rng.random_range(0..1_000_000),
+            speed: rng.random_range(999_800..1_000_200),
+        });
+        let nodes = nodes.collect();
+        Self { rng, now: 0, accepted: vec![0], nodes, messages: Vec::new(), proved: 0 }
+    }
+
+    fn step(&mut self) {
+        self.now += self.rng.random_range(1..200);
+        self.deliver();
+        let node = self.rng.random_range(0..NODES);
+        match self.rng.random_range(0..10) {
+            0 => self.accepted.push(self.now),
+            1 => self.put_in_force(node),
+            2 | 3 => self.ask_store(node),
+            _ => self.tell(node),
+        }
+        self.check(node);
+    }
+
+    /// A delay: short mostly, now and then of seconds.
+    fn delay(&mut self) -> u64 {
+        match self.rng.random_range(0..8) {
+            0 => self.rng.random_range(1_000..9_000),
+            _ => self.rng.random_range(0..40),
+        }
+    }
+
+    fn ask_store(&mut self, node: usize) {
+        let asked = self.nodes[node].clock(self.now);
+        // The store answers when the question reaches it.
+        let reached = self.now + self.delay();
+        let arrives = reached + self.delay();
+        self.messages.push(Message {
+            arrives,
+            to: node,
+            content: Content::Answer { asked, reached },
+        });
+    }
+
+    fn tell(&mut self, node: usize) {
+        let held = Revision(self.nodes[node].held as u64);
+        let Some(at) = self.nodes[node].freshness.told(held) else { return };
+        let to = self.rng.random_range(0..NODES);
+        let arrives = self.now + self.delay();
+        let content = Content::Told(RevisionProof { revision: held, at });
+        self.messages.push(Message { arrives, to, content });
+    }
+
+    fn put_in_force(&mut self, node: usize) {
+        let newest = self.accepted.len() - 1;
+        let node = &mut self.nodes[node];
+        node.held = node.held.max(self.rng.random_range(node.held..=newest));
+        node.freshness.hold(Revision(node.held as u64));
+    }
+
+    fn deliver(&mut self) {
+        let now = self.now;
+        for message in self.messages.extract_if(.., |message| message.arrives <= now) {
+            let freshness = &mut self.nodes[message.to].freshness;
+            match message.content {
+                Content::Answer { asked, reached } => {
+                    let known = self.accepted.iter().filter(|accepted| **accepted <= reached);
+                    let newest = known.count() as u64 - 1;
+                    freshness.note_store(asked, proof(newest, STORE_OFFSET + reached));
+                }
+                Content::Told(proof) => freshness.note(proof),
+            }
+        }
+    }
+
+    fn check(&mut self, node: usize) {
+        let node = &self.nodes[node];
+        let Some(age) = node.freshness.age(node.clock(self.now)) else { return };
+        self.proved += 1;
+        // The next revision was accepted no earlier than that.
+        let Some(overtaken) = self.accepted.get(node.held + 1) else { return };
+        let true_age = self.now - overtaken.min(&self.now);
+        let slack = Duration::from_nanos(self.now * 400) + millis(1);
+        assert!(age + slack >= millis(true_age), "{age:?} against {true_age} ms");
+    }
+}
--- /dev/null
+++ b/crates/coltsfootroute/tests/integration/quota.rs
@@ -0,0 +1,6 @@
+//! Rate limits of teams over many nodes.
+
+mod credit;
+mod ledger;
+mod owners;
+mod world;
--- /dev/null
+++ b/crates/coltsfootroute/tests/integration/quota/credit.rs
@@ -0,0 +1,102 @@
+//! The credit of a team where its requests enter.
+
+use std::time::Duration;
+
+use coltsfootroute::{
+    quota::{CreditGrant, TeamCredit},
+    time::MonotonicTime,
+};
+
+fn at(millis: u64) -> MonotonicTime {
+    MonotonicTime::from_millis(millis)
+}
+
+fn grant(granted: u32) -> CreditGrant {
+    CreditGrant { granted, wait: Duration::ZERO, share_milli: 10_000 }
+}
+
+/// Credit of a team that has sent `per_s` requests a second for three seconds, up to 3,000 ms.
+fn used(per_s: u64) -> TeamCredit {
+    let mut credit = TeamCredit::new(at(0));
+    for request in 0..3 * per_s {
+        credit.note_demand(at(request * 1_000 / per_s));
+    }
+    credit
+}
+
+#[test]
+fn each_credit_pays_for_one_request() {
+    let mut credit = TeamCredit::new(at(0));
+    credit.grant(at(0), grant(2));
+
+    let taken: Vec<_> = (0..3).map(|_| credit.take(at(1))).collect();
+
+    assert_eq!(taken, [true, true, false]);
+}
+
+#[test]
+fn credit_that_was_not_used_lapses() {
+    let mut credit = TeamCredit::new(at(0));
+    credit.grant(at(0), grant(5));
+
+    assert!(!credit.take(at(601)));
+}
+
+#[test]
+fn credit_of_a_request_that_did_not_run_pays_for_another_unless_it_has_lapsed() {
+    let mut credit = TeamCredit::new(at(0));
+    credit.grant(at(0), grant(1));
+    assert!(credit.take(at(1)));
+
+    credit.give_back(at(300));
+    assert!(credit.take(at(301)));
+    credit.give_back(at(700));
+
+    assert!(!credit.take(at(701)));
+}
+
+#[test]
+fn a_team_that_sends_little_asks_for_each_request_as_it_comes() {
+    let mut credit = used(2);
+
+    assert_eq!(credit.wanted(at(3_000), 0), 0);
+    assert_eq!(credit.wanted(at(3_000), 1), 1);
+}
+
+#[test]
+fn a_team_that_sends_much_has_credit_before_its_requests_come() {
+    let mut credit = used(100);
+
+    let wanted = credit.wanted(at(3_000), 0);
+    credit.grant(at(3_000), grant(wanted));
+
+    assert!((25..=30).contains(&wanted), "{wanted}");
+    assert_eq!(credit.wanted(at(3_000), 0), 0);
+}
+
+#[test]
+fn while_no_owner_answers_a_node_goes_on_with_its_part_and_then_stops() {
+    let mut credit = TeamCredit::new(at(0));
+    credit.grant(at(0), grant(0));
+
+    let mut taken = 0;
+    for now in (100..10_000).step_by(100) {
+        credit.go_alone(at(now));
+        while credit.take(at(now)) {
+            taken += 1;
+        }
+    }
+
+    // Ten a second for three seconds.
+    assert_eq!(taken, 30);
+}
+
+#[test]
+fn who_was_told_that_there_is_none_knows_until_when() {
+    let mut credit = TeamCredit::new(at(0));
+    let wait = Duration::from_millis(40);
+    credit.grant(at(100), CreditGrant { granted: 0, wait, share_milli: 0 });
+
+    assert_eq!(credit.spent_for(at(110)), Some(Duration::from_millis(30)));
+    assert_eq!(credit.spent_for(at(140)), None);
+}
--- /dev/null
+++ b/crates/coltsfootroute/tests/integration/quota/ledger.rs
@@ -0,0 +1,133 @@
+//! The credit that a node owns.
+
+use std::{
+    net::{Ipv4Addr, SocketAddr},
+    time::Duration,
+};
+
+use coltsfootroute::{
+    id::NodeId,
+    name::TeamName,
+    quota::{CreditGrant, CreditLedger, CreditQuestion},
+    schema::RateLimit,
+    time::MonotonicTime,
+};
+
+const LIMIT: RateLimit = RateLimit { per_s: 100, burst: 50 };
+
+fn at(millis: u64) -> MonotonicTime {
+    MonotonicTime::from_millis(millis)
+}
+
+fn asker(index: u8) -> NodeId {
+    NodeId(SocketAddr::from((Ipv4Addr::new(10, 0, 0, index), 7620)))
+}
+
+fn ask(ledger: &mut CreditLedger, now: u64, limit: RateLimit, wanted: u32) -> CreditGrant {
+    ask_as(ledger, now, limit, wanted, true)
+}
+
+/// The same of a node that knows whether it has been the only owner of late.
+fn ask_as(
+    ledger: &mut CreditLedger,
+    now: u64,
+    limit: RateLimit,
+    wanted: u32,
+    is_sole: bool,
+) -> CreditGrant {
+    let team = &TeamName::new("red");
+    let question = CreditQuestion { asker: asker(1), team, limit, wanted, used: 0 };
+    ledger.ask(at(now), question, is_sole)
+}
+
+const MINUTE: u64 = 60_000;
+
+#[test]
+fn the_burst_is_there_at_once_and_the_rate_as_time_passes() {
+    let mut ledger = CreditLedger::new();
+
+    assert_eq!(ask(&mut ledger, MINUTE, LIMIT, 80).granted, 50);
+    assert_eq!(ask(&mut ledger, MINUTE + 100, LIMIT, 80).granted, 10);
+    assert_eq!(ask(&mut ledger, MINUTE + 100, LIMIT, 80).granted, 0);
+}
+
+#[test]
+fn who_gets_nothing_hears_when_there_is_credit() {
+    let mut ledger = CreditLedger::new();
+    ask(&mut ledger, MINUTE, LIMIT, 50);
+
+    let grant = ask(&mut ledger, MINUTE, LIMIT, 1);
+
+    assert_eq!(grant.granted, 0);
+    assert_eq!(grant.wait, Duration::from_millis(10));
+}
+
+#[test]
+fn a_new_owner_gives_out_half_of_the_rate_and_no_burst_until_it_has_settled() {
+    let mut ledger = CreditLedger::new();
+    let mut ask_new = |now, wanted| ask_as(&mut ledger, MINUTE + now, LIMIT, wanted, false).granted;
+
+    assert_eq!(ask_new(0, 80), 0);
+    assert_eq!(ask_new(900, 80), 45);
+    assert_eq!(ask_new(1_800, 80), 45);
+    assert_eq!(ask_new(2_000, 80), 10);
+    assert_eq!(ask_new(2_100, 80), 10);
+}
+
+#[test]
+fn an_owner_that_another_may_have_stood_in_for_begins_anew_once() {
+    let mut ledger = CreditLedger::new();
+    ask(&mut ledger, MINUTE, LIMIT, 50);
+
+    let after = |ledger: &mut CreditLedger, now| ask_as(ledger, MINUTE + now, LIMIT, 80, false);
+
+    // Two seconds in which another may have given out this credit.
+    assert_eq!(after(&mut ledger, 2_000).granted, 0);
+    // Asked seldom, it does not begin anew with each question.
+    assert_eq!(after(&mut ledger, 3_200).granted, 50);
+}
+
+#[test]
+fn an_owner_that_is_asked_all_the_while_goes_on_as_before() {
+    let mut ledger = CreditLedger::new();
+    ask(&mut ledger, MINUTE, LIMIT, 50);
+
+    assert_eq!(ask_as(&mut ledger, MINUTE + 200, LIMIT, 80, false).granted, 20);
+}
+
+#[test]
+fn what_a_node_has_taken_in_unasked_is_paid_for() {
+    let mut ledger = CreditLedger::new();
+    let team = &TeamName::new("red");
+    ask(&mut ledger, MINUTE, LIMIT, 30);
+
+    let question = CreditQuestion { asker: asker(1), team, limit: LIMIT, wanted: 50, used: 15 };
+    let grant = ledger.ask(at(MINUTE), question, true);
+
+    assert_eq!(grant.granted, 5);
+}
+
+#[test]
+fn a_lower_limit_holds_at_once_and_no_saved_credit_outlasts_it() {
+    let mut ledger = CreditLedger::new();
+    let lower = RateLimit { per_s: 10, burst: 5 };
+    ask(&mut ledger, MINUTE, LIMIT, 1);
+
+    assert_eq!(ask(&mut ledger, MINUTE, lower, 80).granted, 5);
+    assert_eq!(ask(&mut ledger, MINUTE + 1_000, lower, 80).granted, 10 - 5);
+}
+
+#[test]
+fn the_parts_of_all_that_ask_add_up_to_the_rate() {
+    let mut ledger = CreditLedger::new();
+    for index in 1..=4 {
+        let team = &TeamName::new("red");
+        let question =
+            CreditQuestion { asker: asker(index), team, limit: LIMIT, wanted: 1, used: 0 };
+        ledger.ask(at(MINUTE), question, true);
+    }
+
+    let grant = ask(&mut ledger, MINUTE, LIMIT, 1);
+
+    assert_eq!(grant.share_milli, 25_000);
+}
--- /dev/null
+++ b/crates/coltsfootroute/tests/integration/quota/world.rs
@@ -0,0 +1,327 @@
+//! A team's requests at many nodes, whose questions to the owner take time, are lost, or go to another owner.
+
+use std::net::{Ipv4Addr, SocketAddr};
+
+use coltsfootroute::{
+    id::NodeId,
+    name::TeamName,
+    quota::{CreditGrant, CreditLedger, CreditQuestion, SETTLING_TIME, TeamCredit},
+    schema::RateLimit,
+    time::MonotonicTime,
+};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64;
+
+const NODES: usize = 20;
+const LIMIT: RateLimit = RateLimit { per_s: 150, burst: 150 };
+/// The world begins when its owners have settled.
+const BEGIN: u64 = 60_000;
+/// Windows in which the limit holds, and what may pass beyond it: the users' own bounds.
+const WINDOW: u64 = 5_000;
+const OVERAGE: f64 = 1.1;
+const SLACK: f64 = 20.0;
+/// A question without an answer is given up.
+const ASK_TIMEOUT: u64 = 250;
+
+/// A question to an owner.
+struct Question {
+    /// When the answer is there, or the question is given up.
+    answered: u64,
+    /// The answer; `None` if there is none.
+    grant: Option<CreditGrant>,
+}
+
+struct QuotaWorld {
+    rng: Pcg64,
+    now: u64,
+    limit: RateLimit,
+    team: TeamName,
+    ledgers: Vec<CreditLedger>,
+    credits: Vec<TeamCredit>,
+    /// The owner, as each node sees it.
+    owners: Vec<usize>,
+    dead: Vec<usize>,
+    /// When the owner last changed.
+    changed: Option<MonotonicTime>,
+    /// Questions lost, in a thousand.
+    loss: u32,
+    questions: Vec<Option<Question>>,
+    waiting: Vec<u32>,
+    /// When each request was taken in.
+    taken: Vec<u64>,
+    refused: usize,
+    asked: usize,
+}
+
+impl QuotaWorld {
+    fn new(seed: u64) -> Self {
+        let begin = MonotonicTime::from_millis(BEGIN);
+        Self {
+            rng: Pcg64::seed_from_u64(seed),
+            now: BEGIN,
+            limit: LIMIT,
+            team: TeamName::new("red"),
+            ledgers: vec![CreditLedger::new(); NODES],
+            credits: vec![TeamCredit::new(begin); NODES],
+            owners: vec![0; NODES],
+            dead: Vec::new(),
+            changed: None,
+            loss: 0,
+            questions: (0..NODES).map(|_| None).collect(),
+            waiting: vec![0; NODES],
+            taken: Vec::new(),
+            refused: 0,
+            asked: 0,
+        }
+    }
+
+    /// Lets the team send `per_s` requests a second for `millis`, at nodes drawn from `places`.
+    fn run(&mut self, per_s: f64, millis: u64, places: std::ops::Range<usize>) {
+        for _ in 0..millis {
+            self.now += 1;
+            self.settle_questions();
+            let mut due = per_s / 1_000.0;
+            while due > 0.0 {
+                if self.rng.random_bool(due.min(1.0)) {
+                    let node = self.rng.random_range(places.clone());
+                    self.arrive(node);
+                }
+                due -= 1.0;
+            }
+        }
+    }
+
+    fn time(&self) -> MonotonicTime {
+        MonotonicTime::from_millis(self.now)
+    }
+
+    fn arrive(&mut self, node: usize) {
+        let now = self.time();
+        self.credits[node].note_demand(now);
+        if self.credits[node].take(now) {
+            self.taken.push(self.now);
+        } else if self.credits[node].spent_for(now).is_some() {
+            self.refused += 1;
+        } else {
+            self.waiting[node] += 1;
+        }
+        self.ask(node);
+    }
+
+    fn ask(&mut self, node: usize) {
+        if self.questions[node].is_some() {
+            return;
+        }
+        let now = self.time();
+        let wanted = self.credits[node].wanted(now, self.waiting[node]);
+        if wanted == 0 {
+            return;
+        }
+        self.asked += 1;
+        let owner = self.owners[node];
+        let asked = self.now + self.rng.random_range(1..5);
+        let is_lost = self.dead.contains(&owner) || self.rng.random_range(0..1_000) < self.loss;
+        let grant = (!is_lost).then(|| {
+            let address = SocketAddr::from((Ipv4Addr::new(10, 0, 0, node as u8), 7620));
+            let read = MonotonicTime::from_millis(asked);
+            let question = CreditQuestion {
+                asker: NodeId(address),
+                team: &self.team,
+                limit: self.limit,
+                wanted,
+                used: self.credits[node].used(),
+            };
+            let is_sole = self.changed.is_none_or(|changed| read.since(changed) >= SETTLING_TIME);
+            self.ledgers[owner].ask(read, question, is_sole)
+        });
+        let answered = match grant {
+            Some(_) => asked + self.rng.random_range(1..5),
+            None => self.now + ASK_TIMEOUT,
+        };
+        self.questions[node] = Some(Question { answered, grant });
+    }
+
+    fn settle_questions(&mut self) {
+        for node in 0..NODES {
+            let due = self.questions[node].take_if(|question| question.answered <= self.now);
+            let Some(Question { grant, .. }) = due else { continue };
+            let now = self.time();
+            match grant {
+                Some(grant) => self.credits[node].grant(now, grant),
+                None => self.credits[node].go_alone(now),
+            }
+            while self.waiting[node] > 0 && self.credits[node].take(now) {
+                self.waiting[node] -= 1;
+                self.taken.push(self.now);
+            }
+            if self.waiting[node] > 0 && self.credits[node].spent_for(now).is_some() {
+                self.refused += self.waiting[node] as usize;
+                self.waiting[node] = 0;
+            }
+            self.ask(node);
+        }
+    }
+
+    /// Another owner from now on, for the nodes in `nodes`.
+    fn change_owner(&mut self, owner: usize, nodes: std::ops::Range<usize>) {
+        self.changed = Some(self.time());
+        for node in nodes {
+            self.owners[node] = owner;
+        }
+    }
+
+    /// The most requests taken in within any window.
+    fn worst_window(&self) -> usize {
+        let mut worst = 0;
+        let mut first = 0;
+        for (last, taken) in self.taken.iter().enumerate() {
+            while self.taken[first] + WINDOW <= *taken {
+                first += 1;
+            }
+            worst = worst.max(last + 1 - first);
+        }
+        worst
+    }
+
+    fn bound(&self) -> f64 {
+        let limit = f64::from(LIMIT.per_s) * WINDOW as f64 / 1_000.0 + f64::from(LIMIT.burst);
+        limit * OVERAGE + SLACK
+    }
+
+    fn assert_bound(&self) {
+        let worst = self.worst_window();
+        assert!((worst as f64) <= self.bound(), "{worst} of {}", self.bound());
+    }
+}
+
+/// Pattern: a team within its limit, spread over all nodes.
+#[test]
+fn a_team_within_its_limit_is_never_refused() {
+    let mut world = QuotaWorld::new(1);
+
+    world.run(95.0, 30_000, 0..NODES);
+
+    assert_eq!(world.refused, 0);
+}
+
+/// Pattern: a team that sends over all nodes what its limit allows: an even split would refuse where more came by chance.
+#[test]
+fn demand_that_wanders_between_nodes_finds_its_credit_there() {
+    let mut world = QuotaWorld::new(2);
+
+    for round in 0..10 {
+        let first = round * 2;
+        world.run(95.0, 2_000, first..first + 2);
+    }
+
+    assert_eq!(world.refused, 0);
+}
+
+/// Pattern: one team sends 7.5 times its usual.
+#[test]
+fn a_team_far_over_its_limit_gets_its_limit_and_no_more() {
+    for seed in 0..20 {
+        let mut world = QuotaWorld::new(seed);
+        world.run(94.0, 10_000, 0..NODES);
+        world.run(703.0, 10_000, 0..NODES);
+
+        world.assert_bound();
+        // The rate over the ten seconds, and the burst, less what lapsed unused.
+        let late = world.taken.iter().filter(|taken| **taken > BEGIN + 10_000).count();
+        assert!(late >= 1_500, "{late} of 1,650");
+    }
+}
+
+/// Pattern: the owner of a team that is far over its limit dies; nodes learn of it at different times.
+#[test]
+fn the_death_of_an_owner_lets_nobody_over_the_limit() {
+    for seed in 0..20 {
+        let mut world = QuotaWorld::new(seed);
+        world.run(703.0, 6_000, 0..NODES);
+        world.dead.push(0);
+        world.run(703.0, 1_500, 0..NODES);
+        world.change_owner(1, 0..NODES / 2);
+        world.run(703.0, 1_000, 0..NODES);
+        world.change_owner(1, 0..NODES);
+        world.run(703.0, 8_000, 0..NODES);
+
+        world.assert_bound();
+    }
+}
+
+/// Pattern: the owner dies while the team is within its limit: its nodes go on with their parts of the rate.
+#[test]
+fn the_death_of_an_owner_costs_a_team_within_its_limit_little() {
+    let mut world = QuotaWorld::new(3);
+    world.run(95.0, 6_000, 0..NODES);
+    world.dead.push(0);
+    world.run(95.0, 2_500, 0..NODES);
+    world.change_owner(1, 0..NODES);
+    world.run(95.0, 5_000, 0..NODES);
+
+    let sent = world.taken.len() + world.refused + world.waiting.iter().sum::<u32>() as usize;
+    assert!(world.taken.len() * 100 >= sent * 88, "{} of {sent}", world.taken.len());
+}
+
+/// Pattern: nodes disagree about the owner for seconds, as when a newcomer is known to some only.
+#[test]
+fn two_owners_at_a_time_let_nobody_over_the_limit() {
+    for seed in 0..20 {
+        let mut world = QuotaWorld::new(seed);
+        world.run(703.0, 6_000, 0..NODES);
+        world.change_owner(1, 0..NODES / 2);
+        world.run(703.0, 1_500, 0..NODES);
+        world.change_owner(1, 0..NODES);
+        world.run(703.0, 6_000, 0..NODES);
+
+        world.assert_bound();
+    }
+}
+
+/// Pattern: a tenth of the questions is lost, under demand far over the limit.
+#[test]
+fn lost_questions_let_nobody_over_the_limit() {
+    for seed in 0..20 {
+        let mut world = QuotaWorld::new(seed);
+        world.loss = 100;
+        world.run(703.0, 15_000, 0..NODES);
+
+        world.assert_bound();
+    }
+}
+
+/// Pattern: an operator lowers the limit while the team sends far over it: one window later the new one holds.
+#[test]
+fn a_limit_that_falls_holds_a_window_later() {
+    let mut world = QuotaWorld::new(4);
+    world.run(703.0, 8_000, 0..NODES);
+    world.limit = RateLimit { per_s: 30, burst: 30 };
+    let lowered = world.now;
+    world.run(703.0, 12_000, 0..NODES);
+
+    let late: Vec<_> =
+        world.taken.iter().filter(|taken| **taken > lowered + WINDOW).copied().collect();
+    world.taken = late;
+    assert!(world.worst_window() as f64 <= (30.0 * 5.0 + 30.0) * OVERAGE + SLACK);
+}
+
+#[test]
+fn questions_are_few_against_requests() {
+    let mut world = QuotaWorld::new(5);
+
+    world.run(140.0, 20_000, 0..4);
+
+    let sent = world.taken.len();
+    assert!(world.asked * 4 <= sent, "{} questions for {sent} requests", world.asked);
+}
+
+/// Pattern: a team far over its limit, whose nodes are all told that there is none for now.
+#[test]
+fn who_has_no_credit_does_not_ask_for_each_request() {
+    let mut world = QuotaWorld::new(7);
+
+    world.run(703.0, 20_000, 0..NODES);
+
+    let sent = world.taken.len() + world.refused;
+    assert!(world.asked * 2 <= sent, "{} questions for {sent} requests", world.asked);
+}
--- a/crates/coltsfootroute/tests/integration/revision.rs
+++ b/crates/coltsfootroute/tests/integration/revision.rs
@@ -6,4 +6,5 @@
 mod history;
 mod scenarios;
 mod state;
+mod teams;
 mod world;
--- a/crates/coltsfootroute/tests/integration/schema.rs
+++ b/crates/coltsfootroute/tests/integration/schema.rs
@@ -8,6 +8,7 @@
 
 const ANGA: &str = include_str!("../../../../samples/anga.yaml");
 const BALDOSA: &str = include_str!("../../../../samples/baldosa.yaml");
+const TEAMS: &str = include_str!("../../../../samples/teams.yaml");
 
 /// A document with the given services, in flow style, each on its own line from line 3.
 fn with_services(services: &[&str]) -> String {
@@ -31,10 +32,11 @@
 #[rstest]
 #[case::anga(ANGA)]
 #[case::baldosa(BALDOSA)]
+#[case::teams(TEAMS)]
 fn samples_survive_a_round_trip(#[case] text: &str) {
     let document = parsed(text);
 
-    assert_eq!(document.services.len(), 4);
+    assert_eq!(document.services.len(), if text == TEAMS { 1 } else { 4 });
     assert_eq!(parsed(&document.to_yaml()), document);
 }
 
@@ -231,3 +233,79 @@
 
     assert_eq!(committed, text);
 }
+
+/// A valid document with the given teams, each on its own line from line 4.
+fn with_teams(teams: &[&str]) -> String {
+    let lines: String = teams.iter().map(|team| format!("  - {team}\n")).collect();
+    format!("deployment: test\nservices: []\nteams:\n{lines}")
+}
+
+/// SHA-256 of `a`, of `b` and of nothing.
+const DIGEST_A: &str = "ca978112ca1bbdcafac231b39a23dc4da786eff8147c4e72b9807785afee48bb";
+const DIGEST_B: &str = "3e23e8160039594a33894f6564e1b1348bbd7a0088d42c4acb73eeaed59c009d";
+const DIGEST_EMPTY: &str = "e3b0c44298fc1c149afbf4c8996fb92427ae41e4649b934ca495991b7852b855";
+
+#[rstest]
+#[case::key_of_two_teams(
+    &["{name: red, keys: [DIGEST]}", "{name: blue, keys: [DIGEST]}"],
+    "5 teams[1].keys[0]: duplicate key: `red` holds it as well"
+)]
+#[case::key_twice(
+    &["{name: red, keys: [DIGEST, DIGEST]}"],
+    "4 teams[0].keys[1]: duplicate key: `red` holds it as well"
+)]
+#[case::empty_key(&["{name: red, keys: [EMPTY]}"], "4 teams[0].keys[0]: the digest of an empty key")]
+#[case::no_digest(
+    &["{name: red, keys: [very-secret]}"],
+    "4 teams[0].keys[0]: expected the SHA-256 of a key as 64 hexadecimal digits, as `coltsfootctl digest-key` prints it"
+)]
+#[case::number_as_key(&["{name: red, keys: [7]}"], "4 teams[0].keys[0]: expected text, found a number")]
+#[case::no_keys(&["{name: red}"], "4 teams[0].keys: missing field")]
+#[case::rate_in_words(
+    &["{name: red, keys: [DIGEST], rate: {per_s: many}}"],
+    "4 teams[0].rate.per_s: expected a whole number from 0, found text"
+)]
+#[case::rate_of_nothing(
+    &["{name: red, keys: [DIGEST], rate: {per_s: 0, burst: 5}}"],
+    "4 teams[0].rate.per_s: 0: expected at least 1"
+)]
+#[case::unknown_importance(
+    &["{name: red, keys: [DIGEST], importance: huge}"],
+    "4 teams[0].importance: unknown importance `huge`: expected background, low, normal, high or critical"
+)]
+#[case::name_twice(
+    &["{name: red, keys: []}", "{name: red, keys: []}"],
+    "5 teams[1].name: duplicate team `red`"
+)]
+#[case::unknown_field(
+    &["{name: red, keys: [], quota: 7}"],
+    "4 teams[0].quota: unknown field: expected one of name, keys, importance, rate"
+)]
+fn a_faulty_team_is_named_with_line_and_field(#[case] teams: &[&str], #[case] fault: &str) {
+    let text = with_teams(teams).replace("DIGEST", DIGEST_A).replace("EMPTY", DIGEST_EMPTY);
+
+    assert_eq!(faults(&text), [fault]);
+}
+
+#[test]
+fn a_key_written_in_place_of_its_digest_is_not_repeated() {
+    let text = with_teams(&["{name: red, keys: [very-secret, {very-secret: 1}, [very-secret]]}"]);
+
+    let faults = faults(&text);
+
+    assert_eq!(faults.len(), 3);
+    assert!(!faults.join("\n").contains("very-secret"), "{faults:?}");
+}
+
+#[test]
+fn teams_survive_a_round_trip_and_show_in_differences() {
+    let text = with_teams(&["{name: red, keys: [DIGEST], importance: high, rate: {per_s: 9}}"]);
+    let old = parsed(&text.replace("DIGEST", DIGEST_A));
+    let new = parsed(&text.replace("DIGEST", DIGEST_B).replace("per_s: 9", "per_s: 10"));
+
+    assert_eq!(parsed(&old.to_yaml()), old);
+    let changes: Vec<_> = SchemaDiff::between(&old, &new).changes;
+    let items: Vec<_> = changes.iter().map(ToString::to_string).collect();
+    assert_eq!(items[0], "changed team red.rate: 9 a second, 0 on top to 10 a second, 0 on top");
+    assert_eq!(items[1], "removed team red.key ca978112ca1b");
+}
