IntroductionDesk has one wake-up for what was written

Cause: `introduced` and `written_changed` were always given together, for the same news; a reader had to find out that they are one. Ruled out: none needed. Change: the one that is left wakes both who wait. Behaviour is the same; no figure moves. Tests of introductions and departures passed.

--- a/crates/coltsfoot-node/src/dispatch/links/introduction_desk.rs
+++ b/crates/coltsfoot-node/src/dispatch/links/introduction_desk.rs
@@ -59,9 +59,8 @@
     resume: Cell<ResumeWindow>,
     resumed: Notify,
     wanted_changed: Notify,
+    /// Woken after each attempt to write, whatever came of it.
     written_changed: Notify,
-    /// Woken with `written_changed`, for whoever waits for the first write.
-    introduced: Notify,
 }
 
 impl IntroductionDesk {
@@ -85,7 +84,6 @@
             resumed: Notify::new(),
             wanted_changed: Notify::new(),
             written_changed: Notify::new(),
-            introduced: Notify::new(),
         }
     }
 
@@ -151,7 +149,7 @@
     /// Waits until the node's own row has been written, or has been tried to be.
     pub async fn introduced(&self) {
         loop {
-            let changed = self.introduced.notified();
+            let changed = self.written_changed.notified();
             if !self.introduced_as.borrow().is_empty() {
                 return;
             }
@@ -206,7 +204,6 @@
             *self.written.borrow_mut() = Some(wanted);
         }
         self.written_changed.notify_waiters();
-        self.introduced.notify_waiters();
     }
 
     async fn write(&self, wanted: &OwnRows) -> bool {
