--- a/crates/coltsfoot-node/src/config.rs
+++ b/crates/coltsfoot-node/src/config.rs
@@ -22,5 +22,5 @@
 pub use config_in_force::ConfigInForce;
 pub use config_origin::ConfigOrigin;
 pub use config_thread::{ConfigParts, ConfigThread};
-pub use freshness_cell::FreshnessCell;
+pub use freshness_cell::{FreshnessCell, proof_time};
 pub use submit_request::SubmitRequest;
--- a/crates/coltsfoot-node/src/config/freshness_cell.rs
+++ b/crates/coltsfoot-node/src/config/freshness_cell.rs
@@ -11,6 +11,15 @@
     time::MonotonicTime,
 };
 
+/// Part of the time to revoke a key that a proof may be old. The rest is for clocks and for what the store's answer was held
+/// up in the store itself, before the time in it was read.
+const PROOF_PARTS: (u32, u32) = (4, 5);
+
+/// Age beyond which a proof is too old where keys are to be revoked within `bound`.
+pub fn proof_time(bound: Duration) -> Duration {
+    bound * PROOF_PARTS.0 / PROOF_PARTS.1
+}
+
 /// The newest proof that the configuration in force is the newest, for all threads. Held for some instructions at a time.
 #[derive(Clone, Default)]
 pub struct FreshnessCell {
--- a/crates/coltsfoot-node/src/dispatch/dispatch_duty.rs
+++ b/crates/coltsfoot-node/src/dispatch/dispatch_duty.rs
@@ -1,6 +1,6 @@
 //! The parts of the dispatch duty, and how they are joined.
 
-use std::{cell::RefCell, rc::Rc, time::Duration};
+use std::{cell::RefCell, rc::Rc};
 
 use coltsfoot_wire::peer::{CallReply, CallRequest, ClaimState};
 use coltsfootroute::{
@@ -23,15 +23,7 @@
         PeerLinks, QuarantineDesk, TokenAnswer,
     },
 };
-
-/// Part of the time to revoke a key that a proof may be old. The rest is for clocks and for what the store's answer was held
-/// up in the store itself, before the time in it was read.
-const PROOF_PARTS: (u32, u32) = (4, 5);
-
-/// Age beyond which a proof is too old where keys are to be revoked within `bound`.
-fn proof_time(bound: Duration) -> Duration {
-    bound * PROOF_PARTS.0 / PROOF_PARTS.1
-}
+use crate::config::proof_time;
 
 /// The parts of the dispatch duty. Each knows only those above it here.
 pub(super) struct DispatchDuty {
