Nested calls wait on where a queue stands; only new work is given up soon

Cause: on the shifted work both chains make eight calls one after the other at one service. Its guards gave up what had waited for 100 ms wherever a queue had stood for half a second: nested calls, too, with all the work above them.

Change: the short wait is for calls that have no work behind them.

Test: where_a_queue_stands_only_new_work_is_given_up_soon.

--- a/crates/coltsfootroute/src/admission/admission_gate.rs
+++ b/crates/coltsfootroute/src/admission/admission_gate.rs
@@ -283,9 +283,9 @@
 
     fn queued_call(&self, now: MonotonicTime, call: WaitingCall) -> QueuedCall {
         let settings = &self.settings;
-        let overloaded = self.is_overloaded(now);
-        let delay =
-            if overloaded { settings.overload_queue_delay } else { settings.max_queue_delay };
+        // A nested call that is given up takes all the work above it along: the short wait is for what has none yet.
+        let is_short = self.is_overloaded(now) && !call.under_way;
+        let delay = if is_short { settings.overload_queue_delay } else { settings.max_queue_delay };
         let given_up = now + delay;
         let last_start = call.deadline - self.service_times[call.rank()].estimate(now);
         if last_start < given_up {
--- a/crates/coltsfootroute/src/admission/admission_settings.rs
+++ b/crates/coltsfootroute/src/admission/admission_settings.rs
@@ -24,7 +24,7 @@
         pub queue_length: u32,
         /// Longest wait in the queue; a call that has waited as long is refused.
         pub max_queue_delay: Duration,
-        /// Longest wait of a call that joins while the gate is overloaded.
+        /// Longest wait of a client's own call that joins while the gate is overloaded.
         pub overload_queue_delay: Duration,
         /// How long a queue has to stand until the gate counts as overloaded.
         pub overload_interval: Duration,
--- a/crates/coltsfootroute/tests/integration/admission/gate.rs
+++ b/crates/coltsfootroute/tests/integration/admission/gate.rs
@@ -43,6 +43,26 @@
     assert!(served[1] >= 95, "the modest client got {} of its 99 calls", served[1]);
 }
 
+/// Pattern: a queue stands at a service that a chain calls again and again. What clients ask for themselves is refused soon,
+/// so that they hear of it; a call below work that runs already waits on, or that work is lost.
+#[test]
+fn where_a_queue_stands_only_new_work_is_given_up_soon() {
+    let mut gate = AdmissionGate::new(AdmissionSettings::new(1).with_queue_length(20));
+    let at = MonotonicTime::from_millis;
+    let nested = |id| WaitingCall { under_way: true, ..call(id, 0, 60_000) };
+    gate.offer(at(0), call(0, 0, 60_000));
+    gate.offer(at(0), nested(1));
+    gate.offer(at(350), nested(2));
+    // The first has been given up; the queue has stood for longer than the overload interval.
+    gate.offer(at(600), call(3, 0, 60_000));
+    gate.offer(at(600), nested(4));
+
+    let soon: Vec<_> = gate.tick(at(701)).iter().map(|verdict| verdict.id).collect();
+    let later: Vec<_> = gate.tick(at(1_001)).iter().map(|verdict| verdict.id).collect();
+
+    assert_eq!((soon, later), (vec![3], vec![2, 4]));
+}
+
 #[test]
 fn an_estimate_from_a_slow_phase_does_not_refuse_for_ever() {
     let mut gate = AdmissionGate::new(AdmissionSettings::new(1));
