Credit that a node gave itself is counted where earlier credit has lapsed, and a new owner is not charged for it

Cause, found by reading: \`go_alone\` counted its credit as its own before the lapsed credit was forgotten, which forgot the count as well; and a node to which nothing listens was asked again without a pause, for as long as a request waited.

Change: the order; the charge only at an owner that goes on; 50 ms between questions that nobody answers.

Tests: what_a_node_gave_itself..., the world's as they were.

--- a/crates/coltsfoot-node/src/dispatch/ingress/team_credits.rs
+++ b/crates/coltsfoot-node/src/dispatch/ingress/team_credits.rs
@@ -26,6 +26,8 @@
 
 /// Longest wait for an owner's answer: many times what hosts of one region need.
 const ASK_TIMEOUT: Duration = Duration::from_millis(250);
+/// Pause after a question that nobody has answered.
+const ASK_PAUSE: Duration = Duration::from_millis(50);
 /// Longest that a request waits for credit: time for one question to an owner and one to another.
 const CREDIT_WAIT: Duration = Duration::from_millis(600);
 /// Longest time until there is credit that is waited for, and not refused: a team that sends what it may is not refused for
@@ -135,6 +137,11 @@
                 Some(grant) => quota.credit.borrow_mut().grant(now, grant),
                 None => quota.credit.borrow_mut().go_alone(now),
             }
+            quota.answered.notify_waiters();
+            if grant.is_none() {
+                // Where nothing listens the answer is there at once: asked again without a pause it would be asked for ever.
+                sleep(ASK_PAUSE).await;
+            }
             quota.is_asking.set(false);
             quota.answered.notify_waiters();
         });
--- a/crates/coltsfootroute/src/quota/credit_ledger.rs
+++ b/crates/coltsfootroute/src/quota/credit_ledger.rs
@@ -132,7 +132,10 @@
     fn grant(&mut self, now: MonotonicTime, question: &CreditQuestion<'_>) -> CreditGrant {
         self.askers.insert(question.asker, now);
         self.askers.retain(|_, asked| now.since(*asked) < ASKER_TIME);
-        self.bucket.charge(now, question.used);
+        // A new owner has no credit from the time before it, out of which that was used.
+        if !self.is_fresh {
+            self.bucket.charge(now, question.used);
+        }
         let granted = self.bucket.take_some(now, question.wanted);
         let wait = match granted {
             0 => self.bucket.time_to_token(),
--- a/crates/coltsfootroute/src/quota/team_credit.rs
+++ b/crates/coltsfootroute/src/quota/team_credit.rs
@@ -146,8 +146,8 @@
         let whole = part as u32;
         self.given_part = part - f64::from(whole);
         self.given_until = self.given_until.max(until);
-        self.given += whole;
         self.add(now, whole);
+        self.given += whole;
     }
 
     /// Time until the owner has credit again, if it has said that it has none.
--- a/crates/coltsfootroute/tests/integration/quota/credit.rs
+++ b/crates/coltsfootroute/tests/integration/quota/credit.rs
@@ -91,6 +91,19 @@
     assert_eq!(taken, 30);
 }
 
+#[test]
+fn what_a_node_gave_itself_and_used_is_told_also_after_its_earlier_credit_has_lapsed() {
+    let mut credit = TeamCredit::new(at(0));
+    credit.grant(at(0), grant(5));
+
+    // The five lapse at 600 ms, unused; ten a second are its own part.
+    credit.go_alone(at(700));
+    assert!((0..7).all(|_| credit.take(at(701))));
+
+    assert!(!credit.take(at(701)));
+    assert_eq!(credit.used(), 7);
+}
+
 #[test]
 fn who_was_told_that_there_is_none_knows_until_when() {
     let mut credit = TeamCredit::new(at(0));
