Teams read once more: one way to an owner, teams shared and not copied for each request

Change: TeamTable shares its entries; `first_owner` finds the greatest by the same weight and tie as before, `ranked_services` keeps its order; the lock is taken only where keys are revoked within a bound. Behaviour is meant to be the same; no assertion of a test changed (owners.rs calls the new name).

--- a/crates/coltsfoot-node/src/dispatch/ingress/client_request.rs
+++ b/crates/coltsfoot-node/src/dispatch/ingress/client_request.rs
@@ -4,6 +4,7 @@
     hash::{Hash, Hasher},
     net::IpAddr,
     rc::Rc,
+    sync::Arc,
     time::Duration,
 };
 
@@ -30,7 +31,7 @@
 /// A client request that passed the checks of its form.
 struct EntryCheck {
     importance: Importance,
-    team: Option<TeamEntry>,
+    team: Option<Arc<TeamEntry>>,
     /// Turns of the team in each round of a queue.
     turns: u32,
     deadline: MonotonicTime,
@@ -116,7 +117,7 @@
                 Some(team) => queue_share(&team.name, check.turns, request),
                 None => hash_of(&client),
             },
-            team: check.team.map(|team| team.name),
+            team: check.team.map(|team| team.name.clone()),
             under_way: false,
             is_repeat: false,
             repeatable: check.repeatable,
@@ -159,7 +160,7 @@
         let deadline = entry_deadline(entry, call);
         self.check_deadline(call, deadline)?;
         Ok(EntryCheck {
-            importance: proved.config.ranks().importance(entry, team.as_ref()),
+            importance: proved.config.ranks().importance(entry, team.as_deref()),
             turns: team.as_ref().map_or(1, |team| proved.config.teams().turns(team)),
             team,
             deadline,
--- a/crates/coltsfoot-node/src/dispatch/ingress/team_access.rs
+++ b/crates/coltsfoot-node/src/dispatch/ingress/team_access.rs
@@ -17,7 +17,7 @@
 /// that was added since.
 const NEWS_TIME: Duration = Duration::from_secs(2);
 
-/// The configuration in force, and how old the proof is that it is the newest.
+/// The configuration in force, and how old the proof is that it is the newest, where one is needed.
 pub(super) struct ProvedConfig {
     pub(super) config: Arc<ConfigInForce>,
     proof_age: Option<Duration>,
@@ -27,7 +27,8 @@
     /// The configuration in force with its proof.
     pub(super) fn proved_config(&self) -> Result<ProvedConfig, RefusalReason> {
         // In this order: the age of a proof holds for any later configuration as well.
-        let proof_age = self.context.freshness.age(self.context.now());
+        let proof_age =
+            self.context.proof_time.and_then(|_| self.context.freshness.age(self.context.now()));
         Ok(ProvedConfig { config: self.context.config.in_force()?, proof_age })
     }
 
@@ -37,7 +38,7 @@
         call: &IncomingCall,
         entry: &ClientEntry,
         proved: &ProvedConfig,
-    ) -> Result<Option<TeamEntry>, RefusalReason> {
+    ) -> Result<Option<Arc<TeamEntry>>, RefusalReason> {
         let teams = proved.config.teams();
         if teams.is_empty() || entry.keyless {
             return Ok(None);
--- a/crates/coltsfoot-node/src/dispatch/links/credit_owner.rs
+++ b/crates/coltsfoot-node/src/dispatch/links/credit_owner.rs
@@ -6,7 +6,7 @@
     id::NodeId,
     membership::{MemberRecord, MemberState},
     name::{ServiceName, TeamName},
-    quota::{CreditGrant, CreditLedger, CreditQuestion, SETTLING_TIME, ranked_owners},
+    quota::{CreditGrant, CreditLedger, CreditQuestion, SETTLING_TIME, first_owner},
     time::MonotonicTime,
 };
 use indexmap::IndexMap;
@@ -78,7 +78,7 @@
 
     /// The member of `service` that owns the credit of `team`, as far as this node knows.
     pub fn owner_in(&self, service: &ServiceName, team: &TeamName) -> Option<NodeId> {
-        first_of(team, self.present.borrow().get(service)?)
+        first_owner(team, self.present.borrow().get(service)?.iter().copied())
     }
 
     /// Forgets credit that nobody asks for.
@@ -97,10 +97,6 @@
 
     fn is_first(&self, team: &TeamName, nodes: &[NodeId]) -> bool {
         let own = self.context.identity.node;
-        nodes.contains(&own) && first_of(team, nodes) == Some(own)
+        nodes.contains(&own) && first_owner(team, nodes.iter().copied()) == Some(own)
     }
 }
-
-fn first_of(team: &TeamName, nodes: &[NodeId]) -> Option<NodeId> {
-    ranked_owners(team, nodes.iter().copied()).first().copied()
-}
--- a/crates/coltsfootroute/src/freshness/config_freshness.rs
+++ b/crates/coltsfootroute/src/freshness/config_freshness.rs
@@ -51,11 +51,6 @@
         }
     }
 
-    /// The newest proof that holds for the configuration in force.
-    pub fn proof(&self) -> Option<RevisionProof> {
-        self.proof
-    }
-
     /// How long ago the configuration in force may last have been the newest; `None` without any proof.
     pub fn age(&self, now: MonotonicTime) -> Option<Duration> {
         let own = self.own.filter(|(_, revision)| *revision <= self.held);
--- a/crates/coltsfootroute/src/quota.rs
+++ b/crates/coltsfootroute/src/quota.rs
@@ -11,5 +11,5 @@
 
 pub use credit_grant::CreditGrant;
 pub use credit_ledger::{CreditLedger, CreditQuestion, SETTLING_TIME};
-pub use owner_rank::{ranked_owners, ranked_services};
+pub use owner_rank::{first_owner, ranked_services};
 pub use team_credit::TeamCredit;
--- a/crates/coltsfootroute/src/quota/owner_rank.rs
+++ b/crates/coltsfootroute/src/quota/owner_rank.rs
@@ -1,4 +1,6 @@
-//! Which nodes may own a team's credit, in order.
+//! Which node owns a team's credit.
+
+use std::cmp::Reverse;
 
 use twox_hash::XxHash3_64;
 
@@ -7,13 +9,10 @@
     name::{ServiceName, TeamName},
 };
 
-/// The nodes in the order in which they may own the credit of `team` (rendezvous hashing): nodes that know the same members
-/// agree, and a node that comes or goes moves only the teams that it owns.
-pub fn ranked_owners(team: &TeamName, nodes: impl IntoIterator<Item = NodeId>) -> Vec<NodeId> {
-    let mut ranked: Vec<_> =
-        nodes.into_iter().map(|node| (weight(team.as_str(), &node.to_string()), node)).collect();
-    ranked.sort_unstable_by(|left, right| right.cmp(left));
-    ranked.into_iter().map(|(_, node)| node).collect()
+/// The one of `nodes` that owns the credit of `team` (rendezvous hashing): nodes that know the same members agree, and a
+/// node that comes or goes moves only the teams that it owns.
+pub fn first_owner(team: &TeamName, nodes: impl IntoIterator<Item = NodeId>) -> Option<NodeId> {
+    nodes.into_iter().max_by_key(|node| (weight(team, &node.to_string()), *node))
 }
 
 /// The services in the order in which their members may own the credit of `team`.
@@ -21,14 +20,11 @@
     team: &TeamName,
     services: impl IntoIterator<Item = ServiceName>,
 ) -> Vec<ServiceName> {
-    let mut ranked: Vec<_> = services
-        .into_iter()
-        .map(|service| (weight(team.as_str(), service.as_str()), service))
-        .collect();
-    ranked.sort_unstable_by(|left, right| right.cmp(left));
-    ranked.into_iter().map(|(_, service)| service).collect()
+    let mut ranked: Vec<_> = services.into_iter().collect();
+    ranked.sort_by_cached_key(|service| Reverse((weight(team, service.as_str()), service.clone())));
+    ranked
 }
 
-fn weight(team: &str, node: &str) -> u64 {
-    XxHash3_64::oneshot_with_seed(XxHash3_64::oneshot(team.as_bytes()), node.as_bytes())
+fn weight(team: &TeamName, name: &str) -> u64 {
+    XxHash3_64::oneshot_with_seed(XxHash3_64::oneshot(team.as_str().as_bytes()), name.as_bytes())
 }
--- a/crates/coltsfootroute/src/team/team_table.rs
+++ b/crates/coltsfootroute/src/team/team_table.rs
@@ -1,5 +1,7 @@
 //! Finds the team that holds a key.
 
+use std::sync::Arc;
+
 use indexmap::IndexMap;
 
 use super::KeyDigest;
@@ -8,7 +10,7 @@
 /// The teams of a configuration, by key and by name. Made once for each configuration.
 #[derive(Clone, Debug, Default)]
 pub struct TeamTable {
-    teams: IndexMap<TeamName, TeamEntry>,
+    teams: IndexMap<TeamName, Arc<TeamEntry>>,
     /// Place of the team in `teams`.
     places: IndexMap<KeyDigest, usize>,
     /// Lowest rate of a team that has one.
@@ -20,7 +22,7 @@
     pub fn new(teams: &[TeamEntry]) -> Self {
         let mut table = Self::default();
         for team in teams {
-            let (place, _) = table.teams.insert_full(team.name.clone(), team.clone());
+            let (place, _) = table.teams.insert_full(team.name.clone(), Arc::new(team.clone()));
             for key in &team.keys {
                 table.places.entry(*key).or_insert(place);
             }
@@ -43,13 +45,13 @@
     }
 
     /// The team that holds the key.
-    pub fn holder(&self, key: &KeyDigest) -> Option<&TeamEntry> {
+    pub fn holder(&self, key: &KeyDigest) -> Option<&Arc<TeamEntry>> {
         let (_, team) = self.teams.get_index(*self.places.get(key)?)?;
         Some(team)
     }
 
     /// The team called `name`.
     pub fn team(&self, name: &TeamName) -> Option<&TeamEntry> {
-        self.teams.get(name)
+        self.teams.get(name).map(|team| &**team)
     }
 }
--- a/crates/coltsfootroute/tests/integration/quota/owners.rs
+++ b/crates/coltsfootroute/tests/integration/quota/owners.rs
@@ -2,14 +2,14 @@
 
 use std::net::{Ipv4Addr, SocketAddr};
 
-use coltsfootroute::{id::NodeId, name::TeamName, quota::ranked_owners};
+use coltsfootroute::{id::NodeId, name::TeamName, quota::first_owner};
 
 fn node(index: u8) -> NodeId {
     NodeId(SocketAddr::from((Ipv4Addr::new(10, 0, 0, index), 7620)))
 }
 
 fn owner(team: usize, nodes: &[NodeId]) -> NodeId {
-    ranked_owners(&TeamName::new(&format!("team-{team}")), nodes.iter().copied())[0]
+    first_owner(&TeamName::new(&format!("team-{team}")), nodes.iter().copied()).expect("a node")
 }
 
 #[test]
