--- a/crates/coltsfoot-node/src/config/config_book.rs
+++ b/crates/coltsfoot-node/src/config/config_book.rs
@@ -1,6 +1,6 @@
 //! What the configuration duty holds: the state, when it may be used, the recent history.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use coltsfootroute::{
     event::EventKind,
@@ -121,10 +121,12 @@
         Some(Arc::new(ConfigInForce::new(self.state.clone(), route_seed(self.node))))
     }
 
-    /// The event that tells of the revision last handed out.
-    pub fn in_force_event(&self) -> EventKind {
+    /// The event that tells of the revision last handed out, which came from the peer `from` or else from the store, and
+    /// waited here for `waited`.
+    pub fn in_force_event(&self, from: Option<NodeId>, waited: Duration) -> EventKind {
         let previous = (self.previous > Revision::ZERO).then_some(self.previous.0);
-        EventKind::RevisionInForce { revision: self.handed_out.0, previous }
+        let waited_ms = u64::try_from(waited.as_millis()).unwrap_or(u64::MAX);
+        EventKind::RevisionInForce { revision: self.handed_out.0, previous, from, waited_ms }
     }
 
     /// The recent history as this node saw it.
--- a/crates/coltsfoot-node/src/config/config_command.rs
+++ b/crates/coltsfoot-node/src/config/config_command.rs
@@ -1,8 +1,8 @@
 //! What the other duties ask of the configuration duty.
 
 use bytes::Bytes;
-use coltsfootroute::id::NodeId;
-use tokio::sync::oneshot;
+use coltsfootroute::{id::NodeId, revision::Revision};
+use tokio::{sync::oneshot, time::Instant};
 
 use super::{AcceptedConfig, SubmitRequest};
 use crate::http::HttpReply;
@@ -20,8 +20,15 @@
         /// The peer.
         peer: NodeId,
         /// Its revision.
-        revision: u64,
+        revision: Revision,
+        /// When it told so.
+        told: Instant,
     },
     /// Another system has accepted a configuration, or still has this one in force.
-    Accepted(Box<AcceptedConfig>),
+    Accepted {
+        /// The configuration.
+        accepted: Box<AcceptedConfig>,
+        /// When it was told.
+        told: Instant,
+    },
 }
--- a/crates/coltsfoot-node/src/config/config_handle.rs
+++ b/crates/coltsfoot-node/src/config/config_handle.rs
@@ -1,8 +1,12 @@
 //! The way to the configuration duty for the other threads.
 
 use bytes::Bytes;
+use coltsfootroute::{id::NodeId, revision::Revision};
 use http::StatusCode;
-use tokio::sync::{mpsc, oneshot};
+use tokio::{
+    sync::{mpsc, oneshot},
+    time::Instant,
+};
 
 use super::{AcceptedConfig, ConfigCommand, SubmitRequest};
 use crate::http::HttpReply;
@@ -35,14 +39,16 @@
     }
 
     /// Tells the duty that a peer is ahead. Dropped when the ring is full: the peer will say it again.
-    pub fn behind(&self, command: ConfigCommand) {
-        let _ = self.commands.try_send(command);
+    pub fn behind(&self, peer: NodeId, revision: Revision) {
+        let told = Instant::now();
+        let _ = self.commands.try_send(ConfigCommand::Behind { peer, revision, told });
     }
 
     /// Tells the duty of a configuration that another system has accepted; waits while the ring is full.
     pub async fn accept(&self, accepted: AcceptedConfig) {
+        let (accepted, told) = (Box::new(accepted), Instant::now());
         // A closed ring means that the process stops.
-        let _ = self.commands.send(ConfigCommand::Accepted(Box::new(accepted))).await;
+        let _ = self.commands.send(ConfigCommand::Accepted { accepted, told }).await;
     }
 
     async fn ask(
--- a/crates/coltsfoot-node/src/config/config_thread.rs
+++ b/crates/coltsfoot-node/src/config/config_thread.rs
@@ -136,8 +136,8 @@
                 // The asker may have gone away; nothing is owed to it then.
                 let _ = reply.send(config_replies::accepted_elsewhere());
             }
-            ConfigCommand::Accepted(accepted) => {
-                self.hear_accepted(&accepted.record, &accepted.document).await;
+            ConfigCommand::Accepted { accepted, told } => {
+                self.hear_accepted(&accepted.record, &accepted.document, told).await;
             }
             ConfigCommand::Submit(request, body, reply) => {
                 self.errands.push(Box::pin(self.desk().submit(request, body, reply)));
@@ -150,9 +150,9 @@
                 let recent = self.book.recent();
                 self.errands.push(Box::pin(self.desk().history(recent, reply)));
             }
-            ConfigCommand::Behind { peer, revision } => {
-                if Revision(revision) > self.book.held() {
-                    self.pull(peer).await;
+            ConfigCommand::Behind { peer, revision, told } => {
+                if revision > self.book.held() {
+                    self.pull(peer, told).await;
                 }
             }
         }
@@ -167,7 +167,7 @@
             return;
         }
         for peer in self.parts.peers.clone() {
-            self.pull(peer).await;
+            self.pull(peer, Instant::now()).await;
         }
     }
 
@@ -189,48 +189,55 @@
         };
         let newest = newest.as_ref().map(|row| (&row.record, &row.document));
         let revision = newest.map_or(self.book.held(), |(record, _)| record.revision);
-        self.hear_store(newest).await;
+        self.hear_store(newest, Instant::now()).await;
         self.parts.freshness.note_own(asked, revision);
     }
 
-    async fn hear_accepted(&mut self, record: &RevisionRecord, document: &SchemaDocument) {
-        if record.revision > self.book.held() {
-            self.hear_store(Some((record, document))).await;
-        } else {
-            self.hear_store(None).await;
-        }
+    async fn hear_accepted(
+        &mut self,
+        record: &RevisionRecord,
+        document: &SchemaDocument,
+        told: Instant,
+    ) {
+        let newer = (record.revision > self.book.held()).then_some((record, document));
+        self.hear_store(newer, told).await;
     }
 
-    async fn hear_store(&mut self, newest: Option<(&RevisionRecord, &SchemaDocument)>) {
+    async fn hear_store(
+        &mut self,
+        newest: Option<(&RevisionRecord, &SchemaDocument)>,
+        told: Instant,
+    ) {
         if let Err(fault) = self.book.hear_store(newest) {
             log::error!("event=configuration-refused source=store error={:?}", fault.to_string());
         }
-        self.put_in_force().await;
+        self.put_in_force(None, told).await;
     }
 
     fn desk(&self) -> SubmitDesk {
         SubmitDesk::new(self.parts.store.clone(), self.parts.events.clone())
     }
 
-    /// Puts in force what the book holds, if it is newer and may be used.
-    async fn put_in_force(&mut self) {
+    /// Puts in force what the book holds, if it is newer and may be used; it came from the peer `from` or else from the
+    /// store, and was told of at `told`.
+    async fn put_in_force(&mut self, from: Option<NodeId>, told: Instant) {
         let Some(config) = self.book.take_newer() else { return };
         let revision = config.revision();
         self.parts.cell.store(config.clone());
         self.parts.freshness.hold(Revision(revision));
-        self.parts.events.emit(self.book.in_force_event());
+        self.parts.events.emit(self.book.in_force_event(from, told.elapsed()));
         self.parts.dispatch.tell(DispatchCommand::Configure(config)).await;
         // A closed ring means that the process stops.
         let _ = self.parts.gossip.send(GossipCommand::SetRevision(revision)).await;
     }
 
     /// Asks a peer for what changed since the revision held; for all, if that does not fit.
-    async fn pull(&mut self, peer: NodeId) {
+    async fn pull(&mut self, peer: NodeId, told: Instant) {
         let held = self.book.held().0;
         if !self.pull_since(peer, held).await && held > 0 {
             self.pull_since(peer, 0).await;
         }
-        self.put_in_force().await;
+        self.put_in_force(Some(peer), told).await;
     }
 
     /// Whether there is nothing more to ask this peer.
@@ -275,7 +282,7 @@
                 // The next read of the head brings what was accepted.
                 log::warn!("event=configuration-refused source=own error={:?}", fault.to_string());
             }
-            self.put_in_force().await;
+            self.put_in_force(None, Instant::now()).await;
         }
         // The asker may have gone away; nothing is owed to it then.
         let _ = errand.reply.send(errand.answer);
--- a/crates/coltsfoot-node/src/dispatch/ingress/call_routing.rs
+++ b/crates/coltsfoot-node/src/dispatch/ingress/call_routing.rs
@@ -43,7 +43,9 @@
             let was_sent = progress.tried.len() > tried_before;
             self.learn_levels(&reply.levels);
             self.learn_reached(call, &reply.levels);
-            progress.note_reached(&reply);
+            if let Some(cause) = progress.note_reached(&reply) {
+                self.context.metrics.retries.repeated(cause);
+            }
             if was_sent {
                 progress.note_absent(&reply);
             }
--- a/crates/coltsfoot-node/src/dispatch/ingress/route_progress.rs
+++ b/crates/coltsfoot-node/src/dispatch/ingress/route_progress.rs
@@ -4,6 +4,7 @@
 use coltsfootroute::{
     id::NodeId,
     outcome::{CallOutcome, RefusalReason},
+    retry::RepeatCause,
 };
 
 /// How far the attempts of one call have come.
@@ -19,6 +20,8 @@
     pub(super) rejections: u32,
     /// Nodes whose upstream some attempt has reached or may have, if only to be rejected.
     pub(super) reached: Vec<NodeId>,
+    /// What came of the last attempt that reached an upstream, or may have; why there is a further one, if there is.
+    repeat_cause: Option<RepeatCause>,
     /// Nodes that would let no repeat pass for now.
     pub(super) denied: Vec<NodeId>,
     /// Nodes that have no upstream for the call, or stop: they say the same when they are asked again.
@@ -28,19 +31,17 @@
 }
 
 impl RouteProgress {
-    /// Takes note of how far the last attempt came.
-    pub(super) fn note_reached(&mut self, reply: &CallReply) {
+    /// Takes note of how far the last attempt came. Returns why it was made, if it has repeated another one.
+    pub(super) fn note_reached(&mut self, reply: &CallReply) -> Option<RepeatCause> {
         let may_have_run = reply.outcome == CallOutcome::Unknown;
         self.may_have_run |= may_have_run;
         self.rejections +=
             u32::from(reply.reached_upstream && reply.outcome == CallOutcome::NotRun);
-        let Some(node) = self.tried.last().filter(|_| reply.reached_upstream || may_have_run)
-        else {
-            return;
-        };
+        let node = self.tried.last().filter(|_| reply.reached_upstream || may_have_run)?;
         if !self.reached.contains(node) {
             self.reached.push(*node);
         }
+        self.repeat_cause.replace(repeat_cause(reply))
     }
 
     /// Takes note of a guard that has just been asked and has no upstream for the call.
@@ -108,6 +109,18 @@
     is_unsent && matches!(reply.reason(), Some(RefusalReason::NoUpstream | RefusalReason::Leaving))
 }
 
+fn repeat_cause(reply: &CallReply) -> RepeatCause {
+    if is_answer(reply) {
+        RepeatCause::Failed
+    } else if !reply.reached_upstream {
+        RepeatCause::Unanswered
+    } else if reply.outcome == CallOutcome::NotRun {
+        RepeatCause::Rejected
+    } else {
+        RepeatCause::Broken
+    }
+}
+
 fn is_answer(reply: &CallReply) -> bool {
     matches!(reply.body, ReplyBody::Answer { .. })
 }
--- a/crates/coltsfoot-node/src/gossip/gossip_thread.rs
+++ b/crates/coltsfoot-node/src/gossip/gossip_thread.rs
@@ -26,7 +26,7 @@
 use super::GossipCommand;
 use crate::{
     clock::MonotonicClock,
-    config::{ConfigCommand, ConfigHandle, FreshnessCell},
+    config::{ConfigHandle, FreshnessCell},
     dispatch::{DispatchCommand, DispatchHandle},
     journal::EventSender,
     metrics::{
@@ -236,7 +236,7 @@
                     changed.insert(service);
                 }
                 GossipEffect::RevisionBehind { peer, revision } => {
-                    self.config.behind(ConfigCommand::Behind { peer, revision });
+                    self.config.behind(peer, Revision(revision));
                 }
                 GossipEffect::QuarantineDiffers { peer } => {
                     self.dispatch.tell(DispatchCommand::PullQuarantine(peer)).await;
--- a/crates/coltsfoot-node/src/metrics/metric_label.rs
+++ b/crates/coltsfoot-node/src/metrics/metric_label.rs
@@ -6,6 +6,7 @@
     event::{ClaimOutcome, DenialReason},
     importance::Importance,
     outcome::CallOutcome,
+    retry::RepeatCause,
     table::StoreUse,
 };
 
@@ -54,7 +55,7 @@
     };
 }
 
-library_label!(ClaimOutcome, DenialReason, Importance, StoreUse);
+library_label!(ClaimOutcome, DenialReason, Importance, RepeatCause, StoreUse);
 
 impl MetricLabel for CallOutcome {
     const ALL: &'static [Self] = &[Self::Completed, Self::NotRun, Self::Unknown];
--- a/crates/coltsfoot-node/src/metrics/retry_metrics.rs
+++ b/crates/coltsfoot-node/src/metrics/retry_metrics.rs
@@ -1,6 +1,6 @@
 //! Metrics of retries.
 
-use coltsfootroute::event::DenialReason;
+use coltsfootroute::{event::DenialReason, retry::RepeatCause};
 use prometheus::{IntCounter, IntGauge};
 
 use super::{MetricsError, counter_family::CounterFamily, metric_registry::MetricRegistry};
@@ -9,6 +9,7 @@
 pub struct RetryMetrics {
     granted: IntCounter,
     denied: CounterFamily<DenialReason>,
+    repeats: CounterFamily<RepeatCause>,
     /// Written by one thread only, the holder of the accounts.
     request_max: IntGauge,
 }
@@ -26,6 +27,12 @@
                 "Retries denied",
                 "reason",
             )?,
+            repeats: CounterFamily::new(
+                registry,
+                "coltsfoot_repeats_total",
+                "Attempts that reached a further upstream of the same service, by what came of the one before",
+                "cause",
+            )?,
             request_max: registry.gauge(
                 "coltsfoot_request_retries_max",
                 "Most retries that any one client request of this node has taken",
@@ -40,6 +47,11 @@
         self.request_max.set(most);
     }
 
+    /// A call reached a further upstream of the same service.
+    pub fn repeated(&self, cause: RepeatCause) {
+        self.repeats.increment(cause);
+    }
+
     /// A retry was denied.
     pub fn denied(&self, reason: DenialReason) {
         self.denied.increment(reason);
--- a/crates/coltsfootroute/src/event/event_kind.rs
+++ b/crates/coltsfootroute/src/event/event_kind.rs
@@ -317,6 +317,10 @@
         revision: u64,
         /// The revision in force before, if any.
         previous: Option<u64>,
+        /// The peer that it came from; absent: the store.
+        from: Option<NodeId>,
+        /// Time from when the configuration duty was told of it until it was in force.
+        waited_ms: u64,
     }
     /// A member was found up.
     MemberUp("member-up", Info) {
--- a/crates/coltsfootroute/tests/integration/event.rs
+++ b/crates/coltsfootroute/tests/integration/event.rs
@@ -42,6 +42,10 @@
     }
 }
 
+fn in_force(revision: u64) -> EventKind {
+    EventKind::RevisionInForce { revision, previous: None, from: None, waited_ms: 3 }
+}
+
 fn store_down(error: &str) -> EventKind {
     EventKind::StoreDown { error: error.to_owned() }
 }
@@ -179,7 +183,7 @@
 fn other_fields_are_read_back() {
     let kinds = [
         EventKind::MemberUp { member: NodeId(address(1)), incarnation: Incarnation(9) },
-        EventKind::RevisionInForce { revision: 2, previous: None },
+        in_force(2),
         EventKind::UpstreamLeft { service: ServiceName::new("a"), upstream: address(2) },
     ];
 
@@ -201,10 +205,9 @@
 
 #[test]
 fn an_absent_value_is_left_out() {
-    let line =
-        record(0, EventKind::RevisionInForce { revision: 1, previous: None }).to_key_values();
+    let line = record(0, in_force(1)).to_key_values();
 
-    assert!(line.starts_with("event=revision-in-force revision=1 node="), "{line}");
+    assert!(line.starts_with("event=revision-in-force revision=1 waited_ms=3 node="), "{line}");
 }
 
 #[test]
