A question to a peer that does not answer holds up neither the store's word nor other peers

What callers may see: a change that the store has told of in time is in force up to a second later for each peer that told of it before and has died or been cut off since; several add up against the two seconds of the bound.

Cause: the configuration duty carried out one command at a time, a question to a peer within it (up to a second), and gossip passed a second peer over that told of the same revision within half a second.

Change: questions to peers are open beside the duty's loop, three at once at most; the next peer that knows is asked when those asked have not answered for 200 ms (PullPlan, in the library); a question that times out closes its connection.

--- a/crates/coltsfoot-node/src/config.rs
+++ b/crates/coltsfoot-node/src/config.rs
@@ -8,6 +8,7 @@
 mod config_handle;
 mod config_in_force;
 mod config_origin;
+mod config_pulls;
 mod config_replies;
 mod config_thread;
 mod freshness_cell;
--- a/crates/coltsfoot-node/src/config/config_command.rs
+++ b/crates/coltsfoot-node/src/config/config_command.rs
@@ -21,8 +21,6 @@
         peer: NodeId,
         /// Its revision.
         revision: Revision,
-        /// When it told so.
-        told: Instant,
     },
     /// Another system has accepted a configuration, or still has this one in force.
     Accepted {
--- a/crates/coltsfoot-node/src/config/config_handle.rs
+++ b/crates/coltsfoot-node/src/config/config_handle.rs
@@ -40,8 +40,7 @@
 
     /// Tells the duty that a peer is ahead. Dropped when the ring is full: the peer will say it again.
     pub fn behind(&self, peer: NodeId, revision: Revision) {
-        let told = Instant::now();
-        let _ = self.commands.try_send(ConfigCommand::Behind { peer, revision, told });
+        let _ = self.commands.try_send(ConfigCommand::Behind { peer, revision });
     }
 
     /// Tells the duty of a configuration that another system has accepted; waits while the ring is full.
--- a/crates/coltsfoot-node/src/config/config_thread.rs
+++ b/crates/coltsfoot-node/src/config/config_thread.rs
@@ -10,13 +10,14 @@
 use futures_util::{StreamExt, stream::FuturesUnordered};
 use tokio::{
     runtime,
-    sync::{mpsc, oneshot},
+    sync::mpsc,
     time::{Instant, interval, sleep_until},
 };
 
 use super::{
     ConfigCell, ConfigCommand, ConfigHandle, ConfigOrigin, FreshnessCell,
     config_book::ConfigBook,
+    config_pulls::{ConfigPulls, FinishedPull},
     config_replies,
     submit_desk::{FinishedErrand, SubmitDesk},
 };
@@ -71,6 +72,7 @@
 pub struct ConfigThread {
     parts: ConfigParts,
     book: ConfigBook,
+    pulls: ConfigPulls,
     /// Waits on the store that must not hold up what comes from peers.
     errands: FuturesUnordered<Pin<Box<dyn Future<Output = FinishedErrand> + Send>>>,
 }
@@ -90,7 +92,8 @@
     pub fn start(parts: ConfigParts, commands: mpsc::Receiver<ConfigCommand>) -> io::Result<()> {
         let runtime = runtime::Builder::new_current_thread().enable_all().build()?;
         let book = ConfigBook::new(parts.node, &parts.peers, parts.origin);
-        let duty = Self { parts, book, errands: FuturesUnordered::new() };
+        let pulls = ConfigPulls::new(parts.dispatch.clone(), parts.clock);
+        let duty = Self { parts, book, pulls, errands: FuturesUnordered::new() };
         thread::Builder::new()
             .name("config".to_owned())
             .spawn(move || runtime.block_on(duty.run(commands)))?;
@@ -102,6 +105,7 @@
         let mut meter = DutyMeter::new(self.parts.metrics.clone(), NodeDuty::Config);
         let mut reports = interval(DutyMeter::IDLE_PERIOD);
         loop {
+            self.pulls.ask_due(self.book.held());
             tokio::select! {
                 command = commands.recv() => match command {
                     Some(command) => self.obey(command).await,
@@ -110,6 +114,9 @@
                 Some(errand) = self.errands.next(), if !self.errands.is_empty() => {
                     self.settle(errand).await;
                 }
+                pull = self.pulls.next() => if let Some(pull) = pull {
+                    self.settle_pull(pull).await;
+                },
                 _ = reports.tick() => meter.report(),
                 () = sleep_until(next_read) => {
                     self.learn().await;
@@ -150,11 +157,7 @@
                 let recent = self.book.recent();
                 self.errands.push(Box::pin(self.desk().history(recent, reply)));
             }
-            ConfigCommand::Behind { peer, revision, told } => {
-                if revision > self.book.held() {
-                    self.pull(peer, told).await;
-                }
-            }
+            ConfigCommand::Behind { peer, revision } => self.pulls.hear(peer, revision),
         }
     }
 
@@ -166,8 +169,8 @@
         if self.parts.cell.load().is_some() {
             return;
         }
-        for peer in self.parts.peers.clone() {
-            self.pull(peer, Instant::now()).await;
+        for peer in &self.parts.peers {
+            self.pulls.ask(*peer, self.book.held(), Instant::now());
         }
     }
 
@@ -231,28 +234,19 @@
         let _ = self.parts.gossip.send(GossipCommand::SetRevision(revision)).await;
     }
 
-    /// Asks a peer for what changed since the revision held; for all, if that does not fit.
-    async fn pull(&mut self, peer: NodeId, told: Instant) {
-        let held = self.book.held().0;
-        if !self.pull_since(peer, held).await && held > 0 {
-            self.pull_since(peer, 0).await;
+    /// Takes in what a peer sent. Where it does not fit what is held, the peer is asked for all.
+    async fn settle_pull(&mut self, pull: FinishedPull) {
+        let FinishedPull { peer, since, told, encoded } = pull;
+        let Some(encoded) = encoded else {
+            self.book.give_up(peer);
+            return self.put_in_force(None, told).await;
+        };
+        if !self.take_delta(peer, &encoded) && since > Revision::ZERO {
+            self.pulls.ask(peer, Revision::ZERO, told);
         }
         self.put_in_force(Some(peer), told).await;
     }
 
-    /// Whether there is nothing more to ask this peer.
-    async fn pull_since(&mut self, peer: NodeId, since: u64) -> bool {
-        let (reply, receiver) = oneshot::channel();
-        self.parts.dispatch.tell(DispatchCommand::PullConfig { peer, since, reply }).await;
-        match receiver.await {
-            Ok(Some(encoded)) => self.take_delta(peer, &encoded),
-            Ok(None) | Err(_) => {
-                self.book.give_up(peer);
-                true
-            }
-        }
-    }
-
     /// Whether the delta was taken in, or there was none.
     fn take_delta(&mut self, peer: NodeId, encoded: &[u8]) -> bool {
         let delta = match encoded.is_empty() {
--- a/crates/coltsfoot-node/tests/integration/main.rs
+++ b/crates/coltsfoot-node/tests/integration/main.rs
@@ -2,6 +2,7 @@
 
 mod args;
 mod clock;
+mod config_duty;
 mod events;
 mod introduction;
 mod journal;
--- a/crates/coltsfootroute/src/membership/gossip_engine.rs
+++ b/crates/coltsfootroute/src/membership/gossip_engine.rs
@@ -66,7 +66,8 @@
     counters: GossipCounters,
     outbox: VecDeque<(NodeId, GossipMessage)>,
     revision: u64,
-    behind_noted: Option<(u64, MonotonicTime)>,
+    /// Who was last reported to be ahead, with its revision.
+    behind_noted: Option<(NodeId, u64, MonotonicTime)>,
     /// Digest of the requests that this node holds back.
     quarantine: u64,
     /// When a peer with another digest may be told of again.
--- a/crates/coltsfootroute/src/membership/gossip_engine/joining.rs
+++ b/crates/coltsfootroute/src/membership/gossip_engine/joining.rs
@@ -87,11 +87,11 @@
         if revision <= self.revision {
             return;
         }
-        let noted = self
-            .behind_noted
-            .is_some_and(|(noted, at)| noted >= revision && now.since(at) < BEHIND_INTERVAL);
+        let noted = self.behind_noted.is_some_and(|(noted_peer, noted, at)| {
+            noted_peer == peer && noted >= revision && now.since(at) < BEHIND_INTERVAL
+        });
         if !noted {
-            self.behind_noted = Some((revision, now));
+            self.behind_noted = Some((peer, revision, now));
             self.effects.push(GossipEffect::RevisionBehind { peer, revision });
         }
     }
