Repeats of a service keep to their bound while its guards come and go

What callers and upstreams may see: more repeats at a service than a fifth of its requests and some that are free, where guards die, start again or are cut off while its upstreams reject much.

Cause: each guard bounds repeats by its own calls of the last ten seconds or of the ten before, whichever are more. For one guard that is the promise. Where calls move from one guard to another the larger window of each adds up to nearly both windows of the service. Class: a bound for the whole kept as a sum of local maxima.

Ruled out by the model: waits between the grant of a repeat and its arrival (up to 4 s) alone, with guards that stay.

Change: where a guard of the service has come, gone or begun anew within the last two windows, the mean of both windows earns in place of the larger one. The mean adds up over guards and over their lives. Guards that start together with the whole deployment had no calls before and are not counted. Half of the ratio: costs as much in calm times, not built. Counts told by gossip: bytes for what happens seldom, not built.

--- a/crates/coltsfoot-node/src/dispatch/dispatch_duty.rs
+++ b/crates/coltsfoot-node/src/dispatch/dispatch_duty.rs
@@ -66,6 +66,7 @@
             dialect: parts.dialect,
             shed_policy: parts.shed_policy,
             throttle: parts.throttle,
+            first_start: parts.first_start,
             body_limit: parts.body_limit,
             queue: parts.queue,
             drain: parts.drain,
--- a/crates/coltsfoot-node/src/dispatch/dispatch_thread.rs
+++ b/crates/coltsfoot-node/src/dispatch/dispatch_thread.rs
@@ -131,6 +131,7 @@
             DispatchCommand::Members(service, members) => {
                 self.quarantine.note_members(&service, &members);
                 self.owner.note_members(&service, &members);
+                self.guard.note_members(&service, &members);
                 self.ingress.update_members(&service, &members)
             }
             DispatchCommand::PullConfig { peer, since, reply } => {
--- a/crates/coltsfoot-node/src/dispatch/guard/call_guard.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard/call_guard.rs
@@ -14,7 +14,7 @@
     once::ClaimHolder,
     outcome::{CallOutcome, RefusalReason},
     quarantine::AnsweredRequests,
-    retry::{ServiceThrottle, ThrottleSettings},
+    retry::{GuardRoster, ServiceThrottle, ThrottleSettings},
 };
 use rand::RngExt;
 use tokio::sync::Notify;
@@ -44,6 +44,8 @@
     pub body_limit: usize,
     /// Most calls waiting in front of the upstream.
     pub queue: u32,
+    /// Whether all nodes of the deployment start with this one.
+    pub first_start: bool,
     /// How a planned stop goes.
     pub drain: DrainSettings,
     /// How long a node that is to stop serves on as before, while clients hear that they should not come.
@@ -75,6 +77,8 @@
     pub(super) answered: RefCell<AnsweredRequests>,
     /// Bounds the repeats that reach the upstream.
     pub(super) throttle: RefCell<ServiceThrottle>,
+    /// The guards of the same service.
+    pub(super) roster: RefCell<GuardRoster>,
     pub(super) upstream_client: UpstreamClient,
     /// Whether a planned stop has been asked for.
     pub(super) is_closing: Cell<bool>,
@@ -113,6 +117,7 @@
             service_changed: Notify::new(),
             cut_calls: RefCell::default(),
             throttle: RefCell::new(ServiceThrottle::new(context.now(), parts.throttle)),
+            roster: RefCell::new(GuardRoster::new(parts.first_start)),
             upstream_client: UpstreamClient::new(context.clock, parts.body_limit, parts.dialect),
             is_closing: Cell::new(false),
             closing_time: parts.closing_time,
--- a/crates/coltsfoot-node/src/dispatch/guard/guarded_call.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard/guarded_call.rs
@@ -7,6 +7,8 @@
     admission::{AdmissionDecision, WaitingCall},
     event::EventKind,
     importance::Importance,
+    membership::MemberRecord,
+    name::ServiceName,
     outcome::{CallOutcome, RefusalReason},
     time::MonotonicTime,
 };
@@ -103,6 +105,17 @@
         self.throttle.borrow_mut().try_retry(self.context.now(), call.importance)
     }
 
+    /// The members of a service: those of the own one bound its repeats as this guard does.
+    pub fn note_members(&self, service: &ServiceName, members: &[MemberRecord]) {
+        let upstream = self.state.upstream.borrow();
+        let is_own =
+            upstream.as_ref().is_some_and(|upstream| upstream.announcement.service == *service);
+        let now = self.context.now();
+        if is_own && self.roster.borrow_mut().take_members(now, members) {
+            self.throttle.borrow_mut().note_guard_change(now);
+        }
+    }
+
     /// Counts a first attempt that is admitted, which earns a share of a repeat. One that a full guard refuses is asked
     /// of others, and must not earn at each. Below work that is run again it is a repeat as well.
     fn count_first_attempt(&self, call: &CallRequest) {
--- a/crates/coltsfootroute/src/retry/retry_window.rs
+++ b/crates/coltsfootroute/src/retry/retry_window.rs
@@ -1,5 +1,7 @@
 //! Bound on retries by the calls of a sliding window.
 
+use std::time::Duration;
+
 use super::{
     ThrottleSettings,
     recent_calls::{RecentCalls, WHOLE},
@@ -14,10 +16,12 @@
 /// Grants retries as long as those of the last seconds are fewer than the calls of a window earn, the more important first.
 ///
 /// The window is the last one or the one before it, whichever had more calls: where a service fails, work above it
-/// ends early and makes fewer calls, just when repeats are needed.
+/// ends early and makes fewer calls, just when repeats are needed. Where guards of the service have come or gone of late
+/// it is the mean of both: calls have moved from one to another, and the larger window of each would add up to nearly
+/// both windows of the service.
 ///
 /// Invariant: in any span as long as the window at most what its calls or those of the window before it earn is
-/// granted, or the burst where that is more.
+/// granted, or the burst where that is more; that holds for the sum over all guards of the service, too.
 #[derive(Clone, Debug)]
 pub(super) struct RetryWindow {
     settings: ThrottleSettings,
@@ -26,6 +30,8 @@
     /// Retries granted, and repeats that could not be helped.
     spent: RecentCalls,
     demand: RetryDemand,
+    /// When a guard of the service last came, went or began anew.
+    guard_change: Option<MonotonicTime>,
 }
 
 impl RetryWindow {
@@ -34,7 +40,12 @@
         let calls = RecentCalls::new(settings.saving_seconds * 2);
         let spent = RecentCalls::new(settings.saving_seconds + MARGIN_SECONDS);
         let demand = RetryDemand::new(settings.saving_seconds);
-        Self { settings, calls, spent, demand }
+        Self { settings, calls, spent, demand, guard_change: None }
+    }
+
+    /// Another guard of the service has come, gone or begun anew.
+    pub fn note_guard_change(&mut self, now: MonotonicTime) {
+        self.guard_change = Some(now);
     }
 
     /// Counts a first attempt into the service.
@@ -70,7 +81,15 @@
     fn earned(&mut self, now: MonotonicTime) -> u64 {
         let newest = self.calls.newest(now, self.settings.saving_seconds);
         let before = self.calls.total(now) - newest;
-        let earned = newest.max(before).saturating_mul(self.settings.per_call_thousandths);
+        let moved = self.have_calls_moved(now);
+        let earning = if moved { (newest + before) / 2 } else { newest.max(before) };
+        let earned = earning.saturating_mul(self.settings.per_call_thousandths);
         earned.max(self.settings.burst.saturating_mul(WHOLE))
     }
+
+    /// Whether calls of the last two windows may have moved from one guard to another.
+    fn have_calls_moved(&self, now: MonotonicTime) -> bool {
+        let windows = Duration::from_secs(self.settings.saving_seconds * 2);
+        self.guard_change.is_some_and(|change| now < change + windows)
+    }
 }
--- a/crates/coltsfootroute/src/retry/service_throttle.rs
+++ b/crates/coltsfootroute/src/retry/service_throttle.rs
@@ -28,6 +28,14 @@
         Self { bound }
     }
 
+    /// Another guard of the service, with a throttle of its own, has come, gone or begun anew.
+    pub fn note_guard_change(&mut self, now: MonotonicTime) {
+        match &mut self.bound {
+            RetryBound::Bucket(_) => {}
+            RetryBound::Window(window) => window.note_guard_change(now),
+        }
+    }
+
     /// Counts a first attempt.
     pub fn call(&mut self, now: MonotonicTime) {
         match &mut self.bound {
