What was accepted is read from the store by someone every other second, whoever had it accepted

What callers may see: a change that the operator was told is accepted is in force nowhere for up to ten minutes, if the node that had it accepted is gone before it has told another (the product's own configurations; on the users' platform nodes follow the store).

Cause: the same as that of the late changes, found by looking for it elsewhere: a read every 600 s at each node was the only other way to hear. Its length followed its price.

Change: a node reads after two seconds times the nodes it knows, jittered, 600 s at most: one read a second or two of all nodes together until 300 nodes are known, whatever the fleet's size beyond.

Test: two duties on one table that no gossip connects. With 600 s put in by hand it fails (30 s without the revision); after: passes in 2.7 s. Reads of a fleet of 18,000 nodes: each node knows some 200, 400 s and so 45 to 90 reads a second of 1,000.

--- a/crates/coltsfoot-node/src/config/config_thread.rs
+++ b/crates/coltsfoot-node/src/config/config_thread.rs
@@ -3,6 +3,7 @@
 use std::{io, pin::Pin, sync::Arc, thread, time::Duration};
 
 use coltsfootroute::{
+    freshness::draw_head_pause,
     id::NodeId,
     revision::{ConfigDelta, HeadReader, ReaderStep, Revision, RevisionRecord},
     schema::SchemaDocument,
@@ -34,9 +35,6 @@
 const COMMAND_RING: usize = 64;
 /// Pause between attempts to learn the first configuration.
 const FIRST_READ_PERIOD: Duration = Duration::from_secs(1);
-/// Pause between reads of the head once a configuration is in force: gossip is what spreads revisions.
-const HEAD_READ_PERIOD: Duration = Duration::from_secs(600);
-
 /// Where keys are to be revoked within a bound, the head is read so many times within it.
 const READS_IN_BOUND: u32 = 4;
 
@@ -126,14 +124,13 @@
         }
     }
 
+    /// Pause until the newest revision is read again.
     fn pause(&self) -> Duration {
-        match self.parts.cell.load() {
-            Some(config) if !config.teams().is_empty() => {
-                let bound = self.parts.revoke_within.map(|bound| bound / READS_IN_BOUND);
-                bound.unwrap_or(HEAD_READ_PERIOD).min(HEAD_READ_PERIOD)
-            }
-            Some(_) => HEAD_READ_PERIOD,
-            None => FIRST_READ_PERIOD,
+        let Some(config) = self.parts.cell.load() else { return FIRST_READ_PERIOD };
+        let pause = draw_head_pause(self.parts.freshness.nodes(), &mut rand::rng());
+        match self.parts.revoke_within {
+            Some(bound) if !config.teams().is_empty() => pause.min(bound / READS_IN_BOUND),
+            _ => pause,
         }
     }
 
--- a/crates/coltsfoot-node/tests/integration/config_duty.rs
+++ b/crates/coltsfoot-node/tests/integration/config_duty.rs
@@ -6,7 +6,7 @@
     clock::MonotonicClock,
     config::{
         AcceptedConfig, ConfigCell, ConfigHandle, ConfigOrigin, ConfigParts, ConfigThread,
-        FreshnessCell,
+        FreshnessCell, SubmitRequest,
     },
     dispatch::{DispatchCommand, DispatchHandle},
     gossip::GossipCommand,
@@ -17,7 +17,10 @@
     time::{sleep, timeout},
 };
 
-use crate::util::store_fixture::{LONG, StoreFixture, event_log};
+use crate::util::{
+    solo_node::SCHEMA,
+    store_fixture::{LONG, StoreFixture, event_log},
+};
 
 const RING: usize = 16;
 const POLL: Duration = Duration::from_millis(10);
@@ -28,7 +31,6 @@
     cell: ConfigCell,
     dispatch: mpsc::Receiver<DispatchCommand>,
     _gossip: mpsc::Receiver<GossipCommand>,
-    _store: StoreFixture,
 }
 
 /// A question to a peer, which stays open until it is answered or dropped.
@@ -38,16 +40,23 @@
 }
 
 impl DutyFixture {
-    /// A duty that has revision 1 in force.
+    /// A duty that has revision 1 in force, which another system has accepted.
     async fn new() -> Self {
-        let store = StoreFixture::new();
+        let fixture = Self::start(&StoreFixture::new(), ConfigOrigin::Outside);
+        fixture.handle.accept(accepted(1)).await;
+        fixture.await_revision(1).await;
+        fixture
+    }
+
+    /// A duty on the table service of `store`, which no gossip connects with others.
+    fn start(store: &StoreFixture, origin: ConfigOrigin) -> Self {
         let (handle, commands) = ConfigThread::ring();
         let (dispatch_ring, dispatch) = mpsc::channel(RING);
         let (gossip_ring, gossip) = mpsc::channel(RING);
         let (events, _) = event_log(&store.metrics);
         let cell = ConfigCell::default();
         let parts = ConfigParts {
-            origin: ConfigOrigin::Outside,
+            origin,
             node: peer(1),
             peers: Vec::new(),
             cell: cell.clone(),
@@ -61,10 +70,7 @@
             metrics: store.metrics.clone(),
         };
         ConfigThread::start(parts, commands).expect("thread");
-        let fixture = Self { handle, cell, dispatch, _gossip: gossip, _store: store };
-        fixture.handle.accept(accepted(1)).await;
-        fixture.await_revision(1).await;
-        fixture
+        Self { handle, cell, dispatch, _gossip: gossip }
     }
 
     async fn await_revision(&self, revision: u64) {
@@ -96,6 +102,18 @@
     NodeId(([127, 0, 0, 1], port).into())
 }
 
+/// Has a schema accepted in place of the revision `expected`, and waits until it is in force at that duty.
+async fn submit(duty: &DutyFixture, expected: u64) {
+    let request = SubmitRequest {
+        expected,
+        key: format!("after-{expected}"),
+        operator: OperatorName::new("amina"),
+    };
+    let schema = SCHEMA.replace("slots: 4", &format!("slots: {}", 5 + expected));
+    duty.handle.submit(request, schema.into()).await;
+    duty.await_revision(expected + 1).await;
+}
+
 fn accepted(revision: u64) -> AcceptedConfig {
     let document = SchemaDocument {
         deployment: format!("revision {revision}"),
@@ -118,6 +136,20 @@
     assert_eq!(open.peer, peer(2));
 }
 
+/// Guards against a change that nobody hears of since the node that had it accepted is gone before it has told others.
+#[tokio::test]
+async fn what_was_accepted_elsewhere_is_in_force_though_nobody_tells_of_it() {
+    let store = StoreFixture::new();
+    let accepter = DutyFixture::start(&store, ConfigOrigin::Submitted);
+    let other = DutyFixture::start(&store, ConfigOrigin::Submitted);
+    submit(&accepter, 0).await;
+    other.await_revision(1).await;
+
+    submit(&accepter, 1).await;
+
+    other.await_revision(2).await;
+}
+
 /// Guards against a second peer that knows being passed over since the first one, which has died, told it before.
 #[tokio::test]
 async fn another_peer_is_asked_while_the_first_does_not_answer() {
--- a/crates/coltsfootroute/src/freshness.rs
+++ b/crates/coltsfootroute/src/freshness.rs
@@ -12,6 +12,7 @@
 mod config_freshness;
 mod feed_hold;
 mod feed_watch;
+mod head_pace;
 mod revision_proof;
 mod store_clock;
 mod store_time;
@@ -19,6 +20,7 @@
 pub use config_freshness::ConfigFreshness;
 pub use feed_hold::FeedHold;
 pub use feed_watch::FeedWatch;
+pub use head_pace::draw_head_pause;
 pub use revision_proof::RevisionProof;
 pub use store_clock::StoreClock;
 pub use store_time::StoreTime;
--- a/crates/coltsfootroute/tests/integration/freshness.rs
+++ b/crates/coltsfootroute/tests/integration/freshness.rs
@@ -1,6 +1,7 @@
 //! Proof that a configuration is the newest: what it proves, to whom, and for how long.
 
 mod config_world;
+mod head_pace;
 mod silence;
 
 use std::time::Duration;
