--- a/crates/coltsfoot-node/src/config/config_pulls.rs
+++ b/crates/coltsfoot-node/src/config/config_pulls.rs
@@ -22,7 +22,7 @@
     pub(super) peer: NodeId,
     /// The revision since which the peer was asked for changes.
     pub(super) since: Revision,
-    /// When the peer told of a higher revision.
+    /// When the peer was asked first; asked again for all, the time stays.
     pub(super) told: Instant,
     /// What it sent, encoded; `None`: it did not answer.
     pub(super) encoded: Option<Vec<u8>>,
--- a/crates/coltsfootroute/src/event/event_kind.rs
+++ b/crates/coltsfootroute/src/event/event_kind.rs
@@ -319,7 +319,7 @@
         previous: Option<u64>,
         /// The peer that it came from; absent: the store.
         from: Option<NodeId>,
-        /// Time from when the configuration duty was told of it until it was in force.
+        /// Time until it was in force, from when the store told the configuration duty of it or the peer was asked.
         waited_ms: u64,
     }
     /// A member was found up.
