A request and its connection advance in one task: no client of the tests waits for ever

No caller of a node was harmed: the request was lost in the client that the soak, the stand-ins' upstreams and the load program share.

Cause: hyper-util gives each connection a task of its own. On a runtime of several threads one thread hands a request to the connection through a channel (it counts the message, then pushes it) while another ends the connection and drains the channel in between. The message then lies in a channel that nobody reads, and is freed with the sender, which the waiting request itself keeps.

Change: the stand-ins' client keeps the connection beside the sender and drives both in the task of the request, by hyper's own client connection in place of hyper-util's pool.

Product crates may not build runtimes of several threads (clippy).

--- a/crates/coltsfoot-node/tests/integration/util/caller.rs
+++ b/crates/coltsfoot-node/tests/integration/util/caller.rs
@@ -4,10 +4,10 @@
 
 use bytes::Bytes;
 use coltsfoot_standin::{
-    body_digest::body_digest, call_answer::CallAnswer, http_client::new_http_client,
+    body_digest::body_digest, call_answer::CallAnswer, http_client::HttpClient,
 };
 use http::{Method, Request};
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use tokio::time::timeout;
 
 use super::store_fixture::LONG;
@@ -118,13 +118,12 @@
     }
     let request = builder.body(Full::new(body.into())).expect("a request");
     let exchange = async {
-        let response = new_http_client(0).request(request).await;
+        let response = HttpClient::new(0).request(request).await;
         let response =
             response.map_err(|err| if err.is_connect() { "refused" } else { "broken" })?;
         let (head, body) = response.into_parts();
         let outcome = head.headers.get("coltsfoot-outcome").and_then(|value| value.to_str().ok());
         let outcome = outcome.unwrap_or("no-outcome").to_owned();
-        let body = body.collect().await.map_err(|_| "broken")?.to_bytes();
         Ok(Reply { status: head.status.as_u16(), outcome, body })
     };
     timeout(LONG, exchange).await.unwrap_or(Err("no answer"))
--- a/crates/coltsfoot-node/tests/integration/util/world.rs
+++ b/crates/coltsfoot-node/tests/integration/util/world.rs
@@ -41,6 +41,7 @@
 
 impl World {
     pub fn new() -> Self {
+        #[expect(clippy::disallowed_methods, reason = "drives callers, no client of the node")]
         let runtime = tokio::runtime::Builder::new_multi_thread()
             .worker_threads(2)
             .enable_all()
--- a/crates/coltsfoot-standin/src/lib.rs
+++ b/crates/coltsfoot-standin/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod arguments;
 pub mod body_digest;
 pub mod call_answer;
+pub mod dropping_listener;
 pub mod http_client;
 pub mod load;
 pub mod loopback;
--- a/crates/coltsfoot-standin/src/load/load_client.rs
+++ b/crates/coltsfoot-standin/src/load/load_client.rs
@@ -8,11 +8,13 @@
     outcome::{CallOutcome, RefusalReason},
 };
 use http::{HeaderMap, Request, Response, header::CONTENT_LENGTH};
-use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
-use hyper_util::client::legacy::Error;
+use http_body_util::Full;
 
-use crate::{body_digest::body_digest, call_answer::CallAnswer, http_client::HttpClient};
+use crate::{
+    body_digest::body_digest,
+    call_answer::CallAnswer,
+    http_client::{HttpClient, HttpError},
+};
 
 use super::attempt_result::AttemptResult;
 
@@ -51,35 +53,27 @@
     }
     let body = Full::new(attempt.body.clone());
     let request = builder.body(body).map_err(|_| SendError::Unreachable)?;
-    let response = client.request(request).await.map_err(|error| classify(&error))?;
-    read_response(response, attempt).await.ok_or(SendError::Interrupted)
+    let response = client.request(request).await?;
+    Ok(read_response(response, attempt))
 }
 
-fn classify(error: &Error) -> SendError {
-    if error.is_connect() {
-        return SendError::Unreachable;
-    }
-    let source = std::error::Error::source(error);
-    let cause = source.and_then(|source| source.downcast_ref::<hyper::Error>());
-    match cause {
-        // `hyper` cancels only what it has not begun to write.
-        Some(cause) if cause.is_canceled() => SendError::Unsent,
-        _ => SendError::Interrupted,
+impl From<HttpError> for SendError {
+    fn from(error: HttpError) -> Self {
+        match error {
+            HttpError::Address | HttpError::Connect(_) => Self::Unreachable,
+            HttpError::Unsent(_) => Self::Unsent,
+            HttpError::Broken(_) => Self::Interrupted,
+        }
     }
 }
 
-/// `None` where the connection ended before the whole answer was there.
-async fn read_response(
-    response: Response<Incoming>,
-    attempt: &AttemptRequest<'_>,
-) -> Option<AttemptResult> {
-    let (head, body) = response.into_parts();
-    let answer = body.collect().await.ok()?.to_bytes();
+fn read_response(response: Response<Bytes>, attempt: &AttemptRequest<'_>) -> AttemptResult {
+    let (head, answer) = response.into_parts();
     let outcome = text(&head.headers, OUTCOME_HEADER).and_then(|text| text.parse().ok());
     let retry_after = text(&head.headers, RETRY_AFTER_HEADER)
         .and_then(|digits| digits.parse().ok())
         .map(Duration::from_secs);
-    Some(match outcome {
+    match outcome {
         Some(CallOutcome::Completed) if head.status.is_success() => {
             check_answer(&head.headers, &answer, attempt)
         }
@@ -89,7 +83,7 @@
         }
         // A failure that calls itself completed tells as little as one without an outcome.
         Some(CallOutcome::Completed) | None => AttemptResult::WithoutOutcome,
-    })
+    }
 }
 
 /// The part of a refusal's body that is read.
--- a/crates/coltsfoot-standin/src/load/load_runner.rs
+++ b/crates/coltsfoot-standin/src/load/load_runner.rs
@@ -17,7 +17,7 @@
     time::{Instant, sleep, sleep_until},
 };
 
-use crate::http_client::{HttpClient, new_http_client};
+use crate::http_client::HttpClient;
 
 use super::{
     ArrivalSchedule, DueRequest, IntervalRecord, LoadReport, LoadSettings, OfferedOperation,
@@ -202,7 +202,7 @@
 }
 
 fn new_client() -> HttpClient {
-    new_http_client(MAX_IDLE_CONNECTIONS)
+    HttpClient::new(MAX_IDLE_CONNECTIONS)
 }
 
 async fn wait_for_probe(probe: Option<JoinHandle<ProbeReport>>) -> Option<ProbeReport> {
--- a/crates/coltsfoot-standin/src/upstream/nested_calls.rs
+++ b/crates/coltsfoot-standin/src/upstream/nested_calls.rs
@@ -9,7 +9,7 @@
 };
 use futures_util::future::try_join_all;
 use http::Request;
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 
 use crate::{body_digest::body_digest, call_answer::CallAnswer, http_client::HttpClient};
 
@@ -91,9 +91,7 @@
 /// The body of a successful answer, or why there is none.
 async fn exchange(client: &HttpClient, nested: Request<Full<Bytes>>) -> Result<Bytes, String> {
     let response = client.request(nested).await.map_err(|error| describe(&error))?;
-    let status = response.status();
-    let body = response.into_body().collect().await.map_err(|error| describe(&error))?;
-    let answer = body.to_bytes();
+    let (status, answer) = (response.status(), response.into_body());
     if status.is_success() { Ok(answer) } else { Err(format!("{status} {}", shorten(&answer))) }
 }
 
--- a/crates/coltsfoot-standin/src/upstream/node_link.rs
+++ b/crates/coltsfoot-standin/src/upstream/node_link.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use http::{Method, Request};
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use tokio::time::{sleep, timeout};
 
 use crate::http_client::HttpClient;
@@ -80,12 +80,7 @@
             .header(http::header::CONTENT_TYPE, "application/json")
             .body(Full::<Bytes>::new(to_json(&announcement)));
         let Ok(request) = request else { return false };
-        let Ok(Ok(response)) = timeout(ANNOUNCE_TIMEOUT, self.client.request(request)).await else {
-            return false;
-        };
-        let status = response.status();
-        // Read to the end, so that the connection can be used again.
-        let _ = response.into_body().collect().await;
-        status.is_success()
+        let answer = timeout(ANNOUNCE_TIMEOUT, self.client.request(request)).await;
+        answer.is_ok_and(|answer| answer.is_ok_and(|answer| answer.status().is_success()))
     }
 }
--- a/crates/coltsfoot-standin/src/upstream/upstream_server.rs
+++ b/crates/coltsfoot-standin/src/upstream/upstream_server.rs
@@ -9,7 +9,7 @@
     time::{Instant, sleep},
 };
 
-use crate::http_client::new_http_client;
+use crate::http_client::HttpClient;
 
 use super::{
     UpstreamError, UpstreamHandle, UpstreamSettings, connection_loop::serve_connections,
@@ -63,7 +63,7 @@
     mut stop: watch::Receiver<bool>,
 ) {
     runtime.block_on(async move {
-        let client = new_http_client(MAX_IDLE_CONNECTIONS);
+        let client = HttpClient::new(MAX_IDLE_CONNECTIONS);
         let address = listener.local_addr().unwrap_or(state.settings.listen);
         let node = state.settings.node;
         let link =
--- a/crates/coltsfoot-standin/tests/integration/util.rs
+++ b/crates/coltsfoot-standin/tests/integration/util.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 use coltsfoot_standin::{
-    http_client::new_http_client,
+    http_client::HttpClient,
     upstream::{CountsReport, UpstreamHandle, UpstreamServer, UpstreamSettings},
 };
 use coltsfootroute::{
@@ -17,7 +17,7 @@
     schema::{ClientEntry, OperationEntry, SchemaDocument, ServiceEntry},
 };
 use http::Request;
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use tokio::runtime::{Builder, Runtime};
 
 /// Longest wait for something that has to happen; never reached in a good run.
@@ -60,6 +60,7 @@
     UpstreamServer::start(settings).expect("a free port on loopback")
 }
 
+#[expect(clippy::disallowed_methods, reason = "the client holds on any runtime")]
 pub fn runtime() -> Runtime {
     Builder::new_multi_thread().worker_threads(1).enable_all().build().expect("a runtime")
 }
@@ -79,11 +80,11 @@
         builder = builder.header(*name, *value);
     }
     let request = builder.body(Full::new(Bytes::from_static(b"two crates"))).expect("a request");
-    let response = new_http_client(1).request(request).await.ok()?;
+    let response = HttpClient::new(1).request(request).await.ok()?;
     let outcome = response.headers().get("coltsfoot-outcome");
     let outcome = outcome.and_then(|value| value.to_str().ok()).unwrap_or_default().to_owned();
     let status = response.status().as_u16();
-    let body = response.into_body().collect().await.ok()?.to_bytes();
+    let body = response.into_body();
     Some(Reply { status, outcome, body })
 }
 
