The node's HTTP client stays on the thread that made it

The fault of the tests' client, looked for in the node: there each duty has a runtime of its own with one thread, and makes its clients on it, so that no request crosses the end of its connection on another thread. Nothing said so but the order of the code.

Ruled out, by reading: the rings between the node's threads have the same two steps of a send, but their receivers live as long as the process; links between nodes keep their open calls in one thread and fail them when they end; coltsfootctl and the timeline run on one thread, with a timeout for each call.

Nothing changes at run time.

--- a/crates/coltsfoot-node/src/http/outgoing.rs
+++ b/crates/coltsfoot-node/src/http/outgoing.rs
@@ -1,19 +1,41 @@
 //! HTTP client for the requests that the node makes.
 
-use std::time::Duration;
+use std::{marker::PhantomData, rc::Rc, time::Duration};
 
 use bytes::Bytes;
+use http::{Request, Response};
 use http_body_util::Full;
+use hyper::body::Incoming;
 use hyper_util::{
-    client::legacy::{Client, connect::HttpConnector},
+    client::legacy::{Client, Error, connect::HttpConnector},
     rt::{TokioExecutor, TokioTimer},
 };
 
 /// Time between two probes of a connection on which nothing comes.
 const KEEPALIVE: Duration = Duration::from_secs(1);
 
-/// HTTP client for the requests that the node makes.
-pub type OutgoingClient = Client<HttpConnector, Full<Bytes>>;
+/// HTTP client for the requests that the node makes; clones share their connections.
+#[derive(Clone)]
+pub struct OutgoingClient {
+    client: Client<HttpConnector, Full<Bytes>>,
+    /// Requests and the connections that carry them advance on one thread, as each thread of the node has a runtime of its
+    /// own: where one thread sends while another ends the connection, `hyper` keeps a request that nobody answers or fails.
+    thread: PhantomData<Rc<()>>,
+}
+
+impl OutgoingClient {
+    /// Sends `request`; the answer's body is still to be read. Dropping the future, or the body, closes the connection.
+    ///
+    /// # Errors
+    ///
+    /// `hyper`'s own, unless the head of an answer came.
+    pub async fn request(
+        &self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, Error> {
+        self.client.request(request).await
+    }
+}
 
 /// How connections are opened, watched and kept.
 pub struct OutgoingSettings {
@@ -44,6 +66,6 @@
             Some(time) => builder.pool_idle_timeout(time),
             None => builder.pool_max_idle_per_host(0),
         };
-        builder.build(connector)
+        OutgoingClient { client: builder.build(connector), thread: PhantomData }
     }
 }
--- a/crates/coltsfoot-node/tests/integration/main.rs
+++ b/crates/coltsfoot-node/tests/integration/main.rs
@@ -9,6 +9,7 @@
 mod limits;
 mod links;
 mod metrics;
+mod outgoing;
 mod pipeline;
 mod reload;
 mod scenarios;
