What upstreams name in their answers is logged, what reaches them is counted

Change: the head of each answer of the upstream's own is read for a limit and a leave: failures, rejections, broken bodies too, not 421 (another instance) nor an answer with another identity. Events upstream-limit-changed, upstream-limit-unreadable, upstream-leave-answered; metrics coltsfoot_upstream_limit and coltsfoot_upstream_arrivals_total. No decision changes. An answer to an earlier request can lower a limit, not raise or lift it, since answers cross.

--- a/crates/coltsfoot-node/src/border.rs
+++ b/crates/coltsfoot-node/src/border.rs
@@ -5,8 +5,10 @@
 mod platform_adapter;
 mod repeat_guard;
 mod upstream_dialect;
+mod upstream_statement;
 
 pub use client_front::{ClientFront, NoFront};
 pub use platform_adapter::PlatformAdapter;
 pub use repeat_guard::RepeatGuard;
 pub use upstream_dialect::{NotRunMarker, UpstreamDialect, request_context};
+pub use upstream_statement::{StatedLimit, UpstreamStatement};
--- a/crates/coltsfoot-node/src/border/upstream_dialect.rs
+++ b/crates/coltsfoot-node/src/border/upstream_dialect.rs
@@ -6,10 +6,13 @@
         CONTEXT_HEADER, DEADLINE_HEADER, IDEMPOTENCY_KEY_HEADER, OUTCOME_HEADER, TEAM_HEADER,
     },
     outcome::CallOutcome,
+    upstream_limit::RequestRate,
 };
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode, header::CONTENT_ENCODING};
 use twox_hash::XxHash3_128;
 
+use super::{StatedLimit, UpstreamStatement};
+
 /// Marker in an answer of an upstream that has not run the call.
 #[derive(Clone, Debug)]
 pub struct NotRunMarker {
@@ -40,8 +43,15 @@
     pub echo: Option<HeaderName>,
     /// Response header on each successful answer that the upstream itself has sent.
     pub seal: Option<HeaderName>,
+    /// Response header with the requests per second that the upstream accepts from all callers together.
+    pub limit: Option<HeaderName>,
+    /// Response header with the value [`LEAVING_VALUE`] on each answer of an upstream that is leaving.
+    pub leaving: Option<HeaderName>,
 }
 
+/// Value of the header by which an upstream says that it is leaving.
+const LEAVING_VALUE: &str = "1";
+
 impl UpstreamDialect {
     /// Returns whether the upstream refuses calls meant for another instance of it.
     pub fn checks_instance(&self) -> bool {
@@ -63,6 +73,8 @@
             },
             echo: None,
             seal: None,
+            limit: None,
+            leaving: None,
         }
     }
 
@@ -86,6 +98,28 @@
         headers.get(self.echo.as_ref()?)
     }
 
+    /// Returns what the upstream states about itself in the head of an answer.
+    pub fn statement(&self, headers: &HeaderMap) -> UpstreamStatement {
+        let leaving = self.leaving.as_ref().and_then(|name| headers.get(name));
+        UpstreamStatement {
+            limit: self.stated_limit(headers),
+            is_leaving: leaving.is_some_and(|value| value == LEAVING_VALUE),
+        }
+    }
+
+    /// Returns the limit in the head of an answer: the lowest, if the header occurs several times.
+    fn stated_limit(&self, headers: &HeaderMap) -> StatedLimit {
+        let Some(name) = &self.limit else { return StatedLimit::Absent };
+        let values = headers.get_all(name).iter().map(HeaderValue::as_bytes);
+        let texts: Vec<_> = values.map(String::from_utf8_lossy).collect();
+        let rates = texts.iter().filter_map(|text| RequestRate::parse(text));
+        match (rates.min(), texts.first()) {
+            (Some(rate), _) => StatedLimit::Rate(rate),
+            (None, Some(text)) => StatedLimit::Unreadable(text.clone().into_owned()),
+            (None, None) => StatedLimit::Absent,
+        }
+    }
+
     /// Returns whether a successful answer was sent by the upstream itself and not changed on the way. Other answers
     /// and dialects without a seal pass.
     pub fn is_sealed(&self, status: StatusCode, headers: &HeaderMap) -> bool {
--- a/crates/coltsfoot-node/src/dispatch/guard.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard.rs
@@ -19,6 +19,7 @@
 mod upstream_heartbeat;
 mod upstream_receipt;
 mod upstream_run;
+mod upstream_statements;
 
 pub use call_guard::{CallGuard, GuardSettings};
 pub use calls_in_flight::{CallSpan, NestedCallTracker};
--- a/crates/coltsfoot-node/src/dispatch/guard/guard_state.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard/guard_state.rs
@@ -6,6 +6,7 @@
     admission::{AdmissionDecision, AdmissionGate, AdmissionVerdict, BreachCounter, ShedLevel},
     membership::{HeartbeatWatch, InstanceTracker},
     time::MonotonicTime,
+    upstream_limit::LimitTracker,
 };
 use indexmap::IndexMap;
 use tokio::sync::{Notify, oneshot};
@@ -25,6 +26,18 @@
     pub has_withdrawn: bool,
 }
 
+impl GuardedUpstream {
+    /// Returns whether `announcement` is one of the same incarnation. An upstream without a name counts as another one
+    /// at another address, or after a leave.
+    pub fn is_continued_by(&self, announcement: &UpstreamAnnouncement) -> bool {
+        let known = &self.announcement;
+        match (known.incarnation(), announcement.incarnation()) {
+            (None, None) => !self.leaving && known.address == announcement.address,
+            (known, announced) => known == announced,
+        }
+    }
+}
+
 /// Admission in front of the upstream beside the node.
 #[derive(Default)]
 pub struct GuardState {
@@ -37,6 +50,12 @@
     pub(in crate::dispatch) breaches: RefCell<BreachCounter>,
     /// Limit of the gate that was reported last; 0 before the first report.
     pub(in crate::dispatch) reported_limit: Cell<u32>,
+    /// Number of the upstream's incarnation, from 1; 0 before the first announcement.
+    pub(in crate::dispatch) incarnation_number: Cell<u64>,
+    /// Limit that this incarnation names in its answers.
+    pub(in crate::dispatch) limit: RefCell<LimitTracker>,
+    /// Number of the incarnation whose leave by answers was reported last.
+    pub(in crate::dispatch) leave_reported: Cell<Option<u64>>,
     /// Notified when the gate's next wake-up time may have changed.
     pub(in crate::dispatch) queue_changed: Notify,
 }
--- a/crates/coltsfoot-node/src/dispatch/guard/local_upstream.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard/local_upstream.rs
@@ -66,6 +66,7 @@
                 known.announcement.incarnation() == announcement.incarnation()
             });
         if !is_known {
+            self.begin_incarnation();
             *self.state.upstream.borrow_mut() = Some(GuardedUpstream {
                 announcement,
                 heartbeats: HeartbeatWatch::new(self.context.now()),
@@ -85,6 +86,10 @@
         let same = upstream
             .as_ref()
             .is_some_and(|known| known.announcement == *announcement && !known.leaving);
+        let continues = upstream.as_ref().is_some_and(|known| known.is_continued_by(announcement));
+        if !continues {
+            self.begin_incarnation();
+        }
         *upstream = Some(GuardedUpstream {
             announcement: announcement.clone(),
             heartbeats: HeartbeatWatch::new(self.context.now()),
--- a/crates/coltsfoot-node/src/dispatch/guard/upstream_client.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard/upstream_client.rs
@@ -14,7 +14,7 @@
 use hyper_util::client::legacy::connect::{CaptureConnection, capture_connection};
 
 use crate::{
-    border::UpstreamDialect,
+    border::{UpstreamDialect, UpstreamStatement},
     clock::MonotonicClock,
     http::{OutgoingClient, OutgoingSettings},
 };
@@ -119,7 +119,7 @@
     }
 
     /// Sends `call` and reads the whole answer. Dropping the future closes the connection, which signals the upstream
-    /// to cancel its work.
+    /// to cancel its work. `observe` is given what the upstream states in the head of its answer, as soon as it arrives.
     ///
     /// # Errors
     ///
@@ -128,6 +128,7 @@
         &self,
         address: SocketAddr,
         call: UpstreamCall<'_>,
+        observe: impl FnOnce(UpstreamStatement),
     ) -> Result<UpstreamAnswer, UpstreamError> {
         let is_forwarded = call.head.is_some();
         // The parts were checked when the call was read, so the request is well formed.
@@ -151,6 +152,10 @@
             poison(&connection);
             return Err(UpstreamError::CutOff);
         }
+        // Another instance at the address speaks for itself only.
+        if response.status() != StatusCode::MISDIRECTED_REQUEST {
+            observe(self.dialect.statement(response.headers()));
+        }
         self.read_answer(response, is_forwarded).await
     }
 
--- a/crates/coltsfoot-node/src/dispatch/guard/upstream_run.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard/upstream_run.rs
@@ -20,6 +20,7 @@
     calls_in_flight::{CallSpan, context_text},
     run_permit::RunPermit,
     upstream_client::{UpstreamAnswer, UpstreamCall, UpstreamError},
+    upstream_statements::SentCall,
 };
 use crate::clock::micros;
 
@@ -63,7 +64,12 @@
         };
         let started = self.context.now();
         let until = self.context.clock.instant_at(deadline).into();
-        let result = timeout_at(until, self.upstream_client.send(address, upstream_call)).await;
+        let incarnation = self.incarnation_number();
+        let sent_call = SentCall { call, instance: instance.clone(), incarnation, sent: started };
+        self.count_arrival(call);
+        let observe = |statement| self.record_statement(&sent_call, statement);
+        let sending = self.upstream_client.send(address, upstream_call, observe);
+        let result = timeout_at(until, sending).await;
         let upstream_time = self.context.now().since(started);
         running.answered = result.is_ok();
         match &result {
--- a/crates/coltsfoot-node/src/metrics.rs
+++ b/crates/coltsfoot-node/src/metrics.rs
@@ -1,5 +1,6 @@
 //! The node's metrics in Prometheus' text format, with bounded sets of labels.
 
+mod arrival_kind;
 mod control_kind;
 mod control_metrics;
 mod counter_family;
@@ -19,6 +20,7 @@
 mod store_result;
 mod traffic_direction;
 
+pub use arrival_kind::ArrivalKind;
 pub use control_kind::ControlKind;
 pub use control_metrics::ControlMetrics;
 pub use duty_meter::DutyMeter;
--- a/crates/coltsfoot-node/src/metrics/metric_registry.rs
+++ b/crates/coltsfoot-node/src/metrics/metric_registry.rs
@@ -1,7 +1,7 @@
 //! Definition of metrics.
 
 use prometheus::{
-    Counter, CounterVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
+    Counter, CounterVec, Gauge, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
     TextEncoder, core::Collector,
 };
 
@@ -45,6 +45,18 @@
         self.export(IntGauge::new(name, help))
     }
 
+    /// A gauge that is no count, with its value at the start.
+    pub(super) fn initial_gauge(
+        &self,
+        name: &str,
+        help: &str,
+        initial: f64,
+    ) -> Result<Gauge, MetricsError> {
+        let gauge = self.export(Gauge::new(name, help))?;
+        gauge.set(initial);
+        Ok(gauge)
+    }
+
     pub(super) fn gauges(
         &self,
         name: &str,
--- a/crates/coltsfoot-node/src/metrics/request_metrics.rs
+++ b/crates/coltsfoot-node/src/metrics/request_metrics.rs
@@ -5,16 +5,20 @@
 use coltsfootroute::{
     importance::Importance,
     outcome::{CallOutcome, RefusalReason},
+    upstream_limit::RequestRate,
 };
-use prometheus::{IntCounter, IntCounterVec, IntGauge};
+use prometheus::{Gauge, IntCounter, IntCounterVec, IntGauge};
 
 use super::{
-    MetricsError,
+    ArrivalKind, MetricsError,
     counter_family::CounterFamily,
     latency_histogram::LatencyHistogram,
     metric_registry::{MetricRegistry, gauge_value},
 };
 
+/// Value of the limit's gauge while the upstream names none.
+const NO_UPSTREAM_LIMIT: f64 = -1.0;
+
 /// Metrics of requests: what was admitted, refused and answered, and how long it took.
 pub struct RequestMetrics {
     admitted: CounterFamily<Importance>,
@@ -24,6 +28,8 @@
     queued: IntGauge,
     limit: IntGauge,
     importance_breaches: IntCounter,
+    arrivals: CounterFamily<ArrivalKind>,
+    upstream_limit: Gauge,
     upstream_ends: IntCounter,
     quarantined: IntGauge,
     added_latency: LatencyHistogram,
@@ -62,6 +68,17 @@
                 "coltsfoot_importance_breaches_total",
                 "Requests refused for overload while less important work was admitted",
             )?,
+            arrivals: CounterFamily::new(
+                registry,
+                "coltsfoot_upstream_arrivals_total",
+                "Calls sent to the upstream, whatever came of them",
+                "kind",
+            )?,
+            upstream_limit: registry.initial_gauge(
+                "coltsfoot_upstream_limit",
+                "Requests per second that the upstream names as its limit in its answers; -1 if it names none",
+                NO_UPSTREAM_LIMIT,
+            )?,
             upstream_ends: registry.counter(
                 "coltsfoot_upstream_ends_total",
                 "Unplanned ends of the upstream beside the node with calls under way",
@@ -114,6 +131,16 @@
         self.importance_breaches.inc();
     }
 
+    /// A call is sent to the upstream.
+    pub fn arrived(&self, kind: ArrivalKind) {
+        self.arrivals.increment(kind);
+    }
+
+    /// Limit that the upstream names in its answers; `None` if it names none.
+    pub fn set_upstream_limit(&self, limit: Option<RequestRate>) {
+        self.upstream_limit.set(limit.map_or(NO_UPSTREAM_LIMIT, RequestRate::per_second));
+    }
+
     /// The upstream has ended with calls under way.
     pub fn upstream_ended(&self) {
         self.upstream_ends.inc();
--- a/crates/coltsfootroute/src/event/event_kind.rs
+++ b/crates/coltsfootroute/src/event/event_kind.rs
@@ -405,6 +405,42 @@
         /// Duration of the suspension.
         suspended_ms: u64,
     }
+    /// The upstream beside the node named a limit in an answer, another one than before, or none any more.
+    UpstreamLimitChanged("upstream-limit-changed", Info) {
+        /// Client request whose answer named it.
+        #[serde(with = "request_text")]
+        request: RequestId,
+        /// Service of the upstream.
+        service: ServiceName,
+        /// Instance of the upstream; absent if the upstream doesn't report its name.
+        instance: Option<InstanceName>,
+        /// Limit in thousandths of a request per second; absent if the upstream names none any more.
+        limit_milli: Option<u64>,
+        /// Limit before, in the same unit; absent if the upstream named none.
+        previous_milli: Option<u64>,
+        /// Time from the sending of the request to its answer.
+        elapsed_us: u64,
+    }
+    /// The upstream beside the node named a limit that is no rate; it is ignored.
+    UpstreamLimitUnreadable("upstream-limit-unreadable", Warn) {
+        /// Client request whose answer named it.
+        #[serde(with = "request_text")]
+        request: RequestId,
+        /// Service of the upstream.
+        service: ServiceName,
+        /// Value of the header.
+        value: String,
+    }
+    /// The upstream beside the node said in an answer that it is leaving.
+    UpstreamLeaveAnswered("upstream-leave-answered", Info) {
+        /// Client request whose answer said so.
+        #[serde(with = "request_text")]
+        request: RequestId,
+        /// Service of the upstream.
+        service: ServiceName,
+        /// Instance of the upstream; absent if the upstream doesn't report its name.
+        instance: Option<InstanceName>,
+    }
     /// The limit on calls in flight to the upstream changed.
     LimitChanged("limit-changed", Debug) {
         /// Service of the upstream.
--- a/crates/coltsfootroute/src/event/event_subject.rs
+++ b/crates/coltsfootroute/src/event/event_subject.rs
@@ -20,7 +20,10 @@
             | Self::RetryGranted { request, .. }
             | Self::RetryDenied { request, .. }
             | Self::ClaimDecided { request, .. }
-            | Self::ImportanceBreached { request, .. } => Some(*request),
+            | Self::ImportanceBreached { request, .. }
+            | Self::UpstreamLimitChanged { request, .. }
+            | Self::UpstreamLimitUnreadable { request, .. }
+            | Self::UpstreamLeaveAnswered { request, .. } => Some(*request),
             _ => None,
         }
     }
@@ -43,6 +46,9 @@
             | Self::UpstreamAnnounced { service, .. }
             | Self::UpstreamLeft { service, .. }
             | Self::UpstreamEnded { service, .. }
+            | Self::UpstreamLimitChanged { service, .. }
+            | Self::UpstreamLimitUnreadable { service, .. }
+            | Self::UpstreamLeaveAnswered { service, .. }
             | Self::LimitChanged { service, .. } => Some(service),
             _ => None,
         }
--- a/crates/coltsfootroute/src/lib.rs
+++ b/crates/coltsfootroute/src/lib.rs
@@ -28,3 +28,4 @@
 pub mod table;
 pub mod team;
 pub mod time;
+pub mod upstream_limit;
--- a/crates/coltsfootroute/tests/integration/main.rs
+++ b/crates/coltsfootroute/tests/integration/main.rs
@@ -17,4 +17,5 @@
 mod store_policy;
 mod suspension;
 mod team;
+mod upstream_limit;
 mod util;
