An upstream that names a limit gets no more than that from all nodes together

Callers saw nothing; an upstream in need got four times the rate that it had named and would have gone under with all that it was working on. Cause: no decision knew of the limit. The header was passed on to the client as any other. Ruled out, by upstream_arrivals_total and upstream-limit-changed: limits kept for each node alone (arrivals did not fall at all), ways past the bound (arrivals of every kind went on). Change: the guard keeps the rate, as only the host's own processes reach the upstream: one token bucket in its gate, refilled at the limit, a burst of a quarter second, empty at the start. No message between nodes is needed and the cost does not grow with their number; credits as for teams would cost a question for each caller and lose calls at every change. Calls wait only if the rate can serve them in time, the more important first; the others get upstream-limit at once (sent as overload to nodes of earlier builds) and go to another copy. Levels that follow from the rate come back with replies: callers pass an upstream over for the share of calls that its limit has no room for, the root sheds only what no copy has room for. A limit of nothing lets a call through every two seconds, else no answer could lift it; a lifted one lets the load double every half second. What replies told callers goes back with their next calls, so that a guard that has just started keeps a limit that its predecessor had passed on.

--- a/crates/coltsfoot-node/src/dispatch/guard/call_guard.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard/call_guard.rs
@@ -8,7 +8,7 @@
 
 use coltsfoot_wire::peer::CallReply;
 use coltsfootroute::{
-    admission::{RetryAfter, ShedPolicy},
+    admission::{AdmissionGate, RetryAfter, ShedPolicy},
     drain::{DrainSettings, DrainState},
     importance::Importance,
     once::ClaimHolder,
@@ -154,6 +154,11 @@
             RefusalReason::Leaving | RefusalReason::NoUpstream | RefusalReason::NoConfiguration => {
                 RetryAfter::draw_for_absence(&mut *rng)
             }
+            RefusalReason::UpstreamLimit => {
+                let gate = self.state.gate.borrow();
+                let load = gate.as_ref().map_or(1.0, AdmissionGate::rate_load);
+                RetryAfter::draw(Importance::Normal, self.state.rate_level(), load, &mut *rng)
+            }
             _ => {
                 let level = self.state.level(self.context.now());
                 RetryAfter::draw(Importance::Normal, level, 1.0, &mut *rng)
--- a/crates/coltsfoot-node/src/dispatch/guard/calls_in_flight.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard/calls_in_flight.rs
@@ -137,7 +137,7 @@
             levels.retain(|kept| kept.guard != note.guard || kept.service != note.service);
             levels.push(note.clone());
         }
-        levels.sort_by_key(|note| Reverse(note.level));
+        levels.sort_by_key(|note| Reverse(note.level.max(note.rate_level)));
         levels.truncate(MAX_LEVELS);
     }
 
--- a/crates/coltsfoot-node/src/dispatch/guard/guard_state.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard/guard_state.rs
@@ -77,6 +77,11 @@
         self.gate.borrow().as_ref().map_or(ShedLevel::OPEN, |gate| gate.shed_level(now))
     }
 
+    /// Returns the shed level that follows from the rate that the upstream names; [`ShedLevel::OPEN`] without a gate.
+    pub(in crate::dispatch) fn rate_level(&self) -> ShedLevel {
+        self.gate.borrow().as_ref().map_or(ShedLevel::OPEN, AdmissionGate::rate_level)
+    }
+
     /// Applies `act` to the gate, if any, and delivers the resulting verdicts.
     pub(in crate::dispatch) fn with_gate(
         &self,
--- a/crates/coltsfoot-node/src/dispatch/guard/guarded_call.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard/guarded_call.rs
@@ -4,13 +4,14 @@
 
 use coltsfoot_wire::peer::{CallReply, CallRequest, LevelNote};
 use coltsfootroute::{
-    admission::{AdmissionDecision, WaitingCall},
+    admission::{AdmissionDecision, AdmissionGate, WaitingCall},
     event::EventKind,
     importance::Importance,
     membership::MemberRecord,
     name::ServiceName,
     outcome::{CallOutcome, RefusalReason},
     time::MonotonicTime,
+    upstream_limit::RateLimiter,
 };
 use tokio::sync::oneshot;
 
@@ -31,6 +32,9 @@
             CallSpan::new(call.request, call.importance, deadline, call.account, call.client);
         let span = Rc::new(span.with_team(call.team.clone()).with_repeat(call.is_repeat));
         let service = call.service.clone();
+        if let Some(known) = &call.known {
+            self.adopt_notice(&call, known);
+        }
         let mut reply = self.admit_and_run(call, deadline, &span).await;
         reply.failed_below = span.has_failed_below();
         reply.levels = span.levels();
@@ -38,7 +42,9 @@
             service,
             guard: self.context.identity.node,
             level: self.state.level(self.context.now()),
+            rate_level: self.state.rate_level(),
         });
+        reply.notice = self.notice();
         reply
     }
 
@@ -147,6 +153,7 @@
         let gate = self.state.gate.borrow();
         let load = gate.as_ref().map(|gate| (gate.in_flight(), gate.limit(), gate.queued()));
         let (in_flight, limit, queued) = load.unwrap_or_default();
+        let rate = gate.as_ref().map(AdmissionGate::rate);
         self.context.events.emit(EventKind::GuardRefused {
             request: call.request,
             service: call.service.clone(),
@@ -155,6 +162,8 @@
             in_flight,
             limit,
             queued,
+            upstream_limit_milli: rate.and_then(RateLimiter::limit).map(|limit| limit.0),
+            upstream_tokens_milli: rate.and_then(RateLimiter::tokens_milli),
         });
         self.refuse(call.importance, reason)
     }
@@ -229,7 +238,9 @@
                 self.context.metrics.requests.admitted(call.importance);
                 self.emit_admitted(call);
             }
-            Some(AdmissionDecision::Refuse(RefusalReason::Overload)) => {
+            Some(AdmissionDecision::Refuse(
+                RefusalReason::Overload | RefusalReason::UpstreamLimit,
+            )) => {
                 let admitted = breaches.admitted_below(now, &call.service, call.importance);
                 if let Some(admitted) = admitted {
                     self.report_breach(call, admitted);
--- a/crates/coltsfoot-node/src/dispatch/guard/once_run.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard/once_run.rs
@@ -164,6 +164,7 @@
             },
             levels: Vec::new(),
             upstream_time: Duration::ZERO,
+            notice: None,
             stamp: HybridStamp::default(),
         }
     }
--- a/crates/coltsfoot-node/src/dispatch/guard/upstream_run.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard/upstream_run.rs
@@ -180,6 +180,7 @@
         },
         levels: Vec::new(),
         upstream_time,
+        notice: None,
         stamp: HybridStamp::default(),
     }
 }
--- a/crates/coltsfoot-node/src/dispatch/guard/upstream_statements.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard/upstream_statements.rs
@@ -1,11 +1,13 @@
 //! What the upstream beside the node states about itself in its answers.
 
+use std::time::Duration;
+
 use coltsfoot_wire::peer::CallRequest;
 use coltsfootroute::{
     event::EventKind,
     membership::InstanceName,
     time::MonotonicTime,
-    upstream_limit::{LimitChange, RequestRate},
+    upstream_limit::{LimitChange, RequestRate, UpstreamNotice},
 };
 
 use super::call_guard::CallGuard;
@@ -15,6 +17,9 @@
     metrics::ArrivalKind,
 };
 
+/// Time for which callers are told that a limit was lifted, as long as they may remember it.
+const LIFT_NOTICE_TIME: Duration = Duration::from_secs(60);
+
 /// A call that was sent to the upstream.
 pub(super) struct SentCall<'a> {
     pub(super) call: &'a CallRequest,
@@ -36,6 +41,8 @@
     pub(super) fn begin_incarnation(&self) {
         self.state.incarnation_number.set(self.incarnation_number() + 1);
         self.state.limit.take();
+        let now = self.context.now();
+        self.state.with_gate(|gate| gate.reset_upstream_limit(now));
         self.context.metrics.requests.set_upstream_limit(None);
     }
 
@@ -75,11 +82,7 @@
         let previous = tracker.limit();
         let Some(change) = tracker.record_answer(now, sent_call.sent, named) else { return };
         drop(tracker);
-        let limit = match change {
-            LimitChange::Named(rate) => Some(rate),
-            LimitChange::Lifted => None,
-        };
-        self.context.metrics.requests.set_upstream_limit(limit);
+        let limit = self.apply_limit(change);
         self.context.events.emit(EventKind::UpstreamLimitChanged {
             request: sent_call.call.request,
             service: sent_call.call.service.clone(),
@@ -90,6 +93,57 @@
         });
     }
 
+    /// Applies a changed limit to the gate; returns the limit, `None` if it was lifted.
+    fn apply_limit(&self, change: LimitChange) -> Option<RequestRate> {
+        let limit = match change {
+            LimitChange::Named(rate) => Some(rate),
+            LimitChange::Lifted => None,
+        };
+        let now = self.context.now();
+        self.state.with_gate(|gate| gate.set_upstream_limit(now, limit));
+        self.state.queue_changed.notify_one();
+        self.context.metrics.requests.set_upstream_limit(limit);
+        limit
+    }
+
+    /// Returns what the upstream has stated, for callers; `None` if it has no name, or is neither limited nor leaving and
+    /// no limit was lifted recently.
+    pub(super) fn notice(&self) -> Option<UpstreamNotice> {
+        let now = self.context.now();
+        let tracker = self.state.limit.borrow();
+        let limit = tracker.limit();
+        let is_leaving = self.state.leave_reported.get() == Some(self.incarnation_number());
+        if limit.is_none() && !is_leaving && !tracker.is_lifted(now, LIFT_NOTICE_TIME) {
+            return None;
+        }
+        let incarnation = self.state.upstream.borrow().as_ref()?.announcement.incarnation()?;
+        Some(UpstreamNotice { incarnation, limit, is_leaving })
+    }
+
+    /// Adopts what a caller knows of the upstream from earlier answers. An earlier incarnation of this node may have
+    /// passed them on.
+    pub(super) fn adopt_notice(&self, call: &CallRequest, known: &UpstreamNotice) {
+        let current = self.state.upstream.borrow().as_ref().and_then(|upstream| {
+            let incarnation = upstream.announcement.incarnation();
+            incarnation.filter(|incarnation| *incarnation == known.incarnation)
+        });
+        if current.is_none() {
+            return;
+        }
+        let now = self.context.now();
+        let change = known.limit.and_then(|rate| self.state.limit.borrow_mut().adopt(now, rate));
+        if let Some(change) = change {
+            self.apply_limit(change);
+            self.context.events.emit(EventKind::UpstreamNoticeAdopted {
+                request: call.request,
+                service: call.service.clone(),
+                instance: known.incarnation.name.clone(),
+                limit_milli: known.limit.map(|rate| rate.0),
+                leaving: known.is_leaving,
+            });
+        }
+    }
+
     /// Records that the upstream says that it is leaving; reported once for each incarnation.
     fn record_answered_leave(&self, sent_call: &SentCall<'_>) {
         let number = Some(sent_call.incarnation);
--- a/crates/coltsfoot-node/src/dispatch/ingress/call_ingress.rs
+++ b/crates/coltsfoot-node/src/dispatch/ingress/call_ingress.rs
@@ -7,6 +7,7 @@
     deadline::{DeadlineCheck, ServiceTimes},
     name::{ServiceName, TeamName},
     retry::{AccountLedger, LedgerSettings, RetryPolicy},
+    upstream_limit::KnownNotices,
 };
 use indexmap::IndexMap;
 use tokio::sync::Notify;
@@ -44,6 +45,8 @@
     pub(super) root: RefCell<RootGate>,
     /// Services observed to be reached by operations whose calls the configuration does not declare.
     pub(super) reached: RefCell<ReachedServices>,
+    /// What the replies of guards told of their upstreams.
+    pub(super) notices: RefCell<KnownNotices>,
     /// Recent durations of calls.
     pub(super) times: RefCell<ServiceTimes>,
     pub(super) deadlines: DeadlineCheck,
@@ -74,6 +77,7 @@
             policy: RetryPolicy::default(),
             root: RefCell::new(RootGate::new()),
             reached: RefCell::default(),
+            notices: RefCell::default(),
             times: RefCell::new(ServiceTimes::default()),
             deadlines: DeadlineCheck::new(Duration::ZERO),
         }
--- a/crates/coltsfoot-node/src/dispatch/ingress/call_routing.rs
+++ b/crates/coltsfoot-node/src/dispatch/ingress/call_routing.rs
@@ -129,6 +129,7 @@
             }
             Err(_) => self.guard.refusal(RefusalReason::Deadline, CallOutcome::Unknown),
         };
+        self.observe_notice(call, node, &reply);
         tracker.result = route_result(&reply);
         tracker.outcome = reply.outcome;
         reply
@@ -140,7 +141,8 @@
         let mut reply = self.guard.refusal(RefusalReason::NoUpstream, CallOutcome::NotRun);
         if self.has_no_upstream(service) {
             let (service, guard) = (service.clone(), self.context.identity.node);
-            reply.levels.push(LevelNote { service, guard, level: ShedLevel::MAX });
+            let (level, rate_level) = (ShedLevel::MAX, ShedLevel::OPEN);
+            reply.levels.push(LevelNote { service, guard, level, rate_level });
         }
         reply
     }
@@ -156,9 +158,11 @@
                 .flatten();
         }
         let time_left = call.deadline.since(now);
+        let passed_over = self.passed_over(call);
         let mut rng = self.context.rng.borrow_mut();
         let root = self.root.borrow();
         let admitted = |guard| match self.context.control.is_on() {
+            true if passed_over.contains(&guard) => 0.0,
             true => root
                 .levels()
                 .guard_level(now, &call.service, guard)
@@ -189,7 +193,7 @@
         if node == self.context.identity.node {
             is_sent.set(true);
             // Boxed to keep the future small: most calls go to other nodes.
-            return Box::pin(self.guard.guard_call(self.request_of(call, is_retry))).await;
+            return Box::pin(self.guard.guard_call(self.request_of(node, call, is_retry))).await;
         }
         match self.send_remote(node, call, is_retry, is_sent).await {
             Ok(reply) => {
@@ -221,12 +225,13 @@
         let link = self.links.call_link(node).await?;
         is_sent.set(true);
         // Built after the link is open, so that the remaining time is the one at sending.
-        link.call(&self.request_of(call, is_retry)).await
+        link.call(&self.request_of(node, call, is_retry)).await
     }
 
-    fn request_of(&self, call: &RoutedCall, is_retry: bool) -> CallRequest {
+    fn request_of(&self, node: NodeId, call: &RoutedCall, is_retry: bool) -> CallRequest {
         let (now, revision) = (self.context.now(), self.context.revision());
-        call.to_request(now, is_retry, revision, self.context.events.stamp())
+        let request = call.to_request(now, is_retry, revision, self.context.events.stamp());
+        CallRequest { known: self.notice_of(node), ..request }
     }
 
     /// Returns whether to retry the call, after acquiring a retry token and waiting for the backoff.
@@ -267,14 +272,14 @@
 
 /// Whether the guard refused the call before it reached the upstream, for a reason that may not apply to another
 /// guard. Since nothing was forwarded, a reroute does not multiply calls further down and needs no retry token. For
-/// calls in the product's own form only a planned stop qualifies: there a guard's refusal for overload is final for
-/// the call's importance, and is returned to the caller immediately.
+/// calls in the product's own form only a planned stop and the limit that an upstream names qualify: there a guard's
+/// refusal for overload is final for the call's importance, and is returned to the caller immediately.
 fn can_reroute(call: &RoutedCall, reply: &CallReply) -> bool {
     if reply.reached_upstream || reply.outcome != CallOutcome::NotRun {
         return false;
     }
     match reply.reason() {
-        Some(RefusalReason::Leaving) => true,
+        Some(RefusalReason::Leaving | RefusalReason::UpstreamLimit) => true,
         Some(RefusalReason::Overload | RefusalReason::NoUpstream) => call.head.is_some(),
         _ => false,
     }
--- a/crates/coltsfoot-node/src/dispatch/ingress/root_shedding.rs
+++ b/crates/coltsfoot-node/src/dispatch/ingress/root_shedding.rs
@@ -17,6 +17,7 @@
         let levels = root.levels_mut();
         for note in notes {
             levels.observe(now, &note.service, note.guard, note.level);
+            levels.observe_rate(now, &note.service, note.guard, note.rate_level);
         }
     }
 
--- a/crates/coltsfoot-node/src/dispatch/ingress/routed_call.rs
+++ b/crates/coltsfoot-node/src/dispatch/ingress/routed_call.rs
@@ -78,6 +78,7 @@
             head: self.head.clone(),
             body: self.body.clone(),
             revision,
+            known: None,
             stamp,
         }
     }
--- a/crates/coltsfoot-node/tests/integration/util/fake_peer.rs
+++ b/crates/coltsfoot-node/tests/integration/util/fake_peer.rs
@@ -53,6 +53,7 @@
         head: None,
         body: Vec::new().into(),
         revision: 0,
+        known: None,
         stamp,
     }
 }
--- a/crates/coltsfoot-slopes/src/slopes/decisions.rs
+++ b/crates/coltsfoot-slopes/src/slopes/decisions.rs
@@ -217,6 +217,7 @@
         head: None,
         body: vec![7; body].into(),
         revision: 1,
+        known: None,
         stamp: HybridStamp::new(1_796_228_561_138, 1),
     };
     move || {
@@ -242,6 +243,7 @@
         service: service_name(index),
         guard: NodeId(NODE.into()),
         level: ShedLevel::OPEN,
+        rate_level: ShedLevel::OPEN,
     });
     let reply = CallReply {
         body: answer,
@@ -250,6 +252,7 @@
         failed_below: false,
         levels: levels.collect(),
         upstream_time: LATENCY,
+        notice: None,
         stamp: HybridStamp::new(1_796_228_561_138, 2),
     };
     move || {
--- a/crates/coltsfoot-wire/schema/peer.capnp
+++ b/crates/coltsfoot-wire/schema/peer.capnp
@@ -37,6 +37,16 @@
   isRepeat @16 :Bool;         # the call, or one above it, is not the first attempt
   isRetry @17 :Bool;          # the call itself has reached an upstream before
   team @18 :Text;             # whose request it is; empty: nobody's in particular
+  known @19 :UpstreamNotice;  # what the caller knows of the called upstream; absent: nothing
+}
+
+# What an incarnation of an upstream has stated in its answers.
+struct UpstreamNotice {
+  instance @0 :Text;
+  started @1 :UInt64;         # milliseconds since the Unix epoch; 0: not reported
+  hasLimit @2 :Bool;
+  limitMilli @3 :UInt64;      # thousandths of a request a second
+  isLeaving @4 :Bool;
 }
 
 enum Outcome { completed @0; notRun @1; unknown @2; }
@@ -45,6 +55,7 @@
   service @0 :Text;
   guard @1 :Address;
   severity @2 :UInt16;        # thousandths of an importance level that are shed
+  rateSeverity @3 :UInt16;    # the same, for the rate that the upstream names
 }
 
 struct CallReply {
@@ -69,6 +80,8 @@
   answerHeaders @11 :List(HeaderLine);  # of an answer to a call with a head
   reachedUpstream @12 :Bool;  # the call was sent to the upstream, whatever came of it
   failedBelow @13 :Bool;      # the upstream made a nested call that was not served
+  isUpstreamLimit @15 :Bool;  # the refusal, whose reason is overload, is for the rate that the upstream names
+  notice @16 :UpstreamNotice; # what the upstream has stated; absent: nothing
 }
 
 struct CrashReport {
--- a/crates/coltsfoot-wire/src/peer.rs
+++ b/crates/coltsfoot-wire/src/peer.rs
@@ -8,6 +8,7 @@
 mod quarantine_news;
 mod request_head;
 mod take_answer;
+mod upstream_notice;
 
 pub use call_reply::{CallReply, ReplyBody, whole_seconds};
 pub use call_request::CallRequest;
--- a/crates/coltsfoot-wire/src/peer/call_reply.rs
+++ b/crates/coltsfoot-wire/src/peer/call_reply.rs
@@ -5,11 +5,13 @@
 use coltsfootroute::{
     event::HybridStamp,
     outcome::{CallOutcome, RefusalReason},
+    upstream_limit::UpstreamNotice,
 };
 
 use super::{
     HeaderLine, LevelNote,
     header_line::{read_lines, write_lines},
+    upstream_notice::{read_notice, write_notice},
 };
 use crate::{
     peer_capnp::{Outcome, call_reply},
@@ -31,6 +33,8 @@
     pub levels: Vec<LevelNote>,
     /// Time the upstream took, zero if it was not called.
     pub upstream_time: Duration,
+    /// What the upstream has stated in its answers; `None` if it is neither limited nor leaving.
+    pub notice: Option<UpstreamNotice>,
     /// The guard's hybrid clock; zero until the reply leaves its node.
     pub stamp: HybridStamp,
 }
@@ -70,6 +74,7 @@
             failed_below: false,
             levels: Vec::new(),
             upstream_time: Duration::ZERO,
+            notice: None,
             stamp: HybridStamp::default(),
         }
     }
@@ -95,8 +100,12 @@
                 answer.set_replayed(*replayed);
             }
             ReplyBody::Refusal { reason, retry_after } => {
+                // Nodes of an earlier build do not know the reason.
+                let is_limit = *reason == RefusalReason::UpstreamLimit;
+                builder.set_is_upstream_limit(is_limit);
+                let sent_reason = if is_limit { RefusalReason::Overload } else { *reason };
                 let mut refusal = builder.reborrow().init_refusal();
-                refusal.set_reason(reason.as_str());
+                refusal.set_reason(sent_reason.as_str());
                 refusal.set_retry_after_seconds(whole_seconds(*retry_after));
                 let millis = u32::try_from(retry_after.as_millis()).unwrap_or(u32::MAX);
                 refusal.set_retry_after_millis(millis);
@@ -113,6 +122,9 @@
             .set_upstream_micros(u64::try_from(self.upstream_time.as_micros()).unwrap_or(u64::MAX));
         builder.set_stamp_millis(self.stamp.wall_ms);
         builder.set_stamp_counter(self.stamp.counter);
+        if let Some(notice) = &self.notice {
+            write_notice(notice, builder.reborrow().init_notice());
+        }
         let count = u32::try_from(self.levels.len()).unwrap_or(u32::MAX);
         let mut list = builder.init_levels(count);
         for (index, note) in (0..count).zip(&self.levels) {
@@ -135,7 +147,10 @@
                 replayed: answer.get_replayed(),
             },
             call_reply::Which::Refusal(refusal) => ReplyBody::Refusal {
-                reason: read_reason(refusal.get_reason()?.to_str()?)?,
+                reason: match reader.get_is_upstream_limit() {
+                    true => RefusalReason::UpstreamLimit,
+                    false => read_reason(refusal.get_reason()?.to_str()?)?,
+                },
                 retry_after: match refusal.get_retry_after_millis() {
                     0 => Duration::from_secs(refusal.get_retry_after_seconds().into()),
                     millis => Duration::from_millis(millis.into()),
@@ -153,7 +168,20 @@
         let stamp = HybridStamp::new(reader.get_stamp_millis(), reader.get_stamp_counter());
         let reached_upstream = reader.get_reached_upstream();
         let failed_below = reader.get_failed_below();
-        Ok(Self { body, outcome, reached_upstream, failed_below, levels, upstream_time, stamp })
+        let notice = match reader.has_notice() {
+            true => Some(read_notice(reader.get_notice()?)?),
+            false => None,
+        };
+        Ok(Self {
+            body,
+            outcome,
+            reached_upstream,
+            failed_below,
+            levels,
+            upstream_time,
+            notice,
+            stamp,
+        })
     }
 }
 
--- a/crates/coltsfoot-wire/src/peer/call_request.rs
+++ b/crates/coltsfoot-wire/src/peer/call_request.rs
@@ -8,9 +8,13 @@
     id::{NodeId, RequestId},
     importance::Importance,
     name::{OperationName, ServiceName, TeamName},
+    upstream_limit::UpstreamNotice,
 };
 
-use super::{RequestHead, join_id, read_importance, split_id};
+use super::{
+    RequestHead, join_id, read_importance, split_id,
+    upstream_notice::{read_notice, write_notice},
+};
 use crate::{
     address::{read_address, write_address},
     peer_capnp::call_request,
@@ -52,6 +56,8 @@
     pub body: Bytes,
     /// Configuration revision in force at the calling node.
     pub revision: u64,
+    /// What the calling node knows of the statements of the called upstream.
+    pub known: Option<UpstreamNotice>,
     /// The calling node's hybrid clock.
     pub stamp: HybridStamp,
 }
@@ -83,6 +89,9 @@
         }
         builder.set_body(&self.body);
         builder.set_revision(self.revision);
+        if let Some(known) = &self.known {
+            write_notice(known, builder.reborrow().init_known());
+        }
         builder.set_stamp_millis(self.stamp.wall_ms);
         builder.set_stamp_counter(self.stamp.counter);
     }
@@ -101,6 +110,10 @@
             true => Some(RequestHead::read(reader.get_head()?)?),
             false => None,
         };
+        let known = match reader.has_known() {
+            true => Some(read_notice(reader.get_known()?)?),
+            false => None,
+        };
         let key = reader.get_key()?.to_str()?;
         let team = reader.get_team()?.to_str()?;
         Ok(Self {
@@ -120,6 +133,7 @@
             head,
             body: Bytes::copy_from_slice(reader.get_body()?),
             revision: reader.get_revision(),
+            known,
             stamp: HybridStamp::new(reader.get_stamp_millis(), reader.get_stamp_counter()),
         })
     }
--- a/crates/coltsfoot-wire/src/peer/level_note.rs
+++ b/crates/coltsfoot-wire/src/peer/level_note.rs
@@ -17,6 +17,8 @@
     pub guard: NodeId,
     /// What the guard sheds.
     pub level: ShedLevel,
+    /// What the guard sheds for the rate that its upstream names.
+    pub rate_level: ShedLevel,
 }
 
 impl LevelNote {
@@ -25,6 +27,7 @@
         builder.set_service(self.service.as_str());
         write_address(self.guard.0, builder.reborrow().init_guard());
         builder.set_severity(self.level.severity());
+        builder.set_rate_severity(self.rate_level.severity());
     }
 
     /// Reads a note.
@@ -37,6 +40,7 @@
             service: ServiceName::new(reader.get_service()?.to_str()?),
             guard: NodeId(read_address(reader.get_guard()?)?),
             level: ShedLevel::from_severity(reader.get_severity()),
+            rate_level: ShedLevel::from_severity(reader.get_rate_severity()),
         })
     }
 }
--- a/crates/coltsfootroute/src/admission/admission_gate.rs
+++ b/crates/coltsfootroute/src/admission/admission_gate.rs
@@ -10,7 +10,12 @@
     call_queue::CallQueue, demand_control::DemandControl, queued_call::QueuedCall,
     service_time::ServiceTime, shed_control::ShedControl, waiting_call::RANKS,
 };
-use crate::{importance::Importance, outcome::RefusalReason, time::MonotonicTime};
+use crate::{
+    importance::Importance,
+    outcome::RefusalReason,
+    time::MonotonicTime,
+    upstream_limit::{RateLimiter, RequestRate},
+};
 
 /// Concurrency limit of a gate for which no other is chosen.
 pub type DefaultLimit = AimdLimit;
@@ -22,7 +27,8 @@
 /// those on other calls. The owner applies the verdicts, reports the end of each call that ran with
 /// [`AdmissionGate::finish`], and calls [`AdmissionGate::tick`] at [`AdmissionGate::next_wakeup`].
 ///
-/// Invariants: no more calls start than the limit allows, and the limit is at most the slots; a call
+/// Invariants: no more calls start than the limit allows, and the limit is at most the slots; none start above the rate
+/// that the upstream names; a call
 /// is refused for overload only when no call of lower rank waits; no call starts after its deadline.
 #[derive(Clone, Debug)]
 pub struct AdmissionGate<L: ConcurrencyLimit = DefaultLimit> {
@@ -36,6 +42,9 @@
     service_times: [ServiceTime; RANKS],
     shed: ShedControl,
     demand: DemandControl,
+    /// Rate that the upstream names as its limit.
+    rate: RateLimiter,
+    rate_demand: DemandControl,
     draining: bool,
 }
 
@@ -66,6 +75,8 @@
             service_times: [ServiceTime::default(); RANKS],
             shed: ShedControl::new(),
             demand: DemandControl::new(),
+            rate: RateLimiter::new(),
+            rate_demand: DemandControl::per_second(),
             draining: false,
         }
     }
@@ -75,6 +86,7 @@
         let mut verdicts = self.advance(now);
         self.shed.on_offer();
         self.demand.on_offer(call.rank());
+        self.rate_demand.on_offer(call.rank());
         if self.draining {
             verdicts.push(refusal(call.id, RefusalReason::Leaving));
         } else if self.will_miss_deadline(now, &call) {
@@ -120,15 +132,57 @@
         self.advance(now)
     }
 
-    /// Refuses the waiting calls that have expired by `now`.
+    /// Refuses the waiting calls that have expired by `now`, and starts those for which the upstream's rate leaves room.
     pub fn tick(&mut self, now: MonotonicTime) -> Vec<AdmissionVerdict> {
         self.advance(now)
     }
 
-    /// Returns the time of the next expiry, at which [`AdmissionGate::tick`] must be called; `None` while
-    /// no call waits.
+    /// Returns the time at which [`AdmissionGate::tick`] must be called, for the next expiry or start; `None` while no
+    /// call waits.
     pub fn next_wakeup(&self) -> Option<MonotonicTime> {
-        self.queue.next_expiry()
+        let expiry = self.queue.next_expiry()?;
+        let start = self.rate.next_token_at().filter(|_| self.has_slot());
+        Some(start.map_or(expiry, |start| start.min(expiry)))
+    }
+
+    /// Sets the limit that the upstream names in its answers; `None` lifts it gradually. Refuses the waiting calls that
+    /// the rate can no longer serve in time.
+    pub fn set_upstream_limit(
+        &mut self,
+        now: MonotonicTime,
+        limit: Option<RequestRate>,
+    ) -> Vec<AdmissionVerdict> {
+        self.rate.set_limit(now, limit);
+        let mut verdicts = self.advance(now);
+        let servable = self.rate.tokens_within(self.settings.max_queue_delay);
+        while self.queued() > servable {
+            let Some(rank) = self.queue.lowest_rank() else { break };
+            let Some(evicted) = self.queue.evict(rank, true) else { break };
+            verdicts.push(refusal(evicted.call.id, RefusalReason::UpstreamLimit));
+        }
+        self.update_nonempty_since(now);
+        verdicts
+    }
+
+    /// Removes the limit at once, for an upstream that has named none.
+    pub fn reset_upstream_limit(&mut self, now: MonotonicTime) -> Vec<AdmissionVerdict> {
+        self.rate = RateLimiter::new();
+        self.advance(now)
+    }
+
+    /// Returns the limiter for the rate that the upstream names.
+    pub fn rate(&self) -> &RateLimiter {
+        &self.rate
+    }
+
+    /// Returns the shed level that follows from the rate that the upstream names.
+    pub fn rate_level(&self) -> ShedLevel {
+        self.rate_demand.level()
+    }
+
+    /// Returns the ratio of the calls offered to the rate that the upstream names; 0 if it names none.
+    pub fn rate_load(&self) -> f64 {
+        self.rate_demand.load(self.rate.capacity())
     }
 
     /// Starts to refuse new calls with [`RefusalReason::Leaving`]; calls that wait or run are not affected.
@@ -184,25 +238,37 @@
         verdicts
     }
 
-    /// Advances the gate to `now`: closes observation windows and refuses expired calls.
+    /// Advances the gate to `now`: closes observation windows, refuses expired calls, and starts those for which the
+    /// upstream's rate leaves room again.
     fn advance(&mut self, now: MonotonicTime) -> Vec<AdmissionVerdict> {
         let mut verdicts = Vec::new();
-        self.shed.advance(now, !self.has_room());
-        self.demand.advance(now, self.limit.limit());
+        self.shed.advance(now, !self.has_slot());
+        self.demand.advance(now, f64::from(self.limit.limit()));
+        self.rate.advance(now);
+        self.rate_demand.advance(now, self.rate.capacity());
         while let Some(queued) = self.queue.pop_expired(now) {
             match queued.expiry_reason {
                 RefusalReason::Overload => self.refuse_for_overload(&queued.call, &mut verdicts),
                 reason => verdicts.push(refusal(queued.call.id, reason)),
             }
         }
-        self.update_nonempty_since(now);
+        self.start_waiting(now, &mut verdicts);
         verdicts
     }
 
     fn has_room(&self) -> bool {
+        self.has_slot() && self.rate.has_token()
+    }
+
+    fn has_slot(&self) -> bool {
         self.in_flight() < self.limit.limit()
     }
 
+    /// Returns whether calls wait for the rate that the upstream names, and not for a slot.
+    fn is_rate_bound(&self) -> bool {
+        self.has_slot() && !self.rate.has_token()
+    }
+
     /// Returns whether the call is expected to miss its deadline even if it started now.
     fn will_miss_deadline(&self, now: MonotonicTime, call: &WaitingCall) -> bool {
         now >= call.deadline || now + self.service_times[call.rank()].estimate(now) > call.deadline
@@ -225,6 +291,7 @@
         call: &WaitingCall,
         verdicts: &mut Vec<AdmissionVerdict>,
     ) {
+        self.rate.acquire(now);
         let running = RunningCall { rank: call.rank(), started: now };
         self.running.insert(call.id, running);
         verdicts.push(AdmissionVerdict { id: call.id, decision: AdmissionDecision::Run });
@@ -249,7 +316,8 @@
         call: WaitingCall,
         verdicts: &mut Vec<AdmissionVerdict>,
     ) {
-        if self.queued() >= self.settings.queue_length && !self.make_room(now, &call, verdicts) {
+        let is_full = self.queued() >= self.max_queued(now, &call);
+        if is_full && !self.make_room(now, &call, verdicts) {
             self.refuse_for_overload(&call, verdicts);
             return;
         }
@@ -258,6 +326,12 @@
         self.update_nonempty_since(now);
     }
 
+    /// Returns the number of calls that may wait when `call` arrives: no more than the upstream's rate can serve before
+    /// they would be refused.
+    fn max_queued(&self, now: MonotonicTime, call: &WaitingCall) -> u32 {
+        self.settings.queue_length.min(self.rate.tokens_within(self.queue_delay(now, call)))
+    }
+
     /// Evicts a waiting call in favour of `call`; returns `false` if every waiting call takes precedence
     /// over it.
     fn make_room(
@@ -286,11 +360,7 @@
     }
 
     fn queued_call(&self, now: MonotonicTime, call: WaitingCall) -> QueuedCall {
-        let settings = &self.settings;
-        // Refusing a nested call wastes the work already done by its callers, so only other calls get the short wait.
-        let is_short = self.is_overloaded(now) && !call.under_way;
-        let delay = if is_short { settings.overload_queue_delay } else { settings.max_queue_delay };
-        let wait_limit = now + delay;
+        let wait_limit = now + self.queue_delay(now, &call);
         let last_start = call.deadline - self.service_times[call.rank()].estimate(now);
         if last_start < wait_limit {
             let expiry_reason = RefusalReason::Deadline;
@@ -301,16 +371,34 @@
         }
     }
 
+    /// Returns the longest time that `call` waits.
+    fn queue_delay(&self, now: MonotonicTime, call: &WaitingCall) -> Duration {
+        // Refusing a nested call wastes the work already done by its callers, so only other calls get the short wait.
+        let is_short = self.is_overloaded(now) && !call.under_way;
+        let settings = &self.settings;
+        if is_short { settings.overload_queue_delay } else { settings.max_queue_delay }
+    }
+
     /// Refuses `call`, and before it every waiting call of a lower rank: no slot became free for `call`,
     /// so none would have become free for them.
     fn refuse_for_overload(&mut self, call: &WaitingCall, verdicts: &mut Vec<AdmissionVerdict>) {
         while let Some(rank) = self.queue.lowest_rank().filter(|rank| *rank < call.rank()) {
             let Some(evicted) = self.queue.evict(rank, true) else { break };
-            self.shed.on_refusal(evicted.call.importance);
-            verdicts.push(refusal(evicted.call.id, RefusalReason::Overload));
+            self.refuse_for_load(&evicted.call, verdicts);
         }
-        self.shed.on_refusal(call.importance);
-        verdicts.push(refusal(call.id, RefusalReason::Overload));
+        self.refuse_for_load(call, verdicts);
+    }
+
+    /// Refuses `call` for a lack of slots or for the rate that the upstream names. Only the former raises the shed level
+    /// that is derived from refusals; the rate has a level of its own.
+    fn refuse_for_load(&mut self, call: &WaitingCall, verdicts: &mut Vec<AdmissionVerdict>) {
+        let reason = if self.is_rate_bound() {
+            RefusalReason::UpstreamLimit
+        } else {
+            self.shed.on_refusal(call.importance);
+            RefusalReason::Overload
+        };
+        verdicts.push(refusal(call.id, reason));
     }
 
     fn update_nonempty_since(&mut self, now: MonotonicTime) {
--- a/crates/coltsfootroute/src/admission/demand_control.rs
+++ b/crates/coltsfootroute/src/admission/demand_control.rs
@@ -21,8 +21,8 @@
 
 /// Derives a [`ShedLevel`] from the demand of the callers and the capacity.
 ///
-/// The demand of each importance, in slots, is its call rate times the mean service time, divided by the
-/// share of requests that the level admits at the root. The level admits all work of the highest
+/// The demand of each importance, in slots, is its call rate times the mean service time (or the call rate alone, if the
+/// capacity is a rate), divided by the share of requests that the level admits at the root. The level admits all work of the highest
 /// importances whose demand fits into the slots, the share of the next importance that still fits, and
 /// nothing below.
 #[derive(Clone, Debug)]
@@ -52,6 +52,11 @@
         }
     }
 
+    /// Creates a controller whose capacity is in calls per second, whatever their service times.
+    pub fn per_second() -> Self {
+        Self { service_times: [1.0; RANKS], ..Self::new() }
+    }
+
     /// Counts an offered call.
     pub fn on_offer(&mut self, rank: usize) {
         self.offered[rank] += 1;
@@ -64,8 +69,8 @@
         *time = if *time == 0.0 { sample } else { *time + SERVICE_TIME_WEIGHT * (sample - *time) };
     }
 
-    /// Closes the windows that have ended by `now`; `limit` is the capacity in concurrent calls.
-    pub fn advance(&mut self, now: MonotonicTime, limit: u32) {
+    /// Closes the windows that have ended by `now`; `capacity` is in concurrent calls, or in calls per second.
+    pub fn advance(&mut self, now: MonotonicTime, capacity: f64) {
         let elapsed = now.since(self.window_start).as_micros() / WINDOW.as_micros();
         let windows = u64::try_from(elapsed).unwrap_or(u64::MAX);
         if windows == 0 {
@@ -76,7 +81,7 @@
         }
         let whole = u32::try_from(windows).unwrap_or(u32::MAX);
         self.window_start = self.window_start + WINDOW * whole;
-        self.level = self.level_for(f64::from(limit) * TARGET_UTILIZATION);
+        self.level = self.level_for(capacity * TARGET_UTILIZATION);
     }
 
     /// Returns the current level.
@@ -84,6 +89,12 @@
         self.level
     }
 
+    /// Returns the ratio of the demand to `capacity`.
+    pub fn load(&self, capacity: f64) -> f64 {
+        Importance::ALL.into_iter().map(|importance| self.demand(importance)).sum::<f64>()
+            / capacity
+    }
+
     fn close_window(&mut self) {
         for (rate, offered) in self.rates.iter_mut().zip(&mut self.offered) {
             *rate += WINDOW_WEIGHT * (f64::from(std::mem::take(offered)) - *rate);
--- a/crates/coltsfootroute/src/admission/service_levels.rs
+++ b/crates/coltsfootroute/src/admission/service_levels.rs
@@ -39,6 +39,29 @@
         }
     }
 
+    /// Records the level that follows from the rate that the upstream beside `guard` names, returned with a response whose
+    /// level has been observed.
+    pub fn observe_rate(
+        &mut self,
+        now: MonotonicTime,
+        service: &ServiceName,
+        guard: NodeId,
+        level: ShedLevel,
+    ) {
+        if let Some(known) = self.services.get_mut(service) {
+            known.observe_rate(now, guard, level);
+        }
+    }
+
+    /// Returns the guards of `service` whose upstreams name a rate, with the levels that follow from it.
+    pub fn limited_guards(
+        &self,
+        now: MonotonicTime,
+        service: &ServiceName,
+    ) -> impl Iterator<Item = (NodeId, ShedLevel)> {
+        self.services.get(service).into_iter().flat_map(move |known| known.limited(now))
+    }
+
     /// Returns the level of `service` at `now`; [`ShedLevel::OPEN`] if the service is unknown.
     pub fn level(&self, now: MonotonicTime, service: &ServiceName) -> ShedLevel {
         self.services.get(service).map_or(ShedLevel::OPEN, |known| known.overall(now))
--- a/crates/coltsfootroute/src/event/event_kind.rs
+++ b/crates/coltsfootroute/src/event/event_kind.rs
@@ -100,6 +100,10 @@
         limit: u32,
         /// Number of waiting calls.
         queued: u32,
+        /// Limit that the upstream names, in thousandths of a request per second; absent if it names none.
+        upstream_limit_milli: Option<u64>,
+        /// Calls that this limit still has room for, in thousandths; absent if it does not apply.
+        upstream_tokens_milli: Option<u64>,
     }
     /// The upstream beside the node returned no usable response to a call.
     UpstreamCallFailed("upstream-call-failed", Info) {
@@ -421,6 +425,36 @@
         /// Time from the sending of the request to its answer.
         elapsed_us: u64,
     }
+    /// The guard beside the upstream learned from a caller what the upstream has stated in earlier answers.
+    UpstreamNoticeAdopted("upstream-notice-adopted", Info) {
+        /// Client request with whose call the caller said so.
+        #[serde(with = "request_text")]
+        request: RequestId,
+        /// Service of the upstream.
+        service: ServiceName,
+        /// Instance of the upstream.
+        instance: InstanceName,
+        /// Limit in thousandths of a request per second; absent if the caller knows none.
+        limit_milli: Option<u64>,
+        /// Whether the upstream has said that it is leaving.
+        leaving: bool,
+    }
+    /// A reply told this node what another node's upstream has stated, and it differs from what was known.
+    UpstreamNoticeReceived("upstream-notice-received", Info) {
+        /// Client request with whose reply it came.
+        #[serde(with = "request_text")]
+        request: RequestId,
+        /// Service called.
+        service: ServiceName,
+        /// Node beside the upstream.
+        guard: NodeId,
+        /// Instance of the upstream.
+        instance: InstanceName,
+        /// Limit in thousandths of a request per second; absent if it names none.
+        limit_milli: Option<u64>,
+        /// Whether it has said that it is leaving.
+        leaving: bool,
+    }
     /// The upstream beside the node named a limit that is no rate; it is ignored.
     UpstreamLimitUnreadable("upstream-limit-unreadable", Warn) {
         /// Client request whose answer named it.
--- a/crates/coltsfootroute/src/event/event_subject.rs
+++ b/crates/coltsfootroute/src/event/event_subject.rs
@@ -22,6 +22,8 @@
             | Self::ClaimDecided { request, .. }
             | Self::ImportanceBreached { request, .. }
             | Self::UpstreamLimitChanged { request, .. }
+            | Self::UpstreamNoticeAdopted { request, .. }
+            | Self::UpstreamNoticeReceived { request, .. }
             | Self::UpstreamLimitUnreadable { request, .. }
             | Self::UpstreamLeaveAnswered { request, .. } => Some(*request),
             _ => None,
@@ -47,6 +49,8 @@
             | Self::UpstreamLeft { service, .. }
             | Self::UpstreamEnded { service, .. }
             | Self::UpstreamLimitChanged { service, .. }
+            | Self::UpstreamNoticeAdopted { service, .. }
+            | Self::UpstreamNoticeReceived { service, .. }
             | Self::UpstreamLimitUnreadable { service, .. }
             | Self::UpstreamLeaveAnswered { service, .. }
             | Self::LimitChanged { service, .. } => Some(service),
--- a/crates/coltsfootroute/src/outcome/refusal_reason.rs
+++ b/crates/coltsfootroute/src/outcome/refusal_reason.rs
@@ -8,6 +8,8 @@
     pub enum RefusalReason {
         /// The service has no capacity for work of this importance.
         Overload,
+        /// The upstream has named a limit on its rate of requests, which is used up.
+        UpstreamLimit,
         /// The node or the upstream is draining.
         Leaving,
         /// No upstream of the service is known or reachable.
@@ -49,8 +51,9 @@
 
 impl RefusalReason {
     /// All refusal reasons.
-    pub const ALL: [Self; 19] = [
+    pub const ALL: [Self; 20] = [
         Self::Overload,
+        Self::UpstreamLimit,
         Self::Leaving,
         Self::NoUpstream,
         Self::Deadline,
@@ -75,6 +78,7 @@
     pub fn as_str(self) -> &'static str {
         match self {
             Self::Overload => "overload",
+            Self::UpstreamLimit => "upstream-limit",
             Self::Leaving => "leaving",
             Self::NoUpstream => "no-upstream",
             Self::Deadline => "deadline",
--- a/crates/coltsfootroute/src/retry/retry_policy.rs
+++ b/crates/coltsfootroute/src/retry/retry_policy.rs
@@ -92,6 +92,7 @@
         | RefusalReason::StoreUnavailable
         | RefusalReason::UnknownOperation
         | RefusalReason::RetryBudget
+        | RefusalReason::UpstreamLimit
         | RefusalReason::BadRequest
         | RefusalReason::Quarantined
         | RefusalReason::UnknownKey
--- a/crates/coltsfootroute/src/table/token_bucket.rs
+++ b/crates/coltsfootroute/src/table/token_bucket.rs
@@ -64,8 +64,7 @@
     /// Acquires up to `wanted` available tokens and returns the number acquired.
     pub fn acquire_up_to(&mut self, now: MonotonicTime, wanted: u32) -> u32 {
         self.refill(now);
-        let whole = u32::try_from(self.level / THOUSANDTHS_PER_TOKEN).unwrap_or_default();
-        let acquired = whole.min(wanted);
+        let acquired = self.available().min(wanted);
         self.level -= i64::from(acquired) * THOUSANDTHS_PER_TOKEN;
         acquired
     }
@@ -88,7 +87,39 @@
         *self = Self { rate, burst, level: self.level.min(burst), ..*self };
     }
 
-    fn refill(&mut self, now: MonotonicTime) {
+    /// Returns the number of whole tokens that were available at the last refill.
+    pub fn available(&self) -> u32 {
+        u32::try_from(self.level / THOUSANDTHS_PER_TOKEN).unwrap_or_default()
+    }
+
+    /// Returns the thousandths of a token that were available at the last refill; 0 while tokens are lent.
+    pub fn level_milli(&self) -> u64 {
+        u64::try_from(self.level).unwrap_or_default()
+    }
+
+    /// Returns the refill rate in tokens per second.
+    pub fn rate(&self) -> f64 {
+        self.rate.0 as f64 / THOUSANDTHS_PER_TOKEN as f64
+    }
+
+    /// Returns the number of tokens that can be acquired one after the other within `delay` of the last refill.
+    pub fn tokens_within(&self, delay: Duration) -> u32 {
+        let micros = i64::try_from(delay.as_micros()).unwrap_or(i64::MAX);
+        let refill = micros.saturating_mul(self.rate.0) / MICROS_PER_SECOND;
+        let whole = self.level.saturating_add(refill) / THOUSANDTHS_PER_TOKEN;
+        u32::try_from(whole.max(0)).unwrap_or(u32::MAX)
+    }
+
+    /// Returns the first time at which a refill makes a token available.
+    pub fn next_token_at(&self) -> MonotonicTime {
+        let missing = (THOUSANDTHS_PER_TOKEN - self.level).max(0);
+        let micros = missing.saturating_mul(MICROS_PER_SECOND).div_euclid(self.rate.0);
+        let rest = i64::from(missing.saturating_mul(MICROS_PER_SECOND) % self.rate.0 > 0);
+        self.refilled_at + Duration::from_micros((micros + rest).unsigned_abs())
+    }
+
+    /// Adds the tokens that have accrued by `now`.
+    pub fn refill(&mut self, now: MonotonicTime) {
         let elapsed = i64::try_from(now.since(self.refilled_at).as_micros()).unwrap_or(i64::MAX);
         let refill = elapsed.saturating_mul(self.rate.0) / MICROS_PER_SECOND;
         if refill == 0 {
--- a/crates/coltsfootroute/tests/integration/admission.rs
+++ b/crates/coltsfootroute/tests/integration/admission.rs
@@ -8,3 +8,4 @@
 mod scenarios;
 mod shed_loop;
 mod unavailable_service;
+mod upstream_limit;
--- a/crates/coltsfootroute/tests/integration/upstream_limit.rs
+++ b/crates/coltsfootroute/tests/integration/upstream_limit.rs
@@ -1,8 +1,10 @@
 //! Limits that upstreams name in their answers.
 
 use coltsfootroute::{
+    id::NodeId,
+    membership::{InstanceIncarnation, InstanceName},
     time::MonotonicTime,
-    upstream_limit::{LimitChange, LimitTracker, RequestRate},
+    upstream_limit::{KnownNotices, LimitChange, LimitTracker, RequestRate, UpstreamNotice},
 };
 use rstest::rstest;
 
@@ -88,3 +90,42 @@
 
     assert_eq!(change, Some(LimitChange::Named(RequestRate(2_000))));
 }
+
+#[test]
+fn a_limit_that_a_caller_knows_applies_until_the_first_answer() {
+    let mut tracker = LimitTracker::new();
+
+    let adopted = tracker.adopt(at(100), RequestRate(10_000));
+    let higher = tracker.adopt(at(110), RequestRate(20_000));
+    let lower = tracker.adopt(at(120), RequestRate(5_000));
+    let lifted = tracker.record_answer(at(300), at(200), None);
+    let again = tracker.adopt(at(310), RequestRate(5_000));
+
+    assert_eq!(adopted, Some(LimitChange::Named(RequestRate(10_000))));
+    assert_eq!(higher, None);
+    assert_eq!(lower, Some(LimitChange::Named(RequestRate(5_000))));
+    assert_eq!(lifted, Some(LimitChange::Lifted));
+    assert_eq!(again, None);
+}
+
+fn notice(limit: Option<RequestRate>, is_leaving: bool) -> UpstreamNotice {
+    let incarnation = InstanceIncarnation::new(InstanceName::new("i-1"));
+    UpstreamNotice { incarnation, limit, is_leaving }
+}
+
+#[test]
+fn a_caller_knows_a_notice_until_it_is_withdrawn_or_old() {
+    let node = NodeId(([127, 0, 0, 1], 1).into());
+    let mut known = KnownNotices::new();
+
+    let is_new = known.observe(at(0), node, notice(rate(5.0), false));
+    let is_repeated = known.observe(at(50_000), node, notice(rate(5.0), false));
+    let kept = known.of(at(100_000), node).cloned();
+    let forgotten = known.of(at(111_000), node).cloned();
+    let is_withdrawn = known.observe(at(100_000), node, notice(None, false));
+
+    assert!(is_new && !is_repeated && is_withdrawn);
+    assert_eq!(kept, Some(notice(rate(5.0), false)));
+    assert_eq!(forgotten, None);
+    assert_eq!(known.of(at(100_000), node), None);
+}
