An upstream that says in its answers that it leaves gets no new work

Callers saw requests that reached an upstream seconds after it had said that it leaves, and that it may break off as it exits. Cause: as for the limit, the header was passed on and not heard; only heartbeats and leaves withdrew an upstream. Ruled out: a late heartbeat that brings it back (the test sends one, and it was never withdrawn). Change: the guard withdraws the incarnation at the head of the first such answer, for good, and has its row tell of the leave, as for a leave that is reported; what waits in front of the upstream is not sent. Replies tell callers, and their next calls tell a guard that has started since, where the row could not be written.

--- a/crates/coltsfoot-node/src/dispatch/guard/local_upstream.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard/local_upstream.rs
@@ -99,11 +99,16 @@
         !same
     }
 
-    /// Withdraws the upstream: nothing is dispatched to it any more, and its leave is announced.
-    pub async fn withdraw_upstream(&self) -> HttpReply {
+    /// Dispatches nothing more to the upstream.
+    pub(super) fn mark_withdrawn(&self) {
         if let Some(upstream) = self.state.upstream.borrow_mut().as_mut() {
             upstream.has_withdrawn = true;
         }
+    }
+
+    /// Withdraws the upstream: nothing is dispatched to it any more, and its leave is announced.
+    pub async fn withdraw_upstream(&self) -> HttpReply {
+        self.mark_withdrawn();
         self.announce_leave().await;
         HttpReply::json(StatusCode::OK, &serde_json::json!({ "leaving": true }))
     }
--- a/crates/coltsfoot-node/src/dispatch/guard/upstream_statements.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard/upstream_statements.rs
@@ -1,6 +1,6 @@
 //! What the upstream beside the node states about itself in its answers.
 
-use std::time::Duration;
+use std::{rc::Rc, time::Duration};
 
 use coltsfoot_wire::peer::CallRequest;
 use coltsfootroute::{
@@ -57,7 +57,11 @@
     }
 
     /// Records what the upstream states in the head of its answer to `sent_call`.
-    pub(super) fn record_statement(&self, sent_call: &SentCall<'_>, statement: UpstreamStatement) {
+    pub(super) fn record_statement(
+        self: &Rc<Self>,
+        sent_call: &SentCall<'_>,
+        statement: UpstreamStatement,
+    ) {
         if sent_call.incarnation != self.incarnation_number() {
             return;
         }
@@ -112,7 +116,7 @@
         let now = self.context.now();
         let tracker = self.state.limit.borrow();
         let limit = tracker.limit();
-        let is_leaving = self.state.leave_reported.get() == Some(self.incarnation_number());
+        let is_leaving = self.has_answered_leave();
         if limit.is_none() && !is_leaving && !tracker.is_lifted(now, LIFT_NOTICE_TIME) {
             return None;
         }
@@ -122,7 +126,7 @@
 
     /// Adopts what a caller knows of the upstream from earlier answers. An earlier incarnation of this node may have
     /// passed them on.
-    pub(super) fn adopt_notice(&self, call: &CallRequest, known: &UpstreamNotice) {
+    pub(super) fn adopt_notice(self: &Rc<Self>, call: &CallRequest, known: &UpstreamNotice) {
         let current = self.state.upstream.borrow().as_ref().and_then(|upstream| {
             let incarnation = upstream.announcement.incarnation();
             incarnation.filter(|incarnation| *incarnation == known.incarnation)
@@ -134,6 +138,12 @@
         let change = known.limit.and_then(|rate| self.state.limit.borrow_mut().adopt(now, rate));
         if let Some(change) = change {
             self.apply_limit(change);
+        }
+        let is_leave_new = known.is_leaving && !self.has_answered_leave();
+        if is_leave_new {
+            self.begin_answered_leave();
+        }
+        if change.is_some() || is_leave_new {
             self.context.events.emit(EventKind::UpstreamNoticeAdopted {
                 request: call.request,
                 service: call.service.clone(),
@@ -144,10 +154,9 @@
         }
     }
 
-    /// Records that the upstream says that it is leaving; reported once for each incarnation.
-    fn record_answered_leave(&self, sent_call: &SentCall<'_>) {
-        let number = Some(sent_call.incarnation);
-        if self.state.leave_reported.replace(number) == number {
+    /// Records that the upstream says in an answer that it is leaving.
+    fn record_answered_leave(self: &Rc<Self>, sent_call: &SentCall<'_>) {
+        if self.has_answered_leave() {
             return;
         }
         self.context.events.emit(EventKind::UpstreamLeaveAnswered {
@@ -155,5 +164,32 @@
             service: sent_call.call.service.clone(),
             instance: sent_call.instance.clone(),
         });
+        self.begin_answered_leave();
+    }
+
+    /// Returns whether this incarnation of the upstream has said in an answer that it is leaving.
+    fn has_answered_leave(&self) -> bool {
+        self.state.left_by_answer.get() == Some(self.incarnation_number())
+    }
+
+    /// Dispatches nothing more to this incarnation of the upstream, and records its leave outside this process. It holds
+    /// for good: heartbeats of the incarnation that come later do not undo it.
+    fn begin_answered_leave(self: &Rc<Self>) {
+        let number = self.incarnation_number();
+        self.state.left_by_answer.set(Some(number));
+        self.mark_withdrawn();
+        let upstream = self.state.upstream.borrow();
+        let incarnation = upstream.as_ref().and_then(|known| known.announcement.incarnation());
+        let guard = self.clone();
+        tokio::task::spawn_local(async move {
+            match incarnation {
+                // Without an acknowledgement nobody repeats the leave: its row is written again until it stands.
+                Some(incarnation) => drop(guard.handle_leave(incarnation).await),
+                None if guard.incarnation_number() == number => {
+                    drop(guard.withdraw_upstream().await);
+                }
+                None => {}
+            }
+        });
     }
 }
