Limits that upstreams name hold in the product's own interface too: coltsfoot-limit

Cause: the limit was read on the users' platform alone; the product's own upstreams had no way to name one. Change: header coltsfoot-limit, a decimal number of requests a second, in any answer. Conclusion: a node between stand-ins lets at most one of twenty calls through at a limit of nothing.

--- a/crates/coltsfoot-node/src/border/upstream_dialect.rs
+++ b/crates/coltsfoot-node/src/border/upstream_dialect.rs
@@ -3,7 +3,8 @@
 use coltsfoot_wire::peer::{HeaderLine, RequestHead};
 use coltsfootroute::{
     constants::{
-        CONTEXT_HEADER, DEADLINE_HEADER, IDEMPOTENCY_KEY_HEADER, OUTCOME_HEADER, TEAM_HEADER,
+        CONTEXT_HEADER, DEADLINE_HEADER, IDEMPOTENCY_KEY_HEADER, LIMIT_HEADER, OUTCOME_HEADER,
+        TEAM_HEADER,
     },
     outcome::CallOutcome,
     upstream_limit::RequestRate,
@@ -73,7 +74,7 @@
             },
             echo: None,
             seal: None,
-            limit: None,
+            limit: Some(HeaderName::from_static(LIMIT_HEADER)),
             leaving: None,
         }
     }
--- a/crates/coltsfoot-node/tests/integration/main.rs
+++ b/crates/coltsfoot-node/tests/integration/main.rs
@@ -17,4 +17,5 @@
 mod status;
 mod store;
 mod store_claims;
+mod upstream_limit;
 mod util;
--- a/crates/coltsfoot-node/tests/integration/util/stub_upstream.rs
+++ b/crates/coltsfoot-node/tests/integration/util/stub_upstream.rs
@@ -18,6 +18,8 @@
 pub enum StubMode {
     /// Answers with the headers it was sent.
     Echo,
+    /// Answers with a limit of no request per second.
+    Limited,
     /// Answers without a content length; the body ends with the connection.
     NoLength,
     /// Answers with fewer bytes than announced.
@@ -34,6 +36,7 @@
     pub fn parse(text: &str) -> Self {
         match text {
             "echo" => Self::Echo,
+            "limited" => Self::Limited,
             "no-length" => Self::NoLength,
             "cut-off" => Self::CutOff,
             "cut-chunk" => Self::CutChunk,
@@ -142,6 +145,9 @@
             let body = serde_json::to_string(&told).expect("plain data");
             format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{body}", body.len())
         }
+        StubMode::Limited => {
+            "HTTP/1.1 200 OK\r\ncoltsfoot-limit: 0\r\ncontent-length: 2\r\n\r\nok".to_owned()
+        }
         StubMode::NoLength => "HTTP/1.1 200 OK\r\n\r\nhalf of an ans".to_owned(),
         StubMode::CutOff => {
             "HTTP/1.1 200 OK\r\ncontent-length: 28\r\n\r\nhalf of an ans".to_owned()
@@ -162,5 +168,5 @@
             return false;
         }
     };
-    stream.write_all(text.as_bytes()).is_ok() && matches!(mode, StubMode::Echo)
+    stream.write_all(text.as_bytes()).is_ok() && matches!(mode, StubMode::Echo | StubMode::Limited)
 }
--- a/crates/coltsfootroute/src/constants.rs
+++ b/crates/coltsfootroute/src/constants.rs
@@ -10,6 +10,9 @@
 pub const TEAM_HEADER: &str = "coltsfoot-team";
 /// Response header with the [`CallOutcome`](crate::outcome::CallOutcome).
 pub const OUTCOME_HEADER: &str = "coltsfoot-outcome";
+/// Response header of an upstream with the requests per second that it accepts from all callers together, for as long as
+/// its answers name it.
+pub const LIMIT_HEADER: &str = "coltsfoot-limit";
 /// Response header of a refusal with the time to wait before a retry, in whole seconds, with jitter.
 pub const RETRY_AFTER_HEADER: &str = "retry-after";
 /// Path prefix of calls, which have the path `/call/{service}/{operation}`.
