--- a/crates/coltsfoot-wire/tests/integration/main.rs
+++ b/crates/coltsfoot-wire/tests/integration/main.rs
@@ -1,3 +1,4 @@
 //! Integration tests of the wire formats.
 
 mod gossip;
+mod peer;
