--- a/crates/coltsfoot-node/src/metrics/control_metrics.rs
+++ b/crates/coltsfoot-node/src/metrics/control_metrics.rs
@@ -1,4 +1,4 @@
-//! Metrics of how the nodes act together.
+//! Metrics of configuration, membership and control traffic.
 
 use prometheus::{IntCounterVec, IntGauge, IntGaugeVec};
 
@@ -8,7 +8,7 @@
     metric_registry::{MetricRegistry, gauge_value},
 };
 
-/// Metrics of how the nodes act together: configuration, membership and the traffic for it.
+/// Metrics of configuration, membership and control traffic.
 pub struct ControlMetrics {
     revision: IntGauge,
     members: IntGaugeVec,
@@ -33,17 +33,17 @@
         Ok(metrics)
     }
 
-    /// Configuration revision in force, now.
+    /// Sets the configuration revision in force.
     pub fn set_revision(&self, revision: u64) {
         self.revision.set(gauge_value(revision));
     }
 
-    /// Members known in `state`, now.
+    /// Sets the number of members known in `state`.
     pub fn set_members(&self, state: MemberState, count: usize) {
         self.members.with_label_values(&[state.as_str()]).set(gauge_value(count as u64));
     }
 
-    /// Control traffic passed.
+    /// Adds control traffic.
     pub fn add_bytes(&self, kind: ControlKind, direction: TrafficDirection, bytes: usize) {
         let labels = [kind.as_str(), direction.as_str()];
         self.bytes.with_label_values(&labels).inc_by(bytes as u64);
--- a/crates/coltsfoot-node/src/metrics/duty_meter.rs
+++ b/crates/coltsfoot-node/src/metrics/duty_meter.rs
@@ -14,21 +14,21 @@
 pub struct DutyMeter {
     metrics: Arc<NodeMetrics>,
     duty: NodeDuty,
-    /// Reported so far.
+    /// Processor time reported so far.
     reported: Duration,
     due: Instant,
 }
 
 impl DutyMeter {
-    /// How often a thread reports that has nothing else to do.
+    /// Time between two reports of an idle thread.
     pub const IDLE_PERIOD: Duration = Duration::from_secs(5);
 
-    /// The meter of one thread of `duty`.
+    /// Creates a meter for one thread of `duty`.
     pub fn new(metrics: Arc<NodeMetrics>, duty: NodeDuty) -> Self {
         Self { metrics, duty, reported: Duration::ZERO, due: Instant::now() }
     }
 
-    /// Reports the calling thread, at most once a second. Always to be called by the same thread.
+    /// Reports the calling thread's time, at most once a second. Must always be called by the same thread.
     pub fn report(&mut self) {
         let now = Instant::now();
         if now >= self.due {
@@ -37,7 +37,7 @@
         }
     }
 
-    /// Reports that the thread has taken `total` so far; less than before changes nothing.
+    /// Reports that the thread has used `total` so far; a smaller total than before is ignored.
     pub fn note(&mut self, total: Duration) {
         let increment = total.saturating_sub(self.reported);
         self.metrics.process.add_duty_processor_time(self.duty, increment);
--- a/crates/coltsfoot-node/src/metrics/metric_registry.rs
+++ b/crates/coltsfoot-node/src/metrics/metric_registry.rs
@@ -45,7 +45,7 @@
         self.export(IntGauge::new(name, help))
     }
 
-    /// A gauge that is no count, with its value at the start.
+    /// Defines a gauge of a fractional value, with its initial value.
     pub(super) fn initial_gauge(
         &self,
         name: &str,
@@ -76,13 +76,13 @@
         Ok(metric)
     }
 
-    /// All metrics in Prometheus' text format.
+    /// Returns all metrics in Prometheus' text format.
     pub(super) fn render(&self) -> Result<String, MetricsError> {
         Ok(TextEncoder::new().encode_to_string(&self.0.gather())?)
     }
 }
 
-/// A count as the value of a gauge.
+/// Converts a count to the value of a gauge.
 pub(super) fn gauge_value(count: u64) -> i64 {
     i64::try_from(count).unwrap_or(i64::MAX)
 }
--- a/crates/coltsfoot-node/src/metrics/node_metrics.rs
+++ b/crates/coltsfoot-node/src/metrics/node_metrics.rs
@@ -24,7 +24,7 @@
 }
 
 impl NodeMetrics {
-    /// Metrics in a registry of their own, all at 0.
+    /// Creates metrics in a registry of their own, all at 0.
     ///
     /// # Errors
     ///
@@ -41,8 +41,7 @@
         })
     }
 
-    /// The metrics in Prometheus' text format: the body of `GET /metrics`. To be called by one thread
-    /// only.
+    /// Returns the metrics in Prometheus' text format, the body of `GET /metrics`. Must be called by one thread only.
     ///
     /// # Errors
     ///
--- a/crates/coltsfoot-node/src/metrics/process_metrics.rs
+++ b/crates/coltsfoot-node/src/metrics/process_metrics.rs
@@ -11,7 +11,7 @@
     metric_registry::{MetricRegistry, gauge_value},
 };
 
-/// Metrics of the process: what it takes of its host, and what its journal lost.
+/// Metrics of the process: its use of the host, and the events that its journal dropped.
 pub struct ProcessMetrics {
     processor: Counter,
     duty_processor: CounterVec,
@@ -41,25 +41,25 @@
         Ok(metrics)
     }
 
-    /// A thread of `duty` took this much processor time more; see [`DutyMeter`](super::DutyMeter).
+    /// Adds processor time of a thread of `duty`; see [`DutyMeter`](super::DutyMeter).
     pub fn add_duty_processor_time(&self, duty: NodeDuty, increment: Duration) {
         let counter = self.duty_processor.with_label_values(&[duty.as_str()]);
         counter.inc_by(increment.as_secs_f64());
     }
 
-    /// Events dropped so far, as [`EventReader::dropped`](crate::journal::EventReader::dropped) tells.
+    /// Sets the number of dropped events, see [`EventReader::dropped`](crate::journal::EventReader::dropped).
     pub fn set_events_dropped(&self, dropped: u64) {
         self.events_dropped.inc_by(dropped.saturating_sub(self.events_dropped.get()));
     }
 
-    /// Reads what the process takes of its host.
+    /// Updates the use of the host.
     pub(super) fn refresh(&self) {
         raise_to(&self.processor, process_processor_time());
         self.resident.set(gauge_value(resident_bytes()));
     }
 }
 
-/// Raises a counter to `total`; counters only take increments, and none that is negative.
+/// Raises a counter to `total`; counters accept only increments that are not negative.
 fn raise_to(counter: &Counter, total: Duration) {
     let increment = total.as_secs_f64() - counter.get();
     counter.inc_by(increment.max(0.0));
--- a/crates/coltsfoot-node/src/metrics/request_metrics.rs
+++ b/crates/coltsfoot-node/src/metrics/request_metrics.rs
@@ -100,63 +100,63 @@
         })
     }
 
-    /// A request was admitted in front of the upstream.
+    /// Counts a request that the guard admitted.
     pub fn admitted(&self, importance: Importance) {
         self.admitted.increment(importance);
     }
 
-    /// A request was refused.
+    /// Counts a refused request.
     pub fn refused(&self, reason: RefusalReason, importance: Importance) {
         self.refused.with_label_values(&[reason.as_str(), importance.as_str()]).inc();
     }
 
-    /// A caller was told `outcome`.
+    /// Counts a response with `outcome`.
     pub fn answered(&self, outcome: CallOutcome) {
         self.answered.increment(outcome);
     }
 
-    /// Requests in flight to the upstream and waiting in front of it, now.
+    /// Sets the number of requests in flight to the upstream and of those that wait in front of it.
     pub fn set_load(&self, in_flight: usize, queued: usize) {
         self.in_flight.set(gauge_value(in_flight as u64));
         self.queued.set(gauge_value(queued as u64));
     }
 
-    /// Limit on requests in flight to the upstream, now.
+    /// Sets the limit on requests in flight to the upstream.
     pub fn set_limit(&self, limit: usize) {
         self.limit.set(gauge_value(limit as u64));
     }
 
-    /// A request was refused for overload while less important work was admitted.
+    /// Counts a request that was refused for overload while less important work was admitted.
     pub fn importance_breached(&self) {
         self.importance_breaches.inc();
     }
 
-    /// A call is sent to the upstream.
+    /// Counts a call that is sent to the upstream.
     pub fn arrived(&self, kind: ArrivalKind) {
         self.arrivals.increment(kind);
     }
 
-    /// Limit that the upstream names in its answers; `None` if it names none.
+    /// Sets the limit that the upstream names in its answers; `None` if it names none.
     pub fn set_upstream_limit(&self, limit: Option<RequestRate>) {
         self.upstream_limit.set(limit.map_or(NO_UPSTREAM_LIMIT, RequestRate::per_second));
     }
 
-    /// The upstream has ended with calls under way.
+    /// Counts a crash of the upstream with calls in flight.
     pub fn upstream_ended(&self) {
         self.upstream_ends.inc();
     }
 
-    /// So many different requests are held back now.
+    /// Sets the number of different requests in quarantine.
     pub fn set_quarantined(&self, held: usize) {
         self.quarantined.set(gauge_value(held as u64));
     }
 
-    /// Time that the node added to a call.
+    /// Records the time that the node added to a call.
     pub fn added_latency(&self, latency: Duration) {
         self.added_latency.observe(latency);
     }
 
-    /// Time that the upstream took for a call.
+    /// Records the time that the upstream took for a call.
     pub fn upstream_latency(&self, latency: Duration) {
         self.upstream_latency.observe(latency);
     }
--- a/crates/coltsfoot-node/src/metrics/retry_metrics.rs
+++ b/crates/coltsfoot-node/src/metrics/retry_metrics.rs
@@ -40,19 +40,19 @@
         })
     }
 
-    /// A client request of this node took a retry, its `taken`th in all.
+    /// Counts a retry of a client request of this node, its `taken`th in all.
     pub fn granted(&self, taken: u32) {
         self.granted.inc();
         let most = self.request_max.get().max(i64::from(taken));
         self.request_max.set(most);
     }
 
-    /// A call reached a further upstream of the same service.
+    /// Counts a call that reached a further upstream of the same service.
     pub fn repeated(&self, cause: RepeatCause) {
         self.repeats.increment(cause);
     }
 
-    /// A retry was denied.
+    /// Counts a denied retry.
     pub fn denied(&self, reason: DenialReason) {
         self.denied.increment(reason);
     }
--- a/crates/coltsfoot-node/src/metrics/store_metrics.rs
+++ b/crates/coltsfoot-node/src/metrics/store_metrics.rs
@@ -1,4 +1,4 @@
-//! Metrics of the platform's store as the node uses it.
+//! Metrics of the node's use of the platform's store.
 
 use coltsfootroute::{event::ClaimOutcome, table::StoreUse};
 use prometheus::{IntCounterVec, IntGauge};
@@ -8,7 +8,7 @@
     metric_registry::MetricRegistry,
 };
 
-/// Metrics of the platform's store as the node uses it.
+/// Metrics of the node's use of the platform's store.
 pub struct StoreMetrics {
     claims: CounterFamily<ClaimOutcome>,
     requests: IntCounterVec,
@@ -36,17 +36,17 @@
         Ok(metrics)
     }
 
-    /// A claim was decided.
+    /// Counts the outcome of a claim.
     pub fn claimed(&self, outcome: ClaimOutcome) {
         self.claims.increment(outcome);
     }
 
-    /// A request to the store ended.
+    /// Counts the result of a request to the store.
     pub fn requested(&self, store_use: StoreUse, result: StoreResult) {
         self.requests.with_label_values(&[store_use.as_str(), result.as_str()]).inc();
     }
 
-    /// Whether the store answered when it was last asked.
+    /// Sets whether the store responded to the last request.
     pub fn set_up(&self, is_up: bool) {
         self.up.set(i64::from(is_up));
     }
