A limit that is no rate is reported once, not with each answer

Cause: an upstream that names nonsense in all its answers would use up the bound on lines of failed requests.

--- a/crates/coltsfoot-node/src/dispatch/guard/guard_state.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard/guard_state.rs
@@ -54,6 +54,8 @@
     pub(in crate::dispatch) incarnation_number: Cell<u64>,
     /// Limit that this incarnation names in its answers.
     pub(in crate::dispatch) limit: RefCell<LimitTracker>,
+    /// Limit that is no rate and was reported last.
+    pub(in crate::dispatch) unreadable_limit: RefCell<Option<String>>,
     /// Number of the latest incarnation that has said in an answer that it is leaving.
     pub(in crate::dispatch) left_by_answer: Cell<Option<u64>>,
     /// Notified when the gate's next wake-up time may have changed.
--- a/crates/coltsfoot-node/src/dispatch/guard/upstream_statements.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard/upstream_statements.rs
@@ -41,6 +41,7 @@
     pub(super) fn begin_incarnation(&self) {
         self.state.incarnation_number.set(self.incarnation_number() + 1);
         self.state.limit.take();
+        self.state.unreadable_limit.take();
         let now = self.context.now();
         self.state.with_gate(|gate| gate.reset_upstream_limit(now));
         self.context.metrics.requests.set_upstream_limit(None);
@@ -68,18 +69,26 @@
         match statement.limit {
             StatedLimit::Absent => self.record_limit(sent_call, None),
             StatedLimit::Rate(rate) => self.record_limit(sent_call, Some(rate)),
-            StatedLimit::Unreadable(value) => {
-                let SentCall { call, .. } = sent_call;
-                let (request, service) = (call.request, call.service.clone());
-                let event = EventKind::UpstreamLimitUnreadable { request, service, value };
-                self.context.events.emit(event);
-            }
+            StatedLimit::Unreadable(value) => self.report_unreadable(sent_call.call, value),
         }
         if statement.is_leaving {
             self.record_answered_leave(sent_call);
         }
     }
 
+    /// Reports a limit that is no rate, unless it was the one reported last.
+    fn report_unreadable(&self, call: &CallRequest, value: String) {
+        let previous = self.state.unreadable_limit.replace(Some(value.clone()));
+        if previous.as_ref() != Some(&value) {
+            let (request, service) = (call.request, call.service.clone());
+            self.context.events.emit(EventKind::UpstreamLimitUnreadable {
+                request,
+                service,
+                value,
+            });
+        }
+    }
+
     fn record_limit(&self, sent_call: &SentCall<'_>, named: Option<RequestRate>) {
         let now = self.context.now();
         let mut tracker = self.state.limit.borrow_mut();
