--- a/crates/coltsfootroute/src/admission/admission_gate.rs
+++ b/crates/coltsfootroute/src/admission/admission_gate.rs
@@ -27,9 +27,9 @@
 /// those on other calls. The owner applies the verdicts, reports the end of each call that ran with
 /// [`AdmissionGate::finish`], and calls [`AdmissionGate::tick`] at [`AdmissionGate::next_wakeup`].
 ///
-/// Invariants: no more calls start than the limit allows, and the limit is at most the slots; none start above the rate
-/// that the upstream names; a call
-/// is refused for overload only when no call of lower rank waits; no call starts after its deadline.
+/// Invariants: no more calls start than the limit allows, and the limit is at most the slots; no call starts above the
+/// rate that the upstream names; a call is refused for overload only when no call of lower rank waits; no call starts after
+/// its deadline.
 #[derive(Clone, Debug)]
 pub struct AdmissionGate<L: ConcurrencyLimit = DefaultLimit> {
     settings: AdmissionSettings,
@@ -44,6 +44,7 @@
     demand: DemandControl,
     /// Rate that the upstream names as its limit.
     rate: RateLimiter,
+    /// Demand compared with that rate.
     rate_demand: DemandControl,
     draining: bool,
 }
--- a/crates/coltsfootroute/src/retry/retry_policy.rs
+++ b/crates/coltsfootroute/src/retry/retry_policy.rs
@@ -83,7 +83,8 @@
 /// Maximum number of times that the backoff is doubled; keeps the factor within 32 bits.
 const MAX_DOUBLINGS: u32 = 16;
 
-/// Returns whether every upstream would refuse the call for the same reason.
+/// Returns whether a retry is of no use: every upstream would refuse the call for the same reason, or, for the limits that
+/// upstreams name, the call has been rerouted to others already.
 fn is_final(reason: RefusalReason) -> bool {
     match reason {
         RefusalReason::KeyConflict
