--- a/crates/coltsfoot-node/src/journal/event_journal.rs
+++ b/crates/coltsfoot-node/src/journal/event_journal.rs
@@ -1,4 +1,4 @@
-//! The journal before its thread runs.
+//! Journal before its thread is started.
 
 use std::{
     io,
@@ -24,23 +24,23 @@
 /// Name of the journal's thread.
 const THREAD_NAME: &str = "journal";
 
-/// The journal of one node's life, before its thread runs. Events emitted meanwhile wait in the queue.
+/// Journal of one incarnation of a node, before its thread is started. Events emitted meanwhile wait in the queue.
 pub struct EventJournal {
     gate: Arc<JournalGate>,
     ring: Arc<Mutex<EventRing>>,
-    /// Sequence number after the last record kept.
+    /// Sequence number after the latest retained record.
     kept: Arc<AtomicU64>,
     sender: SyncSender<JournalMessage>,
     receiver: Receiver<JournalMessage>,
 }
 
 impl EventJournal {
-    /// Events that may wait for the journal's thread.
+    /// Maximum number of events that wait for the journal's thread.
     pub const QUEUE_EVENTS: usize = 4_096;
-    /// Records kept for readers.
+    /// Number of records retained for readers.
     pub const RING_RECORDS: usize = 16_384;
 
-    /// The journal of `node`, started with incarnation `life`.
+    /// Creates the journal of `node`, whose incarnation is `life`.
     pub fn new(node: NodeId, life: Incarnation) -> Self {
         let (sender, receiver) = sync_channel(Self::QUEUE_EVENTS);
         let ring = EventRing::new(Self::RING_RECORDS);
@@ -48,24 +48,24 @@
         Self { gate, ring: Arc::new(Mutex::new(ring)), kept: Arc::default(), sender, receiver }
     }
 
-    /// Sets how many events may wait, at least 1. Call before [`EventJournal::sender`].
+    /// Sets the maximum number of waiting events, at least 1. Call before [`EventJournal::sender`].
     pub fn with_queue_events(mut self, events: usize) -> Self {
         (self.sender, self.receiver) = sync_channel(events.max(1));
         self
     }
 
-    /// Sets how many records are kept, at least 1. Call before [`EventJournal::reader`].
+    /// Sets the number of retained records, at least 1. Call before [`EventJournal::reader`].
     pub fn with_ring_records(mut self, records: usize) -> Self {
         self.ring = Arc::new(Mutex::new(EventRing::new(records)));
         self
     }
 
-    /// A sender.
+    /// Returns a sender.
     pub fn sender(&self) -> EventSender {
         EventSender::new(Arc::clone(&self.gate), self.sender.clone())
     }
 
-    /// A reader.
+    /// Returns a reader.
     pub fn reader(&self) -> EventReader {
         EventReader::new(self.gate.clone(), self.ring.clone(), self.kept.clone())
     }
@@ -74,7 +74,7 @@
     ///
     /// # Errors
     ///
-    /// The system's, if it starts no thread.
+    /// Returns the system's error if it cannot start a thread.
     pub fn spawn(self, metrics: Arc<NodeMetrics>) -> io::Result<JournalHandle> {
         let journal = JournalThread::new(self.receiver, self.ring, self.kept);
         let thread = thread::Builder::new().name(THREAD_NAME.to_owned());
--- a/crates/coltsfoot-node/src/journal/event_logger.rs
+++ b/crates/coltsfoot-node/src/journal/event_logger.rs
@@ -17,7 +17,7 @@
 /// Bytes of log lines that are written at once at most.
 const OUTPUT_BYTES: usize = 16 * 1024;
 
-/// The log was started already.
+/// Error if the log has been started before.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 #[error("the log was started already")]
 pub struct LoggingError;
@@ -38,7 +38,7 @@
     Ok(())
 }
 
-/// A logger that writes the node's lines to `output` and nothing else.
+/// Creates a logger that writes only the node's lines, to `output`.
 pub fn event_logger<W: Write + Send + 'static>(
     settings: &LogSettings,
     output: W,
@@ -46,7 +46,7 @@
     WriteLogger::new(settings.level, line_config(), output)
 }
 
-/// Whether the level in force lets the record be logged.
+/// Returns whether the log level in force includes the record.
 pub(super) fn is_logged(record: &EventRecord) -> bool {
     log::log_enabled!(target: LOG_TARGET, record_level(record))
 }
@@ -58,7 +58,7 @@
     log::log!(target: LOG_TARGET, level, "level={name} {}", record.to_key_values());
 }
 
-/// The level of a record's kind; an attempt that failed is as worth a line as its request.
+/// Returns the level of a record's kind; that of a failed attempt is raised to that of its request.
 fn record_level(record: &EventRecord) -> Level {
     match &record.kind {
         EventKind::AttemptFinished { outcome, .. } if *outcome != CallOutcome::Completed => {
@@ -85,7 +85,7 @@
     );
 }
 
-/// The line holds everything itself, so that simplelog adds nothing that isn't a pair.
+/// Returns a configuration in which simplelog adds nothing to a line, since the line is complete.
 fn line_config() -> Config {
     ConfigBuilder::new()
         .set_max_level(LevelFilter::Off)
--- a/crates/coltsfoot-node/src/journal/event_reader.rs
+++ b/crates/coltsfoot-node/src/journal/event_reader.rs
@@ -1,4 +1,4 @@
-//! Reading of the records kept.
+//! Reader of the retained records.
 
 use std::{
     sync::{
@@ -13,17 +13,17 @@
 
 use super::journal_gate::JournalGate;
 
-/// Pause between two looks at whether the journal's thread has caught up.
+/// Pause between two checks whether the journal's thread has caught up.
 const LOOK_PAUSE: Duration = Duration::from_millis(1);
-/// Most looks: several of the thread's own pauses. Events that were dropped are never kept.
+/// Maximum number of checks, several of the thread's own pauses: dropped events never become records.
 const MOST_LOOKS: u32 = 25;
 
-/// Reads the records kept; cheap to clone.
+/// Reads the retained records; cheap to clone.
 #[derive(Clone)]
 pub struct EventReader {
     gate: Arc<JournalGate>,
     ring: Arc<Mutex<EventRing>>,
-    /// Sequence number after the last record kept.
+    /// Sequence number after the latest retained record.
     kept: Arc<AtomicU64>,
 }
 
@@ -36,20 +36,20 @@
         Self { gate, ring, kept }
     }
 
-    /// Up to `limit` records from sequence number `sequence` on, oldest first; see
-    /// [`EventRing::read_since`]. Waits a moment for those emitted just before.
+    /// Returns up to `limit` records from sequence number `sequence` on, oldest first; see [`EventRing::read_since`]. Waits
+    /// briefly for records that have just been emitted.
     pub fn read_since(&self, sequence: u64, limit: usize) -> Vec<EventRecord> {
         self.await_kept();
         self.lock().read_since(sequence, limit)
     }
 
-    /// The same as JSON, one record a line: the body of `GET /events?since={sequence}`.
+    /// Returns the same as JSON, one record per line: the body of `GET /events?since={sequence}`.
     pub fn json_lines_since(&self, sequence: u64, limit: usize) -> String {
         let records = self.read_since(sequence, limit);
         records.iter().map(|record| record.to_json() + "\n").collect()
     }
 
-    /// Events that did not fit the queue so far.
+    /// Returns the number of events dropped so far because the queue was full.
     pub fn dropped(&self) -> u64 {
         self.gate.lock().dropped
     }
--- a/crates/coltsfoot-node/src/journal/event_sender.rs
+++ b/crates/coltsfoot-node/src/journal/event_sender.rs
@@ -1,4 +1,4 @@
-//! Hand-over of events to the journal.
+//! Sender of events to the journal.
 
 use std::sync::{Arc, mpsc::SyncSender};
 
@@ -6,7 +6,7 @@
 
 use super::{journal_gate::JournalGate, journal_message::JournalMessage, wall_clock::wall_ms};
 
-/// Hands events to the journal; cheap to clone, one for each thread that has something to say.
+/// Sends events to the journal; cheap to clone, one for each thread that emits events.
 ///
 /// A standard bounded channel and not an `rtrb` ring, which has one producer only: every duty emits
 /// events, and the journal's thread has to sleep until one comes.
@@ -21,8 +21,8 @@
         Self { gate, queue }
     }
 
-    /// Records that `kind` happened now. Never waits: an event that does not fit the queue is dropped and
-    /// leaves a gap in the sequence.
+    /// Records that `kind` happened now. Never blocks: if the queue is full, the event is dropped and leaves a gap in the
+    /// sequence.
     pub fn emit(&self, kind: EventKind) {
         let mut state = self.gate.lock();
         let record = state.record(kind);
@@ -31,12 +31,12 @@
         }
     }
 
-    /// Stamp for a message to another process.
+    /// Returns a stamp for a message to another process.
     pub fn stamp(&self) -> HybridStamp {
         self.gate.lock().clock.tick(wall_ms())
     }
 
-    /// Takes over the stamp of a message received, so that what it causes is ordered after it.
+    /// Observes the stamp of a received message, so that events caused by it are ordered after it.
     ///
     /// # Errors
     ///
--- a/crates/coltsfoot-node/src/journal/journal_gate.rs
+++ b/crates/coltsfoot-node/src/journal/journal_gate.rs
@@ -17,14 +17,14 @@
     state: Mutex<GateState>,
 }
 
-/// What the gate's lock covers.
+/// State that the gate's lock protects.
 pub(super) struct GateState {
     node: NodeId,
     life: Incarnation,
     pub(super) clock: HybridClock,
     /// Sequence number of the next event; also consumed by events that are then dropped.
     pub(super) next_sequence: u64,
-    /// Events that did not fit the queue.
+    /// Number of events dropped because the queue was full.
     pub(super) dropped: u64,
 }
 
--- a/crates/coltsfoot-node/src/journal/journal_message.rs
+++ b/crates/coltsfoot-node/src/journal/journal_message.rs
@@ -1,11 +1,11 @@
-//! What the journal's thread is sent.
+//! Messages to the journal's thread.
 
 use coltsfootroute::event::EventRecord;
 
-/// What the journal's thread is sent.
+/// Message to the journal's thread.
 pub(super) enum JournalMessage {
-    /// A record to log and keep.
+    /// Log and retain a record.
     Record(EventRecord),
-    /// Finish what was sent before this, then end.
+    /// Process the earlier messages, then end.
     Stop,
 }
--- a/crates/coltsfoot-node/src/journal/journal_thread.rs
+++ b/crates/coltsfoot-node/src/journal/journal_thread.rs
@@ -1,4 +1,4 @@
-//! The journal's thread.
+//! Thread of the journal.
 
 use std::{
     sync::{
@@ -18,13 +18,13 @@
 };
 use crate::metrics::DutyMeter;
 
-/// Pause after the queue has been emptied: what comes meanwhile wakes no thread and shares one write, which saves four to
-/// seven in a hundred of a node's processor time (two days of load, one run each). Readers wait for it ([`EventReader`](super::EventReader)).
+/// Pause after the queue has been emptied: events that arrive meanwhile wake no thread and share one write. Readers wait for
+/// it ([`EventReader`](super::EventReader)).
 const GATHER_PAUSE: Duration = Duration::from_millis(5);
-/// Longest time that a line of another thread waits in the log's buffer.
+/// Longest time that a line of another thread stays in the log's buffer.
 const FLUSH_PERIOD: Duration = Duration::from_secs(1);
 
-/// The journal's thread: logs each record and keeps it.
+/// Thread of the journal, which logs and retains each record.
 pub(super) struct JournalThread {
     queue: Receiver<JournalMessage>,
     ring: Arc<Mutex<EventRing>>,
@@ -44,7 +44,7 @@
         Self { queue, ring, expected: 0, budget: LineBudget::new(), kept }
     }
 
-    /// Runs until stopped or until nobody can send any more; `meter` takes its processor time.
+    /// Runs until stopped or until all senders are gone; `meter` reports its processor time.
     pub(super) fn run(mut self, mut meter: DutyMeter) {
         loop {
             let message = match self.queue.try_recv() {
--- a/crates/coltsfoot-node/src/journal/line_budget.rs
+++ b/crates/coltsfoot-node/src/journal/line_budget.rs
@@ -1,4 +1,4 @@
-//! Bound on the log lines of single requests.
+//! Limit on the log lines of single requests.
 
 use std::time::{Duration, Instant};
 
@@ -10,19 +10,19 @@
 };
 use log::LevelFilter;
 
-/// Lines a second of requests that failed or were refused, their attempts and retries. At some 300 bytes a
-/// line a node writes at most 30 KB of them a second.
+/// Lines per second of requests that failed or were refused, of their attempts and retries: 30 KB per second at 300 bytes
+/// per line.
 const FAILURES_PER_S: f64 = 100.0;
-/// Such lines at once.
+/// Burst of such lines.
 const FAILURES_BURST: f64 = 300.0;
-/// Lines a second of requests that went well: a sample, to see what is usual.
+/// Lines per second of successful requests: a sample that shows what is usual.
 const SUCCESSES_PER_S: f64 = 5.0;
-/// Such lines at once.
+/// Burst of such lines.
 const SUCCESSES_BURST: f64 = 10.0;
-/// How often it is said what was left out.
+/// Shortest time between two reports of omitted lines.
 const REPORT_PERIOD: Duration = Duration::from_secs(1);
 
-/// Bounds the log lines of single requests. All other lines pass.
+/// Limits the log lines of single requests; all other lines are written.
 pub(super) struct LineBudget {
     origin: Instant,
     failures: TokenBucket,
@@ -31,7 +31,7 @@
     reported: Instant,
 }
 
-/// Lines left out since the last report.
+/// Numbers of lines omitted since the last report.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(super) struct LeftOut {
     pub(super) failures: u64,
@@ -39,7 +39,7 @@
 }
 
 impl LineBudget {
-    /// A full budget.
+    /// Creates a budget with its bursts available.
     pub(super) fn new() -> Self {
         let now = Instant::now();
         Self {
@@ -51,9 +51,9 @@
         }
     }
 
-    /// Whether the record is logged.
+    /// Returns whether to log the record.
     pub(super) fn admits(&mut self, record: &EventRecord) -> bool {
-        // Whoever asks for `debug` asks for all.
+        // At level `debug` every line is wanted.
         if record.kind.request().is_none() || log::max_level() > LevelFilter::Info {
             return true;
         }
@@ -67,7 +67,7 @@
         admitted
     }
 
-    /// What was left out, when it is time to say so.
+    /// Returns the omitted lines if a report is due.
     pub(super) fn due_report(&mut self) -> Option<LeftOut> {
         if self.left_out == LeftOut::default() || self.reported.elapsed() < REPORT_PERIOD {
             return None;
