A service whose first upstream has come is not shed any more

Callers saw 503 for up to 0.8 s after the first upstream of a service had come, though it had room for all. Cause: while a service has no upstream, a node notes the highest shed level for it, so that roots refuse at once. Nothing took the note back when the first upstream came: it only decayed. Evidence: limits::a_limit_outlasts_the_node_beside_the_upstream waited in vain once (load 18); 1 of 24 plays of its beginning, six at once, shows why: member-up, the request under way gets 200, the next five are refused overload, shed_by the service, severity 3617. In two other plays 61 and 66 requests were refused so before the first 200. Ruled out: load (a single idle node shows it each time, in the test); estimates of service times (they need eight samples). Change: a node forgets a service's levels when it gains its first upstream. Figures: the test failed before, passes now; 0 of 48 plays of that beginning, eight at once, have a refusal. Conclusion: mended.

--- a/crates/coltsfoot-node/src/dispatch/ingress/pool_watch.rs
+++ b/crates/coltsfoot-node/src/dispatch/ingress/pool_watch.rs
@@ -171,7 +171,14 @@
         let now = self.context.now();
         self.member_counts.borrow_mut().insert(service.clone(), MemberCounts::of(members));
         let infos = members.iter().filter_map(upstream_info);
-        self.with_pool(service, |pool| pool.update(now, infos));
+        let has_gained_first = self.with_pool(service, |pool| {
+            let was_empty = pool.is_empty();
+            pool.update(now, infos);
+            was_empty && !pool.is_empty()
+        });
+        if has_gained_first == Some(true) {
+            self.root.borrow_mut().levels_mut().forget(service);
+        }
         self.members_changed.notify_waiters();
     }
 }
--- a/crates/coltsfootroute/src/admission/service_levels.rs
+++ b/crates/coltsfootroute/src/admission/service_levels.rs
@@ -62,6 +62,12 @@
         self.services.get(service).into_iter().flat_map(move |known| known.limited(now))
     }
 
+    /// Forgets the levels of `service`, after all its guards were gone: what they, and callers in their place, reported does
+    /// not apply to those that come after them.
+    pub fn forget(&mut self, service: &ServiceName) {
+        self.services.swap_remove(service);
+    }
+
     /// Returns the level of `service` at `now`; [`ShedLevel::OPEN`] if the service is unknown.
     pub fn level(&self, now: MonotonicTime, service: &ServiceName) -> ShedLevel {
         self.services.get(service).map_or(ShedLevel::OPEN, |known| known.overall(now))
