--- a/review/2/case.py
+++ b/review/2/case.py
@@ -101,8 +101,14 @@
         status = ends[0].status if ends else None
         record(f"{run['method']} {run['id']}: reached {run['instance']} {run['at'] - acked:.2f} s after the "
                f"acknowledgement{', machines in touch' if run['at'] > in_touch else ''}; client got {status}")
+    places = {}
+    for backend in backends:
+        for run in backend.runs:
+            places.setdefault(run["id"], []).append(run["instance"])
     statuses = {}
-    for method, _, _, answer in answers:
+    for method, ident, sent, answer in answers:
+        record(f"{method} {ident}: sent {sent - acked:.2f} s, ended {answer.at - acked:.2f} s after the acknowledgement: "
+               f"status {answer.status}, {answer.end}; ran at {places.get(ident, [])}")
         name = f"{method} {answer.status if answer.whole else answer.end}"
         statuses[name] = statuses.get(name, 0) + 1
     record(f"answers: {statuses}; exit {exited - acked:.2f} s after the acknowledgement")
--- a/review/standins/mesh.py
+++ b/review/standins/mesh.py
@@ -15,7 +15,6 @@
 import sys
 import tempfile
 import time
-import tomllib
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parents[2]
@@ -28,6 +27,12 @@
 LATENCY_S = 0.004
 
 
+def deploy_role():
+    """Command and template of the one role in the deploy file."""
+    text = (ROOT / "deploy/system.toml").read_text()
+    return {name: re.search(rf'^{name} = "(.*)"$', text, re.M)[1] for name in ("run", "template")}
+
+
 # ---- settings ----------------------------------------------------------------------------------------------------
 
 def lookup(scopes, name):
@@ -394,7 +399,7 @@
                              "reads_per_s": 2000, "tx_ms": 8.0, "row_bytes": 65536, "history_s": 20}}
 
     async def start(self):
-        deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text())["roles"]["node"]
+        deploy = deploy_role()
         settings = self.folder / f"{self.name}.yaml"
         settings.write_text(render((ROOT / deploy["template"]).read_text(), [self.fields()]))
         words = shlex.split(deploy["run"])
@@ -563,6 +568,8 @@
     machines = []
 
     async def main():
+        # Whoever stops the script stops what it has started too.
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
         with tempfile.TemporaryDirectory(prefix="review-") as temporary:
             try:
                 return await asyncio.wait_for(play(record, Path(temporary), machines, trouble), limit_s)
@@ -575,7 +582,7 @@
 
     try:
         code = asyncio.run(main())
-    except Exception as error:  # noqa: BLE001: whatever keeps the case from running
+    except (Exception, asyncio.CancelledError) as error:  # whatever keeps the case from running
         record(f"could not run: {type(error).__name__}: {error}")
         code = 2
     record({0: "rule held", 1: "RULE BROKEN", 2: "case could not run"}[code])
