A planned stop waits for clients that still read their answers

Cause: a request counted as in flight until its answer was known, not until its caller had it; what came behind that had a fixed 200 ms. The node's log: drain-begun in_flight=0 and stopped interrupted=0 while eight answers are being written.

Ruled out: the deadline, the route's timeout, the upstreams (whole answers), SIGKILL (the process ends by itself 3 s after the signal, grace time 6 s).

Change: a tracker of unsent answers, from the moment a request has been read until its last byte has gone to the kernel, on all listeners and on the links to other nodes. A stop waits for them, at most until their callers give up by their own deadlines, and at most until shortly before the grace time, which is a setting now (limits.drain_grace_s). Requests behind the notice hold nothing. An answer that nobody takes is dropped at its caller's deadline instead of staying in memory.

Conclusion: a request is over when its caller has its answer; the stop now counts so.

--- a/crates/coltsfoot-node/src/dispatch/dispatch_duty.rs
+++ b/crates/coltsfoot-node/src/dispatch/dispatch_duty.rs
@@ -23,7 +23,7 @@
         PeerHandler, PeerLinks, QuarantineService, TokenReply,
     },
 };
-use crate::config::max_proof_age;
+use crate::{answers::AnswerTracker, config::max_proof_age};
 
 /// The parts of the dispatch duty. Each depends only on those listed above it.
 pub(super) struct DispatchDuty {
@@ -72,6 +72,8 @@
             queue: parts.queue,
             drain: parts.drain,
             closing_time: parts.closing_time,
+            grace_time: parts.grace_time,
+            answers: parts.answers,
             store: parts.store,
             nodes: parts.nodes,
         };
@@ -100,6 +102,10 @@
 }
 
 impl CallHandler for DispatchDuty {
+    fn answers(&self) -> &AnswerTracker {
+        &self.guard.answers
+    }
+
     async fn call(self: Rc<Self>, call: CallRequest) -> CallReply {
         self.context.observe(call.stamp);
         let mut reply = self.guard.guard_call(call).await;
--- a/crates/coltsfoot-node/src/dispatch/dispatch_parts.rs
+++ b/crates/coltsfoot-node/src/dispatch/dispatch_parts.rs
@@ -7,6 +7,7 @@
 
 use super::context::NodeIdentity;
 use crate::{
+    answers::AnswerTracker,
     border::{RepeatGuard, UpstreamDialect},
     clock::MonotonicClock,
     config::{ConfigCell, FreshnessCell},
@@ -49,6 +50,10 @@
     pub drain: DrainSettings,
     /// Time for which a stopping node continues to serve, while it tells clients not to send further requests.
     pub closing_time: Duration,
+    /// Time after which a planned stop is ended from outside; `None` if it is not.
+    pub grace_time: Option<Duration>,
+    /// Answers that the node still has to hand over.
+    pub answers: AnswerTracker,
     /// Access to the platform's services.
     pub store: StoreHandle,
     /// Whether the settings name peers.
--- a/crates/coltsfoot-node/src/dispatch/entry_port.rs
+++ b/crates/coltsfoot-node/src/dispatch/entry_port.rs
@@ -16,7 +16,7 @@
     guard::{CallGuard, UpstreamHeartbeat, UpstreamReceipt},
     ingress::{CallIngress, CallOrigin, IncomingCall},
 };
-use crate::config::ConfigInForce;
+use crate::{answers::AnswerTracker, config::ConfigInForce};
 
 /// Client address of a nested call whose client request is no longer known.
 const UNKNOWN_CLIENT: IpAddr = IpAddr::V4(Ipv4Addr::UNSPECIFIED);
@@ -57,6 +57,11 @@
         self.context.config.load()
     }
 
+    /// Returns the tracker of the answers that the node still has to hand over.
+    pub fn answers(&self) -> AnswerTracker {
+        self.guard.answers.clone()
+    }
+
     /// Whether clients should send their requests here.
     pub fn is_ready(&self) -> bool {
         self.config().is_some() && !self.is_leaving()
--- a/crates/coltsfoot-node/src/dispatch/guard/call_guard.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard/call_guard.rs
@@ -24,6 +24,7 @@
     once_service::OnceService, upstream_client::UpstreamClient,
 };
 use crate::{
+    answers::AnswerTracker,
     border::UpstreamDialect,
     dispatch::{
         context::NodeContext,
@@ -51,6 +52,10 @@
     /// Time for which a node that is about to stop still serves requests, while it tells clients to close their
     /// connections.
     pub closing_time: Duration,
+    /// Time after which a planned stop is ended from outside; `None` if it is not.
+    pub grace_time: Option<Duration>,
+    /// Answers that the node still has to hand over.
+    pub answers: AnswerTracker,
     /// Handle to the platform's store.
     pub store: StoreHandle,
     /// Number of nodes that share the platform's rates.
@@ -84,6 +89,9 @@
     /// Whether a planned stop has been requested.
     pub(super) is_closing: Cell<bool>,
     pub(super) closing_time: Duration,
+    pub(super) grace_time: Option<Duration>,
+    /// Answers that the node still has to hand over, which a planned stop waits for.
+    pub(in crate::dispatch) answers: AnswerTracker,
     /// Time between two reports of an overdue planned stop.
     pub(super) drain_period: Duration,
     /// Maximum number of calls queued in front of the upstream.
@@ -126,6 +134,8 @@
             ),
             is_closing: Cell::new(false),
             closing_time: settings.closing_time,
+            grace_time: settings.grace_time,
+            answers: settings.answers,
             queue: settings.queue,
             shed_policy: settings.shed_policy,
             once: OnceService::new(holder, settings.store, settings.nodes),
--- a/crates/coltsfoot-node/src/dispatch/guard/planned_stop.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard/planned_stop.rs
@@ -14,6 +14,9 @@
 
 /// Interval at which a leaving node checks whether it is drained.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
+/// Time before the end of the grace time at which a node stops waiting for callers that still read, so that it ends by
+/// itself.
+const GRACE_MARGIN: Duration = Duration::from_millis(500);
 
 /// Kind of a call, by which a leaving node decides whether to accept it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -54,8 +57,11 @@
         self.is_closing.get()
     }
 
-    /// Performs a planned stop: rejects new work, announces the leave, and signals `done` once nothing is in flight.
+    /// Performs a planned stop: rejects new work, announces the leave, and signals `done` once nothing is in flight and
+    /// every answer has been handed over.
     pub async fn leave(self: Rc<Self>, done: oneshot::Sender<()>) {
+        let requested = self.context.now();
+        let longest = self.grace_time.map(|time| requested + time.saturating_sub(GRACE_MARGIN));
         // The upstream stays in service while clients still send requests here: leaving earlier would only withdraw
         // its slots from all nodes.
         self.is_closing.set(true);
@@ -67,10 +73,11 @@
         let begun: MonotonicTime = self.context.now();
         self.drain.borrow_mut().begin(begun);
         let in_flight = u32::try_from(self.drain.borrow().in_flight()).unwrap_or(u32::MAX);
-        self.context.events.emit(EventKind::DrainBegun { in_flight });
+        let unsent = u32::try_from(self.answers.waiting()).unwrap_or(u32::MAX);
+        self.context.events.emit(EventKind::DrainBegun { in_flight, unsent });
         self.announce_leave().await;
         let mut reported = begun;
-        while !self.is_drained() {
+        while !self.is_drained(longest) {
             sleep(DRAIN_POLL_INTERVAL).await;
             self.report_overdue(&mut reported);
         }
@@ -81,16 +88,24 @@
         let _ = done.send(());
     }
 
-    /// Returns whether a leaving node may stop.
-    fn is_drained(&self) -> bool {
-        self.drain.borrow().phase(self.context.now()) == DrainPhase::Drained
+    /// Returns whether a leaving node may stop: nothing is in flight, and every answer has been handed over. For callers
+    /// that still read it waits until `longest` at most.
+    fn is_drained(&self, longest: Option<MonotonicTime>) -> bool {
+        let now = self.context.now();
+        if self.drain.borrow().phase(now) != DrainPhase::Drained {
+            return false;
+        }
+        // Requests that come from now on are refused.
+        self.answers.seal();
+        self.answers.waiting() == 0 || longest.is_some_and(|longest| longest <= now)
     }
 
-    /// Reports, once in each period, the calls in flight that delay a planned stop. No call is cancelled: that is left
-    /// to whoever stops the process.
+    /// Reports, once in each period, the calls in flight and the unsent answers that delay a planned stop. No call is
+    /// cancelled: that is left to whoever stops the process.
     fn report_overdue(&self, reported: &mut MonotonicTime) {
         let now = self.context.now();
-        let Some(DrainReport { in_flight, waited }) = self.drain.borrow().overdue(now) else {
+        let report = self.drain.borrow().overdue(now, self.answers.waiting());
+        let Some(DrainReport { in_flight, unsent, waited }) = report else {
             return;
         };
         if now.since(*reported) < self.drain_period {
@@ -99,6 +114,7 @@
         *reported = now;
         self.context.events.emit(EventKind::DrainOverdue {
             in_flight: u32::try_from(in_flight).unwrap_or(u32::MAX),
+            unsent: u32::try_from(unsent).unwrap_or(u32::MAX),
             waited_ms: u64::try_from(waited.as_millis()).unwrap_or(u64::MAX),
         });
     }
--- a/crates/coltsfoot-node/src/dispatch/links/call_service.rs
+++ b/crates/coltsfoot-node/src/dispatch/links/call_service.rs
@@ -59,8 +59,9 @@
     writer: Rc<LinkWriter>,
     running: RunningCalls,
 ) {
+    let open = handler.answers().begin_within(call.remaining);
     // Boxed to keep the task small to move while it is set up.
     let reply = Box::pin(handler.call(*call)).await;
     running.borrow_mut().swap_remove(&number);
-    writer.send(&encode_reply(number, &reply));
+    writer.send_answer(&encode_reply(number, &reply), open);
 }
--- a/crates/coltsfoot-node/src/dispatch/links/link_stream.rs
+++ b/crates/coltsfoot-node/src/dispatch/links/link_stream.rs
@@ -17,6 +17,8 @@
 };
 use tokio_util::compat::{Compat, TokioAsyncReadCompatExt as _};
 
+use crate::answers::OpenAnswer;
+
 /// Size of the read buffer of each connection in bytes: about ten calls.
 const READ_BUFFER_BYTES: usize = 4 * 1024;
 /// Number of pending bytes from which writes of the protocol are blocked; several times the largest message.
@@ -31,6 +33,8 @@
 #[derive(Default)]
 struct PendingBytes {
     bytes: Vec<u8>,
+    /// Answers among the bytes.
+    answers: Vec<OpenAnswer>,
     /// Whether the writing side is closed.
     is_closed: bool,
     /// Error with which the connection failed, if it did.
@@ -59,7 +63,7 @@
 
 /// Sends pending bytes until the writing side is closed or the connection fails.
 async fn send_pending(mut writer: impl tokio::io::AsyncWrite + Unpin, queue: Rc<SendQueue>) {
-    let mut bytes = Vec::new();
+    let (mut bytes, mut answers) = (Vec::new(), Vec::new());
     loop {
         if queue.pending.borrow().bytes.is_empty() {
             if queue.pending.borrow().is_closed {
@@ -69,21 +73,24 @@
             // Lets other tasks that are ready now add their bytes first.
             yield_now().await;
         }
-        queue.take_pending(&mut bytes);
+        queue.take_pending(&mut bytes, &mut answers);
         if let Err(err) = writer.write_all(&bytes).await {
             queue.fail(err.kind());
             return;
         }
         bytes.clear();
+        answers.clear();
         bytes.shrink_to(RETAINED_CAPACITY_BYTES);
     }
 }
 
 impl SendQueue {
-    /// Moves the pending bytes into `bytes`, which must be empty, and wakes a blocked write.
-    fn take_pending(&self, bytes: &mut Vec<u8>) {
+    /// Moves the pending bytes into `bytes` and the answers among them into `answers`, which must be empty, and wakes a
+    /// blocked write.
+    fn take_pending(&self, bytes: &mut Vec<u8>, answers: &mut Vec<OpenAnswer>) {
         let mut pending = self.pending.borrow_mut();
         std::mem::swap(&mut pending.bytes, bytes);
+        std::mem::swap(&mut pending.answers, answers);
         if let Some(waker) = pending.blocked_writer.take() {
             waker.wake();
         }
@@ -93,6 +100,7 @@
         let mut pending = self.pending.borrow_mut();
         pending.failure = Some(kind);
         pending.bytes = Vec::new();
+        pending.answers = Vec::new();
         if let Some(waker) = pending.blocked_writer.take() {
             waker.wake();
         }
@@ -122,6 +130,15 @@
             self.queue.changed.notify_one();
         }
     }
+
+    /// Queues `bytes` like [`LinkWriter::send`]; the answer `open` is dropped when they have been sent.
+    pub fn send_answer(&self, bytes: &[u8], open: OpenAnswer) {
+        self.send(bytes);
+        let mut pending = self.queue.pending.borrow_mut();
+        if pending.failure.is_none() {
+            pending.answers.push(open);
+        }
+    }
 }
 
 impl AsyncWrite for LinkWriter {
--- a/crates/coltsfoot-node/src/dispatch/links/peer_handler.rs
+++ b/crates/coltsfoot-node/src/dispatch/links/peer_handler.rs
@@ -11,7 +11,7 @@
 };
 
 use super::CreditDemand;
-use crate::dispatch::context::NodeContext;
+use crate::{answers::AnswerTracker, dispatch::context::NodeContext};
 
 /// Reply of the node that holds a retry account to a request for a token.
 #[derive(Clone, Copy, Debug)]
@@ -24,6 +24,9 @@
 
 /// Serves calls of other nodes.
 pub trait CallHandler {
+    /// Returns the tracker of the answers that this node still has to hand over.
+    fn answers(&self) -> &AnswerTracker;
+
     /// Serves a call for the node's upstream. Dropping the future cancels the call.
     fn call(self: Rc<Self>, call: CallRequest) -> impl Future<Output = CallReply>;
 }
--- a/crates/coltsfoot-node/src/dispatch/node_status.rs
+++ b/crates/coltsfoot-node/src/dispatch/node_status.rs
@@ -37,7 +37,7 @@
             ready: revision > 0 && !drain.closes_connections(),
             phase: drain.phase(now).as_str(),
             in_flight: drain.in_flight(),
-            overdue: drain.overdue(now).map(OverdueBody::from),
+            overdue: drain.overdue(now, self.guard.answers.waiting()).map(OverdueBody::from),
             links: self.links.count(),
             membership: membership.map(MembershipBody::from),
             services: self.service_bodies(),
--- a/crates/coltsfoot-node/src/dispatch/status_body.rs
+++ b/crates/coltsfoot-node/src/dispatch/status_body.rs
@@ -40,13 +40,14 @@
 #[derive(serde::Serialize)]
 pub struct OverdueBody {
     in_flight: u64,
+    unsent: usize,
     waited_ms: u64,
 }
 
 impl From<DrainReport> for OverdueBody {
     fn from(report: DrainReport) -> Self {
         let waited_ms = u64::try_from(report.waited.as_millis()).unwrap_or(u64::MAX);
-        Self { in_flight: report.in_flight, waited_ms }
+        Self { in_flight: report.in_flight, unsent: report.unsent, waited_ms }
     }
 }
 
--- a/crates/coltsfoot-node/src/http/client_listener.rs
+++ b/crates/coltsfoot-node/src/http/client_listener.rs
@@ -16,27 +16,28 @@
     request_parts::{CallHeaders, RequestError, head_fits, read_body},
     worker_meter::report_worker,
 };
-use crate::dispatch::CallOrigin;
+use crate::{answers::OpenAnswer, dispatch::CallOrigin};
 
 /// Serves one request of a client.
 pub async fn handle(ctx: &WebContext<'_, ClientState>) -> WebResponse {
     report_worker(&ctx.state().metrics);
+    let open = ctx.state().answers.begin();
     let request = ctx.req();
     let most = ctx.state().limits.head_bytes;
     if !head_fits(request.method(), request.uri(), request.headers(), most) {
-        return head_too_large().into_response();
+        return head_too_large().into_response(open);
     }
     let reply = match CallPath::parse(ctx.req().uri().path()) {
         Some(_) if ctx.req().method() != Method::POST => {
             HttpReply::new(StatusCode::METHOD_NOT_ALLOWED, TEXT, "calls are POST requests\n")
         }
-        Some(path) => call(ctx, path).await,
+        Some(path) => call(ctx, path, &open).await,
         None => HttpReply::new(StatusCode::NOT_FOUND, TEXT, "no such path\n"),
     };
-    reply.into_response()
+    reply.into_response(open)
 }
 
-async fn call(ctx: &WebContext<'_, ClientState>, path: CallPath) -> HttpReply {
+async fn call(ctx: &WebContext<'_, ClientState>, path: CallPath, open: &OpenAnswer) -> HttpReply {
     let state = ctx.state();
     let received = state.clock.now();
     let read = async {
@@ -48,6 +49,9 @@
         Ok(parts) => parts,
         Err(err) => return malformed(&err),
     };
+    if let Some(remaining) = headers.remaining {
+        open.set_remaining(remaining);
+    }
     // The context of a client is never read: a client cannot forge importance.
     let origin = CallOrigin::Client { address: ctx.req().body().socket_addr().ip() };
     state.dispatch.call(headers.into_call(origin, path, body, received)).await
--- a/crates/coltsfoot-node/src/http/host_listener.rs
+++ b/crates/coltsfoot-node/src/http/host_listener.rs
@@ -14,6 +14,7 @@
     worker_meter::report_worker,
 };
 use crate::{
+    answers::OpenAnswer,
     config::SubmitRequest,
     dispatch::{CallOrigin, UpstreamAnnouncement},
     metrics::{ControlKind, TrafficDirection},
@@ -33,17 +34,18 @@
 /// Serves one request on the host's own address.
 pub async fn handle(ctx: &WebContext<'_, HostState>) -> WebResponse {
     report_worker(&ctx.state().metrics);
+    let open = ctx.state().answers.begin();
     let request = ctx.req();
     let most = ctx.state().limits.head_bytes;
     if !head_fits(request.method(), request.uri(), request.headers(), most) {
-        return head_too_large().into_response();
+        return head_too_large().into_response(open);
     }
     let path = ctx.req().uri().path().to_owned();
     let reply = match (ctx.req().method().clone(), path.as_str()) {
         (Method::PUT, "/upstream") => announce(ctx).await,
         (Method::DELETE, "/upstream") => withdraw(ctx).await,
         (Method::POST, path) if path != DRAIN_PATH => match CallPath::parse(path) {
-            Some(path) => nested_call(ctx, path).await,
+            Some(path) => nested_call(ctx, path, &open).await,
             None => not_found(),
         },
         (method, path) => {
@@ -52,7 +54,7 @@
             reply
         }
     };
-    reply.into_response()
+    reply.into_response(open)
 }
 
 /// Serves an operator.
@@ -89,7 +91,11 @@
     read_body(body, ctx.state().limits.body_bytes).await
 }
 
-async fn nested_call(ctx: &WebContext<'_, HostState>, path: CallPath) -> HttpReply {
+async fn nested_call(
+    ctx: &WebContext<'_, HostState>,
+    path: CallPath,
+    open: &OpenAnswer,
+) -> HttpReply {
     let received = ctx.state().clock.now();
     let mut headers = match CallHeaders::read(ctx.req().headers()) {
         Ok(headers) => headers,
@@ -99,6 +105,9 @@
         Ok(body) => body,
         Err(err) => return malformed(&err),
     };
+    if let Some(remaining) = headers.remaining {
+        open.set_remaining(remaining);
+    }
     let origin = CallOrigin::Upstream { context: headers.context.take() };
     ctx.state().dispatch.call(headers.into_call(origin, path, body, received)).await
 }
--- a/crates/coltsfoot-node/src/http/http_reply.rs
+++ b/crates/coltsfoot-node/src/http/http_reply.rs
@@ -15,6 +15,8 @@
 };
 use xitca_web::{body::ResponseBody, http::WebResponse};
 
+use crate::answers::{OpenAnswer, TrackedBody};
+
 /// Media type of bodies that the node writes itself.
 pub const JSON: &str = "application/json";
 /// Media type of plain text.
@@ -108,9 +110,9 @@
         self.body.len()
     }
 
-    /// The server's form of the reply.
-    pub fn into_response(self) -> WebResponse {
-        let mut response = WebResponse::new(ResponseBody::from(self.body));
+    /// The server's form of the reply, which is the answer `open`.
+    pub fn into_response(self, open: OpenAnswer) -> WebResponse {
+        let mut response = WebResponse::new(ResponseBody::boxed(TrackedBody::new(self.body, open)));
         *response.status_mut() = self.status;
         for (name, value) in self.headers {
             response.headers_mut().append(name, value);
--- a/crates/coltsfoot-node/src/http/listener_state.rs
+++ b/crates/coltsfoot-node/src/http/listener_state.rs
@@ -2,8 +2,8 @@
 
 use super::request_parts::PartLimits;
 use crate::{
-    clock::MonotonicClock, config::ConfigHandle, dispatch::DispatchHandle, journal::EventReader,
-    metrics::NodeMetrics, process::DrainSwitch,
+    answers::AnswerTracker, clock::MonotonicClock, config::ConfigHandle, dispatch::DispatchHandle,
+    journal::EventReader, metrics::NodeMetrics, process::DrainSwitch,
 };
 use std::sync::Arc;
 
@@ -18,6 +18,8 @@
     pub metrics: Arc<NodeMetrics>,
     /// Bounds on requests.
     pub limits: PartLimits,
+    /// Answers that still have to be handed over.
+    pub answers: AnswerTracker,
 }
 
 /// State of the listener on the host's own address.
@@ -37,4 +39,6 @@
     pub drain: DrainSwitch,
     /// Bounds on requests.
     pub limits: PartLimits,
+    /// Answers that still have to be handed over.
+    pub answers: AnswerTracker,
 }
--- a/crates/coltsfoot-node/src/http/pipeline/connection.rs
+++ b/crates/coltsfoot-node/src/http/pipeline/connection.rs
@@ -2,7 +2,7 @@
 
 use std::{future::Future, time::Duration};
 
-use bytes::BytesMut;
+use bytes::{Buf, BytesMut};
 use futures_util::{StreamExt, stream::FuturesOrdered};
 use http::{Method, Version, header::CONNECTION};
 use tokio::{
@@ -12,13 +12,14 @@
         tcp::{ReadHalf, WriteHalf},
     },
     task::spawn_local,
-    time::{Instant, sleep, sleep_until, timeout},
+    time::{Instant, sleep, sleep_until, timeout, timeout_at},
 };
 
 use super::{
     ConnectionLimits, FramingError, WholeRequest, WholeResponse, request_buffer::RequestBuffer,
     response_bytes,
 };
+use crate::answers::{AnswerTracker, OpenAnswer};
 
 /// Requests of one connection that are worked on at a time. Clients send two or three ahead.
 const MAX_AHEAD: usize = 16;
@@ -30,6 +31,8 @@
 const HEAD_ROOM: usize = 512;
 /// How long a closed connection still takes in what its client sends.
 const LINGER_TIME: Duration = Duration::from_millis(500);
+/// Time that a client has to take an answer even if its deadline has passed: the answer may say just that.
+const MIN_WRITE_TIME: Duration = Duration::from_millis(500);
 /// Pause after a failed accept: closing connections frees descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// Leave to send a body that a client asks before.
@@ -41,13 +44,19 @@
     method: Method,
     /// Whether the client or the handler asks to close the connection behind it.
     closes: bool,
+    open: OpenAnswer,
 }
 
 /// Serves every connection of `listener` by `handle`, on the current thread. The future of a request is
-/// dropped when its client closes the connection.
-pub async fn accept_connections<H, R>(listener: TcpListener, limits: ConnectionLimits, handle: H)
-where
-    H: Fn(WholeRequest) -> R + Clone + 'static,
+/// dropped when its client closes the connection. An answer is open in `answers` until it has been written; `handle` may
+/// tell it when the client gives up.
+pub async fn accept_connections<H, R>(
+    listener: TcpListener,
+    limits: ConnectionLimits,
+    answers: AnswerTracker,
+    handle: H,
+) where
+    H: Fn(WholeRequest, &OpenAnswer) -> R + Clone + 'static,
     R: Future<Output = WholeResponse> + 'static,
 {
     loop {
@@ -57,18 +66,22 @@
         };
         // Without it small answers wait for acknowledgements; a failure only costs time.
         let _ = stream.set_nodelay(true);
-        spawn_local(serve(stream, limits, handle.clone()));
+        spawn_local(serve(stream, limits, answers.clone(), handle.clone()));
     }
 }
 
-async fn serve<H, R>(mut stream: TcpStream, limits: ConnectionLimits, handle: H)
-where
-    H: Fn(WholeRequest) -> R,
+async fn serve<H, R>(
+    mut stream: TcpStream,
+    limits: ConnectionLimits,
+    answers: AnswerTracker,
+    handle: H,
+) where
+    H: Fn(WholeRequest, &OpenAnswer) -> R,
     R: Future<Output = WholeResponse>,
 {
     let (reader, writer) = stream.split();
     let buffer = RequestBuffer::default();
-    let connection = Connection { reader, writer, limits, buffer, since: Instant::now() };
+    let connection = Connection { reader, writer, limits, answers, buffer, since: Instant::now() };
     connection.run(handle).await;
 }
 
@@ -76,6 +89,7 @@
     reader: ReadHalf<'a>,
     writer: WriteHalf<'a>,
     limits: ConnectionLimits,
+    answers: AnswerTracker,
     buffer: RequestBuffer,
     /// When the present request began to come in; without one, when the last answer went out.
     since: Instant,
@@ -88,7 +102,7 @@
     /// The client has gone.
     Gone,
     /// The next answer, in order.
-    Answered(Reply),
+    Answered(Box<Reply>),
     /// The client has taken too long.
     TimedOut,
 }
@@ -96,7 +110,7 @@
 impl Connection<'_> {
     async fn run<H, R>(mut self, handle: H)
     where
-        H: Fn(WholeRequest) -> R,
+        H: Fn(WholeRequest, &OpenAnswer) -> R,
         R: Future<Output = WholeResponse>,
     {
         let mut pending = FuturesOrdered::new();
@@ -119,7 +133,8 @@
                 }
                 runs_alone = is_alone;
                 let (method, closes) = (request.method().clone(), asks_to_close(&request));
-                pending.push_back(reply(handle(request), method, closes));
+                let open = self.answers.begin();
+                pending.push_back(reply(handle(request, &open), method, closes, open));
             }
             match self.step(&mut pending).await {
                 Step::Read => {}
@@ -144,7 +159,7 @@
 
     async fn step<F>(&mut self, pending: &mut FuturesOrdered<F>) -> Step
     where
-        F: Future<Output = Reply>,
+        F: Future<Output = Box<Reply>>,
     {
         let is_idle = pending.is_empty();
         if is_idle
@@ -174,25 +189,47 @@
 
     /// Writes an answer; returns whether the connection goes on. A close waits for the last of the requests
     /// that have been begun.
-    async fn answer(&mut self, reply: Reply, is_last: bool) -> bool {
-        let Reply { response, method, closes } = reply;
+    async fn answer(&mut self, reply: Box<Reply>, is_last: bool) -> bool {
+        let Reply { response, method, closes, open } = *reply;
         let closes = closes && is_last;
         let mut bytes = BytesMut::with_capacity(HEAD_ROOM + response.body().len());
         response_bytes::write(&response, &method, closes, &mut bytes);
-        if self.writer.write_all(&bytes).await.is_err() {
+        drop(response);
+        if !self.write(bytes, &open).await {
             return false;
         }
         self.since = Instant::now();
         if closes {
+            // The connection is reset if the process ends with unread bytes on it.
+            open.wait_for(LINGER_TIME);
             self.shut_down().await;
         }
         !closes
     }
 
+    /// Writes the bytes of an answer; returns whether the client has taken them. It gives up when the client has by its
+    /// own deadline, or takes nothing for as long as an idle connection is kept: what is held for it takes memory.
+    async fn write(&mut self, mut bytes: BytesMut, open: &OpenAnswer) -> bool {
+        let earliest = Instant::now() + MIN_WRITE_TIME;
+        let deadline = open.deadline().map(|deadline| earliest.max(deadline.into()));
+        while bytes.has_remaining() {
+            let stalled = Instant::now() + self.limits.idle_time;
+            if deadline.is_none() {
+                open.wait_for(self.limits.idle_time);
+            }
+            let until = deadline.map_or(stalled, |deadline| deadline.min(stalled));
+            match timeout_at(until, self.writer.write_buf(&mut bytes)).await {
+                Ok(Ok(written)) if written > 0 => {}
+                _ => return false,
+            }
+        }
+        true
+    }
+
     /// Answers what was read before, then says why the rest is no request, and closes.
     async fn fail<F>(&mut self, mut pending: FuturesOrdered<F>, err: FramingError)
     where
-        F: Future<Output = Reply>,
+        F: Future<Output = Box<Reply>>,
     {
         while let Some(reply) = pending.next().await {
             if !self.answer(reply, false).await {
@@ -201,7 +238,9 @@
         }
         let mut response = WholeResponse::default();
         *response.status_mut() = err.status();
-        self.answer(Reply { response, method: Method::GET, closes: true }, true).await;
+        let open = self.answers.begin();
+        let reply = Reply { response, method: Method::GET, closes: true, open };
+        self.answer(Box::new(reply), true).await;
     }
 
     /// Ends the sending side, and drops what the client still sends for a moment: a close with unread bytes
@@ -225,10 +264,11 @@
     response: impl Future<Output = WholeResponse>,
     method: Method,
     closes: bool,
-) -> Reply {
+    open: OpenAnswer,
+) -> Box<Reply> {
     let response = response.await;
     let is_asked = response.headers().get(CONNECTION).is_some_and(|value| value == "close");
-    Reply { response, method, closes: closes || is_asked }
+    Box::new(Reply { response, method, closes: closes || is_asked, open })
 }
 
 fn asks_to_close(request: &WholeRequest) -> bool {
--- a/crates/coltsfoot-node/src/http/pipeline/connection_limits.rs
+++ b/crates/coltsfoot-node/src/http/pipeline/connection_limits.rs
@@ -11,6 +11,6 @@
     pub body_bytes: usize,
     /// Time from the first byte of a request to its last.
     pub request_time: Duration,
-    /// Time that a connection without a request is kept.
+    /// Time that a connection without a request is kept, and one whose client takes nothing of its answer.
     pub idle_time: Duration,
 }
--- a/crates/coltsfoot-node/src/lib.rs
+++ b/crates/coltsfoot-node/src/lib.rs
@@ -1,6 +1,7 @@
 //! Daemon of an upstream host: accepts and routes calls, protects the upstream on its host from overload, and maintains
 //! membership and configuration together with the other nodes.
 
+pub mod answers;
 pub mod args;
 pub mod border;
 pub mod clock;
--- a/crates/coltsfoot-node/src/process/node_parts.rs
+++ b/crates/coltsfoot-node/src/process/node_parts.rs
@@ -13,6 +13,7 @@
 
 use super::DrainSwitch;
 use crate::{
+    answers::AnswerTracker,
     border::{RepeatGuard, UpstreamDialect},
     clock::MonotonicClock,
     config::{ConfigCell, ConfigHandle, ConfigOrigin, ConfigParts, FreshnessCell},
@@ -55,6 +56,8 @@
     pub config: ConfigHandle,
     /// Channel to the gossip duty.
     pub gossip: mpsc::Sender<GossipCommand>,
+    /// Answers that the node still has to hand over.
+    pub answers: AnswerTracker,
     /// Metrics of the node.
     pub metrics: Arc<NodeMetrics>,
     /// Sender of the node's events.
@@ -104,6 +107,8 @@
                 .with_notice(Duration::from_millis(limits.drain_notice_ms))
                 .with_report_after(Duration::from_secs(limits.drain_max_s)),
             closing_time: Duration::from_millis(limits.drain_closing_ms),
+            grace_time: limits.drain_grace(),
+            answers: self.answers.clone(),
             store: self.store.clone(),
             has_peers: !self.settings.peers.is_empty(),
             first_start: self.settings.first_start,
@@ -140,6 +145,7 @@
             dispatch: self.dispatch.clone(),
             metrics: self.metrics.clone(),
             limits: self.part_limits(),
+            answers: self.answers.clone(),
         }
     }
 
@@ -153,6 +159,7 @@
             metrics: self.metrics.clone(),
             drain,
             limits: self.part_limits(),
+            answers: self.answers.clone(),
         }
     }
 
--- a/crates/coltsfoot-node/src/process/node_process.rs
+++ b/crates/coltsfoot-node/src/process/node_process.rs
@@ -15,6 +15,7 @@
     node_sockets::NodeSockets,
 };
 use crate::{
+    answers::AnswerTracker,
     border::{ClientFront, PlatformAdapter},
     clock::{MonotonicClock, wall_millis},
     config::{ConfigCell, ConfigHandle, ConfigThread, FreshnessCell},
@@ -30,8 +31,8 @@
 /// Time in which the node refuses requests before it refuses connections, so that clients without earlier notice see
 /// that it is leaving. Once it refuses connections, one that the kernel has accepted but the node has not is cut off.
 const REFUSAL_TIME: Duration = Duration::from_millis(300);
-/// Time for the answer to the last request to reach its caller before the listeners stop.
-const ANSWER_GRACE: Duration = Duration::from_millis(200);
+/// Time for which requests that came too late are still refused before the listeners stop.
+const REFUSAL_GRACE: Duration = Duration::from_millis(200);
 
 /// A running node.
 pub struct NodeProcess {
@@ -46,6 +47,7 @@
     config: ConfigHandle,
     freshness: FreshnessCell,
     clock: MonotonicClock,
+    answers: AnswerTracker,
     metrics: Arc<NodeMetrics>,
     events: EventSender,
     journal: JournalHandle,
@@ -90,9 +92,10 @@
         let (dispatch, dispatch_ring) = DispatchThread::channel();
         let (config, config_ring) = ConfigThread::ring();
         let (gossip, gossip_ring) = GossipThread::channel();
+        let clock = MonotonicClock::new();
         let parts = NodeParts {
             settings: &settings,
-            clock: MonotonicClock::new(),
+            clock,
             identity,
             dialect: adapter.dialect,
             repeat_guard: adapter.repeat_guard,
@@ -105,6 +108,7 @@
             dispatch,
             config,
             gossip,
+            answers: AnswerTracker::new(clock),
             metrics,
             events,
         };
@@ -127,6 +131,7 @@
             config: parts.config,
             freshness: parts.freshness,
             clock: parts.clock,
+            answers: parts.answers,
             metrics: parts.metrics,
             events: parts.events,
             journal,
@@ -159,8 +164,8 @@
         self.metrics.clone()
     }
 
-    /// Performs a planned stop: leaves the membership, waits until no request is in flight, refuses further requests,
-    /// then stops the listeners.
+    /// Performs a planned stop: leaves the membership, waits until no request is in flight and every answer has been
+    /// handed over, refuses further requests, then stops the listeners.
     pub fn stop(self) {
         let (done, drained) = oneshot::channel();
         let dispatch = self.dispatch.clone();
@@ -178,13 +183,14 @@
         if let Some(client) = &self.client {
             client.close();
         }
-        std::thread::sleep(ANSWER_GRACE);
+        std::thread::sleep(REFUSAL_GRACE);
         if let Some(client) = self.client {
             client.stop();
         }
         self.host.stop();
-        // No request is interrupted: `Drain` waits without limit until none is in flight.
-        self.events.emit(EventKind::Stopped { interrupted: 0 });
+        // No request is interrupted before its caller gives up, unless the grace time of the stop is over.
+        let interrupted = u32::try_from(self.answers.waiting()).unwrap_or(u32::MAX);
+        self.events.emit(EventKind::Stopped { interrupted });
         self.journal.stop();
     }
 }
--- a/crates/coltsfoot-node/src/settings/limit_settings.rs
+++ b/crates/coltsfoot-node/src/settings/limit_settings.rs
@@ -33,6 +33,9 @@
     pub drain_notice_ms: u64,
     /// Time in seconds after which a planned stop reports what is still in flight; it waits on.
     pub drain_max_s: u64,
+    /// Time in seconds after which whoever stops the node ends it from outside. A node that only waits for clients to
+    /// read their answers ends by itself shortly before. 0: no bound.
+    pub drain_grace_s: u64,
     /// Time in milliseconds after which a key that was taken away runs nothing, also where a node hears of no change: it then
     /// refuses work that needs a key until it knows again. 0: no bound.
     pub revoke_within_ms: u64,
@@ -53,6 +56,7 @@
             queue: reader.number("queue", DEFAULT_QUEUE, 1..=65_536),
             drain_closing_ms: reader.number("drain_closing_ms", 0, 0..=60_000),
             drain_notice_ms: reader.number("drain_notice_ms", DEFAULT_DRAIN_NOTICE_MS, 0..=60_000),
+            drain_grace_s: reader.number("drain_grace_s", 0, 0..=3_600),
             drain_max_s: reader.number("drain_max_s", DEFAULT_DRAIN_MAX_S, 1..=3_600),
             revoke_within_ms: reader.number("revoke_within_ms", 0, 0..=MAX_REVOKE_MS),
             seed: reader.optional("seed"),
@@ -61,6 +65,11 @@
 }
 
 impl LimitSettings {
+    /// Time after which a planned stop is ended from outside; `None` if it is not.
+    pub fn drain_grace(&self) -> Option<Duration> {
+        (self.drain_grace_s > 0).then(|| Duration::from_secs(self.drain_grace_s))
+    }
+
     /// Time after which a key that was taken away runs nothing; `None`: no bound.
     pub fn revoke_within(&self) -> Option<Duration> {
         (self.revoke_within_ms > 0).then(|| Duration::from_millis(self.revoke_within_ms))
--- a/crates/coltsfoot-node/tests/integration/journal.rs
+++ b/crates/coltsfoot-node/tests/integration/journal.rs
@@ -44,7 +44,7 @@
 }
 
 fn event() -> EventKind {
-    EventKind::DrainBegun { in_flight: 1 }
+    EventKind::DrainBegun { in_flight: 1, unsent: 1 }
 }
 
 fn sequences(records: &[EventRecord]) -> Vec<u64> {
--- a/crates/coltsfoot-node/tests/integration/limits.rs
+++ b/crates/coltsfoot-node/tests/integration/limits.rs
@@ -61,7 +61,7 @@
 
     let stopping = thread::spawn(move || node.stop());
     let (in_flight, waited_ms) = await_event(host, |record| match record.kind {
-        EventKind::DrainOverdue { in_flight, waited_ms } => Some((in_flight, waited_ms)),
+        EventKind::DrainOverdue { in_flight, waited_ms, .. } => Some((in_flight, waited_ms)),
         _ => None,
     });
 
--- a/crates/coltsfoot-node/tests/integration/links.rs
+++ b/crates/coltsfoot-node/tests/integration/links.rs
@@ -10,8 +10,9 @@
 };
 
 use bytes::Bytes;
-use coltsfoot_node::dispatch::links::{
-    CallHandler, CallLink, LinkError, LinkWriter, link_stream, serve_calls,
+use coltsfoot_node::{
+    answers::AnswerTracker,
+    dispatch::links::{CallHandler, CallLink, LinkError, LinkWriter, link_stream, serve_calls},
 };
 use coltsfoot_wire::peer::{CallReply, CallRequest, ReplyBody};
 use coltsfootroute::{
@@ -173,6 +174,7 @@
     begun: Notify,
     resume: Notify,
     cancelled: Rc<Cell<u32>>,
+    answers: AnswerTracker,
     call_cancelled: Rc<Notify>,
 }
 
@@ -189,6 +191,10 @@
 }
 
 impl CallHandler for FakeGuard {
+    fn answers(&self) -> &AnswerTracker {
+        &self.answers
+    }
+
     async fn call(self: Rc<Self>, call: CallRequest) -> CallReply {
         let mut unanswered = Unanswered(&self, false);
         if &call.body[..] == b"wait" {
@@ -318,6 +324,50 @@
     });
 }
 
+/// Guards against a planned stop that loses answers which wait in this process for a slow peer.
+#[rstest]
+fn an_answer_is_open_until_its_peer_has_taken_it() {
+    run_local(async {
+        let (near, mut far) = tokio::io::duplex(1);
+        let (writer, answers) = (LinkWriter::new(near), AnswerTracker::default());
+
+        writer.send_answer(b"answer", answers.begin());
+        settle().await;
+        let before = answers.waiting();
+        tokio::io::AsyncReadExt::read_exact(&mut far, &mut [0; 6]).await.unwrap();
+        settle().await;
+
+        assert_eq!((before, answers.waiting()), (1, 0));
+    });
+}
+
+/// Guards against a planned stop that does not wait for calls of other nodes, and one that waits for cancelled ones.
+#[rstest]
+#[case::answered(true)]
+#[case::cancelled(false)]
+fn the_answer_to_a_call_is_open_while_it_runs(#[case] is_answered: bool) {
+    run_local(async {
+        let (link, guard, serving) = linked().await;
+        let held = call(b"wait");
+        let mut calling = Box::pin(link.call(&held));
+
+        tokio::select! {
+            _ = &mut calling => panic!("answered"),
+            () = guard.begun.notified() => {}
+        }
+        let before = guard.answers.waiting();
+        if is_answered {
+            guard.resume.notify_one();
+            (&mut calling).await.unwrap();
+        }
+        drop(calling);
+        drop(link);
+        serving.await.unwrap();
+
+        assert_eq!((before, guard.answers.waiting()), (1, 0));
+    });
+}
+
 #[rstest]
 #[case::of_no_kind([0, 0, 0, 0, 0, 0, 0, 0])]
 #[case::a_reply_to_a_guard([2, 1, 0, 0, 8, 0, 0, 0])]
--- a/crates/coltsfoot-node/tests/integration/main.rs
+++ b/crates/coltsfoot-node/tests/integration/main.rs
@@ -18,5 +18,6 @@
 mod store;
 mod store_claims;
 mod timely_hints;
+mod unsent_answers;
 mod upstream_limit;
 mod util;
--- a/crates/coltsfoot-node/tests/integration/pipeline.rs
+++ b/crates/coltsfoot-node/tests/integration/pipeline.rs
@@ -12,8 +12,9 @@
 };
 
 use bytes::Bytes;
-use coltsfoot_node::http::pipeline::{
-    ConnectionLimits, WholeRequest, WholeResponse, accept_connections,
+use coltsfoot_node::{
+    answers::AnswerTracker,
+    http::pipeline::{ConnectionLimits, WholeRequest, WholeResponse, accept_connections},
 };
 use rstest::rstest;
 use tokio::{runtime, task::LocalSet, time::sleep};
@@ -60,10 +61,8 @@
         let runtime = runtime::Builder::new_current_thread().enable_all().build().expect("runtime");
         LocalSet::new().block_on(&runtime, async move {
             let listener = tokio::net::TcpListener::from_std(listener).expect("listener");
-            accept_connections(listener, LIMITS, move |request| {
-                answer(request, handler_log.clone())
-            })
-            .await;
+            let handle = move |request, _: &_| answer(request, handler_log.clone());
+            accept_connections(listener, LIMITS, AnswerTracker::default(), handle).await;
         });
     });
     (address, log)
--- a/crates/coltsfoot-standin/src/lib.rs
+++ b/crates/coltsfoot-standin/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod load;
 pub mod loopback;
 pub mod objects;
+pub mod slow_reader;
 pub mod table;
 pub mod termination;
 pub mod upstream;
--- a/crates/coltsfoot-timeline/tests/integration/util.rs
+++ b/crates/coltsfoot-timeline/tests/integration/util.rs
@@ -20,7 +20,7 @@
 
 /// An event of `host`, `offset_ms` after the start.
 pub fn event(host: u8, sequence: u64, offset_ms: u64) -> EventRecord {
-    event_of(host, sequence, offset_ms, EventKind::DrainBegun { in_flight: 1 })
+    event_of(host, sequence, offset_ms, EventKind::DrainBegun { in_flight: 1, unsent: 1 })
 }
 
 pub fn event_of(host: u8, sequence: u64, offset_ms: u64, kind: EventKind) -> EventRecord {
--- a/crates/coltsfootroute/src/drain/drain_report.rs
+++ b/crates/coltsfootroute/src/drain/drain_report.rs
@@ -8,6 +8,8 @@
     pub struct DrainReport {
         /// Number of requests and calls in flight.
         pub in_flight: u64,
+        /// Number of requests whose answers have not been handed over, those in flight included.
+        pub unsent: usize,
         /// Time since the start of the drain.
         pub waited: Duration,
     }
--- a/crates/coltsfootroute/src/drain/drain_state.rs
+++ b/crates/coltsfootroute/src/drain/drain_state.rs
@@ -62,7 +62,8 @@
         StartDecision::Started
     }
 
-    /// Records the end of work, after its response has been written. Must be called once for each start.
+    /// Records the end of work. Must be called once for each start. Its answer may still be on its way to the caller: see
+    /// [`UnsentAnswers`](super::UnsentAnswers).
     pub fn finish(&mut self) {
         debug_assert!(self.in_flight > 0, "finish without a matching start");
         self.in_flight = self.in_flight.saturating_sub(1);
@@ -96,13 +97,14 @@
         from + self.settings.idle_grace(listener) <= now
     }
 
-    /// Returns a report if work is still in flight [`DrainSettings::report_after`] after the start of the
-    /// drain; `None` otherwise.
-    pub fn overdue(&self, now: MonotonicTime) -> Option<DrainReport> {
+    /// Returns a report if work is still in flight, or there are `unsent` answers,
+    /// [`DrainSettings::report_after`] after the start of the drain; `None` otherwise.
+    pub fn overdue(&self, now: MonotonicTime, unsent: usize) -> Option<DrainReport> {
         let started_at = self.started_at?;
         let waited = now.since(started_at);
-        let late = waited >= self.settings.report_after && self.in_flight > 0;
-        late.then_some(DrainReport { in_flight: self.in_flight, waited })
+        let is_waiting = self.in_flight > 0 || unsent > 0;
+        let late = waited >= self.settings.report_after && is_waiting;
+        late.then_some(DrainReport { in_flight: self.in_flight, unsent, waited })
     }
 
     /// Returns the number of requests and calls in flight.
--- a/crates/coltsfootroute/src/event/event_kind.rs
+++ b/crates/coltsfootroute/src/event/event_kind.rs
@@ -37,7 +37,7 @@
     }
     /// The process is stopping.
     Stopped("stopped", Info) {
-        /// Number of requests in flight that are interrupted by the stop.
+        /// Number of answers that are cut off because the grace time of the stop is over.
         interrupted: u32,
     }
     /// The guard beside the upstream admitted a request.
@@ -381,15 +381,21 @@
     DrainBegun("drain-begun", Info) {
         /// Number of requests in flight.
         in_flight: u32,
+        /// Number of requests whose answers have not been handed over, those in flight included.
+        #[serde(default)]
+        unsent: u32,
     }
     /// A graceful shutdown exceeded its time limit and continues to wait.
     DrainOverdue("drain-overdue", Warn) {
         /// Number of requests in flight.
         in_flight: u32,
+        /// Number of requests whose answers have not been handed over, those in flight included.
+        #[serde(default)]
+        unsent: u32,
         /// Time since the drain began.
         waited_ms: u64,
     }
-    /// The drain is complete: no requests are in flight.
+    /// The drain is complete: no requests are in flight, and every answer has been handed over.
     Drained("drained", Info) {
         /// Time since the drain began.
         elapsed_ms: u64,
--- a/crates/coltsfootroute/tests/integration/drain.rs
+++ b/crates/coltsfootroute/tests/integration/drain.rs
@@ -2,3 +2,4 @@
 
 mod drain_fuzz;
 mod scenarios;
+mod unsent_answers;
--- a/crates/coltsfootroute/tests/integration/drain/scenarios.rs
+++ b/crates/coltsfootroute/tests/integration/drain/scenarios.rs
@@ -33,7 +33,7 @@
         let phase = self.state.phase(self.now);
         let in_flight = self.state.in_flight();
         let close = self.state.closes_connections();
-        let overdue = self.state.overdue(self.now).map(|report| report.in_flight);
+        let overdue = self.state.overdue(self.now, 0).map(|report| report.in_flight);
         format!("{phase} in-flight={in_flight} close={close} overdue={overdue:?}\n")
     }
 
