An acknowledged leave outlasts a store that comes back older

Cause: the leave is kept in the node's row of the store. The store came back from a copy of before the row (Store-Era risen by one), nothing read the era, the process that had written the row never looked at it again, and the next one took the older row, Serving, for the truth.

Ruled out: late heartbeats (the upstream sends none after its leave), the window of heartbeats after a start (closed by the row that was read), gossip (peers learn of an upstream from its node alone); the return alone and the restart alone break nothing.

Change: the adapter reads the era of every answer into one cell. A node's row says in which era it was written. When the era rises a node writes its rows again, a leave at once, all else spread so that all nodes together write 100 rows a second; a write counts as done only if the era has not risen meanwhile. A node that stops as planned and holds a leave reads its row once more. A row of an earlier era is treated like one that can't be read: no upstream is taken up from it, and heartbeats wait for five seconds after the start at most.

--- a/crates/coltsfoot-node/src/dispatch/dispatch_duty.rs
+++ b/crates/coltsfoot-node/src/dispatch/dispatch_duty.rs
@@ -58,8 +58,12 @@
         let links = Rc::new(PeerLinks::new(parts.clock));
         let introductions = IntroductionStore::new(parts.store.clone());
         let resumes = parts.dialect.checks_instance();
-        let introduction =
-            Rc::new(IntroductionService::new(context.clone(), introductions.clone(), resumes));
+        let introduction = Rc::new(IntroductionService::new(
+            context.clone(),
+            introductions.clone(),
+            parts.store.eras().clone(),
+            resumes,
+        ));
         let quarantine =
             Rc::new(QuarantineService::new(context.clone(), links.clone(), parts.store.clone()));
         let owner = Rc::new(CreditOwner::new(context.clone()));
--- a/crates/coltsfoot-node/src/dispatch/guard/local_upstream.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard/local_upstream.rs
@@ -18,7 +18,7 @@
 };
 use crate::{
     clock::wall_millis,
-    dispatch::links::{UpstreamAnnouncement, UpstreamRow},
+    dispatch::links::{UpstreamAnnouncement, UpstreamState},
     gossip::GossipCommand,
     http::HttpReply,
 };
@@ -263,14 +263,21 @@
     /// Resumes the upstream that the previous incarnation of this node guarded, because its next heartbeat may be
     /// seconds away. Another instance at its address refuses calls that are not meant for it.
     pub async fn resume_upstream(self: Rc<Self>) {
-        match self.introduction.read_previous_row().await {
-            Some(UpstreamRow::Serving(announcement)) => self.resume_serving(announcement).await,
-            Some(UpstreamRow::Departed { departed, born }) => {
+        let Some(row) = self.introduction.read_previous_row().await else {
+            return self.introduction.note_previous_row_read();
+        };
+        let is_outdated = self.introduction.check_outdated(&row);
+        match row.state {
+            // The upstream may have left since. If it has not, its next heartbeat tells, once none can be that late.
+            UpstreamState::Serving(_) if is_outdated => {}
+            UpstreamState::Serving(announcement) => self.resume_serving(announcement).await,
+            UpstreamState::Departed { departed, born } => {
                 self.leave_instance(InstanceIncarnation::new(departed).with_started(born)).await;
             }
-            None => {}
         }
-        self.introduction.note_previous_row_read();
+        if !is_outdated {
+            self.introduction.note_previous_row_read();
+        }
     }
 
     async fn resume_serving(self: &Rc<Self>, announcement: UpstreamAnnouncement) {
--- a/crates/coltsfoot-node/src/dispatch/guard/planned_stop.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard/planned_stop.rs
@@ -81,6 +81,7 @@
             sleep(DRAIN_POLL_INTERVAL).await;
             self.report_overdue(&mut reported);
         }
+        self.introduction.confirm_leave().await;
         self.introduction.settle().await;
         let elapsed = self.context.now().since(begun).as_millis();
         let elapsed_ms = u64::try_from(elapsed).unwrap_or(u64::MAX);
--- a/crates/coltsfoot-node/src/dispatch/links.rs
+++ b/crates/coltsfoot-node/src/dispatch/links.rs
@@ -35,4 +35,4 @@
 pub use peer_server::accept_peers;
 pub use quarantine_service::{HeldCall, QuarantineService, ReleaseResult};
 pub use upstream_announcement::UpstreamAnnouncement;
-pub use upstream_row::UpstreamRow;
+pub use upstream_row::{UpstreamRow, UpstreamState};
--- a/crates/coltsfoot-node/src/dispatch/links/introduction_service.rs
+++ b/crates/coltsfoot-node/src/dispatch/links/introduction_service.rs
@@ -8,21 +8,23 @@
 };
 
 use coltsfootroute::{
+    event::EventKind,
     membership::{InstanceIncarnation, IntroductionRow, ResumeWindow},
     name::ServiceName,
     table::{RowKey, RowWrite, TableReply, TableRequest},
 };
 use indexmap::IndexSet;
+use rand::RngExt;
 use tokio::{
     sync::Notify,
     time::{sleep, timeout},
 };
 
 use super::{
-    IntroducedUpstream, IntroductionStore, UpstreamAnnouncement, UpstreamRow, own_rows::OwnRows,
-    upstream_row_writer::UpstreamRowWriter,
+    IntroducedUpstream, IntroductionStore, UpstreamAnnouncement, UpstreamRow, UpstreamState,
+    own_rows::OwnRows, upstream_row_writer::UpstreamRowWriter,
 };
-use crate::dispatch::context::NodeContext;
+use crate::{dispatch::context::NodeContext, store::EraCell};
 
 /// Pause before a failed write of a row is retried; jittered.
 const WRITE_PAUSE: Duration = Duration::from_secs(30);
@@ -38,6 +40,10 @@
 /// Pause before a failed read of that row is retried; jittered.
 const PREVIOUS_ROW_READ_PAUSE: Duration = Duration::from_millis(250);
 
+/// Rows per second that all nodes together write again after the store has come back from an older copy: half of the writes
+/// that they may make.
+const RETURN_WRITES_PER_S: f64 = 100.0;
+
 /// Key prefix of the rows by which nodes find their upstreams again.
 const UPSTREAM_PREFIX: &str = "upstream/";
 
@@ -45,6 +51,7 @@
 pub struct IntroductionService {
     context: Rc<NodeContext>,
     store: IntroductionStore,
+    eras: EraCell,
     row: UpstreamRowWriter,
     /// Whether the node finds its upstream again after a restart. Requires that the upstream refuses calls that are
     /// meant for another of its incarnations.
@@ -66,9 +73,14 @@
 }
 
 impl IntroductionService {
-    /// Creates a service with no rows; `resumes` says whether the upstream refuses calls that are meant for another of
-    /// its incarnations.
-    pub fn new(context: Rc<NodeContext>, store: IntroductionStore, resumes: bool) -> Self {
+    /// Creates a service with no rows; `eras` are those of the store, and `resumes` says whether the upstream refuses
+    /// calls that are meant for another of its incarnations.
+    pub fn new(
+        context: Rc<NodeContext>,
+        store: IntroductionStore,
+        eras: EraCell,
+        resumes: bool,
+    ) -> Self {
         let mut resume = ResumeWindow::new(context.now());
         if !resumes {
             resume.note_leaves_read();
@@ -78,6 +90,7 @@
             row: UpstreamRowWriter::new(store.clone(), key),
             context,
             store,
+            eras,
             resumes,
             announcement: RefCell::default(),
             wanted: RefCell::default(),
@@ -195,7 +208,9 @@
         }
         let wanted = self.wanted.borrow().clone();
         self.written.take();
-        let committed = self.write(&wanted).await;
+        let era = self.eras.latest();
+        // What was committed before the store went back may be gone.
+        let committed = self.write(&wanted).await && self.eras.latest() == era;
         let mut services = self.introduced_as.borrow_mut();
         if committed {
             services.clear();
@@ -238,14 +253,19 @@
     /// Returns the row by which the node finds the upstream again after a restart; `None` if there is no upstream, or
     /// it has no instance name: then another upstream might have taken over its address.
     fn upstream_row(&self, wanted: &OwnRows) -> Option<UpstreamRow> {
+        let state = self.upstream_state(wanted)?;
+        Some(UpstreamRow { era: self.eras.latest(), state })
+    }
+
+    fn upstream_state(&self, wanted: &OwnRows) -> Option<UpstreamState> {
         match wanted {
             OwnRows::Nothing => None,
             OwnRows::Serving(_) => {
                 let announcement = self.announcement.borrow();
                 let named = announcement.as_ref().filter(|known| known.instance.is_some())?;
-                Some(UpstreamRow::Serving(named.clone()))
+                Some(UpstreamState::Serving(named.clone()))
             }
-            OwnRows::Departed(incarnation) => Some(UpstreamRow::Departed {
+            OwnRows::Departed(incarnation) => Some(UpstreamState::Departed {
                 departed: incarnation.name.clone(),
                 born: incarnation.started,
             }),
@@ -263,4 +283,66 @@
         }
         None
     }
+
+    /// Returns whether the store may have lost what the node's previous incarnation wrote after `row`; then an event says so.
+    pub fn check_outdated(&self, row: &UpstreamRow) -> bool {
+        let latest = self.eras.latest();
+        let is_outdated = row.is_outdated(latest);
+        if let (true, Some(row_era), Some(latest)) = (is_outdated, row.era, latest) {
+            self.context
+                .events
+                .emit(EventKind::UpstreamRowOutdated { row_era: row_era.0, era: latest.0 });
+        }
+        is_outdated
+    }
+
+    /// Writes the rows again whenever the store comes back from an older copy; never returns.
+    pub async fn watch_eras(self: Rc<Self>) {
+        let mut eras = self.eras.subscribe();
+        let mut known = *eras.borrow_and_update();
+        // The cell lives as long as this service, which holds it.
+        while eras.changed().await.is_ok() {
+            let latest = *eras.borrow_and_update();
+            if let (Some(previous), Some(latest)) = (known, latest) {
+                self.context
+                    .events
+                    .emit(EventKind::StoreReturned { previous_era: previous.0, era: latest.0 });
+                self.write_again().await;
+            }
+            known = latest;
+        }
+    }
+
+    /// Has the rows written again: a leave at once, since an upstream relies on it, all else spread over the nodes.
+    async fn write_again(&self) {
+        if !matches!(&*self.wanted.borrow(), OwnRows::Departed(_)) {
+            let nodes = self.context.freshness.node_count().max(1);
+            let spread = Duration::from_secs_f64(nodes as f64 / RETURN_WRITES_PER_S);
+            let pause = spread.mul_f64(self.context.rng.borrow_mut().random());
+            // A leave in the meantime is written by itself, and may have been acknowledged.
+            sleep(pause).await;
+        }
+        self.forget_written();
+    }
+
+    fn forget_written(&self) {
+        self.row.forget_version();
+        self.written.take();
+        self.wanted_changed.notify_one();
+    }
+
+    /// Makes sure that the row still records a leave that was acknowledged, before the node ends: the store may have come
+    /// back from an older copy without this node having heard of it.
+    pub async fn confirm_leave(&self) {
+        let is_departed = matches!(&*self.wanted.borrow(), OwnRows::Departed(_));
+        if !is_departed || !self.is_settled() {
+            return;
+        }
+        let era = self.eras.latest();
+        // A timeout means that the store is down or slow; the next incarnation then finds the row outdated.
+        let _ = timeout(MAX_SETTLE_WAIT, self.row.read()).await;
+        if self.eras.latest() != era {
+            self.forget_written();
+        }
+    }
 }
--- a/crates/coltsfoot-node/src/dispatch/links/upstream_row_writer.rs
+++ b/crates/coltsfoot-node/src/dispatch/links/upstream_row_writer.rs
@@ -51,6 +51,11 @@
         }
     }
 
+    /// Forgets the version that was last read: it may be given out again for another state of the row.
+    pub(super) fn forget_version(&self) {
+        self.expected.take();
+    }
+
     /// Writes or removes the row together with `others`; returns whether the transaction is known to be committed.
     pub(super) async fn change(&self, row: Option<&UpstreamRow>, others: Vec<RowWrite>) -> bool {
         let had_condition = self.expected.get().is_some();
@@ -76,6 +81,9 @@
         if value.is_some() || condition != RowCondition::Absent {
             writes.push(RowWrite { key: self.key.clone(), condition, value });
         }
+        if writes.is_empty() {
+            return TableReply::Committed;
+        }
         self.store.change_own(TableRequest::Transact(writes)).await
     }
 }
--- a/crates/coltsfoot-node/src/process/node_process.rs
+++ b/crates/coltsfoot-node/src/process/node_process.rs
@@ -25,7 +25,7 @@
     journal::{EventJournal, EventSender, JournalHandle},
     metrics::NodeMetrics,
     settings::NodeSettings,
-    store::{StorePort, StoreThread},
+    store::{EraCell, StorePort, StoreThread},
 };
 
 /// Time in which the node refuses requests before it refuses connections, so that clients without earlier notice see
@@ -46,6 +46,7 @@
     dispatch: DispatchHandle,
     config: ConfigHandle,
     freshness: FreshnessCell,
+    eras: EraCell,
     clock: MonotonicClock,
     answers: AnswerTracker,
     metrics: Arc<NodeMetrics>,
@@ -130,6 +131,7 @@
             dispatch: parts.dispatch,
             config: parts.config,
             freshness: parts.freshness,
+            eras: parts.store.eras().clone(),
             clock: parts.clock,
             answers: parts.answers,
             metrics: parts.metrics,
@@ -154,6 +156,11 @@
         self.freshness.clone()
     }
 
+    /// Returns the cell of the eras that the store states, for a component that reads the store by itself.
+    pub fn eras(&self) -> EraCell {
+        self.eras.clone()
+    }
+
     /// Returns the clock of the node.
     pub fn clock(&self) -> MonotonicClock {
         self.clock
--- a/crates/coltsfoot-node/src/store.rs
+++ b/crates/coltsfoot-node/src/store.rs
@@ -3,6 +3,7 @@
 //! The library's state machines, not this module, decide what a reply means. A write without an answer is reported as
 //! `Uncertain`, and this module never sends it again.
 
+mod era_cell;
 mod http_client;
 mod http_sender;
 mod store_command;
@@ -14,6 +15,7 @@
 mod store_thread;
 mod store_worker;
 
+pub use era_cell::EraCell;
 pub use http_client::HttpClient;
 pub use http_sender::HttpSender;
 pub use store_error::StoreError;
--- a/crates/coltsfoot-node/src/store/http_sender.rs
+++ b/crates/coltsfoot-node/src/store/http_sender.rs
@@ -3,10 +3,10 @@
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use http::{Method, Request, StatusCode};
+use http::{HeaderMap, HeaderName, Method, Request, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
 
-use super::StoreReply;
+use super::{EraCell, StoreReply};
 use crate::{
     http::{OutgoingClient, OutgoingSettings},
     metrics::{ControlKind, NodeMetrics, TrafficDirection},
@@ -29,6 +29,8 @@
 pub struct HttpSender {
     client: OutgoingClient,
     metrics: Arc<NodeMetrics>,
+    /// Header in which the service states its era, and the cell for it.
+    eras: Option<(HeaderName, EraCell)>,
 }
 
 impl HttpSender {
@@ -56,7 +58,13 @@
             unacknowledged_time: Some(MAX_UNACKNOWLEDGED_TIME),
         };
         let client = settings.client();
-        Self { client, metrics }
+        Self { client, metrics, eras: None }
+    }
+
+    /// Records the eras that the service states in `header` of its answers.
+    pub fn with_eras(mut self, header: HeaderName, eras: EraCell) -> Self {
+        self.eras = Some((header, eras));
+        self
     }
 
     /// Sends one request and reads the whole reply.
@@ -76,6 +84,7 @@
             Err(_) => return StoreReply::Lost,
         };
         self.count_bytes(TrafficDirection::Sent, sent_bytes);
+        self.record_era(response.headers());
         let status = response.status();
         match status {
             StatusCode::TOO_MANY_REQUESTS => return StoreReply::RateLimited,
@@ -92,6 +101,13 @@
         }
     }
 
+    fn record_era(&self, headers: &HeaderMap) {
+        let Some((header, eras)) = &self.eras else { return };
+        if let Some(text) = headers.get(header).and_then(|value| value.to_str().ok()) {
+            eras.record_text(text);
+        }
+    }
+
     /// Counts the bytes of bodies only: the HTTP client itself handles heads and connections.
     fn count_bytes(&self, direction: TrafficDirection, bytes: usize) {
         self.metrics.control.add_bytes(ControlKind::Store, direction, bytes);
--- a/crates/coltsfoot-node/src/store/store_handle.rs
+++ b/crates/coltsfoot-node/src/store/store_handle.rs
@@ -12,18 +12,27 @@
     time::Instant,
 };
 
-use super::store_command::{ObjectAction, StoreCommand};
+use super::{
+    EraCell,
+    store_command::{ObjectAction, StoreCommand},
+};
 
 /// Sends requests to the store thread; cheap to clone. The thread ends when the last handle has been dropped and the
 /// requests in flight have finished.
 #[derive(Clone, Debug)]
 pub struct StoreHandle {
     commands: mpsc::Sender<StoreCommand>,
+    eras: EraCell,
 }
 
 impl StoreHandle {
-    pub(super) fn new(commands: mpsc::Sender<StoreCommand>) -> Self {
-        Self { commands }
+    pub(super) fn new(commands: mpsc::Sender<StoreCommand>, eras: EraCell) -> Self {
+        Self { commands, eras }
+    }
+
+    /// Returns the cell of the eras that the store has stated.
+    pub fn eras(&self) -> &EraCell {
+        &self.eras
     }
 
     /// Sends `request` to the table service; the reply comes within `deadline` from now.
--- a/crates/coltsfoot-node/src/store/store_settings.rs
+++ b/crates/coltsfoot-node/src/store/store_settings.rs
@@ -4,6 +4,8 @@
 
 use coltsfootroute::table::{BreakerSettings, RateShare, StoreBackoff};
 
+use super::EraCell;
+
 /// Addresses of the platform's services, and limits for their use by this node.
 #[derive(Clone, Debug)]
 pub struct StoreSettings {
@@ -25,6 +27,8 @@
     pub backoff: StoreBackoff,
     /// Seed of the jitter.
     pub seed: u64,
+    /// Cell for the eras that the store states in its answers.
+    pub eras: EraCell,
 }
 
 impl StoreSettings {
@@ -40,6 +44,7 @@
             breaker: BreakerSettings::default(),
             backoff: StoreBackoff::default(),
             seed: 0,
+            eras: EraCell::new(),
         }
     }
 
--- a/crates/coltsfoot-node/src/store/store_thread.rs
+++ b/crates/coltsfoot-node/src/store/store_thread.rs
@@ -35,6 +35,7 @@
         events: EventSender,
     ) -> Result<StoreHandle, StoreError> {
         let (sender, receiver) = mpsc::channel(settings.queue);
+        let eras = settings.eras.clone();
         let runtime = Builder::new_current_thread().enable_all().build()?;
         thread::Builder::new().name("store".to_owned()).spawn(move || {
             let meter = DutyMeter::new(metrics.clone(), NodeDuty::Store);
@@ -43,7 +44,7 @@
             let max_in_flight = settings.in_flight;
             LocalSet::new().block_on(&runtime, serve(worker, max_in_flight, meter, receiver));
         })?;
-        Ok(StoreHandle::new(sender))
+        Ok(StoreHandle::new(sender, eras))
     }
 }
 
--- a/crates/coltsfoot-node/tests/integration/main.rs
+++ b/crates/coltsfoot-node/tests/integration/main.rs
@@ -17,6 +17,7 @@
 mod status;
 mod store;
 mod store_claims;
+mod store_era;
 mod timely_hints;
 mod unsent_answers;
 mod upstream_limit;
--- a/crates/coltsfootroute/src/event/event_kind.rs
+++ b/crates/coltsfootroute/src/event/event_kind.rs
@@ -410,6 +410,21 @@
         /// Error of the last attempt.
         error: String,
     }
+    /// The platform's store has come back from an older copy of itself: what was written after the copy may be gone.
+    StoreReturned("store-returned", Warn) {
+        /// Era of the store before.
+        previous_era: u64,
+        /// Era of the store from now on.
+        era: u64,
+    }
+    /// The row of the upstream beside a node that has just started was written before the store came back from an older
+    /// copy: the upstream may have left since. It serves once a heartbeat shows that it has not.
+    UpstreamRowOutdated("upstream-row-outdated", Warn) {
+        /// Era of the store in which the row was written.
+        row_era: u64,
+        /// Era of the store.
+        era: u64,
+    }
     /// The host was suspended and has resumed.
     HostSuspended("host-suspended", Warn) {
         /// Duration of the suspension.
