--- a/crates/coltsfoot-node/src/dispatch/links.rs
+++ b/crates/coltsfoot-node/src/dispatch/links.rs
@@ -17,6 +17,7 @@
 mod peer_links;
 mod peer_server;
 mod quarantine_service;
+mod row_renewal;
 mod upstream_announcement;
 mod upstream_row;
 mod upstream_row_writer;
--- a/crates/coltsfoot-node/src/dispatch/links/introduction_service.rs
+++ b/crates/coltsfoot-node/src/dispatch/links/introduction_service.rs
@@ -8,13 +8,11 @@
 };
 
 use coltsfootroute::{
-    event::EventKind,
     membership::{InstanceIncarnation, IntroductionRow, ResumeWindow},
     name::ServiceName,
     table::{RowKey, RowWrite, TableReply, TableRequest},
 };
 use indexmap::IndexSet;
-use rand::RngExt;
 use tokio::{
     sync::Notify,
     time::{sleep, timeout},
@@ -34,40 +32,36 @@
 const DEPARTED_WRITE_PAUSE: Duration = Duration::from_millis(500);
 /// Longest time that a leave waits for its row. Together with a slow heartbeat it stays within the second after which
 /// an upstream counts the leave as not acknowledged.
-const MAX_SETTLE_WAIT: Duration = Duration::from_millis(800);
+pub(super) const MAX_SETTLE_WAIT: Duration = Duration::from_millis(800);
 /// Longest time that a heartbeat waits for the row of the node's previous incarnation; within the same second.
 const MAX_PREVIOUS_ROW_WAIT: Duration = Duration::from_millis(700);
 /// Pause before a failed read of that row is retried; jittered.
 const PREVIOUS_ROW_READ_PAUSE: Duration = Duration::from_millis(250);
 
-/// Rows per second that all nodes together write again after the store has come back from an older copy: half of the writes
-/// that they may make.
-const RETURN_WRITES_PER_S: f64 = 100.0;
-
 /// Key prefix of the rows by which nodes find their upstreams again.
 const UPSTREAM_PREFIX: &str = "upstream/";
 
 /// Maintains the node's own rows.
 pub struct IntroductionService {
-    context: Rc<NodeContext>,
+    pub(super) context: Rc<NodeContext>,
     store: IntroductionStore,
-    eras: EraCell,
-    row: UpstreamRowWriter,
+    pub(super) eras: EraCell,
+    pub(super) row: UpstreamRowWriter,
     /// Whether the node finds its upstream again after a restart. Requires that the upstream refuses calls that are
     /// meant for another of its incarnations.
     resumes: bool,
     /// Latest announcement of the upstream that the rows are to advertise.
     announcement: RefCell<Option<UpstreamAnnouncement>>,
     /// Content that the rows are to have.
-    wanted: RefCell<OwnRows>,
+    pub(super) wanted: RefCell<OwnRows>,
     /// Content that the rows are known to have; `None` while it is unknown.
-    written: RefCell<Option<OwnRows>>,
+    pub(super) written: RefCell<Option<OwnRows>>,
     /// Services under which other nodes may find this node.
     introduced_as: RefCell<IndexSet<ServiceName>>,
     /// Period within which a leave recorded by the node's previous incarnation still matters, unless it has been read.
     resume: Cell<ResumeWindow>,
     resumed: Notify,
-    wanted_changed: Notify,
+    pub(super) wanted_changed: Notify,
     /// Notified after each attempt to write, whether it succeeded or not.
     written_changed: Notify,
 }
@@ -136,7 +130,7 @@
         self.wanted_changed.notify_one();
     }
 
-    fn is_settled(&self) -> bool {
+    pub(super) fn is_settled(&self) -> bool {
         self.written.borrow().as_ref() == Some(&*self.wanted.borrow())
     }
 
@@ -283,66 +277,4 @@
         }
         None
     }
-
-    /// Returns whether the store may have lost what the node's previous incarnation wrote after `row`; then an event says so.
-    pub fn check_outdated(&self, row: &UpstreamRow) -> bool {
-        let latest = self.eras.latest();
-        let is_outdated = row.is_outdated(latest);
-        if let (true, Some(row_era), Some(latest)) = (is_outdated, row.era, latest) {
-            self.context
-                .events
-                .emit(EventKind::UpstreamRowOutdated { row_era: row_era.0, era: latest.0 });
-        }
-        is_outdated
-    }
-
-    /// Writes the rows again whenever the store comes back from an older copy; never returns.
-    pub async fn watch_eras(self: Rc<Self>) {
-        let mut eras = self.eras.subscribe();
-        let mut known = *eras.borrow_and_update();
-        // The cell lives as long as this service, which holds it.
-        while eras.changed().await.is_ok() {
-            let latest = *eras.borrow_and_update();
-            if let (Some(previous), Some(latest)) = (known, latest) {
-                self.context
-                    .events
-                    .emit(EventKind::StoreReturned { previous_era: previous.0, era: latest.0 });
-                self.write_again().await;
-            }
-            known = latest;
-        }
-    }
-
-    /// Has the rows written again: a leave at once, since an upstream relies on it, all else spread over the nodes.
-    async fn write_again(&self) {
-        if !matches!(&*self.wanted.borrow(), OwnRows::Departed(_)) {
-            let nodes = self.context.freshness.node_count().max(1);
-            let spread = Duration::from_secs_f64(nodes as f64 / RETURN_WRITES_PER_S);
-            let pause = spread.mul_f64(self.context.rng.borrow_mut().random());
-            // A leave in the meantime is written by itself, and may have been acknowledged.
-            sleep(pause).await;
-        }
-        self.forget_written();
-    }
-
-    fn forget_written(&self) {
-        self.row.forget_version();
-        self.written.take();
-        self.wanted_changed.notify_one();
-    }
-
-    /// Makes sure that the row still records a leave that was acknowledged, before the node ends: the store may have come
-    /// back from an older copy without this node having heard of it.
-    pub async fn confirm_leave(&self) {
-        let is_departed = matches!(&*self.wanted.borrow(), OwnRows::Departed(_));
-        if !is_departed || !self.is_settled() {
-            return;
-        }
-        let era = self.eras.latest();
-        // A timeout means that the store is down or slow; the next incarnation then finds the row outdated.
-        let _ = timeout(MAX_SETTLE_WAIT, self.row.read()).await;
-        if self.eras.latest() != era {
-            self.forget_written();
-        }
-    }
 }
