A row that was written before the era was known is written again at once

Found by reading the change before: the first write of a node that had heard nothing of the store yet said nothing of the era, and was repeated half a minute later; until then the next process would have trusted it after a return of the store. Now it is repeated at once. Test: a_row_says_in_which_era_it_was_written_though_the_store_was_away_before (it fails if such a write counts as done; it does not show the half minute).

--- a/crates/coltsfoot-node/src/dispatch/links/introduction_service.rs
+++ b/crates/coltsfoot-node/src/dispatch/links/introduction_service.rs
@@ -203,8 +203,12 @@
         let wanted = self.wanted.borrow().clone();
         self.written.take();
         let era = self.eras.latest();
-        // What was committed before the store went back may be gone.
-        let committed = self.write(&wanted).await && self.eras.latest() == era;
+        let mut committed = self.write(&wanted).await;
+        if self.eras.latest() != era {
+            // The rows may be gone again, or say nothing of their era: they are written once more at once.
+            committed = false;
+            self.wanted_changed.notify_one();
+        }
         let mut services = self.introduced_as.borrow_mut();
         if committed {
             services.clear();
