--- a/crates/coltsfoot-node/tests/integration/pipeline.rs
+++ b/crates/coltsfoot-node/tests/integration/pipeline.rs
@@ -8,7 +8,7 @@
         atomic::{AtomicUsize, Ordering},
     },
     thread,
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 use bytes::Bytes;
@@ -19,6 +19,8 @@
 use rstest::rstest;
 use tokio::{runtime, task::LocalSet, time::sleep};
 
+use crate::util::condition::{MAX_WAIT, wait_until};
+
 const LIMITS: ConnectionLimits = ConnectionLimits {
     head_bytes: 1_024,
     body_bytes: 64,
@@ -26,9 +28,6 @@
     idle_time: Duration::from_secs(30),
 };
 
-/// Longest wait for an expected event; only reached if the test fails.
-const MAX_WAIT: Duration = Duration::from_secs(20);
-
 /// Requests observed by the handler.
 #[derive(Clone, Default)]
 struct HandlerLog {
@@ -117,14 +116,6 @@
     answers.split("HTTP/1.1 ").skip(1).map(|part| &part[..3]).collect()
 }
 
-fn wait_until(mut condition: impl FnMut() -> bool) {
-    let until = Instant::now() + MAX_WAIT;
-    while !condition() {
-        assert!(Instant::now() < until, "the condition was not met in time");
-        thread::sleep(Duration::from_millis(5));
-    }
-}
-
 #[test]
 fn safe_requests_overlap_and_are_answered_in_order() {
     let (address, log) = start();
--- a/crates/coltsfoot-node/tests/integration/unsent_answers.rs
+++ b/crates/coltsfoot-node/tests/integration/unsent_answers.rs
@@ -20,12 +20,13 @@
 use rstest::rstest;
 use tokio::{runtime, task::LocalSet};
 
-use crate::util::solo_node::SoloNode;
+use crate::util::{
+    condition::{MAX_WAIT, wait_until},
+    solo_node::SoloNode,
+};
 
 /// Body of an answer in bytes: several times what the kernel holds for a client.
 const ANSWER_BYTES: usize = 900_000;
-/// Longest wait for an expected event; only reached if the test fails.
-const MAX_WAIT: Duration = Duration::from_secs(20);
 /// Time after which a node that does not wait for its clients has stopped, once it has nothing in flight.
 const STOP_TIME: Duration = Duration::from_secs(4);
 
@@ -82,14 +83,6 @@
     client
 }
 
-fn wait_until(mut condition: impl FnMut() -> bool) {
-    let until = Instant::now() + MAX_WAIT;
-    while !condition() {
-        assert!(Instant::now() < until, "the condition was not met in time");
-        thread::sleep(Duration::from_millis(5));
-    }
-}
-
 /// Guards against a planned stop that counts a request as over before its client has its answer.
 #[test]
 fn an_answer_is_open_until_its_client_has_read_it() {
--- a/crates/coltsfoot-node/tests/integration/util.rs
+++ b/crates/coltsfoot-node/tests/integration/util.rs
@@ -2,6 +2,7 @@
 
 pub mod caller;
 pub mod claim_driver;
+pub mod condition;
 pub mod fake_peer;
 pub mod http_call;
 pub mod load_loop;
