Events and a metric tell each arrival at an upstream, and whose answer came

Cause: the record of the incident fits three hypotheses (docs/incidents/ ran-though-rejected.md), and no line told them apart: a failed call named neither its connection nor which sending of its request it was, and an answer to another call looked like one that was cut off.

Change: ArrivalCounter numbers the arrivals of a request at its upstream. upstream-call-failed has arrival= and connection= (local port); an answer that reports a failure, or that is not the first arrival's, has a line of its own, upstream-call-answered; an answer to another call has its own error text and coltsfoot_upstream_mismatched_answers_total. Nothing is decided differently. Where requests have no identity (native protocol) arrival= is absent.

Tests: arrival_counter.rs; attempts_and_retries_are_reported now expects the two lines of the failing upstream in their places, all others as before.

--- a/crates/coltsfoot-node/src/dispatch/guard.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard.rs
@@ -15,6 +15,7 @@
 mod planned_stop;
 mod quarantine_check;
 mod run_permit;
+mod upstream_arrival;
 mod upstream_client;
 mod upstream_heartbeat;
 mod upstream_receipt;
--- a/crates/coltsfoot-node/src/dispatch/guard/call_guard.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard/call_guard.rs
@@ -14,7 +14,7 @@
     once::ClaimHolder,
     outcome::{CallOutcome, RefusalReason},
     quarantine::AnsweredRequests,
-    retry::{GuardTracker, ServiceThrottle, ThrottleSettings},
+    retry::{ArrivalCounter, GuardTracker, ServiceThrottle, ThrottleSettings},
 };
 use rand::RngExt;
 use tokio::sync::Notify;
@@ -83,6 +83,8 @@
     pub(super) answered: RefCell<AnsweredRequests>,
     /// Bound on the repeats that reach the upstream.
     pub(super) throttle: RefCell<ServiceThrottle>,
+    /// Number of times that each request has been sent to the upstream.
+    pub(super) arrivals: RefCell<ArrivalCounter>,
     /// Other guards of the same service.
     pub(super) guards: RefCell<GuardTracker>,
     pub(super) upstream_client: UpstreamClient,
@@ -126,6 +128,7 @@
             service_changed: Notify::new(),
             interrupted_calls: RefCell::default(),
             throttle: RefCell::new(ServiceThrottle::new(context.now(), settings.throttle)),
+            arrivals: RefCell::default(),
             guards: RefCell::new(GuardTracker::new(settings.first_start)),
             upstream_client: UpstreamClient::new(
                 context.clock,
--- a/crates/coltsfoot-node/src/dispatch/guard/upstream_client.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard/upstream_client.rs
@@ -11,8 +11,9 @@
 };
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
-use hyper_util::client::legacy::connect::{CaptureConnection, capture_connection};
+use hyper_util::client::legacy::connect::capture_connection;
 
+use super::upstream_arrival::UpstreamArrival;
 use crate::{
     border::{UpstreamDialect, UpstreamStatement},
     clock::MonotonicClock,
@@ -42,9 +43,12 @@
     /// An instance other than the expected one uses the address; it did no work on the call.
     #[error("another instance has the upstream's address")]
     OtherInstance,
-    /// The answer was truncated, too large, meant for another call or not sent by the upstream itself.
+    /// The answer was truncated, too large or not sent by the upstream itself.
     #[error("the upstream's answer is not complete")]
     CutOff,
+    /// The first answer after the call was sent belongs to another one.
+    #[error("the answer belongs to another call")]
+    OtherCall,
 }
 
 /// One call to the upstream.
@@ -119,7 +123,8 @@
     }
 
     /// Sends `call` and reads the whole answer. Dropping the future closes the connection, which signals the upstream
-    /// to cancel its work. `observe` is given what the upstream states in the head of its answer, as soon as it arrives.
+    /// to cancel its work. `arrival` learns which connection carries the call; `observe` is given what the upstream states
+    /// in the head of its answer, as soon as it arrives.
     ///
     /// # Errors
     ///
@@ -128,6 +133,7 @@
         &self,
         address: SocketAddr,
         call: UpstreamCall<'_>,
+        arrival: &UpstreamArrival,
         observe: impl FnOnce(UpstreamStatement),
     ) -> Result<UpstreamAnswer, UpstreamError> {
         let is_forwarded = call.head.is_some();
@@ -142,15 +148,15 @@
         self.add_instance(headers, &call);
         self.set_team(headers, &call);
         *request.body_mut() = Full::new(call.body);
-        let connection = capture_connection(&mut request);
+        arrival.set_connection(capture_connection(&mut request));
         let identity = self.dialect.identity(request.headers()).cloned();
         let response = self.client().request(request).await.map_err(|err| {
             if err.is_connect() { UpstreamError::Unreachable } else { UpstreamError::CutOff }
         })?;
         if identity.as_ref() != self.dialect.identity(response.headers()) {
             // Further answers on this connection could not be matched to their calls.
-            poison(&connection);
-            return Err(UpstreamError::CutOff);
+            arrival.poison_connection();
+            return Err(UpstreamError::OtherCall);
         }
         // Another instance at the address speaks for itself only.
         if response.status() != StatusCode::MISDIRECTED_REQUEST {
@@ -289,13 +295,6 @@
     kept.map(|(name, value)| HeaderLine::new(name.as_str(), value.as_bytes())).collect()
 }
 
-/// Marks a connection as not reusable.
-fn poison(connection: &CaptureConnection) {
-    if let Some(connected) = connection.connection_metadata().as_ref() {
-        connected.poison();
-    }
-}
-
 /// Returns whether the end of the body can be told from a truncation.
 fn delimits_body(headers: &HeaderMap, status: StatusCode) -> bool {
     headers.contains_key(CONTENT_LENGTH)
--- a/crates/coltsfoot-node/src/dispatch/guard/upstream_run.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard/upstream_run.rs
@@ -11,6 +11,7 @@
     membership::InstanceName,
     name::TeamName,
     outcome::{CallOutcome, RefusalReason},
+    retry::ArrivalNumber,
     time::MonotonicTime,
 };
 use tokio::time::{error::Elapsed, timeout_at};
@@ -19,6 +20,7 @@
     call_guard::CallGuard,
     calls_in_flight::{CallSpan, context_text},
     run_permit::RunPermit,
+    upstream_arrival::UpstreamArrival,
     upstream_client::{UpstreamAnswer, UpstreamCall, UpstreamError},
     upstream_statements::SentCall,
 };
@@ -67,19 +69,20 @@
         let incarnation = self.incarnation_number();
         let sent_call = SentCall { call, instance: instance.clone(), incarnation, sent: started };
         self.count_arrival(call);
+        let arrival = UpstreamArrival::new(self.number_arrival(own, deadline));
         let observe = |statement| self.record_statement(&sent_call, statement);
-        let sending = self.upstream_client.send(address, upstream_call, observe);
+        let sending = self.upstream_client.send(address, upstream_call, &arrival, observe);
         let result = timeout_at(until, sending).await;
         let upstream_time = self.context.now().since(started);
         running.answered = result.is_ok();
         match &result {
             Ok(Ok(_)) => self.record_answer(call, span),
-            Ok(Err(UpstreamError::CutOff)) => {
+            Ok(Err(UpstreamError::CutOff | UpstreamError::OtherCall)) => {
                 self.record_interrupted_call(call, span, address, instance.clone())
             }
             Ok(Err(_)) | Err(_) => {}
         }
-        self.note_failure(call, &result, instance, upstream_time);
+        self.report_arrival(call, &result, instance, &arrival, upstream_time);
         let Ok(result) = result else {
             permit.finish(CallFinish::TimedOut);
             let reply = self.refusal(RefusalReason::Deadline, CallOutcome::Unknown);
@@ -90,24 +93,63 @@
         CallReply { reached_upstream, ..self.run_reply(result, span, upstream_time) }
     }
 
-    /// Emits an event with the reason why the upstream's answer cannot be used, if it cannot.
-    fn note_failure(
+    /// Counts an arrival of the request with the context `own`; returns its number, or `None` if the request has no
+    /// identity.
+    fn number_arrival(&self, own: Option<u128>, deadline: MonotonicTime) -> Option<ArrivalNumber> {
+        // The lower half of a hash is a hash.
+        let request = own? as u64;
+        Some(self.arrivals.borrow_mut().count(self.context.now(), request, deadline))
+    }
+
+    /// Emits an event with what became of an arrival, unless it was the request's first and went well.
+    fn report_arrival(
         &self,
         call: &CallRequest,
         result: &Result<Result<UpstreamAnswer, UpstreamError>, Elapsed>,
         instance: Option<InstanceName>,
+        arrival: &UpstreamArrival,
         upstream_time: Duration,
     ) {
         let error = match result {
-            Ok(Ok(_)) => return,
+            Ok(Ok(answer)) => {
+                return self.report_answer(call, answer, instance, arrival, upstream_time);
+            }
             Ok(Err(err)) => err.to_string(),
             Err(_) => "no answer before the deadline".to_owned(),
         };
+        if let Ok(Err(UpstreamError::OtherCall)) = result {
+            self.context.metrics.requests.answer_mismatched();
+        }
         self.context.events.emit(EventKind::UpstreamCallFailed {
             request: call.request,
             service: call.service.clone(),
             error,
             instance,
+            arrival: arrival.number(),
+            connection: arrival.local_port(),
+            elapsed_us: micros(upstream_time),
+        });
+    }
+
+    fn report_answer(
+        &self,
+        call: &CallRequest,
+        answer: &UpstreamAnswer,
+        instance: Option<InstanceName>,
+        arrival: &UpstreamArrival,
+        upstream_time: Duration,
+    ) {
+        let is_first = arrival.number().is_none_or(|number| number == ArrivalNumber::FIRST);
+        if is_first && answer.status < FIRST_SERVER_ERROR {
+            return;
+        }
+        self.context.events.emit(EventKind::UpstreamCallAnswered {
+            request: call.request,
+            service: call.service.clone(),
+            status: answer.status,
+            instance,
+            arrival: arrival.number(),
+            connection: arrival.local_port(),
             elapsed_us: micros(upstream_time),
         });
     }
@@ -125,7 +167,9 @@
             }
             // An upstream that made nested calls has run the request in part, even if it reports that it shed the call.
             Err(UpstreamError::Shed) => (RefusalReason::Overload, span.may_have_nested()),
-            Err(UpstreamError::CutOff) => (RefusalReason::UpstreamFailed, true),
+            Err(UpstreamError::CutOff | UpstreamError::OtherCall) => {
+                (RefusalReason::UpstreamFailed, true)
+            }
         };
         let outcome = if ran { CallOutcome::Unknown } else { CallOutcome::NotRun };
         self.refusal(reason, outcome)
@@ -190,9 +234,7 @@
     match result {
         Ok(answer) if answer.status < FIRST_SERVER_ERROR => CallFinish::Succeeded,
         Ok(_) => CallFinish::Failed,
-        Err(UpstreamError::CutOff | UpstreamError::Unreachable | UpstreamError::OtherInstance) => {
-            CallFinish::Failed
-        }
         Err(UpstreamError::Shed) => CallFinish::ShedByUpstream,
+        Err(_) => CallFinish::Failed,
     }
 }
--- a/crates/coltsfoot-node/src/metrics/request_metrics.rs
+++ b/crates/coltsfoot-node/src/metrics/request_metrics.rs
@@ -31,6 +31,7 @@
     importance_breaches: IntCounter,
     share_refusals: CounterFamily<Importance>,
     arrivals: CounterFamily<ArrivalKind>,
+    mismatched_answers: IntCounter,
     upstream_limit: Gauge,
     upstream_ends: IntCounter,
     quarantined: IntGauge,
@@ -88,6 +89,10 @@
                 "Calls sent to the upstream, whatever came of them",
                 "kind",
             )?,
+            mismatched_answers: registry.counter(
+                "coltsfoot_upstream_mismatched_answers_total",
+                "Calls to the upstream after which the answer to another call came first",
+            )?,
             upstream_limit: registry.initial_gauge(
                 "coltsfoot_upstream_limit",
                 "Requests per second that the upstream names as its limit in its answers; -1 if it names none",
@@ -169,6 +174,11 @@
         self.arrivals.increment(kind);
     }
 
+    /// Counts a call to the upstream after which the answer to another call came first.
+    pub fn answer_mismatched(&self) {
+        self.mismatched_answers.inc();
+    }
+
     /// Sets the limit that the upstream names in its answers; `None` if it names none.
     pub fn set_upstream_limit(&self, limit: Option<RequestRate>) {
         self.upstream_limit.set(limit.map_or(NO_UPSTREAM_LIMIT, RequestRate::per_second));
--- a/crates/coltsfoot-node/tests/integration/events.rs
+++ b/crates/coltsfoot-node/tests/integration/events.rs
@@ -103,7 +103,9 @@
         .map(|record| record.kind)
         .filter(|kind| kind.name() != "request-admitted")
         .collect();
-    let [first, first_end, granted, second, second_end, denied, end] = &kinds[..] else {
+    let [first, first_answer, first_end, granted, second, second_answer, second_end, denied, end] =
+        &kinds[..]
+    else {
         panic!("{kinds:?}")
     };
     assert!(matches!(first, EventKind::AttemptStarted { attempt: 1, .. }), "{first:?}");
@@ -111,6 +113,9 @@
         let EventKind::AttemptFinished { attempt, outcome, .. } = end else { panic!("{end:?}") };
         assert_eq!((*attempt, *outcome), (number, CallOutcome::Unknown));
     }
+    for answer in [first_answer, second_answer] {
+        assert!(matches!(answer, EventKind::UpstreamCallAnswered { .. }), "{answer:?}");
+    }
     assert!(matches!(granted, EventKind::RetryGranted { remaining: 0, .. }), "{granted:?}");
     assert!(matches!(second, EventKind::AttemptStarted { attempt: 2, .. }), "{second:?}");
     let exhausted = DenialReason::Exhausted;
--- a/crates/coltsfootroute/src/event/event_kind.rs
+++ b/crates/coltsfootroute/src/event/event_kind.rs
@@ -13,6 +13,7 @@
     name::{DomainName, OperationName, OperatorName, RegionName, ServiceName},
     outcome::{CallOutcome, RefusalReason},
     quarantine::{CrashId, RequestFingerprint},
+    retry::ArrivalNumber,
 };
 
 event_kinds! {
@@ -116,9 +117,31 @@
         error: String,
         /// Instance of the upstream; absent if the upstream doesn't report its name.
         instance: Option<InstanceName>,
+        /// Number of the request's arrival at this upstream; absent if requests have no identity of their own.
+        arrival: Option<ArrivalNumber>,
+        /// Local port of the connection that carried the call; absent if there was none.
+        connection: Option<u16>,
         /// Time from sending to the failure.
         elapsed_us: u64,
     }
+    /// The upstream answered a call that reports a failure, or that was not the request's first arrival.
+    UpstreamCallAnswered("upstream-call-answered", Info) {
+        /// Identity of the client request.
+        #[serde(with = "request_text")]
+        request: RequestId,
+        /// Service called.
+        service: ServiceName,
+        /// HTTP status.
+        status: u16,
+        /// Instance of the upstream; absent if the upstream doesn't report its name.
+        instance: Option<InstanceName>,
+        /// Number of the request's arrival at this upstream; absent if requests have no identity of their own.
+        arrival: Option<ArrivalNumber>,
+        /// Local port of the connection that carried the call; absent if there was none.
+        connection: Option<u16>,
+        /// Time from sending to the answer.
+        elapsed_us: u64,
+    }
     /// The upstream beside the node terminated unexpectedly while calls were in flight.
     UpstreamEnded("upstream-ended", Warn) {
         /// Service of the upstream.
--- a/crates/coltsfootroute/src/event/event_subject.rs
+++ b/crates/coltsfootroute/src/event/event_subject.rs
@@ -14,6 +14,7 @@
             | Self::QuarantineRefused { request, .. }
             | Self::GuardRefused { request, .. }
             | Self::UpstreamCallFailed { request, .. }
+            | Self::UpstreamCallAnswered { request, .. }
             | Self::RequestUnknown { request, .. }
             | Self::AttemptStarted { request, .. }
             | Self::AttemptFinished { request, .. }
@@ -37,6 +38,7 @@
             Self::RequestAdmitted { service, .. }
             | Self::GuardRefused { service, .. }
             | Self::UpstreamCallFailed { service, .. }
+            | Self::UpstreamCallAnswered { service, .. }
             | Self::RequestRefused { service, .. }
             | Self::RequestCompleted { service, .. }
             | Self::RequestUnknown { service, .. }
--- a/crates/coltsfootroute/src/event/event_text.rs
+++ b/crates/coltsfootroute/src/event/event_text.rs
@@ -10,6 +10,7 @@
     name::{DomainName, OperationName, OperatorName, RegionName, ServiceName},
     outcome::{CallOutcome, RefusalReason},
     quarantine::{CrashId, RequestFingerprint},
+    retry::ArrivalNumber,
 };
 
 /// Value of an event's field. Absent values have no text and are omitted from the log line.
@@ -51,6 +52,7 @@
     RefusalReason,
     CrashId,
     RequestFingerprint,
+    ArrivalNumber,
 );
 
 impl<T: EventText> EventText for Option<T> {
--- a/crates/coltsfootroute/src/retry.rs
+++ b/crates/coltsfootroute/src/retry.rs
@@ -8,6 +8,8 @@
 mod account_ledger;
 mod acquire_denial;
 mod acquire_result;
+mod arrival_counter;
+mod arrival_number;
 mod demand_rate;
 mod failed_attempt;
 mod give_up_cause;
@@ -29,6 +31,8 @@
 pub use account_ledger::AccountLedger;
 pub use acquire_denial::AcquireDenial;
 pub use acquire_result::AcquireResult;
+pub use arrival_counter::ArrivalCounter;
+pub use arrival_number::ArrivalNumber;
 pub use failed_attempt::FailedAttempt;
 pub use give_up_cause::GiveUpCause;
 pub use guard_tracker::GuardTracker;
--- a/crates/coltsfootroute/tests/integration/retry.rs
+++ b/crates/coltsfootroute/tests/integration/retry.rs
@@ -1,6 +1,7 @@
 //! Retry accounts, retry policy and throttle.
 
 mod account_fuzz;
+mod arrival_counter;
 mod guard_tracker;
 mod rejecting_service;
 mod scenarios;
