No connection to an upstream carries a request twice

What callers saw: requests that must run once ran twice (TWICE), or were answered 503 although they ran (REFUSED).

Cause: an upstream that sends a rejection twice. All arrivals of a request bear the client's identity, by which an answer is matched to its call. A rejected request is sent again at once, often on the connection that has just come free; the second copy of the rejection comes first there and fits, while the upstream runs the second arrival. The same holds for 421 and for the failure of a request that may be repeated. Class: an identity that names the request is taken for one that names the exchange.

Change: UpstreamClient has one pool for each number of arrival (ArrivalClients); the library's counter gives the number. Why this works: a connection of the n-th pool carries n-th arrivals only, and a request has one n-th arrival.

--- a/crates/coltsfoot-node/src/dispatch/guard.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard.rs
@@ -1,6 +1,7 @@
 //! Protection of the upstream beside the node: admission control, at-most-once execution, tracking of its instances,
 //! and planned stops.
 
+mod arrival_clients;
 mod call_guard;
 mod calls_in_flight;
 mod claim_tasks;
--- a/crates/coltsfoot-node/src/dispatch/guard/upstream_client.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard/upstream_client.rs
@@ -1,10 +1,10 @@
 //! HTTP client of the upstream beside the node.
 
-use std::{cell::RefCell, net::SocketAddr, time::Duration};
+use std::{cell::RefCell, net::SocketAddr};
 
 use bytes::Bytes;
 use coltsfoot_wire::peer::{HeaderLine, RequestHead};
-use coltsfootroute::time::SuspensionDetector;
+use coltsfootroute::{retry::ArrivalNumber, time::SuspensionDetector};
 use http::{
     HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode,
     header::{CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING},
@@ -13,24 +13,13 @@
 use hyper::body::Incoming;
 use hyper_util::client::legacy::connect::capture_connection;
 
-use super::upstream_arrival::UpstreamArrival;
+use super::{arrival_clients::ArrivalClients, upstream_arrival::UpstreamArrival};
 use crate::{
     border::{UpstreamDialect, UpstreamStatement},
     clock::MonotonicClock,
-    http::{OutgoingClient, OutgoingSettings},
+    http::OutgoingClient,
 };
 
-/// Time after which an idle connection is closed, well before an upstream would close it (usually after 5 s or more):
-/// if the upstream closes a connection while a call is being sent, the call may have run.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
-/// Time after which a connection with unacknowledged data is closed: on one host an acknowledgement takes
-/// microseconds.
-const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// Number of unanswered keep-alive probes after which the connection is closed.
-const KEEPALIVE_RETRIES: u32 = 2;
-/// Timeout for opening a connection to a process on the same host.
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
-
 /// Reason why the upstream gave no usable answer.
 #[derive(Debug, thiserror::Error)]
 pub enum UpstreamError {
@@ -86,11 +75,11 @@
     pub body: Vec<u8>,
 }
 
-/// HTTP client with a pool of connections to the upstream.
+/// HTTP client with pools of connections to the upstream.
 pub struct UpstreamClient {
     /// Replaced after a suspension of the host, because the upstream may be closing the idle connections by its own
     /// clock: a call sent while it closes a connection may have run.
-    client: RefCell<OutgoingClient>,
+    clients: RefCell<ArrivalClients>,
     clock: MonotonicClock,
     suspensions: RefCell<SuspensionDetector>,
     body_limit: usize,
@@ -100,16 +89,16 @@
 impl UpstreamClient {
     /// Creates a client that accepts answers with a body of at most `body_limit` bytes.
     pub fn new(clock: MonotonicClock, body_limit: usize, dialect: UpstreamDialect) -> Self {
-        let client = RefCell::new(new_client());
-        Self { client, clock, suspensions: RefCell::default(), body_limit, dialect }
+        let clients = RefCell::new(ArrivalClients::new());
+        Self { clients, clock, suspensions: RefCell::default(), body_limit, dialect }
     }
 
-    /// Returns the client to use, replaced if the host was suspended since the last call.
-    fn client(&self) -> OutgoingClient {
+    /// Returns the client for the arrival with `number`. All are replaced if the host was suspended since the last call.
+    fn client(&self, number: ArrivalNumber) -> OutgoingClient {
         if self.suspensions.borrow_mut().detect(self.clock.suspended()).is_some() {
-            *self.client.borrow_mut() = new_client();
+            *self.clients.borrow_mut() = ArrivalClients::new();
         }
-        self.client.borrow().clone()
+        self.clients.borrow().client(number).clone()
     }
 
     /// Returns the context of a forwarded request; `None` if it has no identity.
@@ -150,7 +139,9 @@
         *request.body_mut() = Full::new(call.body);
         arrival.set_connection(capture_connection(&mut request));
         let identity = self.dialect.identity(request.headers()).cloned();
-        let response = self.client().request(request).await.map_err(|err| {
+        // Without identities, arrivals are not told apart.
+        let client = self.client(arrival.number().unwrap_or(ArrivalNumber::FIRST));
+        let response = client.request(request).await.map_err(|err| {
             if err.is_connect() { UpstreamError::Unreachable } else { UpstreamError::CutOff }
         })?;
         if identity.as_ref() != self.dialect.identity(response.headers()) {
@@ -230,16 +221,6 @@
     }
 }
 
-fn new_client() -> OutgoingClient {
-    let settings = OutgoingSettings {
-        connect_timeout: CONNECT_TIMEOUT,
-        idle_timeout: Some(IDLE_TIMEOUT),
-        keepalive_retries: KEEPALIVE_RETRIES,
-        unacknowledged_time: Some(UNACKNOWLEDGED_TIMEOUT),
-    };
-    settings.client()
-}
-
 type UpstreamRequest = Request<Full<Bytes>>;
 
 /// Builds a request to forward, without its body; `None` if its head is malformed.
