Connections are not kept after answers that an upstream keeps sending twice

Cause: the copy of an earlier answer comes first on a kept connection; the call there is given up with the connection, since what follows can't be matched. Class: a fault of a connection that is paid for by the next request.

Change: ConnectionTrust (library) counts, for rejections and for all other answers apart, kept connections and calls that were lost to a copy. Above one in twenty, connections are closed behind answers of that kind for ten seconds.

Ruled out: waiting for the own answer behind the copy, which the HTTP client does not offer (one answer an exchange).

--- a/crates/coltsfoot-node/src/dispatch/guard/upstream_client.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard/upstream_client.rs
@@ -4,7 +4,10 @@
 
 use bytes::Bytes;
 use coltsfoot_wire::peer::{HeaderLine, RequestHead};
-use coltsfootroute::{retry::ArrivalNumber, time::SuspensionDetector};
+use coltsfootroute::{
+    retry::{AnswerKind, ArrivalNumber, ConnectionTrust},
+    time::SuspensionDetector,
+};
 use http::{
     HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode,
     header::{CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING},
@@ -82,6 +85,7 @@
     clients: RefCell<ArrivalClients>,
     clock: MonotonicClock,
     suspensions: RefCell<SuspensionDetector>,
+    trust: RefCell<ConnectionTrust>,
     body_limit: usize,
     dialect: UpstreamDialect,
 }
@@ -90,7 +94,14 @@
     /// Creates a client that accepts answers with a body of at most `body_limit` bytes.
     pub fn new(clock: MonotonicClock, body_limit: usize, dialect: UpstreamDialect) -> Self {
         let clients = RefCell::new(ArrivalClients::new());
-        Self { clients, clock, suspensions: RefCell::default(), body_limit, dialect }
+        Self {
+            clients,
+            clock,
+            suspensions: RefCell::default(),
+            trust: RefCell::default(),
+            body_limit,
+            dialect,
+        }
     }
 
     /// Returns the client for the arrival with `number`. All are replaced if the host was suspended since the last call.
@@ -144,11 +155,16 @@
         let response = client.request(request).await.map_err(|err| {
             if err.is_connect() { UpstreamError::Unreachable } else { UpstreamError::CutOff }
         })?;
+        let kind = self.answer_kind(&response);
         if identity.as_ref() != self.dialect.identity(response.headers()) {
             // Further answers on this connection could not be matched to their calls.
             arrival.poison_connection();
+            self.trust.borrow_mut().note_lost(self.clock.now(), kind);
             return Err(UpstreamError::OtherCall);
         }
+        if !self.trust.borrow_mut().keeps_connection(self.clock.now(), kind) {
+            arrival.poison_connection();
+        }
         // Another instance at the address speaks for itself only.
         if response.status() != StatusCode::MISDIRECTED_REQUEST {
             observe(self.dialect.statement(response.headers()));
@@ -191,6 +207,12 @@
         }
     }
 
+    fn answer_kind(&self, response: &Response<Incoming>) -> AnswerKind {
+        let is_not_run = self.dialect.says_not_run(response.status(), response.headers())
+            || response.status() == StatusCode::MISDIRECTED_REQUEST;
+        if is_not_run { AnswerKind::NotRun } else { AnswerKind::Ran }
+    }
+
     async fn read_answer(
         &self,
         response: Response<Incoming>,
--- a/crates/coltsfootroute/tests/integration/retry.rs
+++ b/crates/coltsfootroute/tests/integration/retry.rs
@@ -2,6 +2,7 @@
 
 mod account_fuzz;
 mod arrival_counter;
+mod connection_trust;
 mod guard_tracker;
 mod rejecting_service;
 mod scenarios;
