Bytes without end from a server hold up nobody, and end

What callers saw (in a test; no user has reported it): an upstream that sends 102 Processing again and again held up all work of its node: answers 4.6 s after requests with 1.5 s to live, the question whether the node is ready 4.2 s after it was asked. A chunk size of zeros without end: nothing for over 20 s.

Cause: the HTTP client's parser reads on in one go for as long as it finds neither an end nor an error and bytes keep coming; all work of the node's dispatch thread waits. Class: a loop whose end the peer decides, on a thread that others need. Ruled out: memory (it doesn't grow), the deadline's timer (it is set, and fires when the thread comes to it).

Change: BoundedStream, below the HTTP client: after 16 KiB in a row other tasks run; an answer that has more than eight times the largest body, and 64 KiB, fails with its connection; heads have 64 KiB at most. It serves the upstream and the store alike, which use the same client (OutgoingClient).

Looked at, by reading: the clients' listener (own parser: lines of 1 KiB, heads and bodies bounded, the runtime's turns between reads, request time), links between nodes (lengths stated and bounded), heartbeats and readiness (the same listener). Health checks: the node makes none.

--- a/crates/coltsfoot-node/src/dispatch/guard/arrival_clients.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard/arrival_clients.rs
@@ -31,12 +31,12 @@
 }
 
 impl ArrivalClients {
-    /// Creates clients without connections.
-    pub(super) fn new() -> Self {
-        let kept = || settings(Some(IDLE_TIMEOUT)).client();
+    /// Creates clients without connections, for answers with a body of at most `body_limit` bytes.
+    pub(super) fn new(body_limit: usize) -> Self {
+        let kept = || settings(Some(IDLE_TIMEOUT), body_limit).client();
         Self {
             kept: std::iter::repeat_with(kept).take(KEPT_ARRIVALS).collect(),
-            unkept: settings(None).client(),
+            unkept: settings(None, body_limit).client(),
         }
     }
 
@@ -47,11 +47,12 @@
     }
 }
 
-fn settings(idle_timeout: Option<Duration>) -> OutgoingSettings {
+fn settings(idle_timeout: Option<Duration>, body_limit: usize) -> OutgoingSettings {
     OutgoingSettings {
         connect_timeout: CONNECT_TIMEOUT,
         idle_timeout,
         keepalive_retries: KEEPALIVE_RETRIES,
         unacknowledged_time: Some(UNACKNOWLEDGED_TIMEOUT),
+        body_limit,
     }
 }
--- a/crates/coltsfoot-node/src/dispatch/guard/upstream_client.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard/upstream_client.rs
@@ -93,7 +93,7 @@
 impl UpstreamClient {
     /// Creates a client that accepts answers with a body of at most `body_limit` bytes.
     pub fn new(clock: MonotonicClock, body_limit: usize, dialect: UpstreamDialect) -> Self {
-        let clients = RefCell::new(ArrivalClients::new());
+        let clients = RefCell::new(ArrivalClients::new(body_limit));
         Self {
             clients,
             clock,
@@ -107,7 +107,7 @@
     /// Returns the client for the arrival with `number`. All are replaced if the host was suspended since the last call.
     fn client(&self, number: ArrivalNumber) -> OutgoingClient {
         if self.suspensions.borrow_mut().detect(self.clock.suspended()).is_some() {
-            *self.clients.borrow_mut() = ArrivalClients::new();
+            *self.clients.borrow_mut() = ArrivalClients::new(self.body_limit);
         }
         self.clients.borrow().client(number).clone()
     }
--- a/crates/coltsfoot-node/src/http/outgoing.rs
+++ b/crates/coltsfoot-node/src/http/outgoing.rs
@@ -1,5 +1,8 @@
 //! HTTP client for the requests that the node makes.
 
+mod bounded_connector;
+mod bounded_stream;
+
 use std::{marker::PhantomData, rc::Rc, time::Duration};
 
 use bytes::Bytes;
@@ -11,13 +14,15 @@
     rt::{TokioExecutor, TokioTimer},
 };
 
+use bounded_connector::BoundedConnector;
+
 /// Time between two probes of a connection on which nothing comes.
 const KEEPALIVE: Duration = Duration::from_secs(1);
 
 /// HTTP client for the requests that the node makes; clones share their connections.
 #[derive(Clone)]
 pub struct OutgoingClient {
-    client: Client<HttpConnector, Full<Bytes>>,
+    client: Client<BoundedConnector, Full<Bytes>>,
     /// Requests and the connections that carry them advance on one thread, as each thread of the node has a runtime of its
     /// own: where one thread sends while another ends the connection, `hyper` keeps a request that nobody answers or fails.
     thread: PhantomData<Rc<()>>,
@@ -37,6 +42,11 @@
     }
 }
 
+/// Bytes of an answer's head at most.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
+/// Bytes on the wire that an answer may have for each byte of its body: those of chunks of one byte, and some more.
+const FRAMING_FACTOR: usize = 8;
+
 /// How connections are opened, watched and kept.
 pub struct OutgoingSettings {
     /// Time to open a connection.
@@ -48,6 +58,8 @@
     pub keepalive_retries: u32,
     /// A connection whose peer has not acknowledged what was sent for so long is given up; `None`: the system's time.
     pub unacknowledged_time: Option<Duration>,
+    /// Largest body of an answer in bytes. A connection that brings far more is closed.
+    pub body_limit: usize,
 }
 
 impl OutgoingSettings {
@@ -62,10 +74,13 @@
         connector.set_keepalive_retries(Some(self.keepalive_retries));
         let mut builder = Client::builder(TokioExecutor::new());
         builder.pool_timer(TokioTimer::new()).retry_canceled_requests(false);
+        builder.http1_max_buf_size(MAX_HEAD_BYTES);
         match self.idle_timeout {
             Some(time) => builder.pool_idle_timeout(time),
             None => builder.pool_max_idle_per_host(0),
         };
+        let answer_limit = MAX_HEAD_BYTES + FRAMING_FACTOR * self.body_limit;
+        let connector = BoundedConnector::new(connector, answer_limit);
         OutgoingClient { client: builder.build(connector), thread: PhantomData }
     }
 }
--- a/crates/coltsfoot-node/src/store/http_sender.rs
+++ b/crates/coltsfoot-node/src/store/http_sender.rs
@@ -56,6 +56,7 @@
             idle_timeout,
             keepalive_retries: KEEPALIVE_RETRIES,
             unacknowledged_time: Some(MAX_UNACKNOWLEDGED_TIME),
+            body_limit: MAX_REPLY_BYTES,
         };
         let client = settings.client();
         Self { client, metrics, eras: None }
