An answer that repeats another call's context is not taken

What a caller would see (in a test; nobody has reported it): somebody else's answer.

Cause: native answers bear no identity. A copy of the answer to an earlier call that comes first on a kept connection was taken by the next call of anybody. Class: answers are matched by their place alone.

Change: each native call has a context of its own, drawn at random. An upstream may repeat it (AnswerEcho::Optional); an answer with another one belongs to another call, and its connection is closed. Upstreams that don't repeat it are served as before, and are not protected: open.

--- a/crates/coltsfoot-node/src/border.rs
+++ b/crates/coltsfoot-node/src/border.rs
@@ -10,5 +10,5 @@
 pub use client_front::{ClientFront, NoFront};
 pub use platform_adapter::PlatformAdapter;
 pub use repeat_guard::RepeatGuard;
-pub use upstream_dialect::{NotRunMarker, UpstreamDialect, request_context};
+pub use upstream_dialect::{AnswerEcho, NotRunMarker, UpstreamDialect, request_context};
 pub use upstream_statement::{StatedLimit, UpstreamStatement};
--- a/crates/coltsfoot-node/src/border/upstream_dialect.rs
+++ b/crates/coltsfoot-node/src/border/upstream_dialect.rs
@@ -25,6 +25,24 @@
     pub status: Option<StatusCode>,
 }
 
+/// Header whose value in the call is repeated in its answer; an answer with another value belongs to another call.
+#[derive(Clone, Debug)]
+pub enum AnswerEcho {
+    /// Each answer repeats the header, which holds the identity of the client's request.
+    Required(HeaderName),
+    /// An answer may repeat the header, which holds an identity of this call alone. One without it is taken for the answer
+    /// to the last call on its connection.
+    Optional(HeaderName),
+}
+
+impl AnswerEcho {
+    fn header(&self) -> &HeaderName {
+        match self {
+            Self::Required(name) | Self::Optional(name) => name,
+        }
+    }
+}
+
 /// Names of the headers exchanged between node and upstream; a header that is `None` is not used.
 #[derive(Clone, Debug)]
 pub struct UpstreamDialect {
@@ -40,8 +58,8 @@
     pub expected_instance: Option<HeaderName>,
     /// Marker of an answer to a call that has not run.
     pub not_run: NotRunMarker,
-    /// Header whose value in the call is repeated in its answer; an answer with another value belongs to another call.
-    pub echo: Option<HeaderName>,
+    /// Header whose value in the call is repeated in its answer.
+    pub echo: AnswerEcho,
     /// Response header on each successful answer that the upstream itself has sent.
     pub seal: Option<HeaderName>,
     /// Response header with the requests per second that the upstream accepts from all callers together.
@@ -72,7 +90,7 @@
                 value: Some(CallOutcome::NotRun.as_str()),
                 status: Some(StatusCode::SERVICE_UNAVAILABLE),
             },
-            echo: None,
+            echo: AnswerEcho::Optional(HeaderName::from_static(CONTEXT_HEADER)),
             seal: None,
             limit: Some(HeaderName::from_static(LIMIT_HEADER)),
             leaving: None,
@@ -82,7 +100,7 @@
     /// Returns the context of a forwarded request, by which the nested calls of its upstream are matched to it; `None`
     /// if the request has no identity.
     pub fn context_of(&self, head: &RequestHead) -> Option<u128> {
-        let echo = self.echo.as_ref()?;
+        let AnswerEcho::Required(echo) = &self.echo else { return None };
         HeaderLine::find(&head.headers, echo.as_str()).map(request_context)
     }
 
@@ -96,7 +114,16 @@
 
     /// Returns the identity that a call and its answer share; `None` if the headers have none.
     pub fn identity<'a>(&self, headers: &'a HeaderMap) -> Option<&'a HeaderValue> {
-        headers.get(self.echo.as_ref()?)
+        headers.get(self.echo.header())
+    }
+
+    /// Returns whether an answer with `headers` may belong to the call with `identity`.
+    pub fn is_answer_to(&self, identity: Option<&HeaderValue>, headers: &HeaderMap) -> bool {
+        let answered = self.identity(headers);
+        match &self.echo {
+            AnswerEcho::Required(_) => answered == identity,
+            AnswerEcho::Optional(_) => answered.is_none() || answered == identity,
+        }
     }
 
     /// Returns what the upstream states about itself in the head of an answer.
--- a/crates/coltsfoot-node/src/dispatch/guard/upstream_client.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard/upstream_client.rs
@@ -156,7 +156,7 @@
             if err.is_connect() { UpstreamError::Unreachable } else { UpstreamError::CutOff }
         })?;
         let kind = self.answer_kind(&response);
-        if identity.as_ref() != self.dialect.identity(response.headers()) {
+        if !self.dialect.is_answer_to(identity.as_ref(), response.headers()) {
             // Further answers on this connection could not be matched to their calls.
             arrival.poison_connection();
             self.trust.borrow_mut().note_lost(self.clock.now(), kind);
--- a/crates/coltsfoot-node/tests/integration/main.rs
+++ b/crates/coltsfoot-node/tests/integration/main.rs
@@ -3,6 +3,7 @@
 mod args;
 mod clock;
 mod config_duty;
+mod doubled_answers;
 mod events;
 mod introduction;
 mod journal;
--- a/crates/coltsfoot-node/tests/integration/util/stub_upstream.rs
+++ b/crates/coltsfoot-node/tests/integration/util/stub_upstream.rs
@@ -18,6 +18,9 @@
 pub enum StubMode {
     /// Answers with the headers it was sent.
     Echo,
+    /// Answers with the headers it was sent, repeats the context in the head, and sends each answer once more before the
+    /// next one on its connection.
+    Doubled,
     /// Answers with a limit of no request per second.
     Limited,
     /// Answers without a content length; the body ends with the connection.
@@ -36,6 +39,7 @@
     pub fn parse(text: &str) -> Self {
         match text {
             "echo" => Self::Echo,
+            "doubled" => Self::Doubled,
             "limited" => Self::Limited,
             "no-length" => Self::NoLength,
             "cut-off" => Self::CutOff,
@@ -87,10 +91,11 @@
     running: &AtomicUsize,
 ) {
     let mut reader = BufReader::new(stream);
+    let mut earlier = String::new();
     while let Some(headers) = read_request(&mut reader) {
         runs.fetch_add(1, Ordering::SeqCst);
         running.fetch_add(1, Ordering::SeqCst);
-        let goes_on = answer(&mut reader, mode, host, &headers);
+        let goes_on = answer(&mut reader, mode, host, &headers, &mut earlier);
         running.fetch_sub(1, Ordering::SeqCst);
         if !goes_on {
             return;
@@ -134,16 +139,16 @@
     mode: StubMode,
     host: SocketAddr,
     headers: &[(String, String)],
+    earlier: &mut String,
 ) -> bool {
     let stream = reader.get_mut();
     let text = match mode {
-        StubMode::Echo => {
-            let told = EchoedHeaders {
-                deadline_ms: header(headers, "coltsfoot-deadline-ms").and_then(|t| t.parse().ok()),
-                context: header(headers, "coltsfoot-context").map(str::to_owned),
-            };
-            let body = serde_json::to_string(&told).expect("plain data");
-            format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{body}", body.len())
+        StubMode::Echo => echo(headers, ""),
+        StubMode::Doubled => {
+            let context = header(headers, "coltsfoot-context").unwrap_or_default();
+            let own = echo(headers, &format!("coltsfoot-context: {context}\r\n"));
+            let copy = std::mem::replace(earlier, own.clone());
+            copy + &own
         }
         StubMode::Limited => {
             "HTTP/1.1 200 OK\r\ncoltsfoot-limit: 0\r\ncontent-length: 2\r\n\r\nok".to_owned()
@@ -168,5 +173,16 @@
             return false;
         }
     };
-    stream.write_all(text.as_bytes()).is_ok() && matches!(mode, StubMode::Echo | StubMode::Limited)
+    stream.write_all(text.as_bytes()).is_ok()
+        && matches!(mode, StubMode::Echo | StubMode::Doubled | StubMode::Limited)
+}
+
+/// An answer with `lines` in its head and the headers of the request in its body.
+fn echo(headers: &[(String, String)], lines: &str) -> String {
+    let told = EchoedHeaders {
+        deadline_ms: header(headers, "coltsfoot-deadline-ms").and_then(|text| text.parse().ok()),
+        context: header(headers, "coltsfoot-context").map(str::to_owned),
+    };
+    let body = serde_json::to_string(&told).expect("plain data");
+    format!("HTTP/1.1 200 OK\r\n{lines}content-length: {}\r\n\r\n{body}", body.len())
 }
