--- a/crates/coltsfoot-node/src/dispatch/guard/upstream_run.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard/upstream_run.rs
@@ -235,6 +235,11 @@
         Ok(answer) if answer.status < FIRST_SERVER_ERROR => CallFinish::Succeeded,
         Ok(_) => CallFinish::Failed,
         Err(UpstreamError::Shed) => CallFinish::ShedByUpstream,
-        Err(_) => CallFinish::Failed,
+        Err(
+            UpstreamError::CutOff
+            | UpstreamError::OtherCall
+            | UpstreamError::Unreachable
+            | UpstreamError::OtherInstance,
+        ) => CallFinish::Failed,
     }
 }
--- a/crates/coltsfootroute/src/retry/arrival_counter.rs
+++ b/crates/coltsfootroute/src/retry/arrival_counter.rs
@@ -15,7 +15,7 @@
 /// Counts how often each request has been sent to the upstream beside the node. A request counts from one at each new
 /// guard.
 ///
-/// Memory grows with the requests of twice the longest time between arrival and end of retention, about 16 bytes each.
+/// Memory grows with the requests of twice the longest time between arrival and end of retention: an entry of a map each.
 #[derive(Debug, Default)]
 pub struct ArrivalCounter {
     newer: Generation,
