--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -85,7 +85,7 @@
         self.begun = time.monotonic()
         self.changed = asyncio.Event()
         self.is_down = False
-        self.era = None
+        self.era = 1
         self.server = None
         self.writers = set()
 
@@ -93,6 +93,26 @@
         ip, port = self.address
         self.server = await asyncio.start_server(self.serve, ip, port, limit=1 << 22, backlog=500)
 
+    def copy(self):
+        """The store's rows and version as they are now."""
+        return self.version, dict(self.rows)
+
+    async def return_from(self, copy, away_s):
+        """Is away for a moment, then comes back from a copy in the next era; the operator's rows are written again."""
+        self.is_down = True
+        self.wake()
+        for writer in list(self.writers):
+            writer.transport.abort()
+        await asyncio.sleep(away_s)
+        operators = {name: row for name, row in self.rows.items() if name[0] == "op"}
+        self.version, self.rows = copy[0], dict(copy[1])
+        self.era += 1
+        self.is_down = False
+        for name, (value, _, is_deleted) in operators.items():
+            self.version += 1
+            self.rows[name] = (value, self.version, is_deleted)
+        self.wake()
+
     def now_ms(self):
         return 7_000_000 + int((time.monotonic() - self.begun) * 1000)
 
