--- a/crates/coltsfoot-node/src/dispatch/guard/local_upstream.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard/local_upstream.rs
@@ -234,6 +234,14 @@
     async fn leave_instance(&self, instance: InstanceIncarnation) -> Option<InstanceIncarnation> {
         let present = self.state.instances.borrow().current().cloned();
         if !self.state.instances.borrow_mut().leave(&instance) {
+            if let Some(present) = present {
+                self.context.events.emit(EventKind::LeaveIgnored {
+                    instance: instance.name,
+                    started: instance.started,
+                    current: present.name,
+                    current_started: present.started,
+                });
+            }
             return None;
         }
         self.withdraw_upstream().await;
--- a/crates/coltsfootroute/src/event/event_kind.rs
+++ b/crates/coltsfootroute/src/event/event_kind.rs
@@ -9,7 +9,7 @@
 use crate::{
     id::{Incarnation, NodeId, RequestId},
     importance::Importance,
-    membership::InstanceName,
+    membership::{InstanceName, StartTime},
     name::{DomainName, OperationName, OperatorName, RegionName, ServiceName},
     outcome::{CallOutcome, RefusalReason},
     quarantine::{CrashId, RequestFingerprint},
@@ -217,6 +217,17 @@
         /// Whether the instance has departed; otherwise a newer heartbeat was received earlier.
         departed: bool,
     }
+    /// A leave does not apply to the upstream beside the node, which keeps serving.
+    LeaveIgnored("leave-ignored", Info) {
+        /// Instance that leaves.
+        instance: InstanceName,
+        /// Start time of the incarnation that leaves, or of the last one that does.
+        started: Option<StartTime>,
+        /// Instance of the upstream.
+        current: InstanceName,
+        /// Start time of the upstream, if it reports one.
+        current_started: Option<StartTime>,
+    }
     /// A message of the upstream beside the node was not acknowledged; the upstream sends it again.
     NotAcknowledged("not-acknowledged", Warn) {
         /// Instance of the upstream.
--- a/crates/coltsfootroute/src/event/event_text.rs
+++ b/crates/coltsfootroute/src/event/event_text.rs
@@ -6,7 +6,7 @@
 use crate::{
     id::{Incarnation, NodeId, RequestId},
     importance::Importance,
-    membership::InstanceName,
+    membership::{InstanceName, StartTime},
     name::{DomainName, OperationName, OperatorName, RegionName, ServiceName},
     outcome::{CallOutcome, RefusalReason},
     quarantine::{CrashId, RequestFingerprint},
@@ -48,6 +48,7 @@
     RegionName,
     ServiceName,
     InstanceName,
+    StartTime,
     CallOutcome,
     RefusalReason,
     CrashId,
--- a/crates/coltsfootroute/src/membership/instance_incarnation.rs
+++ b/crates/coltsfootroute/src/membership/instance_incarnation.rs
@@ -1,5 +1,7 @@
 //! Incarnation of an upstream instance.
 
+use std::fmt;
+
 name_type! {
     /// Name that an upstream gives itself. It may keep the name when it restarts.
     InstanceName
@@ -12,6 +14,12 @@
 #[serde(transparent)]
 pub struct StartTime(pub u64);
 
+impl fmt::Display for StartTime {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
 record_type! {
     /// One run of an upstream process, from its start to its exit.
     pub struct InstanceIncarnation {
