A run of an upstream is identified by name and start time, not by their order

Cause: a leave without a start time was given one by the node's own clock, and taken for one of an earlier run where the upstream's start time lies ahead of that. The acknowledgement then compared the leave as it came (no start time) with the upstream, found them different, and gave 200 with nothing withdrawn and no row written. Evidence: `leave-ignored instance=i-2-1 started=…8988 current=i-2-1 current_started=…9725`, and no `upstream-left`.

A leave without a start time is of the current run of its name, else of the last known one. If a node knows none (it has just started), the run is the one whose heartbeats arrive until none can be late any more, or that of the row. 200 needs the row in every branch. A draining heartbeat of a run that seems to be an earlier one binds it as well.

The same cause elsewhere, mended by the same change: the row of a leave without a start time bound no heartbeat that has one; a run that looks older than its silent predecessor of the same name was taken in once and ignored from then on; a run that was replaced by a late heartbeat of an earlier one never came back.

--- a/crates/coltsfoot-node/src/dispatch/guard/local_upstream.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard/local_upstream.rs
@@ -5,8 +5,7 @@
 use coltsfootroute::{
     event::EventKind,
     membership::{
-        HeartbeatVerdict, HeartbeatWatch, InstanceIncarnation, InstanceName, StartTime,
-        UpstreamOffer,
+        HeartbeatVerdict, HeartbeatWatch, InstanceIncarnation, InstanceName, UpstreamOffer,
     },
     name::ServiceName,
 };
@@ -17,7 +16,6 @@
     upstream_receipt::UpstreamReceipt,
 };
 use crate::{
-    clock::wall_millis,
     dispatch::links::{UpstreamAnnouncement, UpstreamState},
     gossip::GossipCommand,
     http::HttpReply,
@@ -202,13 +200,16 @@
             HeartbeatVerdict::Stale if !self.is_upstream_leaving() => {
                 return self.not_acknowledged(instance.name, true);
             }
-            HeartbeatVerdict::Stale | HeartbeatVerdict::Departed => {}
+            HeartbeatVerdict::Stale => {}
+            // It may only seem to be an earlier incarnation, and must not become current once the present one is silent.
+            HeartbeatVerdict::Departed => self.leave_instance(instance.clone()).await,
         }
         self.persist_leave(instance).await
     }
 
     fn record_heartbeat(&self, instance: &InstanceIncarnation, sequence: u64) -> HeartbeatVerdict {
-        let verdict = self.state.instances.borrow_mut().note_heartbeat(instance, sequence);
+        let now = self.context.now();
+        let verdict = self.state.instances.borrow_mut().note_heartbeat(instance, sequence, now);
         if verdict != HeartbeatVerdict::Fresh {
             let departed = verdict == HeartbeatVerdict::Departed;
             let instance = instance.name.clone();
@@ -221,43 +222,44 @@
         self.state.upstream.borrow().as_ref().is_some_and(|upstream| upstream.leaving)
     }
 
-    /// Handles the leave of an instance: nothing is dispatched to it any more. A leave without a start time applies to
-    /// all instances of that name started until now.
+    /// Handles the leave of an instance: nothing is dispatched to it any more. Its heartbeats may contain the start time
+    /// that its leave lacks.
     pub async fn handle_leave(&self, instance: InstanceIncarnation) -> UpstreamReceipt {
-        let until = instance.started.unwrap_or_else(|| StartTime(wall_millis()));
-        let left = self.leave_instance(instance.clone().with_started(Some(until))).await;
-        // The instance's heartbeats may contain the start time that its leave lacks.
-        self.persist_leave(left.unwrap_or(instance)).await
+        let instance = self.state.instances.borrow().identify(&instance);
+        self.leave_instance(instance.clone()).await;
+        self.persist_leave(instance).await
     }
 
-    /// Records a leave; returns the current instance if it is the one that leaves.
-    async fn leave_instance(&self, instance: InstanceIncarnation) -> Option<InstanceIncarnation> {
-        let present = self.state.instances.borrow().current().cloned();
-        if !self.state.instances.borrow_mut().leave(&instance) {
-            if let Some(present) = present {
-                self.context.events.emit(EventKind::LeaveIgnored {
-                    instance: instance.name,
-                    started: instance.started,
-                    current: present.name,
-                    current_started: present.started,
-                });
-            }
-            return None;
+    /// Records a leave, and withdraws the upstream if it is the instance that leaves.
+    async fn leave_instance(&self, instance: InstanceIncarnation) {
+        let now = self.context.now();
+        let is_current = self.state.instances.borrow_mut().leave(&instance, now);
+        if is_current {
+            drop(self.withdraw_upstream().await);
+            return;
+        }
+        let current = self.state.instances.borrow().current().cloned();
+        if let Some(current) = current {
+            self.context.events.emit(EventKind::LeaveIgnored {
+                instance: instance.name,
+                started: instance.started,
+                current: current.name,
+                current_started: current.started,
+            });
         }
-        self.withdraw_upstream().await;
-        present
     }
 
     /// Acknowledges a leave once the node's row records it, since the row survives this node and all others. Until then
-    /// the upstream receives no new work either, and repeats its request. The leave of an instance before the current
-    /// one needs no row: no restart resumes that instance.
+    /// the upstream receives no new work either, and repeats its request. Of an instance before the latest one the row
+    /// has to record the latest instead: then no restart resumes the earlier one.
     async fn persist_leave(&self, instance: InstanceIncarnation) -> UpstreamReceipt {
-        let present = self.state.instances.borrow().current().cloned();
-        if present.is_some_and(|present| present != instance) {
-            return UpstreamReceipt::Acknowledged;
-        }
         let name = instance.name.clone();
-        if self.introduction.depart(instance).await {
+        let is_latest = self.state.instances.borrow().is_latest(&instance);
+        let is_recorded = match is_latest {
+            true => self.introduction.depart(instance).await,
+            false => self.introduction.settle().await,
+        };
+        if is_recorded {
             return UpstreamReceipt::Acknowledged;
         }
         self.not_acknowledged(name, true)
--- a/crates/coltsfoot-node/src/dispatch/links/own_rows.rs
+++ b/crates/coltsfoot-node/src/dispatch/links/own_rows.rs
@@ -25,8 +25,8 @@
         }
     }
 
-    /// Whether the rows record a leave of this incarnation, or of a later one with the same name.
+    /// Whether the rows record the leave of this incarnation.
     pub(super) fn records_leave(&self, incarnation: &InstanceIncarnation) -> bool {
-        matches!(self, Self::Departed(left) if left.name == incarnation.name && incarnation.started <= left.started)
+        matches!(self, Self::Departed(left) if left == incarnation)
     }
 }
--- a/crates/coltsfootroute/src/membership/instance_incarnation.rs
+++ b/crates/coltsfootroute/src/membership/instance_incarnation.rs
@@ -21,7 +21,9 @@
 }
 
 record_type! {
-    /// One run of an upstream process, from its start to its exit.
+    /// One run of an upstream process, from its start to its exit. Name and start time together identify it; the order
+    /// of two start times proves nothing, because the clock that they come from may be set either way.
+    #[derive(Hash)]
     pub struct InstanceIncarnation {
         /// Name of the upstream.
         pub name: InstanceName,
@@ -41,7 +43,7 @@
         Self { started, ..self }
     }
 
-    /// Whether this incarnation is known to have started before `other`. False if either has no start time.
+    /// Whether this incarnation seems to have started before `other`. False if either has no start time.
     pub(super) fn is_before(&self, other: &Self) -> bool {
         matches!((self.started, other.started), (Some(own), Some(others)) if own < others)
     }
--- a/crates/coltsfootroute/src/membership/instance_tracker.rs
+++ b/crates/coltsfootroute/src/membership/instance_tracker.rs
@@ -1,10 +1,12 @@
 //! Tracking of the upstream instances beside a node, with late and reordered heartbeats.
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 
-use super::{InstanceIncarnation, InstanceName, StartTime};
+use super::{InstanceIncarnation, resume_window::MAX_HEARTBEAT_DELAY};
+use crate::time::MonotonicTime;
 
-/// Maximum number of names of departed upstreams that are remembered; the oldest are forgotten first.
+/// Maximum number of incarnations that are remembered as having left, and as having been replaced; the oldest are
+/// forgotten first.
 const MAX_DEPARTED: usize = 64;
 
 value_type! {
@@ -14,29 +16,35 @@
         Fresh,
         /// A heartbeat no newer than one received earlier from the same incarnation.
         Stale,
-        /// A heartbeat of an incarnation that has departed, or that started before the current one.
+        /// A heartbeat of an incarnation that has left or was replaced, or that seems to have started before the current
+        /// one.
         Departed,
     }
 }
 
 /// Tracks which upstream incarnation of a host is current, from the heartbeats that arrive.
 ///
-/// Invariants: an incarnation that has departed never returns; the sequence number of the current incarnation rises;
-/// while heartbeats of the current incarnation arrive, no incarnation that started earlier replaces it, however late
-/// its heartbeats arrive.
+/// An incarnation is identified by its name and start time together. Start times come from a clock that may be set
+/// either way, so their order is a hint at most: it only decides whether a heartbeat may be a late one of an incarnation
+/// that ended unheard of, and only until the current one falls silent.
+///
+/// Invariants: an incarnation that has left never returns; one that was replaced returns only once its successor has
+/// been silent for longer than a heartbeat can be late; the sequence number of the current incarnation rises.
 #[derive(Clone, Debug, Default)]
 pub struct InstanceTracker {
     current: Option<CurrentInstance>,
-    /// Departed incarnations by name: all that started by the given time, and all that report no start time.
-    departed: IndexMap<InstanceName, Option<StartTime>>,
+    /// Incarnations that have left, with the time of the leave, in the order of their leaves.
+    left: IndexMap<InstanceIncarnation, MonotonicTime>,
+    /// Incarnations that were replaced without having left, until their successor falls silent.
+    replaced: IndexSet<InstanceIncarnation>,
 }
 
 #[derive(Clone, Debug)]
 struct CurrentInstance {
     incarnation: InstanceIncarnation,
     sequence: u64,
-    /// Whether its heartbeats have stopped. Any other incarnation may then replace it, because a clock that was set
-    /// back makes a new incarnation look old.
+    /// Whether its heartbeats have stopped. An incarnation that seems to have started before it may then replace it,
+    /// because a clock that was set back makes a new incarnation look old.
     is_silent: bool,
 }
 
@@ -51,14 +59,22 @@
         self.current.as_ref().map(|current| &current.incarnation)
     }
 
-    /// Classifies a heartbeat. A new incarnation replaces the current one, unless it is known to have started before it
-    /// and the current one still sends heartbeats.
+    /// Returns whether no incarnation has become current, or has left, after this one.
+    pub fn is_latest(&self, incarnation: &InstanceIncarnation) -> bool {
+        let last_left = self.left.last().map(|(left, _)| left);
+        self.current().or(last_left) == Some(incarnation)
+    }
+
+    /// Classifies a heartbeat that arrives at `now`. A new incarnation replaces the current one, unless it seems to have
+    /// started before it and the current one still sends heartbeats.
     pub fn note_heartbeat(
         &mut self,
         incarnation: &InstanceIncarnation,
         sequence: u64,
+        now: MonotonicTime,
     ) -> HeartbeatVerdict {
-        if self.has_departed(incarnation) {
+        self.identify_leaver(incarnation, |left| now.since(left) <= MAX_HEARTBEAT_DELAY);
+        if self.left.contains_key(incarnation) || self.replaced.contains(incarnation) {
             return HeartbeatVerdict::Departed;
         }
         match &mut self.current {
@@ -72,70 +88,80 @@
             Some(current) if !current.is_silent && incarnation.is_before(&current.incarnation) => {
                 return HeartbeatVerdict::Departed;
             }
-            _ => {
-                let current = CurrentInstance {
-                    incarnation: incarnation.clone(),
-                    sequence,
-                    is_silent: false,
-                };
-                if let Some(previous) = self.current.replace(current) {
-                    self.mark_departed(previous.incarnation);
-                }
-            }
+            _ => self.replace_current(incarnation, sequence),
         }
         HeartbeatVerdict::Fresh
     }
 
-    /// Notes that the heartbeats of the current incarnation have stopped.
+    fn replace_current(&mut self, incarnation: &InstanceIncarnation, sequence: u64) {
+        let current =
+            CurrentInstance { incarnation: incarnation.clone(), sequence, is_silent: false };
+        if let Some(previous) = self.current.replace(current) {
+            self.replaced.insert(previous.incarnation);
+            if self.replaced.len() > MAX_DEPARTED {
+                self.replaced.shift_remove_index(0);
+            }
+        }
+    }
+
+    /// Notes that the heartbeats of the current incarnation have stopped for longer than a heartbeat can be late. What
+    /// arrives of the incarnations that it replaced was sent since, so they were replaced by mistake.
     pub fn note_silence(&mut self) {
         if let Some(current) = &mut self.current {
             current.is_silent = true;
+            self.replaced.clear();
         }
     }
 
     /// Restores the incarnation that was current before this node restarted. Returns whether it did: only while no
-    /// incarnation is current, and only if this one has not departed.
+    /// incarnation is current, and only if this one has not left since the restart.
     pub fn restore(&mut self, incarnation: &InstanceIncarnation) -> bool {
-        if self.current.is_some() || self.has_departed(incarnation) {
+        // It was current before any leave that this node knows of, however long the restoration takes.
+        self.identify_leaver(incarnation, |_| true);
+        if self.current.is_some() || self.left.contains_key(incarnation) {
             return false;
         }
-        self.current = Some(CurrentInstance {
-            incarnation: incarnation.clone(),
-            sequence: 0,
-            is_silent: false,
-        });
+        self.replace_current(incarnation, 0);
         true
     }
 
-    /// Marks an incarnation and the earlier ones of its name as departed. Returns whether the current one is among
-    /// them.
-    pub fn leave(&mut self, incarnation: &InstanceIncarnation) -> bool {
-        let left = self.current.take_if(|current| {
-            current.incarnation.name == incarnation.name
-                && !incarnation.is_before(&current.incarnation)
-        });
-        if let Some(left) = &left {
-            self.mark_departed(left.incarnation.clone());
+    /// Returns the incarnation that a leave is of. One without a start time is of the current incarnation if that has its
+    /// name, else of the last known one of that name; if there is none, the result has no start time either.
+    pub fn identify(&self, leave: &InstanceIncarnation) -> InstanceIncarnation {
+        if leave.started.is_some() {
+            return leave.clone();
         }
-        self.mark_departed(incarnation.clone());
+        let left = self.left.keys().rev();
+        let known = self.current().into_iter().chain(self.replaced.iter().rev()).chain(left);
+        known.into_iter().find(|known| known.name == leave.name).unwrap_or(leave).clone()
+    }
+
+    /// Records a leave that arrives at `now`. Returns whether it is of the current incarnation.
+    pub fn leave(&mut self, leave: &InstanceIncarnation, now: MonotonicTime) -> bool {
+        let incarnation = self.identify(leave);
+        let left = self.current.take_if(|current| current.incarnation == incarnation);
+        self.record_left(incarnation, now);
         left.is_some()
     }
 
-    fn has_departed(&self, incarnation: &InstanceIncarnation) -> bool {
-        match self.departed.get(&incarnation.name) {
-            Some(until) => incarnation
-                .started
-                .is_none_or(|started| until.is_some_and(|until| started <= until)),
-            None => false,
+    /// If the incarnation may be the one that left without a start time, at a time that `is_recent` accepts, records it
+    /// as having left.
+    fn identify_leaver(
+        &mut self,
+        incarnation: &InstanceIncarnation,
+        is_recent: impl FnOnce(MonotonicTime) -> bool,
+    ) {
+        let unknown = InstanceIncarnation::new(incarnation.name.clone());
+        let Some(left) = self.left.get(&unknown).copied() else { return };
+        if is_recent(left) {
+            self.record_left(incarnation.clone(), left);
         }
     }
 
-    fn mark_departed(&mut self, incarnation: InstanceIncarnation) {
-        let until =
-            self.departed.shift_remove(&incarnation.name).flatten().max(incarnation.started);
-        self.departed.insert(incarnation.name, until);
-        while self.departed.len() > MAX_DEPARTED {
-            self.departed.shift_remove_index(0);
+    fn record_left(&mut self, incarnation: InstanceIncarnation, now: MonotonicTime) {
+        self.left.entry(incarnation).or_insert(now);
+        if self.left.len() > MAX_DEPARTED {
+            self.left.shift_remove_index(0);
         }
     }
 }
--- a/crates/coltsfootroute/src/membership/resume_window.rs
+++ b/crates/coltsfootroute/src/membership/resume_window.rs
@@ -6,7 +6,7 @@
 
 /// Longest time that a heartbeat may take to arrive; equal to the time without heartbeats after which an upstream
 /// counts as gone.
-const MAX_HEARTBEAT_DELAY: Duration = Duration::from_secs(5);
+pub(super) const MAX_HEARTBEAT_DELAY: Duration = Duration::from_secs(5);
 
 /// Time after a restart in which the node may not know the leaves that its previous incarnation acknowledged.
 ///
