An upstream that looks older than a crashed or drained one is taken in

Callers would have seen: an upstream that ended while it drained, and is back under its id after the clock has gone back, gets no work until it starts once more; after a crash it waits for up to five seconds.

Cause: the order of start times keeps late heartbeats of earlier runs out until the present one is silent. The silence of an upstream that was leaving was never noted, and a crash that the node has seen was not taken for an end.

Ruled out: the leave itself (the upstream had not said one).

Change: silence is noted whatever the upstream was doing; so is a crash, once the address has refused a connection.

--- a/crates/coltsfoot-node/src/dispatch/guard/crash_detection.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard/crash_detection.rs
@@ -124,6 +124,9 @@
             }
             calls.clone()
         };
+        if let Some(instance) = interrupted.instance.as_ref().filter(|_| refused) {
+            self.state.instances.borrow_mut().note_crash(instance);
+        }
         self.context.metrics.requests.upstream_ended();
         if let Some(service) = self.service() {
             self.context.events.emit(EventKind::UpstreamEnded {
--- a/crates/coltsfoot-node/src/dispatch/guard/local_upstream.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard/local_upstream.rs
@@ -160,9 +160,10 @@
             .upstream
             .borrow()
             .as_ref()
-            .is_some_and(|known| !known.leaving && known.heartbeats.is_silent(now));
-        if silent {
-            self.state.instances.borrow_mut().note_silence();
+            .and_then(|known| known.heartbeats.is_silent(now).then_some(known.leaving));
+        let Some(is_leaving) = silent else { return };
+        self.state.instances.borrow_mut().note_silence();
+        if !is_leaving {
             self.withdraw_upstream().await;
         }
     }
--- a/crates/coltsfootroute/src/membership/instance_tracker.rs
+++ b/crates/coltsfootroute/src/membership/instance_tracker.rs
@@ -2,7 +2,7 @@
 
 use indexmap::{IndexMap, IndexSet};
 
-use super::{InstanceIncarnation, resume_window::MAX_HEARTBEAT_DELAY};
+use super::{InstanceIncarnation, InstanceName, resume_window::MAX_HEARTBEAT_DELAY};
 use crate::time::MonotonicTime;
 
 /// Maximum number of incarnations that are remembered as having left, and as having been replaced; the oldest are
@@ -26,7 +26,7 @@
 ///
 /// An incarnation is identified by its name and start time together. Start times come from a clock that may be set
 /// either way, so their order is a hint at most: it only decides whether a heartbeat may be a late one of an incarnation
-/// that ended unheard of, and only until the current one falls silent.
+/// that ended unheard of, and only until the current one has crashed or fallen silent.
 ///
 /// Invariants: an incarnation that has left never returns; one that was replaced returns only once its successor has
 /// been silent for longer than a heartbeat can be late; the sequence number of the current incarnation rises.
@@ -43,9 +43,9 @@
 struct CurrentInstance {
     incarnation: InstanceIncarnation,
     sequence: u64,
-    /// Whether its heartbeats have stopped. An incarnation that seems to have started before it may then replace it,
-    /// because a clock that was set back makes a new incarnation look old.
-    is_silent: bool,
+    /// Whether it has crashed or its heartbeats have stopped. An incarnation that seems to have started before it may
+    /// then replace it, because a clock that was set back makes a new incarnation look old.
+    has_ended: bool,
 }
 
 impl InstanceTracker {
@@ -66,7 +66,7 @@
     }
 
     /// Classifies a heartbeat that arrives at `now`. A new incarnation replaces the current one, unless it seems to have
-    /// started before it and the current one still sends heartbeats.
+    /// started before it and the current one still runs.
     pub fn note_heartbeat(
         &mut self,
         incarnation: &InstanceIncarnation,
@@ -83,9 +83,9 @@
                     return HeartbeatVerdict::Stale;
                 }
                 current.sequence = sequence;
-                current.is_silent = false;
+                current.has_ended = false;
             }
-            Some(current) if !current.is_silent && incarnation.is_before(&current.incarnation) => {
+            Some(current) if !current.has_ended && incarnation.is_before(&current.incarnation) => {
                 return HeartbeatVerdict::Departed;
             }
             _ => self.replace_current(incarnation, sequence),
@@ -95,7 +95,7 @@
 
     fn replace_current(&mut self, incarnation: &InstanceIncarnation, sequence: u64) {
         let current =
-            CurrentInstance { incarnation: incarnation.clone(), sequence, is_silent: false };
+            CurrentInstance { incarnation: incarnation.clone(), sequence, has_ended: false };
         if let Some(previous) = self.current.replace(current) {
             self.replaced.insert(previous.incarnation);
             if self.replaced.len() > MAX_DEPARTED {
@@ -108,11 +108,18 @@
     /// arrives of the incarnations that it replaced was sent since, so they were replaced by mistake.
     pub fn note_silence(&mut self) {
         if let Some(current) = &mut self.current {
-            current.is_silent = true;
+            current.has_ended = true;
             self.replaced.clear();
         }
     }
 
+    /// Notes that the current incarnation has crashed, if it has this name.
+    pub fn note_crash(&mut self, name: &InstanceName) {
+        if let Some(current) = self.current.as_mut().filter(|it| it.incarnation.name == *name) {
+            current.has_ended = true;
+        }
+    }
+
     /// Restores the incarnation that was current before this node restarted. Returns whether it did: only while no
     /// incarnation is current, and only if this one has not left since the restart.
     pub fn restore(&mut self, incarnation: &InstanceIncarnation) -> bool {
--- a/crates/coltsfootroute/tests/integration/membership/instances.rs
+++ b/crates/coltsfootroute/tests/integration/membership/instances.rs
@@ -225,3 +225,27 @@
 
     assert_eq!((before, after), (HeartbeatVerdict::Departed, HeartbeatVerdict::Fresh));
 }
+
+/// What starts after a crash need not wait for a silence, though its start time looks older.
+#[test]
+fn an_incarnation_that_looks_older_replaces_a_crashed_one_at_once() {
+    let mut tracker = InstanceTracker::new();
+    tracker.note_heartbeat(&with_start("a", 9_000), 5, NOW);
+
+    tracker.note_crash(&InstanceName::new("a"));
+    let next = tracker.note_heartbeat(&with_start("a", 4_000), 1, NOW);
+    let late = tracker.note_heartbeat(&with_start("a", 9_000), 6, NOW);
+
+    assert_eq!((next, late), (HeartbeatVerdict::Fresh, HeartbeatVerdict::Departed));
+}
+
+#[test]
+fn the_crash_of_another_instance_changes_nothing() {
+    let mut tracker = InstanceTracker::new();
+    tracker.note_heartbeat(&with_start("b", 9_000), 5, NOW);
+
+    tracker.note_crash(&InstanceName::new("a"));
+
+    let older = tracker.note_heartbeat(&with_start("a", 4_000), 1, NOW);
+    assert_eq!(older, HeartbeatVerdict::Departed);
+}
