An upstream that is back under its id has ended

Callers would have seen: a request that crashes the upstreams that run it goes on to do so (BUDGET) where the address of a crashed upstream does not refuse connections in the 0.3 s in which that is tried, and the upstream comes back under its id.

Cause: the end of an upstream is concluded from a refused connection or from the announcement of another one; another one was told by its name alone.

Ruled out: the order of start times, since the ends were not noted at all.

Change: interrupted calls name the incarnation that they were sent to, by name and start time; so does the note of a crash.

--- a/crates/coltsfoot-node/src/dispatch/guard/crash_detection.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard/crash_detection.rs
@@ -1,13 +1,13 @@
 //! Detection of crashes of the upstream beside the node.
 //!
 //! An interrupted call alone doesn't prove a crash: answers can get lost, garbled or truncated. The upstream has
-//! crashed if its address refuses connections shortly afterwards, or if another instance of it announces itself. An
+//! crashed if its address refuses connections shortly afterwards, or if another incarnation of it announces itself. An
 //! upstream that has announced its leave terminates as planned.
 
 use std::{io::ErrorKind, net::SocketAddr, rc::Rc, time::Duration};
 
 use coltsfoot_wire::peer::CallRequest;
-use coltsfootroute::{event::EventKind, membership::InstanceName, quarantine::CrashId};
+use coltsfootroute::{event::EventKind, membership::InstanceIncarnation, quarantine::CrashId};
 use rand::RngExt;
 use tokio::{
     net::TcpStream,
@@ -38,13 +38,13 @@
 const GATHER_DELAY: Duration = Duration::from_millis(5);
 
 impl CallGuard {
-    /// Records a call that was interrupted at `instance` of the upstream at `address`, and starts the test for a crash.
+    /// Records a call that was interrupted at the incarnation `instance` of the upstream at `address`, and starts the test for a crash.
     pub(super) fn record_interrupted_call(
         self: &Rc<Self>,
         call: &CallRequest,
         span: &CallSpan,
         address: SocketAddr,
-        instance: Option<InstanceName>,
+        instance: Option<InstanceIncarnation>,
     ) {
         if self.has_withdrawn() {
             return;
@@ -89,9 +89,9 @@
         self.quarantine.note_answer(|| span.fingerprint(content));
     }
 
-    /// Concludes a crash if an instance other than the one with interrupted calls announces itself within
-    /// [`RESTART_WINDOW`].
-    pub(super) fn note_new_instance(self: &Rc<Self>, instance: Option<&InstanceName>) {
+    /// Concludes a crash if an incarnation other than the one with interrupted calls announces itself within
+    /// [`RESTART_WINDOW`]. It may have the same name.
+    pub(super) fn note_new_instance(self: &Rc<Self>, instance: Option<&InstanceIncarnation>) {
         let now = self.context.now();
         let crash = self.interrupted_calls.borrow().as_ref().and_then(|calls| {
             let is_next = calls.instance.as_ref() != instance;
@@ -132,7 +132,7 @@
             self.context.events.emit(EventKind::UpstreamEnded {
                 service,
                 upstream: interrupted.address,
-                instance: interrupted.instance,
+                instance: interrupted.instance.map(|instance| instance.name),
                 crash,
                 cut_off: interrupted.count,
                 refused,
--- a/crates/coltsfoot-node/src/dispatch/guard/interrupted_calls.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard/interrupted_calls.rs
@@ -4,7 +4,7 @@
 
 use coltsfootroute::{
     id::RequestId,
-    membership::InstanceName,
+    membership::InstanceIncarnation,
     quarantine::{CrashId, MAX_SUSPECTS, RequestFingerprint},
     time::MonotonicTime,
 };
@@ -18,15 +18,15 @@
     pub(super) answered: bool,
 }
 
-/// Calls to one instance of the upstream that were interrupted at about the same time.
+/// Calls to one incarnation of the upstream that were interrupted at about the same time.
 #[derive(Clone, Debug)]
 pub(super) struct InterruptedCalls {
     /// Identity of the crash, should the upstream prove to have crashed.
     pub(super) crash: CrashId,
     /// Address at which the upstream listened.
     pub(super) address: SocketAddr,
-    /// Name of the instance, if the upstream names its instances.
-    pub(super) instance: Option<InstanceName>,
+    /// Incarnation of the upstream, if it names its instances.
+    pub(super) instance: Option<InstanceIncarnation>,
     /// Time of the first interruption.
     pub(super) since: MonotonicTime,
     /// The calls to report as suspects. Invariant: at most [`MAX_SUSPECTS`].
--- a/crates/coltsfoot-node/src/dispatch/guard/local_upstream.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard/local_upstream.rs
@@ -35,7 +35,7 @@
             let body = serde_json::json!({ "message": "the node is leaving" });
             return HttpReply::json(StatusCode::SERVICE_UNAVAILABLE, &body);
         }
-        self.note_new_instance(announcement.instance.as_ref());
+        self.note_new_instance(announcement.incarnation().as_ref());
         if self.store_announcement(&announcement) {
             self.configure_gate(announcement.slots);
             self.context.events.emit(EventKind::UpstreamAnnounced {
--- a/crates/coltsfoot-node/src/dispatch/guard/upstream_run.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard/upstream_run.rs
@@ -8,7 +8,7 @@
     constants::CALL_PATH_PREFIX,
     deadline::Remaining,
     event::{EventKind, HybridStamp},
-    membership::InstanceName,
+    membership::{InstanceIncarnation, InstanceName},
     name::TeamName,
     outcome::{CallOutcome, RefusalReason},
     retry::ArrivalNumber,
@@ -38,10 +38,11 @@
         span: &Rc<CallSpan>,
         permit: RunPermit,
     ) -> CallReply {
-        let Some((address, instance)) = self.upstream_address() else {
+        let Some((address, upstream)) = self.upstream_address() else {
             permit.finish(CallFinish::Failed);
             return self.refusal(RefusalReason::NoUpstream, CallOutcome::NotRun);
         };
+        let instance = upstream.as_ref().map(|upstream| upstream.name.clone());
         // The upstream may have left while the call waited for a slot or a claim.
         if self.has_withdrawn() {
             return self.refusal(RefusalReason::Leaving, CallOutcome::NotRun);
@@ -78,7 +79,7 @@
         match &result {
             Ok(Ok(_)) => self.record_answer(call, span),
             Ok(Err(UpstreamError::CutOff | UpstreamError::OtherCall)) => {
-                self.record_interrupted_call(call, span, address, instance.clone())
+                self.record_interrupted_call(call, span, address, upstream)
             }
             Ok(Err(_)) | Err(_) => {}
         }
@@ -175,10 +176,10 @@
         self.refusal(reason, outcome)
     }
 
-    fn upstream_address(&self) -> Option<(SocketAddr, Option<InstanceName>)> {
+    fn upstream_address(&self) -> Option<(SocketAddr, Option<InstanceIncarnation>)> {
         let upstream = self.state.upstream.borrow();
         let announcement = &upstream.as_ref()?.announcement;
-        Some((announcement.address, announcement.instance.clone()))
+        Some((announcement.address, announcement.incarnation()))
     }
 
     /// Returns whether the upstream has announced its leave, or its heartbeats have stopped.
--- a/crates/coltsfootroute/src/membership/instance_tracker.rs
+++ b/crates/coltsfootroute/src/membership/instance_tracker.rs
@@ -2,7 +2,7 @@
 
 use indexmap::{IndexMap, IndexSet};
 
-use super::{InstanceIncarnation, InstanceName, resume_window::MAX_HEARTBEAT_DELAY};
+use super::{InstanceIncarnation, resume_window::MAX_HEARTBEAT_DELAY};
 use crate::time::MonotonicTime;
 
 /// Maximum number of incarnations that are remembered as having left, and as having been replaced; the oldest are
@@ -113,10 +113,11 @@
         }
     }
 
-    /// Notes that the current incarnation has crashed, if it has this name.
-    pub fn note_crash(&mut self, name: &InstanceName) {
-        if let Some(current) = self.current.as_mut().filter(|it| it.incarnation.name == *name) {
-            current.has_ended = true;
+    /// Notes that an incarnation has crashed.
+    pub fn note_crash(&mut self, incarnation: &InstanceIncarnation) {
+        match &mut self.current {
+            Some(current) if current.incarnation == *incarnation => current.has_ended = true,
+            _ => {}
         }
     }
 
--- a/crates/coltsfootroute/tests/integration/membership/instances.rs
+++ b/crates/coltsfootroute/tests/integration/membership/instances.rs
@@ -232,7 +232,7 @@
     let mut tracker = InstanceTracker::new();
     tracker.note_heartbeat(&with_start("a", 9_000), 5, NOW);
 
-    tracker.note_crash(&InstanceName::new("a"));
+    tracker.note_crash(&with_start("a", 9_000));
     let next = tracker.note_heartbeat(&with_start("a", 4_000), 1, NOW);
     let late = tracker.note_heartbeat(&with_start("a", 9_000), 6, NOW);
 
@@ -240,11 +240,11 @@
 }
 
 #[test]
-fn the_crash_of_another_instance_changes_nothing() {
+fn the_crash_of_another_incarnation_changes_nothing() {
     let mut tracker = InstanceTracker::new();
-    tracker.note_heartbeat(&with_start("b", 9_000), 5, NOW);
+    tracker.note_heartbeat(&with_start("a", 9_000), 5, NOW);
 
-    tracker.note_crash(&InstanceName::new("a"));
+    tracker.note_crash(&with_start("a", 1_000));
 
     let older = tracker.note_heartbeat(&with_start("a", 4_000), 1, NOW);
     assert_eq!(older, HeartbeatVerdict::Departed);
