An upstream that looks older follows one whose calls were interrupted

Cause: the announcement of another incarnation proves that the one before it has crashed, if its calls were interrupted; but where its start time looked older the heartbeat was ignored before that was asked.

Ruled out: refused connections that were missed (none refuses here).

Change: the question comes before the heartbeat is classified.

--- a/crates/coltsfoot-node/src/dispatch/guard/crash_detection.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard/crash_detection.rs
@@ -92,17 +92,35 @@
     /// Concludes a crash if an incarnation other than the one with interrupted calls announces itself within
     /// [`RESTART_WINDOW`]. It may have the same name.
     pub(super) fn note_new_instance(self: &Rc<Self>, instance: Option<&InstanceIncarnation>) {
-        let now = self.context.now();
-        let crash = self.interrupted_calls.borrow().as_ref().and_then(|calls| {
-            let is_next = calls.instance.as_ref() != instance;
-            let is_soon = now.since(calls.since) <= RESTART_WINDOW;
-            (is_next && is_soon && !calls.has_crashed).then_some(calls.crash)
-        });
+        let crash = self
+            .interrupted_before(instance)
+            .filter(|calls| !calls.has_crashed)
+            .map(|calls| calls.crash);
         if let Some(crash) = crash {
             self.conclude_crash(crash, false);
         }
     }
 
+    /// Notes that the current incarnation has probably crashed, if its calls were interrupted and another one sends
+    /// heartbeats. The other one may then take its place, though its start time looks older.
+    pub(super) fn note_successor(&self, instance: &InstanceIncarnation) {
+        let interrupted = self.interrupted_before(Some(instance)).and_then(|calls| calls.instance);
+        if let Some(interrupted) = interrupted {
+            self.state.instances.borrow_mut().note_crash(&interrupted);
+        }
+    }
+
+    /// Returns the calls that were interrupted within [`RESTART_WINDOW`] at another incarnation than this one.
+    fn interrupted_before(
+        &self,
+        instance: Option<&InstanceIncarnation>,
+    ) -> Option<InterruptedCalls> {
+        let now = self.context.now();
+        let interrupted = self.interrupted_calls.borrow();
+        let calls = interrupted.as_ref().filter(|calls| calls.instance.as_ref() != instance)?;
+        (now.since(calls.since) <= RESTART_WINDOW).then(|| calls.clone())
+    }
+
     async fn probe_for_crash(self: Rc<Self>, crash: CrashId, address: SocketAddr) {
         for pause in PROBE_DELAYS {
             sleep(pause).await;
--- a/crates/coltsfoot-node/src/dispatch/guard/local_upstream.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard/local_upstream.rs
@@ -209,6 +209,7 @@
     }
 
     fn record_heartbeat(&self, instance: &InstanceIncarnation, sequence: u64) -> HeartbeatVerdict {
+        self.note_successor(instance);
         let now = self.context.now();
         let verdict = self.state.instances.borrow_mut().note_heartbeat(instance, sequence, now);
         if verdict != HeartbeatVerdict::Fresh {
