--- a/crates/coltsfoot-node/src/dispatch/guard/crash_detection.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard/crash_detection.rs
@@ -38,7 +38,8 @@
 const GATHER_DELAY: Duration = Duration::from_millis(5);
 
 impl CallGuard {
-    /// Records a call that was interrupted at the incarnation `instance` of the upstream at `address`, and starts the test for a crash.
+    /// Records a call that was interrupted at the incarnation `instance` of the upstream at `address`, and starts the test
+    /// for a crash.
     pub(super) fn record_interrupted_call(
         self: &Rc<Self>,
         call: &CallRequest,
