A leave said again does not take the place of a later one

Callers would have seen: an upstream that crashed, was back under its id and left gets work again after a restart of its node, by a late heartbeat, since the node's row told of the run before the one that left.

Cause: found by reading the change. A leave without a start time that is said again was taken for one of the run that had been replaced; and the leave of a replaced run counted as the latest, so that the row was written over.

Change: what has left goes before what was replaced; a replaced run that leaves ended before its successor, whatever arrives when.

Tests: membership::instances::a_repeated_leave_is_of_the_incarnation_that_has_left and a_late_leave_of_a_replaced_incarnation_is_not_the_latest fail without it.

--- a/crates/coltsfootroute/src/membership/instance_tracker.rs
+++ b/crates/coltsfootroute/src/membership/instance_tracker.rs
@@ -33,7 +33,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct InstanceTracker {
     current: Option<CurrentInstance>,
-    /// Incarnations that have left, with the time of the leave, in the order of their leaves.
+    /// Incarnations that have left, with the time of the leave, in the order in which they ended.
     left: IndexMap<InstanceIncarnation, MonotonicTime>,
     /// Incarnations that were replaced without having left, until their successor falls silent.
     replaced: IndexSet<InstanceIncarnation>,
@@ -139,8 +139,8 @@
         if leave.started.is_some() {
             return leave.clone();
         }
-        let left = self.left.keys().rev();
-        let known = self.current().into_iter().chain(self.replaced.iter().rev()).chain(left);
+        let departed = self.left.keys().rev().chain(self.replaced.iter().rev());
+        let known = self.current().into_iter().chain(departed);
         known.into_iter().find(|known| known.name == leave.name).unwrap_or(leave).clone()
     }
 
@@ -167,7 +167,12 @@
     }
 
     fn record_left(&mut self, incarnation: InstanceIncarnation, now: MonotonicTime) {
-        self.left.entry(incarnation).or_insert(now);
+        if self.replaced.shift_remove(&incarnation) {
+            // It ended before its successor did, however late its leave arrives.
+            self.left.shift_insert(0, incarnation, now);
+        } else {
+            self.left.entry(incarnation).or_insert(now);
+        }
         if self.left.len() > MAX_DEPARTED {
             self.left.shift_remove_index(0);
         }
--- a/crates/coltsfootroute/tests/integration/membership/instances.rs
+++ b/crates/coltsfootroute/tests/integration/membership/instances.rs
@@ -249,3 +249,33 @@
     let older = tracker.note_heartbeat(&with_start("a", 4_000), 1, NOW);
     assert_eq!(older, HeartbeatVerdict::Departed);
 }
+
+/// Guards against a leave that takes the place of a later one in what the node keeps, and so undoes it.
+#[test]
+fn a_repeated_leave_is_of_the_incarnation_that_has_left() {
+    let mut tracker = InstanceTracker::new();
+    tracker.note_heartbeat(&with_start("a", 1_000), 5, NOW);
+    tracker.note_heartbeat(&with_start("a", 2_000), 1, NOW);
+    tracker.leave(&without_start("a"), NOW);
+
+    let repeated = tracker.identify(&without_start("a"));
+    tracker.leave(&repeated, NOW);
+
+    assert_eq!(repeated, with_start("a", 2_000));
+    assert!(tracker.is_latest(&with_start("a", 2_000)));
+}
+
+/// The same of the leave of an incarnation that was replaced before.
+#[test]
+fn a_late_leave_of_a_replaced_incarnation_is_not_the_latest() {
+    let mut tracker = InstanceTracker::new();
+    tracker.note_heartbeat(&with_start("a", 1_000), 5, NOW);
+    tracker.note_heartbeat(&with_start("a", 2_000), 1, NOW);
+    tracker.leave(&without_start("a"), NOW);
+
+    tracker.leave(&with_start("a", 1_000), NOW);
+
+    assert!(tracker.is_latest(&with_start("a", 2_000)));
+    let late = tracker.note_heartbeat(&with_start("a", 1_000), 6, NOW);
+    assert_eq!(late, HeartbeatVerdict::Departed);
+}
