Review of the change: one predicate for interrupted calls, one fixture a setup

Read again as a whole.

- Whether interrupted calls precede an announcement is asked at one place (`InterruptedCalls::precede`), and copies no calls on the way of a heartbeat.
- A refused connection no longer notes the crash as well: the next heartbeat of another incarnation does so within ten seconds of the interrupted call, and after five silent seconds none needs it.
- `OwnRows::records_leave` had become a comparison with a value that stands beside it, and goes.
- The doc of `leave-ignored` told of a start time that no longer means that.
No assertion changes.

--- a/crates/coltsfoot-node/src/dispatch/guard/crash_detection.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard/crash_detection.rs
@@ -30,9 +30,6 @@
     [Duration::ZERO, Duration::from_millis(50), Duration::from_millis(250)];
 /// Timeout for opening a connection to a process on the same host.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
-/// Time after an interrupted call within which the announcement of another instance proves that the previous one
-/// crashed.
-const RESTART_WINDOW: Duration = Duration::from_secs(10);
 /// Delay until all calls interrupted by a crash are recorded: their connections close in the same iteration of the
 /// event loop.
 const GATHER_DELAY: Duration = Duration::from_millis(5);
@@ -90,13 +87,13 @@
         self.quarantine.note_answer(|| span.fingerprint(content));
     }
 
-    /// Concludes a crash if an incarnation other than the one with interrupted calls announces itself within
-    /// [`RESTART_WINDOW`]. It may have the same name.
+    /// Concludes a crash if an incarnation other than the one with interrupted calls announces itself soon after. It may
+    /// have the same name.
     pub(super) fn note_new_instance(self: &Rc<Self>, instance: Option<&InstanceIncarnation>) {
-        let crash = self
-            .interrupted_before(instance)
-            .filter(|calls| !calls.has_crashed)
-            .map(|calls| calls.crash);
+        let now = self.context.now();
+        let crash = self.interrupted_calls.borrow().as_ref().and_then(|calls| {
+            (calls.precede(instance, now) && !calls.has_crashed).then_some(calls.crash)
+        });
         if let Some(crash) = crash {
             self.conclude_crash(crash, false);
         }
@@ -105,21 +102,12 @@
     /// Notes that the current incarnation has probably crashed, if its calls were interrupted and another one sends
     /// heartbeats. The other one may then take its place, though its start time looks older.
     pub(super) fn note_successor(&self, instance: &InstanceIncarnation) {
-        let interrupted = self.interrupted_before(Some(instance)).and_then(|calls| calls.instance);
-        if let Some(interrupted) = interrupted {
-            self.state.instances.borrow_mut().note_crash(&interrupted);
-        }
-    }
-
-    /// Returns the calls that were interrupted within [`RESTART_WINDOW`] at another incarnation than this one.
-    fn interrupted_before(
-        &self,
-        instance: Option<&InstanceIncarnation>,
-    ) -> Option<InterruptedCalls> {
         let now = self.context.now();
         let interrupted = self.interrupted_calls.borrow();
-        let calls = interrupted.as_ref().filter(|calls| calls.instance.as_ref() != instance)?;
-        (now.since(calls.since) <= RESTART_WINDOW).then(|| calls.clone())
+        let calls = interrupted.as_ref().filter(|calls| calls.precede(Some(instance), now));
+        if let Some(interrupted) = calls.and_then(|calls| calls.instance.as_ref()) {
+            self.state.instances.borrow_mut().note_crash(interrupted);
+        }
     }
 
     async fn probe_for_crash(self: Rc<Self>, crash: CrashId, address: SocketAddr) {
@@ -143,9 +131,6 @@
             }
             calls.clone()
         };
-        if let Some(instance) = interrupted.instance.as_ref().filter(|_| refused) {
-            self.state.instances.borrow_mut().note_crash(instance);
-        }
         self.context.metrics.requests.upstream_ended();
         if let Some(service) = self.service() {
             self.context.events.emit(EventKind::UpstreamEnded {
--- a/crates/coltsfoot-node/src/dispatch/guard/interrupted_calls.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard/interrupted_calls.rs
@@ -1,6 +1,6 @@
 //! Interrupted calls, kept until it is known whether their upstream crashed.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 
 use coltsfootroute::{
     id::RequestId,
@@ -9,6 +9,10 @@
     time::MonotonicTime,
 };
 
+/// Time after an interrupted call within which the announcement of another incarnation proves that the previous one
+/// crashed.
+const RESTART_WINDOW: Duration = Duration::from_secs(10);
+
 /// A call whose connection broke before the answer was complete.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct InterruptedCall {
@@ -38,6 +42,16 @@
 }
 
 impl InterruptedCalls {
+    /// Returns whether the calls were interrupted at another incarnation than `instance`, which announces itself at
+    /// `now`, and within [`RESTART_WINDOW`] before.
+    pub(super) fn precede(
+        &self,
+        instance: Option<&InstanceIncarnation>,
+        now: MonotonicTime,
+    ) -> bool {
+        self.instance.as_ref() != instance && now.since(self.since) <= RESTART_WINDOW
+    }
+
     /// Adds a call; returns whether it is among the calls to report.
     pub(super) fn add(&mut self, call: InterruptedCall) -> bool {
         self.count += 1;
--- a/crates/coltsfoot-node/src/dispatch/links/introduction_service.rs
+++ b/crates/coltsfoot-node/src/dispatch/links/introduction_service.rs
@@ -119,8 +119,9 @@
             self.retract();
             return self.settle().await;
         }
-        if !self.wanted.borrow().records_leave(&instance) {
-            self.set_wanted(OwnRows::Departed(instance));
+        let rows = OwnRows::Departed(instance);
+        if *self.wanted.borrow() != rows {
+            self.set_wanted(rows);
         }
         self.settle().await
     }
--- a/crates/coltsfoot-node/src/dispatch/links/own_rows.rs
+++ b/crates/coltsfoot-node/src/dispatch/links/own_rows.rs
@@ -24,9 +24,4 @@
             Self::Nothing | Self::Departed(_) => None,
         }
     }
-
-    /// Whether the rows record the leave of this incarnation.
-    pub(super) fn records_leave(&self, incarnation: &InstanceIncarnation) -> bool {
-        matches!(self, Self::Departed(left) if left == incarnation)
-    }
 }
--- a/crates/coltsfootroute/src/event/event_kind.rs
+++ b/crates/coltsfootroute/src/event/event_kind.rs
@@ -221,7 +221,7 @@
     LeaveIgnored("leave-ignored", Info) {
         /// Instance that leaves.
         instance: InstanceName,
-        /// Start time of the incarnation that leaves, or of the last one that does.
+        /// Start time of the incarnation that leaves, if it is known.
         started: Option<StartTime>,
         /// Instance of the upstream.
         current: InstanceName,
--- a/crates/coltsfootroute/src/membership/instance_tracker.rs
+++ b/crates/coltsfootroute/src/membership/instance_tracker.rs
@@ -140,8 +140,8 @@
             return leave.clone();
         }
         let departed = self.left.keys().rev().chain(self.replaced.iter().rev());
-        let known = self.current().into_iter().chain(departed);
-        known.into_iter().find(|known| known.name == leave.name).unwrap_or(leave).clone()
+        let mut known = self.current().into_iter().chain(departed);
+        known.find(|known| known.name == leave.name).unwrap_or(leave).clone()
     }
 
     /// Records a leave that arrives at `now`. Returns whether it is of the current incarnation.
--- a/crates/coltsfootroute/tests/integration/membership/instances.rs
+++ b/crates/coltsfootroute/tests/integration/membership/instances.rs
@@ -20,6 +20,15 @@
     without_start(text).with_started(Some(StartTime(started)))
 }
 
+/// Creates a tracker of an upstream that restarted under its name, and left.
+fn left_after_a_restart() -> InstanceTracker {
+    let mut tracker = InstanceTracker::new();
+    tracker.note_heartbeat(&with_start("a", 1_000), 5, NOW);
+    tracker.note_heartbeat(&with_start("a", 2_000), 1, NOW);
+    tracker.leave(&without_start("a"), NOW);
+    tracker
+}
+
 #[test]
 fn a_late_heartbeat_of_the_same_incarnation_is_stale() {
     let mut tracker = InstanceTracker::new();
@@ -253,10 +262,7 @@
 /// Guards against a leave that takes the place of a later one in what the node keeps, and so undoes it.
 #[test]
 fn a_repeated_leave_is_of_the_incarnation_that_has_left() {
-    let mut tracker = InstanceTracker::new();
-    tracker.note_heartbeat(&with_start("a", 1_000), 5, NOW);
-    tracker.note_heartbeat(&with_start("a", 2_000), 1, NOW);
-    tracker.leave(&without_start("a"), NOW);
+    let mut tracker = left_after_a_restart();
 
     let repeated = tracker.identify(&without_start("a"));
     tracker.leave(&repeated, NOW);
@@ -268,10 +274,7 @@
 /// The same of the leave of an incarnation that was replaced before.
 #[test]
 fn a_late_leave_of_a_replaced_incarnation_is_not_the_latest() {
-    let mut tracker = InstanceTracker::new();
-    tracker.note_heartbeat(&with_start("a", 1_000), 5, NOW);
-    tracker.note_heartbeat(&with_start("a", 2_000), 1, NOW);
-    tracker.leave(&without_start("a"), NOW);
+    let mut tracker = left_after_a_restart();
 
     tracker.leave(&with_start("a", 1_000), NOW);
 
