Settings of the memory and the descriptors that a node may take

Cause: a node doesn't know what its host allows the process, so it can't keep to it. The platform states both in the fields of its settings.

Conclusion: no behaviour changes.

--- a/crates/coltsfoot-node/src/settings/field_reader.rs
+++ b/crates/coltsfoot-node/src/settings/field_reader.rs
@@ -57,15 +57,22 @@
 
     /// A whole number within `range`, or `default` where absent.
     pub(super) fn number(&mut self, field: &str, default: u64, range: RangeInclusive<u64>) -> u64 {
-        let Some(value) = self.take(field) else { return default };
-        if let Some(number) = value.as_u64()
-            && range.contains(&number)
-        {
-            return number;
+        self.optional_number(field, range).unwrap_or(default)
+    }
+
+    /// A whole number within `range` that may be absent or null.
+    pub(super) fn optional_number(
+        &mut self,
+        field: &str,
+        range: RangeInclusive<u64>,
+    ) -> Option<u64> {
+        let value = self.take(field)?;
+        let number = value.as_u64().filter(|number| range.contains(number));
+        if number.is_none() {
+            let expected = format!("a whole number from {} to {}", range.start(), range.end());
+            self.errors.push(&self.path(field), &value.to_string(), &expected);
         }
-        let expected = format!("a whole number from {} to {}", range.start(), range.end());
-        self.errors.push(&self.path(field), &value.to_string(), &expected);
-        default
+        number
     }
 
     /// A list, empty where absent.
--- a/crates/coltsfoot-node/src/settings/limit_settings.rs
+++ b/crates/coltsfoot-node/src/settings/limit_settings.rs
@@ -10,6 +10,20 @@
 const DEFAULT_QUEUE: u64 = 256;
 const DEFAULT_DRAIN_NOTICE_MS: u64 = 3_000;
 const DEFAULT_DRAIN_MAX_S: u64 = 60;
+const DEFAULT_MEMORY_MB: u64 = 256;
+
+/// Bytes of a megabyte, as settings count it.
+const MEGABYTE: u64 = 1_000_000;
+
+/// Smallest memory of a node, in megabytes.
+const MIN_MEMORY_MB: u64 = 16;
+/// Largest memory of a node, in megabytes: a terabyte.
+const MAX_MEMORY_MB: u64 = 1_000_000;
+
+/// Fewest file descriptors with which a node can serve.
+const MIN_DESCRIPTORS: u64 = 64;
+/// Most file descriptors of a process.
+const MAX_DESCRIPTORS: u64 = 1 << 20;
 
 /// Largest bound on the head of a request, in bytes: the listeners' buffer.
 pub const MAX_HEADER_BYTES: u64 = 64 * 1024;
@@ -24,6 +38,10 @@
     pub body_bytes: u64,
     /// Largest head of a request, in bytes; at most [`MAX_HEADER_BYTES`].
     pub header_bytes: u64,
+    /// Memory that the process may take, in megabytes.
+    pub memory_mb: u64,
+    /// File descriptors that the process may have open; `None`: the limit that the system sets the process.
+    pub descriptors: Option<u64>,
     /// Most calls waiting in front of the upstream; fewer where eight times its slots are fewer.
     pub queue: u64,
     /// Time for which a node that is to stop serves on as before, in milliseconds, while its answers ask
@@ -53,6 +71,8 @@
                 DEFAULT_HEADER_BYTES,
                 1_024..=MAX_HEADER_BYTES,
             ),
+            memory_mb: reader.number("memory_mb", DEFAULT_MEMORY_MB, MIN_MEMORY_MB..=MAX_MEMORY_MB),
+            descriptors: reader.optional_number("descriptors", MIN_DESCRIPTORS..=MAX_DESCRIPTORS),
             queue: reader.number("queue", DEFAULT_QUEUE, 1..=65_536),
             drain_closing_ms: reader.number("drain_closing_ms", 0, 0..=60_000),
             drain_notice_ms: reader.number("drain_notice_ms", DEFAULT_DRAIN_NOTICE_MS, 0..=60_000),
@@ -65,6 +85,11 @@
 }
 
 impl LimitSettings {
+    /// Memory that the process may take, in bytes.
+    pub fn memory_bytes(&self) -> usize {
+        usize::try_from(self.memory_mb * MEGABYTE).unwrap_or(usize::MAX)
+    }
+
     /// Time after which a planned stop is ended from outside; `None` if it is not.
     pub fn drain_grace(&self) -> Option<Duration> {
         (self.drain_grace_s > 0).then(|| Duration::from_secs(self.drain_grace_s))
--- a/crates/coltsfoot-node/tests/integration/settings.rs
+++ b/crates/coltsfoot-node/tests/integration/settings.rs
@@ -99,6 +99,14 @@
     "limits: {body_bytes: 1048577}",
     "limits.body_bytes: found 1048577, expected a whole number from 1 to 1048576"
 )]
+#[case(
+    "limits: {memory_mb: 15}",
+    "limits.memory_mb: found 15, expected a whole number from 16 to 1000000"
+)]
+#[case(
+    "limits: {descriptors: 63}",
+    "limits.descriptors: found 63, expected a whole number from 64 to 1048576"
+)]
 fn a_fault_names_field_value_and_expectation(#[case] line: &str, #[case] message: &str) {
     let errors = faults(&format!("{MINIMAL}{line}\n"));
 
