--- a/crates/coltsfoot-standin/src/slow_reader.rs
+++ b/crates/coltsfoot-standin/src/slow_reader.rs
@@ -42,6 +42,19 @@
     }
 }
 
+/// Opens a connection on which the kernel holds little for its reader.
+///
+/// # Errors
+///
+/// If the connection cannot be opened.
+pub fn connect_with_small_window(address: SocketAddr) -> io::Result<TcpStream> {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None)?;
+    socket.set_tcp_mss(SEGMENT_BYTES)?;
+    socket.set_recv_buffer_size(WINDOW_BYTES)?;
+    socket.connect(&address.into())?;
+    Ok(TcpStream::from(socket))
+}
+
 impl SlowReader {
     /// Connects with a small window.
     ///
@@ -49,11 +62,7 @@
     ///
     /// If the connection cannot be opened.
     pub fn connect(address: SocketAddr) -> io::Result<Self> {
-        let socket = Socket::new(Domain::IPV4, Type::STREAM, None)?;
-        socket.set_tcp_mss(SEGMENT_BYTES)?;
-        socket.set_recv_buffer_size(WINDOW_BYTES)?;
-        socket.connect(&address.into())?;
-        let stream = TcpStream::from(socket);
+        let stream = connect_with_small_window(address)?;
         stream.set_read_timeout(Some(READ_TIMEOUT))?;
         Ok(Self { stream, rest: Vec::new() })
     }
