A node bounds the memory of the requests that come in

What callers saw: a node that ran out of memory and ended, with all requests that it had in hand. Its clients sent bodies of legal size, many at once, and stopped short of their ends.

Cause: each connection held its own request up to 1 MiB of body and 64 KiB of head, and nothing counted them together. Evidence: 160 clients with bodies of 1 MB took an entry node to 198 MB (a byte short), 199 (in pieces), 208 (one large chunk), 228 (small chunks), 204 (over the limit, unannounced); heartbeat and readiness listeners 198 and 199. Ruled out: buffers that the kernel holds, which VmHWM does not count.

Change: one budget a process, half of limits.memory_mb (memory::MemoryBudget decides, MemoryPool shares it among threads). Every request holds 8 KiB and its head, its body by the stated length or, in chunks, by the buffer that it grows into, until the last clone of the body is dropped. A hold is granted or refused at once (503 with Retry-After; the request has not run): holders that wait for one another would all wait. An eighth is a reserve for holds of at most 32 KiB, so ordinary requests are served beside a crowd. Once a hold was refused, clients that hold much and send nothing for a second get 408, so a crowd that waits keeps the room for a second and not for ten; nobody is hurried while there is room.

--- a/crates/coltsfoot-node/src/dispatch/context/node_context.rs
+++ b/crates/coltsfoot-node/src/dispatch/context/node_context.rs
@@ -14,6 +14,7 @@
     config::{ConfigCell, FreshnessCell},
     gossip::GossipCommand,
     journal::{EventSender, LOG_TARGET},
+    memory::MemoryPool,
     metrics::NodeMetrics,
     settings::{ControlMode, SchedulingSettings},
 };
@@ -38,6 +39,8 @@
     pub proof_time: Option<Duration>,
     /// Commands to the gossip duty.
     pub gossip: mpsc::Sender<GossipCommand>,
+    /// Memory of the process for requests and answers.
+    pub memory: MemoryPool,
     /// Metrics of the node.
     pub metrics: Arc<NodeMetrics>,
     /// Events of the node.
--- a/crates/coltsfoot-node/src/dispatch/dispatch_duty.rs
+++ b/crates/coltsfoot-node/src/dispatch/dispatch_duty.rs
@@ -50,6 +50,7 @@
             freshness: parts.freshness,
             proof_time: parts.revoke_within.map(max_proof_age),
             gossip: parts.gossip,
+            memory: parts.memory,
             metrics: parts.metrics,
             events: parts.events,
             rng: RefCell::new(Pcg64::seed_from_u64(parts.seed)),
--- a/crates/coltsfoot-node/src/dispatch/dispatch_parts.rs
+++ b/crates/coltsfoot-node/src/dispatch/dispatch_parts.rs
@@ -13,6 +13,7 @@
     config::{ConfigCell, FreshnessCell},
     gossip::GossipCommand,
     journal::EventSender,
+    memory::MemoryPool,
     metrics::NodeMetrics,
     settings::{ControlMode, SchedulingSettings},
     store::StoreHandle,
@@ -64,6 +65,8 @@
     pub nodes: u32,
     /// Sender of commands to the gossip duty.
     pub gossip: mpsc::Sender<GossipCommand>,
+    /// Memory of the process for requests and answers.
+    pub memory: MemoryPool,
     /// Metrics of the node.
     pub metrics: Arc<NodeMetrics>,
     /// Sender of the node's events.
--- a/crates/coltsfoot-node/src/dispatch/entry_port.rs
+++ b/crates/coltsfoot-node/src/dispatch/entry_port.rs
@@ -16,7 +16,7 @@
     guard::{CallGuard, UpstreamHeartbeat, UpstreamReceipt},
     ingress::{CallIngress, CallOrigin, IncomingCall},
 };
-use crate::{answers::AnswerTracker, config::ConfigInForce};
+use crate::{answers::AnswerTracker, config::ConfigInForce, memory::MemoryPool};
 
 /// Client address of a nested call whose client request is no longer known.
 const UNKNOWN_CLIENT: IpAddr = IpAddr::V4(Ipv4Addr::UNSPECIFIED);
@@ -62,6 +62,11 @@
         self.guard.answers.clone()
     }
 
+    /// Returns the memory of the process for requests and answers.
+    pub fn memory(&self) -> MemoryPool {
+        self.context.memory.clone()
+    }
+
     /// Whether clients should send their requests here.
     pub fn is_ready(&self) -> bool {
         self.config().is_some() && !self.is_leaving()
--- a/crates/coltsfoot-node/src/http/host_listener.rs
+++ b/crates/coltsfoot-node/src/http/host_listener.rs
@@ -164,6 +164,7 @@
 fn metrics(ctx: &WebContext<'_, HostState>) -> HttpReply {
     let state = ctx.state();
     state.metrics.process.set_events_dropped(state.events.dropped());
+    state.metrics.process.set_memory(state.memory.usage());
     match state.metrics.render() {
         Ok(text) => HttpReply::new(StatusCode::OK, TEXT, text),
         Err(err) => HttpReply::new(StatusCode::INTERNAL_SERVER_ERROR, TEXT, err.to_string()),
--- a/crates/coltsfoot-node/src/http/listener_state.rs
+++ b/crates/coltsfoot-node/src/http/listener_state.rs
@@ -3,7 +3,7 @@
 use super::request_parts::PartLimits;
 use crate::{
     answers::AnswerTracker, clock::MonotonicClock, config::ConfigHandle, dispatch::DispatchHandle,
-    journal::EventReader, metrics::NodeMetrics, process::DrainSwitch,
+    journal::EventReader, memory::MemoryPool, metrics::NodeMetrics, process::DrainSwitch,
 };
 use std::sync::Arc;
 
@@ -33,6 +33,8 @@
     pub config: ConfigHandle,
     /// Events of this node.
     pub events: EventReader,
+    /// Memory of the process for requests and answers.
+    pub memory: MemoryPool,
     /// Metrics of this node.
     pub metrics: Arc<NodeMetrics>,
     /// Begins a planned stop.
--- a/crates/coltsfoot-node/src/http/pipeline.rs
+++ b/crates/coltsfoot-node/src/http/pipeline.rs
@@ -7,13 +7,17 @@
 mod body_reader;
 mod connection;
 mod connection_limits;
+mod listener_resources;
 mod request_buffer;
 mod request_error;
 mod response_bytes;
+mod retry_after;
 
 pub use connection::accept_connections;
 pub use connection_limits::ConnectionLimits;
+pub use listener_resources::ListenerResources;
 pub use request_error::FramingError;
+pub use retry_after::set_retry_after;
 
 use bytes::Bytes;
 
--- a/crates/coltsfoot-node/src/http/pipeline/body_reader.rs
+++ b/crates/coltsfoot-node/src/http/pipeline/body_reader.rs
@@ -7,16 +7,25 @@
 };
 
 use super::FramingError;
+use crate::memory::{MemoryHold, body_charge};
 
 /// Longest line that states a chunk's size, or that stands in a trailer.
 const MAX_LINE_BYTES: usize = 1_024;
+/// Smallest buffer of a body whose length is not stated, in bytes. It is doubled as the body grows.
+const MIN_BUFFER_BYTES: usize = 4 * 1024;
+/// Largest buffer that is doubled, in bytes. A longer body gets room for the longest at once, and is charged in such steps
+/// as it grows: pages that nothing was written to take no memory.
+const STEP_BYTES: usize = 1024 * 1024;
 
 /// Reads one body, as it comes in.
-#[derive(Debug)]
 pub(super) struct BodyReader {
     state: BodyState,
     body: BytesMut,
     limit: usize,
+    /// Memory held for the body, at least for `charged` bytes of it.
+    hold: MemoryHold,
+    /// Bytes of a body that the hold is enough for.
+    charged: usize,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -36,12 +45,17 @@
 }
 
 impl BodyReader {
-    /// A reader of the body that `headers` announce, of at most `limit` bytes.
+    /// A reader of the body that `headers` announce, of at most `limit` bytes; a body of stated length is held from the
+    /// start.
     ///
     /// # Errors
     ///
-    /// [`FramingError`] if the length is malformed, stated in two ways or too large.
-    pub(super) fn new(headers: &HeaderMap, limit: usize) -> Result<Self, FramingError> {
+    /// [`FramingError`] if the length is malformed, stated in two ways or too large, or there is no memory for it.
+    pub(super) fn new(
+        headers: &HeaderMap,
+        limit: usize,
+        hold: MemoryHold,
+    ) -> Result<Self, FramingError> {
         let state = match (headers.get(TRANSFER_ENCODING), stated_length(headers)?) {
             (Some(_), Some(_)) => return Err(FramingError::Malformed),
             (Some(encoding), None) => {
@@ -55,27 +69,65 @@
             (None, Some(length)) => BodyState::Sized(length),
             (None, None) => BodyState::Sized(0),
         };
-        Ok(Self { state, body: BytesMut::new(), limit })
+        let mut reader = Self { state, body: BytesMut::new(), limit, hold, charged: 0 };
+        if let BodyState::Sized(length) = state {
+            reader.charge(length)?;
+            reader.body.reserve(length);
+        }
+        Ok(reader)
+    }
+
+    /// Bytes that are held for the body.
+    pub(super) fn held_bytes(&self) -> usize {
+        self.hold.bytes()
+    }
+
+    /// The body, which keeps its memory held until its last clone is dropped.
+    pub(super) fn into_body(self) -> Bytes {
+        self.hold.with_bytes(self.body.freeze())
+    }
+
+    fn charge(&mut self, length: usize) -> Result<(), FramingError> {
+        self.hold.raise_to(body_charge(length))?;
+        self.charged = length;
+        Ok(())
+    }
+
+    /// Makes room for `more` bytes of the body.
+    fn make_room(&mut self, more: usize) -> Result<(), FramingError> {
+        let needed = self.body.len() + more;
+        if needed <= self.charged {
+            return Ok(());
+        }
+        if needed > STEP_BYTES {
+            self.charge(needed.next_multiple_of(STEP_BYTES))?;
+            let missing = self.limit.saturating_sub(self.body.len());
+            self.body.reserve(missing);
+        } else {
+            self.charge(needed.next_power_of_two().max(MIN_BUFFER_BYTES))?;
+            self.body.reserve(self.charged - self.body.len());
+        }
+        Ok(())
     }
 
-    /// Takes what belongs to the body off `buffer`; gives the body once it is whole.
+    /// Takes what belongs to the body off `buffer`; returns whether the body is whole.
     ///
     /// # Errors
     ///
-    /// [`FramingError`] if a chunk is malformed or the body too large.
-    pub(super) fn read(&mut self, buffer: &mut BytesMut) -> Result<Option<Bytes>, FramingError> {
+    /// [`FramingError`] if a chunk is malformed, the body too large, or there is no memory for it.
+    pub(super) fn read(&mut self, buffer: &mut BytesMut) -> Result<bool, FramingError> {
         loop {
             let next = match self.state {
-                BodyState::Sized(missing) => self.take(buffer, missing, BodyState::Done),
-                BodyState::Chunk(missing) => self.take(buffer, missing, BodyState::ChunkEnd),
+                BodyState::Sized(missing) => self.take(buffer, missing, BodyState::Done)?,
+                BodyState::Chunk(missing) => self.take(buffer, missing, BodyState::ChunkEnd)?,
                 BodyState::ChunkSize => self.chunk_size(buffer)?,
                 BodyState::ChunkEnd => chunk_end(buffer)?,
                 BodyState::Trailer => trailer(buffer)?,
-                BodyState::Done => return Ok(Some(std::mem::take(&mut self.body).freeze())),
+                BodyState::Done => return Ok(true),
             };
             match next {
                 Some(next) => self.state = next,
-                None => return Ok(None),
+                None => return Ok(false),
             }
         }
     }
@@ -85,17 +137,18 @@
         buffer: &mut BytesMut,
         missing: usize,
         then: BodyState,
-    ) -> Option<BodyState> {
+    ) -> Result<Option<BodyState>, FramingError> {
         let taken = missing.min(buffer.len());
+        self.make_room(taken)?;
         self.body.extend_from_slice(&buffer.split_to(taken));
         if taken == missing {
-            return Some(then);
+            return Ok(Some(then));
         }
         self.state = match self.state {
             BodyState::Chunk(_) => BodyState::Chunk(missing - taken),
             _ => BodyState::Sized(missing - taken),
         };
-        None
+        Ok(None)
     }
 
     fn chunk_size(&self, buffer: &mut BytesMut) -> Result<Option<BodyState>, FramingError> {
--- a/crates/coltsfoot-node/src/http/pipeline/connection.rs
+++ b/crates/coltsfoot-node/src/http/pipeline/connection.rs
@@ -3,6 +3,7 @@
 use std::{future::Future, time::Duration};
 
 use bytes::{Buf, BytesMut};
+use coltsfootroute::admission::RetryAfter;
 use futures_util::{StreamExt, stream::FuturesOrdered};
 use http::{Method, Version, header::CONNECTION};
 use tokio::{
@@ -16,10 +17,11 @@
 };
 
 use super::{
-    ConnectionLimits, FramingError, WholeRequest, WholeResponse, request_buffer::RequestBuffer,
-    response_bytes,
+    ConnectionLimits, FramingError, ListenerResources, WholeRequest, WholeResponse,
+    request_buffer::{ReadRequest, RequestBuffer},
+    response_bytes, set_retry_after,
 };
-use crate::answers::{AnswerTracker, OpenAnswer};
+use crate::{answers::OpenAnswer, memory::MemoryHold};
 
 /// Requests of one connection that are worked on at a time. Clients send two or three ahead.
 const MAX_AHEAD: usize = 16;
@@ -33,6 +35,8 @@
 const LINGER_TIME: Duration = Duration::from_millis(500);
 /// Time that a client has to take an answer even if its deadline has passed: the answer may say just that.
 const MIN_WRITE_TIME: Duration = Duration::from_millis(500);
+/// Time without a byte after which a client that holds much is given up while memory is scarce.
+const SCARCE_PATIENCE: Duration = Duration::from_secs(1);
 /// Pause after a failed accept: closing connections frees descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// Leave to send a body that a client asks before.
@@ -45,15 +49,17 @@
     /// Whether the client or the handler asks to close the connection behind it.
     closes: bool,
     open: OpenAnswer,
+    /// Memory held for the request and a short answer.
+    hold: MemoryHold,
 }
 
 /// Serves every connection of `listener` by `handle`, on the current thread. The future of a request is
-/// dropped when its client closes the connection. An answer is open in `answers` until it has been written; `handle` may
-/// tell it when the client gives up.
+/// dropped when its client closes the connection. An answer is open until it has been written; `handle` may tell it when the
+/// client gives up.
 pub async fn accept_connections<H, R>(
     listener: TcpListener,
     limits: ConnectionLimits,
-    answers: AnswerTracker,
+    resources: ListenerResources,
     handle: H,
 ) where
     H: Fn(WholeRequest, &OpenAnswer) -> R + Clone + 'static,
@@ -66,22 +72,24 @@
         };
         // Without it small answers wait for acknowledgements; a failure only costs time.
         let _ = stream.set_nodelay(true);
-        spawn_local(serve(stream, limits, answers.clone(), handle.clone()));
+        spawn_local(serve(stream, limits, resources.clone(), handle.clone()));
     }
 }
 
 async fn serve<H, R>(
     mut stream: TcpStream,
     limits: ConnectionLimits,
-    answers: AnswerTracker,
+    resources: ListenerResources,
     handle: H,
 ) where
     H: Fn(WholeRequest, &OpenAnswer) -> R,
     R: Future<Output = WholeResponse>,
 {
     let (reader, writer) = stream.split();
-    let buffer = RequestBuffer::default();
-    let connection = Connection { reader, writer, limits, answers, buffer, since: Instant::now() };
+    let buffer = RequestBuffer::new(resources.memory.clone());
+    let now = Instant::now();
+    let connection =
+        Connection { reader, writer, limits, resources, buffer, since: now, progressed: now };
     connection.run(handle).await;
 }
 
@@ -89,10 +97,12 @@
     reader: ReadHalf<'a>,
     writer: WriteHalf<'a>,
     limits: ConnectionLimits,
-    answers: AnswerTracker,
+    resources: ListenerResources,
     buffer: RequestBuffer,
     /// When the present request began to come in; without one, when the last answer went out.
     since: Instant,
+    /// When something last came in.
+    progressed: Instant,
 }
 
 /// What happened next on a connection.
@@ -105,6 +115,8 @@
     Answered(Box<Reply>),
     /// The client has taken too long.
     TimedOut,
+    /// The client may be given less time than before.
+    Hurried,
 }
 
 impl Connection<'_> {
@@ -126,18 +138,19 @@
                         Ok(None) => break,
                         Err(err) => return self.fail(pending, err).await,
                     };
-                let is_alone = !request.method().is_safe();
+                let is_alone = !request.request.method().is_safe();
                 if is_alone && !pending.is_empty() {
                     held = Some(request);
                     break;
                 }
                 runs_alone = is_alone;
-                let (method, closes) = (request.method().clone(), asks_to_close(&request));
-                let open = self.answers.begin();
-                pending.push_back(reply(handle(request, &open), method, closes, open));
+                pending.push_back(self.begin(request, &handle));
+            }
+            if let Err(err) = self.buffer.hold_unparsed() {
+                return self.fail(pending, err).await;
             }
             match self.step(&mut pending).await {
-                Step::Read => {}
+                Step::Read | Step::Hurried => {}
                 Step::Gone => return,
                 Step::Answered(reply) => {
                     // A request that is held has not been begun: behind a close its client sends it again.
@@ -153,10 +166,37 @@
         }
     }
 
-    fn next_request(&mut self) -> Result<Option<WholeRequest>, FramingError> {
+    fn next_request(&mut self) -> Result<Option<ReadRequest>, FramingError> {
         self.buffer.next(&self.limits)
     }
 
+    /// Begins the work on a request.
+    fn begin<H, R>(
+        &self,
+        ReadRequest { request, hold }: ReadRequest,
+        handle: &H,
+    ) -> impl Future<Output = Box<Reply>> + use<H, R>
+    where
+        H: Fn(WholeRequest, &OpenAnswer) -> R,
+        R: Future<Output = WholeResponse>,
+    {
+        let (method, closes) = (request.method().clone(), asks_to_close(&request));
+        let open = self.resources.answers.begin();
+        reply(handle(request, &open), method, closes, open, hold)
+    }
+
+    /// When to give up on a client from which nothing comes while no request of its is worked on.
+    fn gives_up_at(&self) -> Instant {
+        if !self.buffer.has_begun() {
+            return self.since + self.limits.idle_time;
+        }
+        let usual = self.since + self.limits.request_time;
+        match self.buffer.holds_much() && self.resources.memory.is_scarce() {
+            true => usual.min(self.progressed + SCARCE_PATIENCE),
+            false => usual,
+        }
+    }
+
     async fn step<F>(&mut self, pending: &mut FuturesOrdered<F>) -> Step
     where
         F: Future<Output = Box<Reply>>,
@@ -169,28 +209,34 @@
             return Step::Gone;
         }
         let was_empty = !self.buffer.has_begun();
-        let most = if was_empty { self.limits.idle_time } else { self.limits.request_time };
         let can_read = self.buffer.bytes.len() < MAX_UNREAD_BYTES;
-        self.buffer.bytes.reserve(READ_BYTES);
+        self.buffer.reserve(READ_BYTES);
+        let scarce = self.resources.memory.scarce();
+        let until = self.gives_up_at();
         tokio::select! {
             Some(reply) = pending.next(), if !is_idle => Step::Answered(reply),
             read = self.reader.read_buf(&mut self.buffer.bytes), if can_read => match read {
                 Ok(0) | Err(_) => Step::Gone,
                 Ok(_) => {
+                    self.progressed = Instant::now();
                     if was_empty {
-                        self.since = Instant::now();
+                        self.since = self.progressed;
                     }
                     Step::Read
                 }
             },
-            () = sleep_until(self.since + most), if is_idle => Step::TimedOut,
+            () = scarce, if is_idle && !was_empty => Step::Hurried,
+            () = sleep_until(until), if is_idle => match Instant::now() >= self.gives_up_at() {
+                true => Step::TimedOut,
+                false => Step::Hurried,
+            },
         }
     }
 
     /// Writes an answer; returns whether the connection goes on. A close waits for the last of the requests
     /// that have been begun.
     async fn answer(&mut self, reply: Box<Reply>, is_last: bool) -> bool {
-        let Reply { response, method, closes, open } = *reply;
+        let Reply { response, method, closes, open, hold: _hold } = *reply;
         let closes = closes && is_last;
         let mut bytes = BytesMut::with_capacity(HEAD_ROOM + response.body().len());
         response_bytes::write(&response, &method, closes, &mut bytes);
@@ -231,6 +277,7 @@
     where
         F: Future<Output = Box<Reply>>,
     {
+        self.buffer = RequestBuffer::new(self.resources.memory.clone());
         while let Some(reply) = pending.next().await {
             if !self.answer(reply, false).await {
                 return;
@@ -238,8 +285,12 @@
         }
         let mut response = WholeResponse::default();
         *response.status_mut() = err.status();
-        let open = self.answers.begin();
-        let reply = Reply { response, method: Method::GET, closes: true, open };
+        if err == FramingError::NoMemory {
+            set_retry_after(&mut response, RetryAfter::draw_for_absence(&mut rand::rng()).0);
+        }
+        let open = self.resources.answers.begin();
+        let hold = self.resources.memory.hold();
+        let reply = Reply { response, method: Method::GET, closes: true, open, hold };
         self.answer(Box::new(reply), true).await;
     }
 
@@ -265,10 +316,11 @@
     method: Method,
     closes: bool,
     open: OpenAnswer,
+    hold: MemoryHold,
 ) -> Box<Reply> {
     let response = response.await;
     let is_asked = response.headers().get(CONNECTION).is_some_and(|value| value == "close");
-    Box::new(Reply { response, method, closes: closes || is_asked, open })
+    Box::new(Reply { response, method, closes: closes || is_asked, open, hold })
 }
 
 fn asks_to_close(request: &WholeRequest) -> bool {
--- a/crates/coltsfoot-node/src/http/pipeline/request_buffer.rs
+++ b/crates/coltsfoot-node/src/http/pipeline/request_buffer.rs
@@ -1,60 +1,138 @@
 //! What has come in on a connection and is no whole request yet.
 
 use bytes::{Buf, BytesMut};
+use coltsfootroute::memory::SMALL_HOLD_BYTES;
 use http::{HeaderName, HeaderValue, Method, Request, Uri, Version, header::EXPECT};
 
 use super::{ConnectionLimits, FramingError, WholeRequest, body_reader::BodyReader};
+use crate::memory::{MemoryHold, MemoryPool};
 
 /// Headers of a request at most.
 const MAX_HEADERS: usize = 100;
 
+/// Bytes that are held for a request beside its head and its body: its state at the node, and a short answer.
+const REQUEST_BYTES: usize = 8 * 1024;
+/// Unparsed bytes that are part of what each connection takes; more are held.
+const UNHELD_BYTES: usize = 8 * 1024;
+
 /// What has come in on a connection and is no whole request yet.
-#[derive(Debug, Default)]
 pub(super) struct RequestBuffer {
     /// Bytes that are not parsed.
     pub bytes: BytesMut,
     /// The request whose body is being read.
-    open: Option<(Request<()>, BodyReader)>,
+    open: Option<OpenRequest>,
+    memory: MemoryPool,
+    /// Memory held for unparsed bytes, if they are many.
+    unparsed: MemoryHold,
+}
+
+/// A request whose body is being read.
+struct OpenRequest {
+    head: Request<()>,
+    body: BodyReader,
+    hold: MemoryHold,
+}
+
+/// A whole request.
+pub(super) struct ReadRequest {
+    pub request: WholeRequest,
+    /// Memory held for all of the request but its body.
+    pub hold: MemoryHold,
 }
 
 impl RequestBuffer {
+    /// An empty buffer.
+    pub fn new(memory: MemoryPool) -> Self {
+        let unparsed = memory.hold();
+        Self { bytes: BytesMut::new(), open: None, memory, unparsed }
+    }
+
     /// Whether a request has begun.
     pub fn has_begun(&self) -> bool {
         self.open.is_some() || !self.bytes.is_empty()
     }
 
+    /// Whether more is held for the request that has begun than an ordinary one takes.
+    pub fn holds_much(&self) -> bool {
+        let body = self.open.as_ref().map_or(0, |open| open.body.held_bytes());
+        body + self.unparsed.bytes() > SMALL_HOLD_BYTES
+    }
+
     /// Whether the client waits for leave to send the body.
     pub fn expects_continue(&self) -> bool {
-        self.open.as_ref().is_some_and(|(request, _)| {
-            let expect = request.headers().get(EXPECT);
+        self.open.as_ref().is_some_and(|open| {
+            let expect = open.head.headers().get(EXPECT);
             expect.is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"100-continue"))
         })
     }
 
+    /// Makes room for `length` further bytes.
+    pub fn reserve(&mut self, length: usize) {
+        if self.bytes.is_empty() && self.bytes.capacity() > UNHELD_BYTES {
+            self.bytes = BytesMut::new();
+        }
+        self.bytes.reserve(length);
+    }
+
+    /// Holds memory for the bytes that have come in, if they are many.
+    ///
+    /// # Errors
+    ///
+    /// [`FramingError::NoMemory`].
+    pub fn hold_unparsed(&mut self) -> Result<(), FramingError> {
+        if self.bytes.len() <= UNHELD_BYTES {
+            self.unparsed.lower_to(0);
+            return Ok(());
+        }
+        Ok(self.unparsed.raise_to(self.bytes.capacity())?)
+    }
+
     /// The next whole request, if there is one.
     ///
     /// # Errors
     ///
     /// [`FramingError`]; nothing more can be read then.
-    pub fn next(
-        &mut self,
-        limits: &ConnectionLimits,
-    ) -> Result<Option<WholeRequest>, FramingError> {
+    pub fn next(&mut self, limits: &ConnectionLimits) -> Result<Option<ReadRequest>, FramingError> {
         if self.open.is_none() {
             let Some(head) = parse_head(&mut self.bytes, limits)? else { return Ok(None) };
-            let body = BodyReader::new(head.headers(), limits.body_bytes)?;
-            self.open = Some((head, body));
+            self.open = Some(self.begin(head, limits)?);
+        }
+        let Some(open) = &mut self.open else { return Ok(None) };
+        if !open.body.read(&mut self.bytes)? {
+            return Ok(None);
         }
-        let Some((_, reader)) = &mut self.open else { return Ok(None) };
-        let Some(body) = reader.read(&mut self.bytes)? else { return Ok(None) };
-        Ok(self.open.take().map(|(head, _)| head.map(|()| body)))
+        Ok(self.open.take().map(OpenRequest::finish))
+    }
+
+    fn begin(
+        &self,
+        ParsedHead { head, length }: ParsedHead,
+        limits: &ConnectionLimits,
+    ) -> Result<OpenRequest, FramingError> {
+        let mut hold = self.memory.hold();
+        hold.raise_to(REQUEST_BYTES + length)?;
+        let body = BodyReader::new(head.headers(), limits.body_bytes, self.memory.hold())?;
+        Ok(OpenRequest { head, body, hold })
     }
 }
 
+impl OpenRequest {
+    fn finish(self) -> ReadRequest {
+        let body = self.body.into_body();
+        ReadRequest { request: self.head.map(|()| body), hold: self.hold }
+    }
+}
+
+/// A head, and its length in bytes.
+struct ParsedHead {
+    head: Request<()>,
+    length: usize,
+}
+
 fn parse_head(
     bytes: &mut BytesMut,
     limits: &ConnectionLimits,
-) -> Result<Option<Request<()>>, FramingError> {
+) -> Result<Option<ParsedHead>, FramingError> {
     // An empty line before a request is passed over, as HTTP asks.
     while bytes.starts_with(b"\r\n") {
         bytes.advance(2);
@@ -63,9 +141,9 @@
     let mut head = httparse::Request::new(&mut headers);
     match head.parse(bytes) {
         Ok(httparse::Status::Complete(length)) if length <= limits.head_bytes => {
-            let request = request_of(&head)?;
+            let head = request_of(&head)?;
             bytes.advance(length);
-            Ok(Some(request))
+            Ok(Some(ParsedHead { head, length }))
         }
         Ok(httparse::Status::Partial) if bytes.len() <= limits.head_bytes => Ok(None),
         Ok(_) | Err(httparse::Error::TooManyHeaders) => Err(FramingError::HeadTooLarge),
--- a/crates/coltsfoot-node/src/http/pipeline/request_error.rs
+++ b/crates/coltsfoot-node/src/http/pipeline/request_error.rs
@@ -2,6 +2,8 @@
 
 use http::StatusCode;
 
+use crate::memory::MemoryFull;
+
 /// Why a connection's bytes are no request. The connection is closed after the answer, since where the next
 /// request would begin is not known.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
@@ -18,6 +20,15 @@
     /// The rest of the request did not come in time.
     #[error("request not complete in time")]
     TimedOut,
+    /// The process has no memory left to hold the request.
+    #[error("no memory left for the request")]
+    NoMemory,
+}
+
+impl From<MemoryFull> for FramingError {
+    fn from(MemoryFull: MemoryFull) -> Self {
+        Self::NoMemory
+    }
 }
 
 impl FramingError {
@@ -28,6 +39,7 @@
             Self::HeadTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::TimedOut => StatusCode::REQUEST_TIMEOUT,
+            Self::NoMemory => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
 }
--- a/crates/coltsfoot-node/src/lib.rs
+++ b/crates/coltsfoot-node/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod gossip;
 pub mod http;
 pub mod journal;
+pub mod memory;
 pub mod metrics;
 pub mod process;
 pub mod settings;
--- /dev/null
+++ b/crates/coltsfoot-node/src/memory/memory_pool.rs
@@ -0,0 +1,117 @@
+//! Memory of the process for requests and answers.
+
+use std::{
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use coltsfootroute::{memory::MemoryBudget, time::MonotonicTime};
+use tokio::sync::{Notify, futures::Notified};
+
+use super::{MemoryHold, MemoryUsage};
+use crate::{clock::MonotonicClock, journal::LOG_TARGET};
+
+/// Share of the memory of the process that may be held: one part in so many. The rest is for the process itself, for
+/// connections, and for what the allocator keeps back.
+const HELD_DIVISOR: usize = 2;
+/// Shortest time between two log lines about refused holds.
+const REPORT_PERIOD: Duration = Duration::from_secs(10);
+
+/// Memory of the process for requests and answers, shared by all its threads.
+#[derive(Clone)]
+pub struct MemoryPool {
+    state: Arc<PoolState>,
+}
+
+struct PoolState {
+    clock: MonotonicClock,
+    holds: Mutex<PoolHolds>,
+    /// Notified when memory becomes scarce, and from time to time while it is.
+    scarce: Notify,
+}
+
+struct PoolHolds {
+    budget: MemoryBudget,
+    /// Number of refused holds.
+    refused: u64,
+    /// Time of the last log line about refused holds.
+    reported: Option<MonotonicTime>,
+}
+
+impl MemoryPool {
+    /// Creates the pool of a process that may take `memory_bytes`.
+    pub fn new(memory_bytes: usize, clock: MonotonicClock) -> Self {
+        let budget = MemoryBudget::new(memory_bytes / HELD_DIVISOR);
+        let holds = Mutex::new(PoolHolds { budget, refused: 0, reported: None });
+        Self { state: Arc::new(PoolState { clock, holds, scarce: Notify::new() }) }
+    }
+
+    /// Returns a hold of no bytes.
+    pub fn hold(&self) -> MemoryHold {
+        MemoryHold::new(self.clone())
+    }
+
+    /// Returns whether a hold was refused a moment ago.
+    pub fn is_scarce(&self) -> bool {
+        let now = self.state.clock.now();
+        self.lock().budget.is_scarce(now)
+    }
+
+    /// Waits until a hold is refused.
+    pub fn scarce(&self) -> Notified<'_> {
+        self.state.scarce.notified()
+    }
+
+    /// Returns what is held.
+    pub fn usage(&self) -> MemoryUsage {
+        let holds = self.lock();
+        let (held, limit) = (holds.budget.used(), holds.budget.capacity());
+        MemoryUsage { held, limit, refused: holds.refused }
+    }
+
+    /// Raises a hold from `held` to `wanted` bytes; returns whether there is room for that.
+    pub(super) fn try_raise(&self, held: usize, wanted: usize) -> bool {
+        let mut holds = self.lock();
+        let is_raised = holds.budget.try_raise(held, wanted);
+        if !is_raised {
+            self.report_refusal(holds, wanted);
+        }
+        is_raised
+    }
+
+    /// Releases `bytes` of a hold.
+    pub(super) fn release(&self, bytes: usize) {
+        self.lock().budget.release(bytes);
+    }
+
+    fn report_refusal(&self, mut holds: MutexGuard<'_, PoolHolds>, wanted: usize) {
+        let now = self.state.clock.now();
+        holds.refused += 1;
+        if holds.budget.record_refusal(now) {
+            self.state.scarce.notify_waiters();
+        }
+        if holds.reported.is_some_and(|last| now.since(last) < REPORT_PERIOD) {
+            return;
+        }
+        holds.reported = Some(now);
+        let (held, limit) = (holds.budget.used(), holds.budget.capacity());
+        let refused = holds.refused;
+        drop(holds);
+        log::warn!(
+            target: LOG_TARGET,
+            "level=warn event=memory-refused held={held} limit={limit} wanted={wanted} refused={refused}"
+        );
+    }
+
+    fn lock(&self) -> MutexGuard<'_, PoolHolds> {
+        // Each update under the lock is complete at every point where it could panic.
+        self.state.holds.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Default for MemoryPool {
+    /// Creates the pool of a process whose memory is not bounded.
+    fn default() -> Self {
+        Self::new(usize::MAX, MonotonicClock::new())
+    }
+}
--- a/crates/coltsfoot-node/src/metrics/process_metrics.rs
+++ b/crates/coltsfoot-node/src/metrics/process_metrics.rs
@@ -10,6 +10,7 @@
     metric_label::MetricLabel,
     metric_registry::{MetricRegistry, gauge_value},
 };
+use crate::memory::MemoryUsage;
 
 /// Metrics of the process: its use of the host, and the events that its journal dropped.
 pub struct ProcessMetrics {
@@ -17,6 +18,9 @@
     duty_processor: CounterVec,
     resident: IntGauge,
     events_dropped: IntCounter,
+    held: IntGauge,
+    held_limit: IntGauge,
+    holds_refused: IntCounter,
 }
 
 impl ProcessMetrics {
@@ -34,6 +38,13 @@
                 "coltsfoot_events_dropped_total",
                 "Events that did not fit the journal's queue",
             )?,
+            held: registry.gauge("coltsfoot_held_bytes", "Memory held for requests and answers")?,
+            held_limit: registry
+                .gauge("coltsfoot_held_bytes_limit", "Most memory held for requests and answers")?,
+            holds_refused: registry.counter(
+                "coltsfoot_holds_refused_total",
+                "Requests and answers for which there was no memory",
+            )?,
         };
         for duty in NodeDuty::ALL {
             metrics.add_duty_processor_time(*duty, Duration::ZERO);
@@ -52,6 +63,13 @@
         self.events_dropped.inc_by(dropped.saturating_sub(self.events_dropped.get()));
     }
 
+    /// Updates the figures of the memory that is held for requests and answers.
+    pub fn set_memory(&self, usage: MemoryUsage) {
+        self.held.set(gauge_value(usage.held as u64));
+        self.held_limit.set(gauge_value(usage.limit as u64));
+        self.holds_refused.inc_by(usage.refused.saturating_sub(self.holds_refused.get()));
+    }
+
     /// Updates the use of the host.
     pub(super) fn refresh(&self) {
         raise_to(&self.processor, process_processor_time());
--- a/crates/coltsfoot-node/src/process/node_parts.rs
+++ b/crates/coltsfoot-node/src/process/node_parts.rs
@@ -21,6 +21,7 @@
     gossip::{GossipCommand, GossipParts},
     http::{ClientState, HostState, PartLimits},
     journal::{EventReader, EventSender},
+    memory::MemoryPool,
     metrics::NodeMetrics,
     settings::NodeSettings,
     store::{StoreHandle, StoreSettings},
@@ -58,6 +59,8 @@
     pub gossip: mpsc::Sender<GossipCommand>,
     /// Answers that the node still has to hand over.
     pub answers: AnswerTracker,
+    /// Memory of the process for requests and answers.
+    pub memory: MemoryPool,
     /// Metrics of the node.
     pub metrics: Arc<NodeMetrics>,
     /// Sender of the node's events.
@@ -114,6 +117,7 @@
             first_start: self.settings.first_start,
             nodes: u32::try_from(self.settings.store.nodes).unwrap_or(u32::MAX),
             gossip: self.gossip.clone(),
+            memory: self.memory.clone(),
             metrics: self.metrics.clone(),
             events: self.events.clone(),
             seed: self.seed,
@@ -156,6 +160,7 @@
             dispatch: self.dispatch.clone(),
             config: self.config.clone(),
             events,
+            memory: self.memory.clone(),
             metrics: self.metrics.clone(),
             drain,
             limits: self.part_limits(),
--- a/crates/coltsfoot-node/src/process/node_process.rs
+++ b/crates/coltsfoot-node/src/process/node_process.rs
@@ -23,6 +23,7 @@
     gossip::GossipThread,
     http::HttpListener,
     journal::{EventJournal, EventSender, JournalHandle},
+    memory::MemoryPool,
     metrics::NodeMetrics,
     settings::NodeSettings,
     store::{EraCell, StorePort, StoreThread},
@@ -110,6 +111,7 @@
             config,
             gossip,
             answers: AnswerTracker::new(clock),
+            memory: MemoryPool::new(settings.limits.memory_bytes(), clock),
             metrics,
             events,
         };
--- a/crates/coltsfoot-node/tests/integration/pipeline.rs
+++ b/crates/coltsfoot-node/tests/integration/pipeline.rs
@@ -12,9 +12,8 @@
 };
 
 use bytes::Bytes;
-use coltsfoot_node::{
-    answers::AnswerTracker,
-    http::pipeline::{ConnectionLimits, WholeRequest, WholeResponse, accept_connections},
+use coltsfoot_node::http::pipeline::{
+    ConnectionLimits, ListenerResources, WholeRequest, WholeResponse, accept_connections,
 };
 use rstest::rstest;
 use tokio::{runtime, task::LocalSet, time::sleep};
@@ -61,7 +60,7 @@
         LocalSet::new().block_on(&runtime, async move {
             let listener = tokio::net::TcpListener::from_std(listener).expect("listener");
             let handle = move |request, _: &_| answer(request, handler_log.clone());
-            accept_connections(listener, LIMITS, AnswerTracker::default(), handle).await;
+            accept_connections(listener, LIMITS, ListenerResources::default(), handle).await;
         });
     });
     (address, log)
--- a/crates/coltsfoot-node/tests/integration/unsent_answers.rs
+++ b/crates/coltsfoot-node/tests/integration/unsent_answers.rs
@@ -11,7 +11,9 @@
 use bytes::Bytes;
 use coltsfoot_node::{
     answers::{AnswerTracker, OpenAnswer},
-    http::pipeline::{ConnectionLimits, WholeRequest, WholeResponse, accept_connections},
+    http::pipeline::{
+        ConnectionLimits, ListenerResources, WholeRequest, WholeResponse, accept_connections,
+    },
 };
 use coltsfoot_standin::{
     slow_reader::SlowReader,
@@ -63,7 +65,8 @@
             let runtime = runtime::Builder::new_current_thread().enable_all().build();
             LocalSet::new().block_on(&runtime.expect("runtime"), async move {
                 let listener = tokio::net::TcpListener::from_std(listener).expect("listener");
-                accept_connections(listener, limits, answers, handle).await;
+                let resources = ListenerResources { answers, ..ListenerResources::default() };
+                accept_connections(listener, limits, resources, handle).await;
             });
         });
         server
--- a/crates/coltsfootroute/src/lib.rs
+++ b/crates/coltsfootroute/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod id;
 pub mod importance;
 pub mod membership;
+pub mod memory;
 pub mod name;
 pub mod once;
 pub mod outcome;
--- a/crates/coltsfootroute/tests/integration/main.rs
+++ b/crates/coltsfootroute/tests/integration/main.rs
@@ -6,6 +6,7 @@
 mod event;
 mod freshness;
 mod membership;
+mod memory;
 mod once;
 mod quarantine;
 mod quota;
