Calls and replies of other nodes are held within the memory of the process

What callers saw: nodes that no hostile client had talked to ran out of memory too, beside the one that it did.

Cause: whole bodies went on to the guards, waited in their queues, and stood in frames that a link had not sent yet, each time without a bound over all of them. Ruled out: the queue's limit (256 calls, which may be 256 MiB).

Change: a frame of more than 4 KiB is held before it is read, and its body, which may be longer than the frame, until its last clone is dropped. Without room a call is refused as for overload (it has not run, and goes elsewhere if it can), and a reply is lost as if its upstream had failed (502, it may have run); in both cases the link goes on. A frame of 16 KiB or more is sent as it is, not copied to the others, and its body stays held until it has gone out. A caller whose link holds 4 MiB of unsent small frames takes the node for unreachable. Nothing changes on the wire.

Tests of links: a call and a reply without room, of text and of zeros.

--- a/crates/coltsfoot-node/src/dispatch/dispatch_duty.rs
+++ b/crates/coltsfoot-node/src/dispatch/dispatch_duty.rs
@@ -5,7 +5,9 @@
 use coltsfoot_wire::peer::{CallReply, CallRequest, ClaimState};
 use coltsfootroute::{
     id::{NodeId, RequestId},
+    importance::Importance,
     name::TeamName,
+    outcome::RefusalReason,
     quarantine::QuarantineUpdate,
     quota::CreditGrant,
 };
@@ -23,7 +25,7 @@
         PeerHandler, PeerLinks, QuarantineService, TokenReply,
     },
 };
-use crate::{answers::AnswerTracker, config::max_proof_age};
+use crate::{answers::AnswerTracker, config::max_proof_age, memory::MemoryPool};
 
 /// The parts of the dispatch duty. Each depends only on those listed above it.
 pub(super) struct DispatchDuty {
@@ -56,7 +58,7 @@
             rng: RefCell::new(Pcg64::seed_from_u64(parts.seed)),
             drift: Default::default(),
         });
-        let links = Rc::new(PeerLinks::new(parts.clock));
+        let links = Rc::new(PeerLinks::new(parts.clock, context.memory.clone()));
         let introductions = IntroductionStore::new(parts.store.clone());
         let resumes = parts.dialect.checks_instance();
         let introduction = Rc::new(IntroductionService::new(
@@ -111,6 +113,17 @@
         &self.guard.answers
     }
 
+    fn memory(&self) -> &MemoryPool {
+        &self.context.memory
+    }
+
+    fn refuse_unheld(&self) -> CallReply {
+        // The importance of the call is lost with its content.
+        let mut reply = self.guard.refuse(Importance::Background, RefusalReason::Overload);
+        reply.stamp = self.context.events.stamp();
+        reply
+    }
+
     async fn call(self: Rc<Self>, call: CallRequest) -> CallReply {
         self.context.observe(call.stamp);
         let mut reply = self.guard.guard_call(call).await;
--- a/crates/coltsfoot-node/src/dispatch/guard/once_run.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard/once_run.rs
@@ -159,7 +159,7 @@
                 status: answer.status,
                 content_type: header.map(|header| header.value).unwrap_or_default(),
                 headers: Vec::new(),
-                body,
+                body: body.into(),
                 replayed: true,
             },
             levels: Vec::new(),
@@ -194,5 +194,5 @@
         return RunAnswer { status: 0, headers: Vec::new(), body: Vec::new() };
     };
     let header = AnswerHeader { name: CONTENT_TYPE.to_string(), value: content_type.clone() };
-    RunAnswer { status: *status, headers: vec![header], body: body.clone() }
+    RunAnswer { status: *status, headers: vec![header], body: body.to_vec() }
 }
--- a/crates/coltsfoot-node/src/dispatch/guard/upstream_run.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard/upstream_run.rs
@@ -220,7 +220,7 @@
             status: answer.status,
             content_type: answer.content_type,
             headers: answer.headers,
-            body: answer.body,
+            body: answer.body.into(),
             replayed: false,
         },
         levels: Vec::new(),
--- a/crates/coltsfoot-node/src/dispatch/links/call_frame.rs
+++ b/crates/coltsfoot-node/src/dispatch/links/call_frame.rs
@@ -6,6 +6,7 @@
 
 use std::io;
 
+use bytes::Bytes;
 use capnp::{
     message::{Builder, HeapAllocator, Reader, ReaderOptions},
     serialize::OwnedSegments,
@@ -18,6 +19,8 @@
 use coltsfootroute::constants::MAX_BODY_BYTES;
 use futures_util::{AsyncRead, AsyncReadExt as _};
 
+use crate::memory::{MemoryFull, MemoryHold, MemoryPool, body_charge};
+
 /// First bytes that a caller sends on a call connection. A connection for other requests begins with the segment count
 /// of a message, which is never this large.
 pub(super) const CALLS_PREFACE: [u8; FRAME_HEAD_BYTES] = *b"CFCALLS1";
@@ -32,6 +35,9 @@
 /// Maximum size of a packed message in bytes: the largest body and the same amount for everything else.
 const MAX_MESSAGE_BYTES: usize = 2 * MAX_BODY_BYTES;
 
+/// Largest message or body for which no memory is held, in bytes: that of an ordinary call.
+const UNHELD_BYTES: usize = 4 * 1024;
+
 /// Space reserved for a call or a reply in addition to its body, in words of eight bytes; a larger message allocates
 /// more.
 const OVERHEAD_WORDS: u32 = 160;
@@ -46,6 +52,10 @@
     Reply(u32, Box<CallReply>),
     /// The caller has cancelled the call with this number.
     Cancel(u32),
+    /// A call for which there was no memory; its content is lost.
+    UnheldCall(u32),
+    /// A reply for which there was no memory; its content is lost.
+    UnheldReply(u32),
 }
 
 /// Maximum call number; numbers wrap to 0 after it. No call is in flight long enough for its number to be reused.
@@ -74,13 +84,15 @@
     encode_head(number, CANCEL, 0)
 }
 
-/// Reads the next frame; returns `None` at the end of the connection.
+/// Reads the next frame; returns `None` at the end of the connection. The body of a call or reply is held in `memory` until
+/// its last clone is dropped.
 ///
 /// # Errors
 ///
 /// Returns an error if the connection fails within a frame, or a frame is malformed.
 pub(super) async fn read_frame(
     reader: &mut (impl AsyncRead + Unpin),
+    memory: &MemoryPool,
 ) -> Result<Option<CallFrame>, capnp::Error> {
     let mut head = [0; FRAME_HEAD_BYTES];
     match reader.read_exact(&mut head).await {
@@ -93,30 +105,89 @@
     let (tag, length) = (word as u32, (word >> u32::BITS) as usize);
     let number = tag >> KIND_BITS;
     let frame = match tag & ((1 << KIND_BITS) - 1) {
-        CALL => {
-            let message = read_message(reader, length).await?;
-            CallFrame::Call(number, Box::new(CallRequest::read(message.get_root()?)?))
-        }
-        REPLY => {
-            let message = read_message(reader, length).await?;
-            CallFrame::Reply(number, Box::new(CallReply::read(message.get_root()?)?))
-        }
+        CALL => match read_message(reader, length, memory).await? {
+            Some(message) => read_call(number, message)?,
+            None => CallFrame::UnheldCall(number),
+        },
+        REPLY => match read_message(reader, length, memory).await? {
+            Some(message) => read_reply(number, message)?,
+            None => CallFrame::UnheldReply(number),
+        },
         CANCEL => CallFrame::Cancel(number),
         kind => return Err(capnp::Error::failed(format!("a frame of kind {kind}"))),
     };
     Ok(Some(frame))
 }
 
+/// A message, and the memory that is held for it.
+struct HeldMessage {
+    reader: Reader<OwnedSegments>,
+    hold: MemoryHold,
+}
+
+/// Reads a message of `length` bytes; without memory for it, passes it over and returns `None`.
 async fn read_message(
     reader: &mut (impl AsyncRead + Unpin),
     length: usize,
-) -> Result<Reader<OwnedSegments>, capnp::Error> {
+    memory: &MemoryPool,
+) -> Result<Option<HeldMessage>, capnp::Error> {
     if length > MAX_MESSAGE_BYTES {
         return Err(capnp::Error::failed(format!("a message of {length} bytes")));
     }
+    let mut hold = memory.hold();
+    if length > UNHELD_BYTES && hold.raise_to(length).is_err() {
+        pass_over(reader, length).await?;
+        return Ok(None);
+    }
     let mut bytes = vec![0; length];
     reader.read_exact(&mut bytes).await?;
-    serialize_packed::read_message(&bytes[..], ReaderOptions::new())
+    let reader = serialize_packed::read_message(&bytes[..], ReaderOptions::new())?;
+    Ok(Some(HeldMessage { reader, hold }))
+}
+
+/// Reads `length` bytes and drops them.
+async fn pass_over(
+    reader: &mut (impl AsyncRead + Unpin),
+    length: usize,
+) -> Result<(), capnp::Error> {
+    let mut piece = [0; UNHELD_BYTES];
+    let mut left = length;
+    while left > 0 {
+        let next = left.min(piece.len());
+        reader.read_exact(&mut piece[..next]).await?;
+        left -= next;
+    }
+    Ok(())
+}
+
+/// Reads the call in a message, and holds its body.
+fn read_call(number: u32, message: HeldMessage) -> Result<CallFrame, capnp::Error> {
+    let mut call = CallRequest::read(message.reader.get_root()?)?;
+    let Ok(body) = message.hold_body(call.body) else { return Ok(CallFrame::UnheldCall(number)) };
+    call.body = body;
+    Ok(CallFrame::Call(number, Box::new(call)))
+}
+
+/// Reads the reply in a message, and holds its body.
+fn read_reply(number: u32, message: HeldMessage) -> Result<CallFrame, capnp::Error> {
+    let mut reply = CallReply::read(message.reader.get_root()?)?;
+    if let ReplyBody::Answer { body, .. } = &mut reply.body {
+        let Ok(held) = message.hold_body(std::mem::take(body)) else {
+            return Ok(CallFrame::UnheldReply(number));
+        };
+        *body = held;
+    }
+    Ok(CallFrame::Reply(number, Box::new(reply)))
+}
+
+impl HeldMessage {
+    /// Holds the body that was read from the message. Zeros take no room in a message, but they do in a body.
+    fn hold_body(mut self, body: Bytes) -> Result<Bytes, MemoryFull> {
+        if body.len() > UNHELD_BYTES {
+            self.hold.raise_to(body_charge(body.len()))?;
+        }
+        Ok(self.hold.with_bytes(body))
+    }
 }
 
 fn message_builder(body_bytes: usize) -> Builder<HeapAllocator> {
--- a/crates/coltsfoot-node/src/dispatch/links/call_link.rs
+++ b/crates/coltsfoot-node/src/dispatch/links/call_link.rs
@@ -7,9 +7,11 @@
 use std::{
     cell::{Cell, RefCell},
     rc::{Rc, Weak},
+    time::Duration,
 };
 
 use coltsfoot_wire::peer::{CallReply, CallRequest};
+use coltsfootroute::outcome::{CallOutcome, RefusalReason};
 use indexmap::IndexMap;
 use tokio::{net::TcpStream, sync::oneshot, task::spawn_local};
 
@@ -20,7 +22,7 @@
     },
     link_stream::{LinkReader, LinkWriter, link_stream},
 };
-use crate::journal::LOG_TARGET;
+use crate::{journal::LOG_TARGET, memory::MemoryPool};
 
 /// A connection to another node for calls; cheap to clone, and closed when the last clone is dropped.
 #[derive(Clone)]
@@ -36,16 +38,16 @@
 }
 
 impl CallLink {
-    /// Starts the call protocol on a newly opened connection; `registration` is dropped when the connection ends. Must
-    /// be called within a `LocalSet`.
-    pub fn open(stream: TcpStream, registration: impl Sized + 'static) -> Self {
+    /// Starts the call protocol on a newly opened connection, whose replies are held in `memory`; `registration` is dropped
+    /// when the connection ends. Must be called within a `LocalSet`.
+    pub fn open(stream: TcpStream, memory: MemoryPool, registration: impl Sized + 'static) -> Self {
         let (reader, writer) = link_stream(stream);
         writer.send(&CALLS_PREFACE);
         let pending = RefCell::new(Some(IndexMap::new()));
         let state = Rc::new(LinkState { writer, next_number: Cell::new(0), pending });
         let weak = Rc::downgrade(&state);
         spawn_local(async move {
-            dispatch_replies(reader, &weak).await;
+            dispatch_replies(reader, &memory, &weak).await;
             drop(registration);
             if let Some(state) = weak.upgrade() {
                 // Dropping the senders fails the calls that still wait for a reply.
@@ -59,9 +61,12 @@
     ///
     /// # Errors
     ///
-    /// [`LinkError::Unreachable`] if the connection had already ended; [`LinkError::Ended`] if it ends before the reply
-    /// arrives, in which case the call may have run.
+    /// [`LinkError::Unreachable`] if the connection had already ended, or the other node does not read;
+    /// [`LinkError::Ended`] if it ends before the reply arrives, in which case the call may have run.
     pub async fn call(&self, call: &CallRequest) -> Result<CallReply, LinkError> {
+        if self.state.writer.is_blocked() {
+            return Err(LinkError::Unreachable);
+        }
         let number = self.state.next_number.get();
         self.state.next_number.set((number + 1) & MAX_CALL_NUMBER);
         let (sender, receiver) = oneshot::channel();
@@ -72,7 +77,7 @@
             .ok_or(LinkError::Unreachable)?
             .insert(number, sender);
         let _pending = PendingCall { state: &self.state, number };
-        self.state.writer.send(&encode_call(number, call));
+        self.state.writer.send_frame(encode_call(number, call), call.body.clone());
         receiver.await.map_err(|_| LinkError::Ended)
     }
 }
@@ -100,17 +105,16 @@
 }
 
 /// Delivers replies to their callers until the connection ends.
-async fn dispatch_replies(mut reader: LinkReader, state: &Weak<LinkState>) {
+async fn dispatch_replies(mut reader: LinkReader, memory: &MemoryPool, state: &Weak<LinkState>) {
     loop {
-        match read_frame(&mut reader).await {
-            Ok(Some(CallFrame::Reply(number, reply))) => {
-                let Some(state) = state.upgrade() else { return };
-                // A reply to a call that has been cancelled is dropped.
-                if let Some(sender) = state.remove_pending(number) {
-                    let _ = sender.send(*reply);
-                }
+        let (number, reply) = match read_frame(&mut reader, memory).await {
+            Ok(Some(CallFrame::Reply(number, reply))) => (number, *reply),
+            Ok(Some(CallFrame::UnheldReply(number))) => (number, unheld_reply()),
+            Ok(
+                Some(CallFrame::Call(..) | CallFrame::Cancel(_) | CallFrame::UnheldCall(_)) | None,
+            ) => {
+                return;
             }
-            Ok(Some(CallFrame::Call(..) | CallFrame::Cancel(_)) | None) => return,
             Err(err) => {
                 log::warn!(
                     target: LOG_TARGET,
@@ -118,6 +122,16 @@
                 );
                 return;
             }
+        };
+        let Some(state) = state.upgrade() else { return };
+        // A reply to a call that has been cancelled is dropped.
+        if let Some(sender) = state.remove_pending(number) {
+            let _ = sender.send(reply);
         }
     }
 }
+
+/// What a caller gets in place of a reply for which there was no memory: the call has run.
+fn unheld_reply() -> CallReply {
+    CallReply::refusal(RefusalReason::UpstreamFailed, CallOutcome::Unknown, Duration::ZERO)
+}
--- a/crates/coltsfoot-node/src/dispatch/links/call_service.rs
+++ b/crates/coltsfoot-node/src/dispatch/links/call_service.rs
@@ -2,7 +2,8 @@
 
 use std::{cell::RefCell, rc::Rc};
 
-use coltsfoot_wire::peer::CallRequest;
+use bytes::Bytes;
+use coltsfoot_wire::peer::{CallReply, CallRequest, ReplyBody};
 use indexmap::IndexMap;
 use tokio::task::{AbortHandle, JoinSet};
 
@@ -27,7 +28,7 @@
     // Dropped with this future, which cancels all its calls.
     let mut calls = JoinSet::new();
     loop {
-        match read_frame(&mut reader).await {
+        match read_frame(&mut reader, handler.memory()).await {
             Ok(Some(CallFrame::Call(number, call))) => {
                 let task =
                     serve_call(number, call, handler.clone(), writer.clone(), running.clone());
@@ -39,7 +40,10 @@
                     abort.abort();
                 }
             }
-            Ok(Some(CallFrame::Reply(..)) | None) => return,
+            Ok(Some(CallFrame::UnheldCall(number))) => {
+                writer.send(&encode_reply(number, &handler.refuse_unheld()));
+            }
+            Ok(Some(CallFrame::Reply(..) | CallFrame::UnheldReply(_)) | None) => return,
             Err(err) => {
                 log::warn!(
                     target: LOG_TARGET,
@@ -63,5 +67,13 @@
     // Boxed to keep the task small to move while it is set up.
     let reply = Box::pin(handler.call(*call)).await;
     running.borrow_mut().swap_remove(&number);
-    writer.send_answer(&encode_reply(number, &reply), open);
+    let frame = encode_reply(number, &reply);
+    writer.send_answer(frame, body_of(reply), open);
+}
+
+fn body_of(reply: CallReply) -> Bytes {
+    match reply.body {
+        ReplyBody::Answer { body, .. } => body,
+        ReplyBody::Refusal { .. } => Bytes::new(),
+    }
 }
--- a/crates/coltsfoot-node/src/dispatch/links/link_stream.rs
+++ b/crates/coltsfoot-node/src/dispatch/links/link_stream.rs
@@ -8,6 +8,7 @@
     task::{Context, Poll, Waker},
 };
 
+use bytes::Bytes;
 use futures_util::{AsyncWrite, io::BufReader};
 use tokio::{
     io::AsyncWriteExt as _,
@@ -29,12 +30,13 @@
 /// The reading side of a connection.
 pub type LinkReader = BufReader<Compat<OwnedReadHalf>>;
 
+/// Size of a frame in bytes from which on it is sent as it is, and not copied to the others.
+const LARGE_FRAME_BYTES: usize = 16 * 1024;
+
 /// Bytes waiting to be sent on a connection.
 #[derive(Default)]
 struct PendingBytes {
-    bytes: Vec<u8>,
-    /// Answers among the bytes.
-    answers: Vec<OpenAnswer>,
+    batch: SendBatch,
     /// Whether the writing side is closed.
     is_closed: bool,
     /// Error with which the connection failed, if it did.
@@ -43,6 +45,50 @@
     blocked_writer: Option<Waker>,
 }
 
+/// Bytes that are sent together.
+#[derive(Default)]
+struct SendBatch {
+    /// What comes before `bytes`: large frames, and the bytes between them.
+    frames: Vec<Vec<u8>>,
+    bytes: Vec<u8>,
+    /// Bodies of the calls and replies among the bytes; the memory for them is held until they have been sent.
+    bodies: Vec<Bytes>,
+    /// Answers among the bytes.
+    answers: Vec<OpenAnswer>,
+}
+
+impl SendBatch {
+    fn is_empty(&self) -> bool {
+        self.frames.is_empty() && self.bytes.is_empty()
+    }
+
+    fn push_frame(&mut self, frame: Vec<u8>) {
+        if frame.len() < LARGE_FRAME_BYTES {
+            self.bytes.extend_from_slice(&frame);
+            return;
+        }
+        if !self.bytes.is_empty() {
+            self.frames.push(std::mem::take(&mut self.bytes));
+        }
+        self.frames.push(frame);
+    }
+
+    fn clear(&mut self) {
+        self.frames.clear();
+        self.bytes.clear();
+        self.bytes.shrink_to(RETAINED_CAPACITY_BYTES);
+        self.bodies.clear();
+        self.answers.clear();
+    }
+
+    async fn send(&mut self, writer: &mut (impl tokio::io::AsyncWrite + Unpin)) -> io::Result<()> {
+        for frame in self.frames.drain(..) {
+            writer.write_all(&frame).await?;
+        }
+        writer.write_all(&self.bytes).await
+    }
+}
+
 #[derive(Default)]
 struct SendQueue {
     pending: RefCell<PendingBytes>,
@@ -63,9 +109,9 @@
 
 /// Sends pending bytes until the writing side is closed or the connection fails.
 async fn send_pending(mut writer: impl tokio::io::AsyncWrite + Unpin, queue: Rc<SendQueue>) {
-    let (mut bytes, mut answers) = (Vec::new(), Vec::new());
+    let mut batch = SendBatch::default();
     loop {
-        if queue.pending.borrow().bytes.is_empty() {
+        if queue.pending.borrow().batch.is_empty() {
             if queue.pending.borrow().is_closed {
                 return;
             }
@@ -73,24 +119,20 @@
             // Lets other tasks that are ready now add their bytes first.
             yield_now().await;
         }
-        queue.take_pending(&mut bytes, &mut answers);
-        if let Err(err) = writer.write_all(&bytes).await {
+        queue.take_pending(&mut batch);
+        if let Err(err) = batch.send(&mut writer).await {
             queue.fail(err.kind());
             return;
         }
-        bytes.clear();
-        answers.clear();
-        bytes.shrink_to(RETAINED_CAPACITY_BYTES);
+        batch.clear();
     }
 }
 
 impl SendQueue {
-    /// Moves the pending bytes into `bytes` and the answers among them into `answers`, which must be empty, and wakes a
-    /// blocked write.
-    fn take_pending(&self, bytes: &mut Vec<u8>, answers: &mut Vec<OpenAnswer>) {
+    /// Moves what is pending into `batch`, which must be empty, and wakes a blocked write.
+    fn take_pending(&self, batch: &mut SendBatch) {
         let mut pending = self.pending.borrow_mut();
-        std::mem::swap(&mut pending.bytes, bytes);
-        std::mem::swap(&mut pending.answers, answers);
+        std::mem::swap(&mut pending.batch, batch);
         if let Some(waker) = pending.blocked_writer.take() {
             waker.wake();
         }
@@ -99,8 +141,7 @@
     fn fail(&self, kind: io::ErrorKind) {
         let mut pending = self.pending.borrow_mut();
         pending.failure = Some(kind);
-        pending.bytes = Vec::new();
-        pending.answers = Vec::new();
+        pending.batch = SendBatch::default();
         if let Some(waker) = pending.blocked_writer.take() {
             waker.wake();
         }
@@ -126,17 +167,34 @@
     pub fn send(&self, bytes: &[u8]) {
         let mut pending = self.queue.pending.borrow_mut();
         if pending.failure.is_none() {
-            pending.bytes.extend_from_slice(bytes);
+            pending.batch.bytes.extend_from_slice(bytes);
+            self.queue.changed.notify_one();
+        }
+    }
+
+    /// Queues a frame for sending; the memory of the `body` in it is held until it has been sent.
+    pub fn send_frame(&self, frame: Vec<u8>, body: Bytes) {
+        let mut pending = self.queue.pending.borrow_mut();
+        if pending.failure.is_none() {
+            pending.batch.push_frame(frame);
+            if !body.is_empty() {
+                pending.batch.bodies.push(body);
+            }
             self.queue.changed.notify_one();
         }
     }
 
-    /// Queues `bytes` like [`LinkWriter::send`]; the answer `open` is dropped when they have been sent.
-    pub fn send_answer(&self, bytes: &[u8], open: OpenAnswer) {
-        self.send(bytes);
+    /// Returns whether so many bytes of small frames are pending that the other node does not seem to read.
+    pub fn is_blocked(&self) -> bool {
+        self.queue.pending.borrow().batch.bytes.len() >= MAX_PENDING_BYTES
+    }
+
+    /// Queues a frame like [`LinkWriter::send_frame`]; the answer `open` is dropped when it has been sent.
+    pub fn send_answer(&self, frame: Vec<u8>, body: Bytes, open: OpenAnswer) {
+        self.send_frame(frame, body);
         let mut pending = self.queue.pending.borrow_mut();
         if pending.failure.is_none() {
-            pending.answers.push(open);
+            pending.batch.answers.push(open);
         }
     }
 }
@@ -151,11 +209,11 @@
         if let Some(kind) = pending.failure {
             return Poll::Ready(Err(kind.into()));
         }
-        if pending.bytes.len() >= MAX_PENDING_BYTES {
+        if pending.batch.bytes.len() >= MAX_PENDING_BYTES {
             pending.blocked_writer = Some(context.waker().clone());
             return Poll::Pending;
         }
-        pending.bytes.extend_from_slice(bytes);
+        pending.batch.bytes.extend_from_slice(bytes);
         Poll::Ready(Ok(bytes.len()))
     }
 
@@ -165,7 +223,7 @@
         if let Some(kind) = pending.failure {
             return Poll::Ready(Err(kind.into()));
         }
-        if !pending.bytes.is_empty() {
+        if !pending.batch.is_empty() {
             self.queue.changed.notify_one();
         }
         Poll::Ready(Ok(()))
--- a/crates/coltsfoot-node/src/dispatch/links/peer_handler.rs
+++ b/crates/coltsfoot-node/src/dispatch/links/peer_handler.rs
@@ -11,7 +11,7 @@
 };
 
 use super::CreditDemand;
-use crate::{answers::AnswerTracker, dispatch::context::NodeContext};
+use crate::{answers::AnswerTracker, dispatch::context::NodeContext, memory::MemoryPool};
 
 /// Reply of the node that holds a retry account to a request for a token.
 #[derive(Clone, Copy, Debug)]
@@ -27,6 +27,12 @@
     /// Returns the tracker of the answers that this node still has to hand over.
     fn answers(&self) -> &AnswerTracker;
 
+    /// Returns the memory of the process for requests and answers.
+    fn memory(&self) -> &MemoryPool;
+
+    /// Returns the refusal of a call for which there was no memory.
+    fn refuse_unheld(&self) -> CallReply;
+
     /// Serves a call for the node's upstream. Dropping the future cancels the call.
     fn call(self: Rc<Self>, call: CallRequest) -> impl Future<Output = CallReply>;
 }
--- a/crates/coltsfoot-node/src/dispatch/links/peer_links.rs
+++ b/crates/coltsfoot-node/src/dispatch/links/peer_links.rs
@@ -13,7 +13,7 @@
     link_stream::link_stream,
     link_table::{LinkRegistration, LinkTable},
 };
-use crate::clock::MonotonicClock;
+use crate::{clock::MonotonicClock, memory::MemoryPool};
 
 /// Timeout for opening a connection to a node.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -52,14 +52,15 @@
 /// few.
 pub struct PeerLinks {
     clock: MonotonicClock,
+    memory: MemoryPool,
     requests: LinkTable<PeerLink>,
     calls: LinkTable<CallLink>,
 }
 
 impl PeerLinks {
-    /// Creates a `PeerLinks` without connections.
-    pub fn new(clock: MonotonicClock) -> Self {
-        Self { clock, requests: LinkTable::new(), calls: LinkTable::new() }
+    /// Creates a `PeerLinks` without connections, whose replies are held in `memory`.
+    pub fn new(clock: MonotonicClock, memory: MemoryPool) -> Self {
+        Self { clock, memory, requests: LinkTable::new(), calls: LinkTable::new() }
     }
 
     /// Returns the connection to `node` for requests other than calls.
@@ -79,7 +80,9 @@
     ///
     /// [`LinkError::Unreachable`] if the node does not accept it in time.
     pub async fn call_link(&self, node: NodeId) -> Result<CallLink, LinkError> {
-        let open = async |registration| Ok(CallLink::open(connect(node).await?, registration));
+        let open = async |registration| {
+            Ok(CallLink::open(connect(node).await?, self.memory.clone(), registration))
+        };
         self.calls.get(self.clock.now(), node, open).await
     }
 
--- a/crates/coltsfoot-node/tests/integration/links.rs
+++ b/crates/coltsfoot-node/tests/integration/links.rs
@@ -10,8 +10,10 @@
 };
 
 use bytes::Bytes;
+use coltsfoot_node::memory::MemoryPool;
 use coltsfoot_node::{
     answers::AnswerTracker,
+    clock::MonotonicClock,
     dispatch::links::{CallHandler, CallLink, LinkError, LinkWriter, link_stream, serve_calls},
 };
 use coltsfoot_wire::peer::{CallReply, CallRequest, ReplyBody};
@@ -175,6 +177,7 @@
     resume: Notify,
     cancelled: Rc<Cell<u32>>,
     answers: AnswerTracker,
+    memory: MemoryPool,
     call_cancelled: Rc<Notify>,
 }
 
@@ -195,6 +198,14 @@
         &self.answers
     }
 
+    fn memory(&self) -> &MemoryPool {
+        &self.memory
+    }
+
+    fn refuse_unheld(&self) -> CallReply {
+        CallReply::refusal(RefusalReason::Overload, CallOutcome::NotRun, Duration::ZERO)
+    }
+
     async fn call(self: Rc<Self>, call: CallRequest) -> CallReply {
         let mut unanswered = Unanswered(&self, false);
         if &call.body[..] == b"wait" {
@@ -208,7 +219,7 @@
             status: 200,
             content_type: String::new(),
             headers: Vec::new(),
-            body: call.body.to_vec(),
+            body: call.body,
             replayed: false,
         };
         reply
@@ -221,15 +232,23 @@
 
 fn body(reply: CallReply) -> Vec<u8> {
     match reply.body {
-        ReplyBody::Answer { body, .. } => body,
+        ReplyBody::Answer { body, .. } => body.to_vec(),
         ReplyBody::Refusal { reason, .. } => panic!("refused: {reason:?}"),
     }
 }
 
 /// A link to a fake guard, the guard, and the task that serves the link.
 async fn linked() -> (CallLink, Rc<FakeGuard>, JoinHandle<()>) {
+    linked_with(MemoryPool::default(), MemoryPool::default()).await
+}
+
+/// The same with the memory of the caller's process and of the guard's.
+async fn linked_with(
+    caller_memory: MemoryPool,
+    guard_memory: MemoryPool,
+) -> (CallLink, Rc<FakeGuard>, JoinHandle<()>) {
     let (near, far) = connection().await;
-    let guard = Rc::<FakeGuard>::default();
+    let guard = Rc::new(FakeGuard { memory: guard_memory, ..FakeGuard::default() });
     let (mut reader, writer) = link_stream(far);
     // The preface of a call connection.
     let served = guard.clone();
@@ -237,7 +256,7 @@
         reader.read_exact(&mut [0; 8]).await.unwrap();
         serve_calls(reader, writer, served).await;
     });
-    (CallLink::open(near, ()), guard, serving)
+    (CallLink::open(near, caller_memory, ()), guard, serving)
 }
 
 async fn connection() -> (TcpStream, TcpStream) {
@@ -331,7 +350,7 @@
         let (near, mut far) = tokio::io::duplex(1);
         let (writer, answers) = (LinkWriter::new(near), AnswerTracker::default());
 
-        writer.send_answer(b"answer", answers.begin());
+        writer.send_answer(b"answer".to_vec(), Bytes::new(), answers.begin());
         settle().await;
         let before = answers.waiting();
         tokio::io::AsyncReadExt::read_exact(&mut far, &mut [0; 6]).await.unwrap();
@@ -389,3 +408,56 @@
         assert!(matches!(end, Ok(0) | Err(_)));
     });
 }
+
+/// Memory that holds a body of 100 kB twice, but no two of them.
+fn small_memory() -> MemoryPool {
+    MemoryPool::new(700_000, MonotonicClock::new())
+}
+
+/// Guards against calls that a guard holds beyond its memory; zeros take no room on the way.
+#[rstest]
+#[case::text(b'x')]
+#[case::zeros(0)]
+fn a_call_that_a_guard_has_no_memory_for_has_not_run(#[case] byte: u8) {
+    run_local(async {
+        let (link, guard, _serving) = linked_with(MemoryPool::default(), small_memory()).await;
+        let large = call(&[byte; 100_000]);
+        let mut hold = guard.memory.hold();
+        hold.raise_to(200_000).unwrap();
+
+        let refused = link.call(&large).await.unwrap();
+        let small = body(link.call(&call(b"small")).await.unwrap());
+        drop(hold);
+        let served = body(link.call(&large).await.unwrap());
+
+        let refusal = (refused.outcome, refused.reason());
+        assert_eq!(refusal, (CallOutcome::NotRun, Some(RefusalReason::Overload)));
+        assert_eq!((small, served), (b"small".to_vec(), vec![byte; 100_000]));
+        assert_eq!(guard.memory.usage().held, 0);
+    });
+}
+
+/// Guards against replies that a caller's node holds beyond its memory.
+#[rstest]
+#[case::text(b'x')]
+#[case::zeros(0)]
+fn a_reply_that_there_is_no_memory_for_may_have_run(#[case] byte: u8) {
+    run_local(async {
+        let memory = small_memory();
+        let (link, _guard, _serving) = linked_with(memory.clone(), MemoryPool::default()).await;
+        let large = call(&[byte; 100_000]);
+        let mut hold = memory.hold();
+        hold.raise_to(200_000).unwrap();
+
+        let lost = link.call(&large).await.unwrap();
+        let small = body(link.call(&call(b"small")).await.unwrap());
+        drop(hold);
+        let served = link.call(&large).await.unwrap();
+
+        let failure = (lost.outcome, lost.reason());
+        assert_eq!(failure, (CallOutcome::Unknown, Some(RefusalReason::UpstreamFailed)));
+        assert!(memory.usage().held >= 100_000);
+        assert_eq!((small, body(served)), (b"small".to_vec(), vec![byte; 100_000]));
+        assert_eq!(memory.usage().held, 0);
+    });
+}
--- a/crates/coltsfoot-slopes/src/slopes/decisions.rs
+++ b/crates/coltsfoot-slopes/src/slopes/decisions.rs
@@ -245,7 +245,7 @@
         status: 200,
         content_type: "application/json".to_owned(),
         headers: Vec::new(),
-        body: vec![7; body],
+        body: vec![7; body].into(),
         replayed: false,
     };
     let levels = (0..5).map(|index| LevelNote {
--- a/crates/coltsfoot-wire/src/peer/call_reply.rs
+++ b/crates/coltsfoot-wire/src/peer/call_reply.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use bytes::Bytes;
 use coltsfootroute::{
     event::HybridStamp,
     outcome::{CallOutcome, RefusalReason},
@@ -54,7 +55,7 @@
         /// Headers to pass on; empty for an answer in the product's own form.
         headers: Vec<HeaderLine>,
         /// Body.
-        body: Vec<u8>,
+        body: Bytes,
         /// Whether the answer is the stored one of an earlier run under the same key.
         replayed: bool,
     },
@@ -150,7 +151,7 @@
                 status: answer.get_status(),
                 content_type: answer.get_content_type()?.to_str()?.to_owned(),
                 headers: read_lines(reader.get_answer_headers()?)?,
-                body: answer.get_body()?.to_vec(),
+                body: Bytes::copy_from_slice(answer.get_body()?),
                 replayed: answer.get_replayed(),
             },
             call_reply::Which::Refusal(refusal) => ReplyBody::Refusal {
