Answers that nobody reads are held within the memory of the process

What callers saw: a node that ran out of memory while clients did not read their answers.

Cause: an answer was held until its client had taken it, for up to its deadline or 30 s, and no two were counted together; it was copied twice on the way to the connection. Evidence: 160 clients that don't read 1 MB each took a node to 195 MB.

Change: a guard holds an answer as it comes from the upstream; without room its caller gets 502, as for one that was cut off, but no crash is suspected. A body of more than 4 KiB goes to the connection as it is, and stays held until the last byte has been written. Nobody is hurried while there is room.

Conclusion: mended; the native listeners write their answers by xitca-web, which is left.

--- a/crates/coltsfoot-node/src/dispatch/guard/call_guard.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard/call_guard.rs
@@ -133,6 +133,7 @@
             upstream_client: UpstreamClient::new(
                 context.clock,
                 settings.body_limit,
+                context.memory.clone(),
                 settings.dialect,
             ),
             is_closing: Cell::new(false),
--- a/crates/coltsfoot-node/src/dispatch/guard/upstream_client.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard/upstream_client.rs
@@ -2,7 +2,7 @@
 
 use std::{cell::RefCell, net::SocketAddr};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use coltsfoot_wire::peer::{HeaderLine, RequestHead};
 use coltsfootroute::{
     retry::{AnswerKind, ArrivalNumber, ConnectionTrust},
@@ -13,7 +13,7 @@
     header::{CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING},
 };
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
 use hyper_util::client::legacy::connect::capture_connection;
 
 use super::{arrival_clients::ArrivalClients, upstream_arrival::UpstreamArrival};
@@ -21,6 +21,7 @@
     border::{UpstreamDialect, UpstreamStatement},
     clock::MonotonicClock,
     http::OutgoingClient,
+    memory::{MemoryHold, MemoryPool, body_charge},
 };
 
 /// Reason why the upstream gave no usable answer.
@@ -41,6 +42,9 @@
     /// The first answer after the call was sent belongs to another one.
     #[error("the answer belongs to another call")]
     OtherCall,
+    /// The answer came, but there was no memory for it.
+    #[error("no memory left for the answer")]
+    Unheld,
 }
 
 /// One call to the upstream.
@@ -74,8 +78,8 @@
     pub content_type: String,
     /// Headers to forward; empty for a call in the native format.
     pub headers: Vec<HeaderLine>,
-    /// Body.
-    pub body: Vec<u8>,
+    /// Body, whose memory is held until its last clone is dropped.
+    pub body: Bytes,
 }
 
 /// HTTP client with pools of connections to the upstream.
@@ -87,12 +91,18 @@
     suspensions: RefCell<SuspensionDetector>,
     trust: RefCell<ConnectionTrust>,
     body_limit: usize,
+    memory: MemoryPool,
     dialect: UpstreamDialect,
 }
 
 impl UpstreamClient {
-    /// Creates a client that accepts answers with a body of at most `body_limit` bytes.
-    pub fn new(clock: MonotonicClock, body_limit: usize, dialect: UpstreamDialect) -> Self {
+    /// Creates a client that accepts answers with a body of at most `body_limit` bytes, and holds them in `memory`.
+    pub fn new(
+        clock: MonotonicClock,
+        body_limit: usize,
+        memory: MemoryPool,
+        dialect: UpstreamDialect,
+    ) -> Self {
         let clients = RefCell::new(ArrivalClients::new(body_limit));
         Self {
             clients,
@@ -100,6 +110,7 @@
             suspensions: RefCell::default(),
             trust: RefCell::default(),
             body_limit,
+            memory,
             dialect,
         }
     }
@@ -229,20 +240,55 @@
         if !is_whole || !self.dialect.is_sealed(head.status, &head.headers) {
             return Err(UpstreamError::CutOff);
         }
-        let body = Limited::new(body, self.body_limit)
-            .collect()
-            .await
-            .map_err(|_| UpstreamError::CutOff)?;
+        let body = self.read_body(body).await?;
         let content_type = head.headers.get(CONTENT_TYPE).and_then(|value| value.to_str().ok());
         Ok(UpstreamAnswer {
             status: head.status.as_u16(),
             content_type: content_type.unwrap_or_default().to_owned(),
             headers: if is_forwarded { end_to_end_headers(&head.headers) } else { Vec::new() },
-            body: body.to_bytes().to_vec(),
+            body,
         })
     }
+
+    /// Reads a whole body, and holds memory for it.
+    async fn read_body(&self, body: Incoming) -> Result<Bytes, UpstreamError> {
+        let stated = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
+        let mut hold = self.memory.hold();
+        let mut bytes = BytesMut::new();
+        let mut body = Limited::new(body, self.body_limit);
+        self.make_room(&mut bytes, &mut hold, stated.min(self.body_limit))?;
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(|_| UpstreamError::CutOff)?;
+            let Ok(piece) = frame.into_data() else { continue };
+            let length = bytes.len() + piece.len();
+            self.make_room(&mut bytes, &mut hold, length)?;
+            bytes.extend_from_slice(&piece);
+        }
+        Ok(hold.with_bytes(bytes.freeze()))
+    }
+
+    /// Makes room for `length` bytes of a body altogether.
+    fn make_room(
+        &self,
+        bytes: &mut BytesMut,
+        hold: &mut MemoryHold,
+        length: usize,
+    ) -> Result<(), UpstreamError> {
+        if length <= bytes.capacity() {
+            return Ok(());
+        }
+        let capacity = length.max(2 * bytes.capacity());
+        if capacity > UNHELD_BYTES {
+            hold.raise_to(body_charge(capacity)).map_err(|_| UpstreamError::Unheld)?;
+        }
+        bytes.reserve(capacity - bytes.len());
+        Ok(())
+    }
 }
 
+/// Largest body of an answer for which no memory is held, in bytes: that of an ordinary answer.
+const UNHELD_BYTES: usize = 4 * 1024;
+
 type UpstreamRequest = Request<Full<Bytes>>;
 
 /// Builds a request to forward, without its body; `None` if its head is malformed.
--- a/crates/coltsfoot-node/src/dispatch/guard/upstream_run.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard/upstream_run.rs
@@ -168,7 +168,7 @@
             }
             // An upstream that made nested calls has run the request in part, even if it reports that it shed the call.
             Err(UpstreamError::Shed) => (RefusalReason::Overload, span.may_have_nested()),
-            Err(UpstreamError::CutOff | UpstreamError::OtherCall) => {
+            Err(UpstreamError::CutOff | UpstreamError::OtherCall | UpstreamError::Unheld) => {
                 (RefusalReason::UpstreamFailed, true)
             }
         };
@@ -220,7 +220,7 @@
             status: answer.status,
             content_type: answer.content_type,
             headers: answer.headers,
-            body: answer.body.into(),
+            body: answer.body,
             replayed: false,
         },
         levels: Vec::new(),
@@ -239,6 +239,7 @@
         Err(
             UpstreamError::CutOff
             | UpstreamError::OtherCall
+            | UpstreamError::Unheld
             | UpstreamError::Unreachable
             | UpstreamError::OtherInstance,
         ) => CallFinish::Failed,
--- a/crates/coltsfoot-node/src/http/pipeline/connection.rs
+++ b/crates/coltsfoot-node/src/http/pipeline/connection.rs
@@ -3,7 +3,7 @@
 use std::{future::Future, time::Duration};
 
 use bytes::{Buf, BytesMut};
-use coltsfootroute::admission::RetryAfter;
+use coltsfootroute::{admission::RetryAfter, memory::SMALL_HOLD_BYTES};
 use futures_util::{StreamExt, stream::FuturesOrdered};
 use http::{Method, Version, header::CONNECTION};
 use tokio::{
@@ -13,7 +13,7 @@
         tcp::{ReadHalf, WriteHalf},
     },
     task::spawn_local,
-    time::{Instant, sleep, sleep_until, timeout, timeout_at},
+    time::{Instant, sleep, sleep_until, timeout},
 };
 
 use super::{
@@ -29,8 +29,6 @@
 const READ_BYTES: usize = 4 * 1024;
 /// Bytes of further requests that are held unread.
 const MAX_UNREAD_BYTES: usize = 64 * 1024;
-/// Room for the head of an answer.
-const HEAD_ROOM: usize = 512;
 /// How long a closed connection still takes in what its client sends.
 const LINGER_TIME: Duration = Duration::from_millis(500);
 /// Time that a client has to take an answer even if its deadline has passed: the answer may say just that.
@@ -238,10 +236,7 @@
     async fn answer(&mut self, reply: Box<Reply>, is_last: bool) -> bool {
         let Reply { response, method, closes, open, hold: _hold } = *reply;
         let closes = closes && is_last;
-        let mut bytes = BytesMut::with_capacity(HEAD_ROOM + response.body().len());
-        response_bytes::write(&response, &method, closes, &mut bytes);
-        drop(response);
-        if !self.write(bytes, &open).await {
+        if !self.write(response_bytes::of(response, &method, closes), &open).await {
             return false;
         }
         self.since = Instant::now();
@@ -255,7 +250,7 @@
 
     /// Writes the bytes of an answer; returns whether the client has taken them. It gives up when the client has by its
     /// own deadline, or takes nothing for as long as an idle connection is kept: what is held for it takes memory.
-    async fn write(&mut self, mut bytes: BytesMut, open: &OpenAnswer) -> bool {
+    async fn write(&mut self, mut bytes: impl Buf, open: &OpenAnswer) -> bool {
         let earliest = Instant::now() + MIN_WRITE_TIME;
         let deadline = open.deadline().map(|deadline| earliest.max(deadline.into()));
         while bytes.has_remaining() {
@@ -264,14 +259,33 @@
                 open.wait_for(self.limits.idle_time);
             }
             let until = deadline.map_or(stalled, |deadline| deadline.min(stalled));
-            match timeout_at(until, self.writer.write_buf(&mut bytes)).await {
-                Ok(Ok(written)) if written > 0 => {}
-                _ => return false,
+            if !self.write_some(&mut bytes, until).await {
+                return false;
             }
         }
         true
     }
 
+    /// Writes some of the bytes of an answer; returns whether the client has taken any by `until`, or in a short time while
+    /// memory is scarce and the answer takes much of it.
+    async fn write_some(&mut self, bytes: &mut impl Buf, until: Instant) -> bool {
+        let begun = Instant::now();
+        let holds_much = bytes.remaining() > SMALL_HOLD_BYTES;
+        loop {
+            let memory = &self.resources.memory;
+            let scarce = memory.scarce();
+            let hurried = holds_much && memory.is_scarce();
+            let until = if hurried { until.min(begun + SCARCE_PATIENCE) } else { until };
+            tokio::select! {
+                written = self.writer.write_buf(bytes) => {
+                    return matches!(written, Ok(length) if length > 0);
+                }
+                () = scarce, if holds_much => {}
+                () = sleep_until(until) => return false,
+            }
+        }
+    }
+
     /// Answers what was read before, then says why the rest is no request, and closes.
     async fn fail<F>(&mut self, mut pending: FuturesOrdered<F>, err: FramingError)
     where
--- a/crates/coltsfoot-node/src/http/pipeline/response_bytes.rs
+++ b/crates/coltsfoot-node/src/http/pipeline/response_bytes.rs
@@ -1,6 +1,6 @@
 //! A response as it goes over the connection.
 
-use bytes::{BufMut, BytesMut};
+use bytes::{Buf, BufMut, Bytes, BytesMut, buf::Chain};
 use http::{
     Method, StatusCode,
     header::{CONNECTION, CONTENT_LENGTH},
@@ -8,8 +8,29 @@
 
 use super::WholeResponse;
 
-/// Writes `response` to a request of `method` into `bytes`; `closes` says that it is the connection's last.
-pub(super) fn write(response: &WholeResponse, method: &Method, closes: bool, bytes: &mut BytesMut) {
+/// Room for a head, and for a body that is copied behind it.
+const HEAD_ROOM: usize = 512;
+/// Largest body that is copied behind its head, in bytes. A larger one is sent as it is.
+const MAX_COPIED_BYTES: usize = 4 * 1024;
+
+/// Returns the bytes of `response` to a request of `method`; `closes` says that it is the connection's last. The memory of the
+/// body is held until they are dropped.
+pub(super) fn of(response: WholeResponse, method: &Method, closes: bool) -> Chain<BytesMut, Bytes> {
+    let has_body = *method != Method::HEAD && !is_bodiless(response.status());
+    let copied = response.body().len().min(MAX_COPIED_BYTES);
+    let mut bytes = BytesMut::with_capacity(HEAD_ROOM + copied);
+    write_head(&response, has_body, closes, &mut bytes);
+    let mut body = response.into_body();
+    if !has_body {
+        body.clear();
+    } else if body.len() <= MAX_COPIED_BYTES {
+        bytes.put_slice(&body);
+        body.clear();
+    }
+    bytes.chain(body)
+}
+
+fn write_head(response: &WholeResponse, has_body: bool, closes: bool, bytes: &mut BytesMut) {
     let status = response.status();
     let reason = status.canonical_reason().unwrap_or("Unknown");
     bytes.put_slice(format!("HTTP/1.1 {} {reason}\r\n", status.as_u16()).as_bytes());
@@ -22,14 +43,10 @@
     if closes {
         put_line(bytes, CONNECTION.as_str(), b"close");
     }
-    let has_body = *method != Method::HEAD && !is_bodiless(status);
     if has_body {
         put_line(bytes, CONTENT_LENGTH.as_str(), response.body().len().to_string().as_bytes());
     }
     bytes.put_slice(b"\r\n");
-    if has_body {
-        bytes.put_slice(response.body());
-    }
 }
 
 fn put_line(bytes: &mut BytesMut, name: &str, value: &[u8]) {
