The native listeners hold bodies within the memory of the process

What callers saw: the same end of the process by a crowd at the host listener, which nested calls, announcements and operators use; the native client listener reads bodies by the same code.

Cause: each body was read into a buffer of its own, up to 1 MiB, for up to 5 s. Evidence: 160 bodies of 1 MB, a byte short, took the process to 193 MB of 80.

Change: they are read into a HeldBuffer, as answers of upstreams are now too. Without room a call is refused with 503, `overload`, `not-run` and Retry-After, and the connection is closed.

Conclusion: mended for bodies. How many connections xitca-web's listeners take is not bounded by the node (suspected, not shown).

--- a/crates/coltsfoot-node/src/dispatch/guard/upstream_client.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard/upstream_client.rs
@@ -2,7 +2,7 @@
 
 use std::{cell::RefCell, net::SocketAddr};
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use coltsfoot_wire::peer::{HeaderLine, RequestHead};
 use coltsfootroute::{
     retry::{AnswerKind, ArrivalNumber, ConnectionTrust},
@@ -21,7 +21,7 @@
     border::{UpstreamDialect, UpstreamStatement},
     clock::MonotonicClock,
     http::OutgoingClient,
-    memory::{MemoryHold, MemoryPool, body_charge},
+    memory::{HeldBuffer, MemoryFull, MemoryPool},
 };
 
 /// Reason why the upstream gave no usable answer.
@@ -253,42 +253,25 @@
     /// Reads a whole body, and holds memory for it.
     async fn read_body(&self, body: Incoming) -> Result<Bytes, UpstreamError> {
         let stated = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
-        let mut hold = self.memory.hold();
-        let mut bytes = BytesMut::new();
+        let mut buffer = HeldBuffer::new(&self.memory);
+        buffer.reserve(stated.min(self.body_limit))?;
         let mut body = Limited::new(body, self.body_limit);
-        self.make_room(&mut bytes, &mut hold, stated.min(self.body_limit))?;
         while let Some(frame) = body.frame().await {
             let frame = frame.map_err(|_| UpstreamError::CutOff)?;
-            let Ok(piece) = frame.into_data() else { continue };
-            let length = bytes.len() + piece.len();
-            self.make_room(&mut bytes, &mut hold, length)?;
-            bytes.extend_from_slice(&piece);
+            if let Ok(piece) = frame.into_data() {
+                buffer.extend(&piece)?;
+            }
         }
-        Ok(hold.with_bytes(bytes.freeze()))
+        Ok(buffer.into_bytes())
     }
+}
 
-    /// Makes room for `length` bytes of a body altogether.
-    fn make_room(
-        &self,
-        bytes: &mut BytesMut,
-        hold: &mut MemoryHold,
-        length: usize,
-    ) -> Result<(), UpstreamError> {
-        if length <= bytes.capacity() {
-            return Ok(());
-        }
-        let capacity = length.max(2 * bytes.capacity());
-        if capacity > UNHELD_BYTES {
-            hold.raise_to(body_charge(capacity)).map_err(|_| UpstreamError::Unheld)?;
-        }
-        bytes.reserve(capacity - bytes.len());
-        Ok(())
+impl From<MemoryFull> for UpstreamError {
+    fn from(MemoryFull: MemoryFull) -> Self {
+        Self::Unheld
     }
 }
 
-/// Largest body of an answer for which no memory is held, in bytes: that of an ordinary answer.
-const UNHELD_BYTES: usize = 4 * 1024;
-
 type UpstreamRequest = Request<Full<Bytes>>;
 
 /// Builds a request to forward, without its body; `None` if its head is malformed.
--- a/crates/coltsfoot-node/src/http/client_listener.rs
+++ b/crates/coltsfoot-node/src/http/client_listener.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use coltsfootroute::{
+    admission::RetryAfter,
     id::RequestId,
     outcome::{CallOutcome, RefusalReason},
 };
@@ -43,7 +44,10 @@
     let read = async {
         let headers = CallHeaders::read(ctx.req().headers())?;
         let body = std::mem::take(&mut *ctx.body_borrow_mut());
-        Ok::<_, RequestError>((headers, read_body(body, state.limits.body_bytes).await?))
+        Ok::<_, RequestError>((
+            headers,
+            read_body(body, state.limits.body_bytes, &state.memory).await?,
+        ))
     };
     let (headers, body) = match read.await {
         Ok(parts) => parts,
@@ -67,15 +71,16 @@
 
 /// The reply to a call that cannot be read; it ran nowhere.
 pub fn malformed(err: &RequestError) -> HttpReply {
-    let reply = HttpReply::refusal(
-        RequestId(0),
-        RefusalReason::BadRequest,
-        CallOutcome::NotRun,
-        Duration::ZERO,
-    );
+    let refuse = |reason, wait| HttpReply::refusal(RequestId(0), reason, CallOutcome::NotRun, wait);
     match err {
-        RequestError::Header(_) => reply,
+        RequestError::Header(_) => refuse(RefusalReason::BadRequest, Duration::ZERO),
         // The rest of the body was not read, so the connection cannot carry another request.
-        RequestError::BodyTooLarge(_) | RequestError::BodyCutOff => reply.with_close(),
+        RequestError::BodyTooLarge(_) | RequestError::BodyCutOff => {
+            refuse(RefusalReason::BadRequest, Duration::ZERO).with_close()
+        }
+        RequestError::NoMemory => {
+            let wait = RetryAfter::draw_for_absence(&mut rand::rng()).0;
+            refuse(RefusalReason::Overload, wait).with_close()
+        }
     }
 }
--- a/crates/coltsfoot-node/src/http/host_listener.rs
+++ b/crates/coltsfoot-node/src/http/host_listener.rs
@@ -82,13 +82,23 @@
     HttpReply::new(StatusCode::NOT_FOUND, TEXT, "no such path\n")
 }
 
+/// The reply to a message whose body cannot be read.
+fn unread(err: &RequestError) -> HttpReply {
+    match err {
+        RequestError::NoMemory => malformed(err),
+        RequestError::Header(_) | RequestError::BodyTooLarge(_) | RequestError::BodyCutOff => {
+            bad_request(err)
+        }
+    }
+}
+
 fn bad_request(message: impl std::fmt::Display) -> HttpReply {
     HttpReply::json(StatusCode::BAD_REQUEST, &serde_json::json!({ "message": message.to_string() }))
 }
 
 async fn body_of(ctx: &WebContext<'_, HostState>) -> Result<bytes::Bytes, RequestError> {
     let body = std::mem::take(&mut *ctx.body_borrow_mut());
-    read_body(body, ctx.state().limits.body_bytes).await
+    read_body(body, ctx.state().limits.body_bytes, &ctx.state().memory).await
 }
 
 async fn nested_call(
@@ -115,7 +125,7 @@
 async fn announce(ctx: &WebContext<'_, HostState>) -> HttpReply {
     let body = match body_of(ctx).await {
         Ok(body) => body,
-        Err(err) => return bad_request(err),
+        Err(err) => return unread(&err),
     };
     match serde_json::from_slice::<UpstreamAnnouncement>(&body) {
         Ok(announcement) => ctx.state().dispatch.announce(announcement).await,
@@ -142,7 +152,7 @@
             count_operator(ctx, TrafficDirection::Received, body.len());
             ctx.state().config.submit(request, body).await
         }
-        Err(err) => bad_request(err),
+        Err(err) => unread(&err),
     }
 }
 
--- a/crates/coltsfoot-node/src/http/listener_state.rs
+++ b/crates/coltsfoot-node/src/http/listener_state.rs
@@ -14,6 +14,8 @@
     pub clock: MonotonicClock,
     /// The dispatch duty.
     pub dispatch: DispatchHandle,
+    /// Memory of the process for requests and answers.
+    pub memory: MemoryPool,
     /// Metrics of this node.
     pub metrics: Arc<NodeMetrics>,
     /// Bounds on requests.
--- a/crates/coltsfoot-node/src/http/request_parts.rs
+++ b/crates/coltsfoot-node/src/http/request_parts.rs
@@ -2,7 +2,7 @@
 
 use std::{pin::pin, time::Duration};
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use coltsfootroute::{
     constants::{CONTEXT_HEADER, DEADLINE_HEADER, IDEMPOTENCY_KEY_HEADER, MAX_KEY_BYTES},
     team::KeyDigest,
@@ -13,7 +13,10 @@
 use xitca_web::body::{BodyExt, RequestBody};
 
 use super::{bearer_key::bearer_key, call_path::CallPath};
-use crate::dispatch::{CallOrigin, IncomingCall};
+use crate::{
+    dispatch::{CallOrigin, IncomingCall},
+    memory::{HeldBuffer, MemoryFull, MemoryPool},
+};
 
 /// Time a caller has to send the whole body of its request.
 const BODY_TIMEOUT: Duration = Duration::from_secs(5);
@@ -51,6 +54,15 @@
     /// The connection failed, or the time was over, before the body was complete.
     #[error("body was cut off")]
     BodyCutOff,
+    /// The process has no memory left to hold the body.
+    #[error("no memory left for the body")]
+    NoMemory,
+}
+
+impl From<MemoryFull> for RequestError {
+    fn from(MemoryFull: MemoryFull) -> Self {
+        Self::NoMemory
+    }
 }
 
 /// The headers of a call that the node reads.
@@ -125,25 +137,33 @@
     value.to_str().map(Some).map_err(|_| RequestError::Header(name))
 }
 
-/// Reads a whole body of at most `limit` bytes.
+/// Reads a whole body of at most `limit` bytes, and holds it in `memory`.
 ///
 /// # Errors
 ///
-/// [`RequestError::BodyTooLarge`] or [`RequestError::BodyCutOff`].
-pub async fn read_body(body: RequestBody, limit: usize) -> Result<Bytes, RequestError> {
-    let read = timeout(BODY_TIMEOUT, read_whole(body, limit)).await;
+/// [`RequestError::BodyTooLarge`], [`RequestError::BodyCutOff`] or [`RequestError::NoMemory`].
+pub async fn read_body(
+    body: RequestBody,
+    limit: usize,
+    memory: &MemoryPool,
+) -> Result<Bytes, RequestError> {
+    let read = timeout(BODY_TIMEOUT, read_whole(body, limit, memory)).await;
     read.unwrap_or(Err(RequestError::BodyCutOff))
 }
 
-async fn read_whole(body: RequestBody, limit: usize) -> Result<Bytes, RequestError> {
+async fn read_whole(
+    body: RequestBody,
+    limit: usize,
+    memory: &MemoryPool,
+) -> Result<Bytes, RequestError> {
     let mut body = pin!(body);
-    let mut buffer = BytesMut::new();
+    let mut buffer = HeldBuffer::new(memory);
     while let Some(chunk) = body.as_mut().data().await {
         let chunk = chunk.map_err(|_| RequestError::BodyCutOff)?;
         if buffer.len() + chunk.len() > limit {
             return Err(RequestError::BodyTooLarge(limit));
         }
-        buffer.extend_from_slice(&chunk);
+        buffer.extend(&chunk)?;
     }
-    Ok(buffer.freeze())
+    Ok(buffer.into_bytes())
 }
--- a/crates/coltsfoot-node/src/memory.rs
+++ b/crates/coltsfoot-node/src/memory.rs
@@ -1,9 +1,11 @@
 //! Memory in which the node holds requests and answers, bounded over the whole process.
 
+mod held_buffer;
 mod memory_hold;
 mod memory_pool;
 mod memory_usage;
 
+pub use held_buffer::HeldBuffer;
 pub use memory_hold::{MemoryFull, MemoryHold};
 pub use memory_pool::MemoryPool;
 pub use memory_usage::MemoryUsage;
--- a/crates/coltsfoot-node/src/process/node_parts.rs
+++ b/crates/coltsfoot-node/src/process/node_parts.rs
@@ -147,6 +147,7 @@
         ClientState {
             clock: self.clock,
             dispatch: self.dispatch.clone(),
+            memory: self.memory.clone(),
             metrics: self.metrics.clone(),
             limits: self.part_limits(),
             answers: self.answers.clone(),
