Connections leave descriptors and memory to ordinary work

What callers saw: with all descriptors taken by connections that do nothing, a node accepts nobody, and reaches neither its upstream nor other nodes nor the store. Heads without an end took memory that no request was counted for.

Cause: a listener accepted as many connections as the process had descriptors, kept each idle one for 30 s, and let each send up to 64 KiB of a head. Evidence: 800 connections, idle, with a part of a head, or with one request answered, took 847 descriptors of 600; 800 heads of 60 kB took the process to 93 MB of 64, and to 67 with the budget for requests.

Change: clients may have half of the descriptors (limits.descriptors, or what the system allows), the platform and the backend beside the node a sixteenth each; the rest is for upstreams, links and the store. Each connection holds 6 KiB of the budget. Where a new connection finds no slot it waits, and connections that are idle, or that stand still within a request or an answer, are closed after a second: 408 within a request, which has not run. As long as there are slots nobody is hurried.

Clients who send a byte now and then hold a slot for the 10 s that a request may take to come in.

--- a/crates/coltsfoot-node/src/dispatch/context/node_context.rs
+++ b/crates/coltsfoot-node/src/dispatch/context/node_context.rs
@@ -39,6 +39,8 @@
     pub proof_time: Option<Duration>,
     /// Commands to the gossip duty.
     pub gossip: mpsc::Sender<GossipCommand>,
+    /// Number of file descriptors that the process may have open.
+    pub descriptors: usize,
     /// Memory of the process for requests and answers.
     pub memory: MemoryPool,
     /// Metrics of the node.
--- a/crates/coltsfoot-node/src/dispatch/dispatch_duty.rs
+++ b/crates/coltsfoot-node/src/dispatch/dispatch_duty.rs
@@ -52,6 +52,7 @@
             freshness: parts.freshness,
             proof_time: parts.revoke_within.map(max_proof_age),
             gossip: parts.gossip,
+            descriptors: parts.descriptors,
             memory: parts.memory,
             metrics: parts.metrics,
             events: parts.events,
--- a/crates/coltsfoot-node/src/dispatch/dispatch_parts.rs
+++ b/crates/coltsfoot-node/src/dispatch/dispatch_parts.rs
@@ -65,6 +65,8 @@
     pub nodes: u32,
     /// Sender of commands to the gossip duty.
     pub gossip: mpsc::Sender<GossipCommand>,
+    /// Number of file descriptors that the process may have open.
+    pub descriptors: usize,
     /// Memory of the process for requests and answers.
     pub memory: MemoryPool,
     /// Metrics of the node.
--- a/crates/coltsfoot-node/src/dispatch/entry_port.rs
+++ b/crates/coltsfoot-node/src/dispatch/entry_port.rs
@@ -16,7 +16,9 @@
     guard::{CallGuard, UpstreamHeartbeat, UpstreamReceipt},
     ingress::{CallIngress, CallOrigin, IncomingCall},
 };
-use crate::{answers::AnswerTracker, config::ConfigInForce, memory::MemoryPool};
+use crate::{
+    answers::AnswerTracker, clock::MonotonicClock, config::ConfigInForce, memory::MemoryPool,
+};
 
 /// Client address of a nested call whose client request is no longer known.
 const UNKNOWN_CLIENT: IpAddr = IpAddr::V4(Ipv4Addr::UNSPECIFIED);
@@ -67,6 +69,16 @@
         self.context.memory.clone()
     }
 
+    /// Returns the number of file descriptors that the process may have open.
+    pub fn descriptors(&self) -> usize {
+        self.context.descriptors
+    }
+
+    /// Returns the clock of the process.
+    pub fn clock(&self) -> MonotonicClock {
+        self.context.clock
+    }
+
     /// Whether clients should send their requests here.
     pub fn is_ready(&self) -> bool {
         self.config().is_some() && !self.is_leaving()
--- a/crates/coltsfoot-node/src/http/pipeline.rs
+++ b/crates/coltsfoot-node/src/http/pipeline.rs
@@ -7,6 +7,7 @@
 mod body_reader;
 mod connection;
 mod connection_limits;
+mod connection_slots;
 mod listener_resources;
 mod request_buffer;
 mod request_error;
@@ -15,6 +16,7 @@
 
 pub use connection::accept_connections;
 pub use connection_limits::ConnectionLimits;
+pub use connection_slots::{ConnectionSlot, ConnectionSlots};
 pub use listener_resources::ListenerResources;
 pub use request_error::FramingError;
 pub use retry_after::set_retry_after;
--- a/crates/coltsfoot-node/src/http/pipeline/connection.rs
+++ b/crates/coltsfoot-node/src/http/pipeline/connection.rs
@@ -17,7 +17,7 @@
 };
 
 use super::{
-    ConnectionLimits, FramingError, ListenerResources, WholeRequest, WholeResponse,
+    ConnectionLimits, ConnectionSlot, FramingError, ListenerResources, WholeRequest, WholeResponse,
     request_buffer::{ReadRequest, RequestBuffer},
     response_bytes, set_retry_after,
 };
@@ -68,14 +68,16 @@
             sleep(ACCEPT_PAUSE).await;
             continue;
         };
+        let slot = resources.connections.acquire(&resources.memory).await;
         // Without it small answers wait for acknowledgements; a failure only costs time.
         let _ = stream.set_nodelay(true);
-        spawn_local(serve(stream, limits, resources.clone(), handle.clone()));
+        spawn_local(serve(stream, slot, limits, resources.clone(), handle.clone()));
     }
 }
 
 async fn serve<H, R>(
     mut stream: TcpStream,
+    _slot: ConnectionSlot,
     limits: ConnectionLimits,
     resources: ListenerResources,
     handle: H,
@@ -185,16 +187,22 @@
 
     /// When to give up on a client from which nothing comes while no request of its is worked on.
     fn gives_up_at(&self) -> Instant {
-        if !self.buffer.has_begun() {
-            return self.since + self.limits.idle_time;
-        }
-        let usual = self.since + self.limits.request_time;
-        match self.buffer.holds_much() && self.resources.memory.is_scarce() {
-            true => usual.min(self.progressed + SCARCE_PATIENCE),
+        let (usual, hurried) = match self.buffer.has_begun() {
+            true => (self.since + self.limits.request_time, self.progressed + SCARCE_PATIENCE),
+            false => (self.since + self.limits.idle_time, self.since + SCARCE_PATIENCE),
+        };
+        match self.is_hurried(self.buffer.holds_much()) {
+            true => usual.min(hurried),
             false => usual,
         }
     }
 
+    /// Whether others wait for what the connection has without using it.
+    fn is_hurried(&self, holds_much: bool) -> bool {
+        let ListenerResources { memory, connections, .. } = &self.resources;
+        connections.is_scarce() || holds_much && memory.is_scarce()
+    }
+
     async fn step<F>(&mut self, pending: &mut FuturesOrdered<F>) -> Step
     where
         F: Future<Output = Box<Reply>>,
@@ -209,7 +217,8 @@
         let was_empty = !self.buffer.has_begun();
         let can_read = self.buffer.bytes.len() < MAX_UNREAD_BYTES;
         self.buffer.reserve(READ_BYTES);
-        let scarce = self.resources.memory.scarce();
+        let scarce_memory = self.resources.memory.scarce();
+        let scarce_slots = self.resources.connections.scarce();
         let until = self.gives_up_at();
         tokio::select! {
             Some(reply) = pending.next(), if !is_idle => Step::Answered(reply),
@@ -223,7 +232,8 @@
                     Step::Read
                 }
             },
-            () = scarce, if is_idle && !was_empty => Step::Hurried,
+            () = scarce_memory, if is_idle && !was_empty => Step::Hurried,
+            () = scarce_slots, if is_idle => Step::Hurried,
             () = sleep_until(until), if is_idle => match Instant::now() >= self.gives_up_at() {
                 true => Step::TimedOut,
                 false => Step::Hurried,
@@ -267,20 +277,23 @@
     }
 
     /// Writes some of the bytes of an answer; returns whether the client has taken any by `until`, or in a short time while
-    /// memory is scarce and the answer takes much of it.
+    /// others wait for what the connection has.
     async fn write_some(&mut self, bytes: &mut impl Buf, until: Instant) -> bool {
         let begun = Instant::now();
         let holds_much = bytes.remaining() > SMALL_HOLD_BYTES;
         loop {
-            let memory = &self.resources.memory;
-            let scarce = memory.scarce();
-            let hurried = holds_much && memory.is_scarce();
-            let until = if hurried { until.min(begun + SCARCE_PATIENCE) } else { until };
+            let scarce_memory = self.resources.memory.scarce();
+            let scarce_slots = self.resources.connections.scarce();
+            let until = match self.is_hurried(holds_much) {
+                true => until.min(begun + SCARCE_PATIENCE),
+                false => until,
+            };
             tokio::select! {
                 written = self.writer.write_buf(bytes) => {
                     return matches!(written, Ok(length) if length > 0);
                 }
-                () = scarce, if holds_much => {}
+                () = scarce_memory, if holds_much => {}
+                () = scarce_slots => {}
                 () = sleep_until(until) => return false,
             }
         }
--- a/crates/coltsfoot-node/src/http/pipeline/listener_resources.rs
+++ b/crates/coltsfoot-node/src/http/pipeline/listener_resources.rs
@@ -1,5 +1,6 @@
 //! What the connections of a listener share with the rest of the process.
 
+use super::ConnectionSlots;
 use crate::{answers::AnswerTracker, memory::MemoryPool};
 
 /// What the connections of a listener share with the rest of the process.
@@ -9,4 +10,6 @@
     pub answers: AnswerTracker,
     /// Memory for requests and answers.
     pub memory: MemoryPool,
+    /// Bound on the connections of the listener.
+    pub connections: ConnectionSlots,
 }
--- a/crates/coltsfoot-node/src/process/node_parts.rs
+++ b/crates/coltsfoot-node/src/process/node_parts.rs
@@ -9,6 +9,7 @@
     membership::{GossipSettings, MemberRecord},
     table::RateShare,
 };
+use rustix::process::{Resource, getrlimit};
 use tokio::sync::mpsc;
 
 use super::DrainSwitch;
@@ -117,6 +118,7 @@
             first_start: self.settings.first_start,
             nodes: u32::try_from(self.settings.store.nodes).unwrap_or(u32::MAX),
             gossip: self.gossip.clone(),
+            descriptors: descriptors(limits.descriptors),
             memory: self.memory.clone(),
             metrics: self.metrics.clone(),
             events: self.events.clone(),
@@ -180,6 +182,14 @@
     }
 }
 
+/// Returns the number of descriptors that the process may have open: as many as the settings `stated`, and no more than the
+/// system allows.
+fn descriptors(stated: Option<u64>) -> usize {
+    let allowed = getrlimit(Resource::Nofile).current;
+    let most = stated.into_iter().chain(allowed).min();
+    most.and_then(|most| usize::try_from(most).ok()).unwrap_or(usize::MAX)
+}
+
 /// Returns the settings of the store client.
 pub fn store_settings(settings: &NodeSettings, seed: u64) -> StoreSettings {
     let mut store = StoreSettings::new(settings.store.table);
