Requests up to the configuration's largest body are served

What callers saw: 413 to each request of more than 1 MiB, also alone and in calm, where configurations allow 64 MiB.

Cause: MAX_BODY_BYTES bounded the bodies of clients on the platform as it does those of the native protocol, since a frame between nodes carries no more; the configuration's own bound was not read. Ruled out: a larger frame, which is copied three times in each process (64 MiB need 256), and holds up all other calls of its link meanwhile.

A call of more than 1 MiB goes to the guard on a connection of its own, which says that it has memory before any of the body is sent; the guard holds it once as well. So each process takes what the body takes, flow control is that of the connection, and no other call waits. Until the last piece is sent the call has not run, so it may go elsewhere, repeatable or not; a guard that has no memory refuses as for overload. The guard takes the time in which the body came off the time that the caller has. A request has a second more to come in for each MiB that has come in. Nodes of an earlier build close such a connection before the body is sent (by reading: its first bytes are no message of theirs); bodies that they can take go the old way.

Two of 64 MiB at once don't fit a process of 160 MB; the second is told to come back.

--- a/crates/coltsfoot-node/src/dispatch/ingress/call_routing.rs
+++ b/crates/coltsfoot-node/src/dispatch/ingress/call_routing.rs
@@ -5,6 +5,7 @@
 use coltsfoot_wire::peer::{CallReply, CallRequest, LevelNote, ReplyBody};
 use coltsfootroute::{
     admission::ShedLevel,
+    constants::MAX_BODY_BYTES,
     id::NodeId,
     name::ServiceName,
     outcome::{CallOutcome, RefusalReason},
@@ -228,10 +229,14 @@
         is_retry: bool,
         is_sent: &Cell<bool>,
     ) -> Result<CallReply, LinkError> {
+        // Built after the link is open, so that the remaining time is the one at sending.
+        let request = || self.request_of(node, call, is_retry);
+        if call.body.len() > MAX_BODY_BYTES {
+            return self.links.call_large(node, request, is_sent).await;
+        }
         let link = self.links.call_link(node).await?;
         is_sent.set(true);
-        // Built after the link is open, so that the remaining time is the one at sending.
-        link.call(&self.request_of(node, call, is_retry)).await
+        link.call(&request()).await
     }
 
     fn request_of(&self, node: NodeId, call: &RoutedCall, is_retry: bool) -> CallRequest {
--- a/crates/coltsfoot-node/src/dispatch/links.rs
+++ b/crates/coltsfoot-node/src/dispatch/links.rs
@@ -9,6 +9,8 @@
 mod introduced_upstream;
 mod introduction_service;
 mod introduction_store;
+mod large_call;
+mod large_call_service;
 mod link_stream;
 mod link_table;
 mod node_finder;
--- a/crates/coltsfoot-node/src/dispatch/links/call_frame.rs
+++ b/crates/coltsfoot-node/src/dispatch/links/call_frame.rs
@@ -24,6 +24,9 @@
 /// First bytes that a caller sends on a call connection. A connection for other requests begins with the segment count
 /// of a message, which is never this large.
 pub(super) const CALLS_PREFACE: [u8; FRAME_HEAD_BYTES] = *b"CFCALLS1";
+/// First bytes that a caller sends on a connection for one call with a large body. Nodes of an earlier build take them for a
+/// malformed message, and close the connection.
+pub(super) const LARGE_CALL_PREFACE: [u8; FRAME_HEAD_BYTES] = *b"CFLARGE1";
 /// Size of a frame header and of the preface, in bytes.
 pub(super) const FRAME_HEAD_BYTES: usize = 8;
 
@@ -31,6 +34,7 @@
 const CALL: u32 = 1;
 const REPLY: u32 = 2;
 const CANCEL: u32 = 3;
+const ACCEPT: u32 = 4;
 
 /// Maximum size of a packed message in bytes: the largest body and the same amount for everything else.
 const MAX_MESSAGE_BYTES: usize = 2 * MAX_BODY_BYTES;
@@ -52,6 +56,8 @@
     Reply(u32, Box<CallReply>),
     /// The caller has cancelled the call with this number.
     Cancel(u32),
+    /// The other node has memory for the body of the call with this number, which is sent behind it.
+    Accept(u32),
     /// A call for which there was no memory; its content is lost.
     UnheldCall(u32),
     /// A reply for which there was no memory; its content is lost.
@@ -84,6 +90,11 @@
     encode_head(number, CANCEL, 0)
 }
 
+/// Encodes a frame that asks for the body of a call.
+pub(super) fn encode_accept(number: u32) -> [u8; FRAME_HEAD_BYTES] {
+    encode_head(number, ACCEPT, 0)
+}
+
 /// Reads the next frame; returns `None` at the end of the connection. The body of a call or reply is held in `memory` until
 /// its last clone is dropped.
 ///
@@ -114,6 +125,7 @@
             None => CallFrame::UnheldReply(number),
         },
         CANCEL => CallFrame::Cancel(number),
+        ACCEPT => CallFrame::Accept(number),
         kind => return Err(capnp::Error::failed(format!("a frame of kind {kind}"))),
     };
     Ok(Some(frame))
--- a/crates/coltsfoot-node/src/dispatch/links/call_link.rs
+++ b/crates/coltsfoot-node/src/dispatch/links/call_link.rs
@@ -111,7 +111,13 @@
             Ok(Some(CallFrame::Reply(number, reply))) => (number, *reply),
             Ok(Some(CallFrame::UnheldReply(number))) => (number, unheld_reply()),
             Ok(
-                Some(CallFrame::Call(..) | CallFrame::Cancel(_) | CallFrame::UnheldCall(_)) | None,
+                Some(
+                    CallFrame::Call(..)
+                    | CallFrame::Cancel(_)
+                    | CallFrame::Accept(_)
+                    | CallFrame::UnheldCall(_),
+                )
+                | None,
             ) => {
                 return;
             }
@@ -132,6 +138,6 @@
 }
 
 /// What a caller gets in place of a reply for which there was no memory: the call has run.
-fn unheld_reply() -> CallReply {
+pub(super) fn unheld_reply() -> CallReply {
     CallReply::refusal(RefusalReason::UpstreamFailed, CallOutcome::Unknown, Duration::ZERO)
 }
--- a/crates/coltsfoot-node/src/dispatch/links/call_service.rs
+++ b/crates/coltsfoot-node/src/dispatch/links/call_service.rs
@@ -43,7 +43,10 @@
             Ok(Some(CallFrame::UnheldCall(number))) => {
                 writer.send(&encode_reply(number, &handler.refuse_unheld()));
             }
-            Ok(Some(CallFrame::Reply(..) | CallFrame::UnheldReply(_)) | None) => return,
+            Ok(
+                Some(CallFrame::Reply(..) | CallFrame::UnheldReply(_) | CallFrame::Accept(_))
+                | None,
+            ) => return,
             Err(err) => {
                 log::warn!(
                     target: LOG_TARGET,
@@ -71,7 +74,7 @@
     writer.send_answer(frame, body_of(reply), open);
 }
 
-fn body_of(reply: CallReply) -> Bytes {
+pub(super) fn body_of(reply: CallReply) -> Bytes {
     match reply.body {
         ReplyBody::Answer { body, .. } => body,
         ReplyBody::Refusal { .. } => Bytes::new(),
--- a/crates/coltsfoot-node/src/dispatch/links/peer_links.rs
+++ b/crates/coltsfoot-node/src/dispatch/links/peer_links.rs
@@ -1,15 +1,19 @@
 //! Connections to other nodes, opened on first use.
 
-use std::time::Duration;
+use std::{cell::Cell, time::Duration};
 
 use capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side, twoparty::VatNetwork};
-use coltsfoot_wire::peer_capnp::peer;
+use coltsfoot_wire::{
+    peer::{CallReply, CallRequest},
+    peer_capnp::peer,
+};
 use coltsfootroute::{id::NodeId, time::MonotonicTime};
 use rustix::net::sockopt::set_tcp_user_timeout;
 use tokio::{net::TcpStream, time::timeout};
 
 use super::{
     call_link::CallLink,
+    large_call::LargeCall,
     link_stream::link_stream,
     link_table::{LinkRegistration, LinkTable},
 };
@@ -86,6 +90,22 @@
         self.calls.get(self.clock.now(), node, open).await
     }
 
+    /// Sends a call with a large body to `node`, on a connection of its own; sets `is_sent` as soon as the call may run.
+    ///
+    /// # Errors
+    ///
+    /// [`LinkError::Unreachable`] if the node does not accept the connection or the body; [`LinkError::Ended`] if the
+    /// connection ends later, in which case the call may have run.
+    pub async fn call_large(
+        &self,
+        node: NodeId,
+        call: impl FnOnce() -> CallRequest,
+        is_sent: &Cell<bool>,
+    ) -> Result<CallReply, LinkError> {
+        let connection = LargeCall::new(connect(node).await?);
+        connection.call(call(), &self.memory, is_sent).await
+    }
+
     /// Removes a failed connection, unless it has been replaced since.
     pub fn failed(&self, node: NodeId, link: &PeerLink) {
         self.requests.remove_failed(node, link.serial);
--- a/crates/coltsfoot-node/src/dispatch/links/peer_server.rs
+++ b/crates/coltsfoot-node/src/dispatch/links/peer_server.rs
@@ -17,8 +17,9 @@
 
 use super::{
     CreditDemand, PeerHandler,
-    call_frame::{CALLS_PREFACE, FRAME_HEAD_BYTES},
+    call_frame::{CALLS_PREFACE, FRAME_HEAD_BYTES, LARGE_CALL_PREFACE},
     call_service::serve_calls,
+    large_call_service::serve_large_call,
     link_stream::{LinkReader, LinkWriter, link_stream},
 };
 use crate::{
@@ -157,7 +158,7 @@
     tokio::task::spawn_local(serve_link(reader, writer, handler));
 }
 
-/// Serves a connection for calls or one for other requests, depending on the first bytes that the peer sends.
+/// Serves a connection for calls, one for a single call with a large body, or one for other requests, depending on the first bytes that the peer sends.
 async fn serve_link<H: PeerHandler + 'static>(
     mut reader: LinkReader,
     writer: LinkWriter,
@@ -171,6 +172,9 @@
     if first == CALLS_PREFACE {
         return serve_calls(reader, writer, handler).await;
     }
+    if first == LARGE_CALL_PREFACE {
+        return serve_large_call(reader, writer, handler).await;
+    }
     let reader = Cursor::new(first).chain(reader);
     let network = VatNetwork::new(reader, writer, Side::Server, Default::default());
     let server: peer::Client = capnp_rpc::new_client(PeerServer { handler });
--- a/crates/coltsfoot-node/src/http/pipeline.rs
+++ b/crates/coltsfoot-node/src/http/pipeline.rs
@@ -4,6 +4,7 @@
 //! shows while a handler runs that its client has gone. Heads are parsed by `httparse`; what follows here is
 //! framing, order and bounds.
 
+mod body_limit;
 mod body_reader;
 mod connection;
 mod connection_limits;
@@ -14,6 +15,7 @@
 mod response_bytes;
 mod retry_after;
 
+pub use body_limit::BodyLimit;
 pub use connection::accept_connections;
 pub use connection_limits::ConnectionLimits;
 pub use connection_slots::{ConnectionSlot, ConnectionSlots};
--- a/crates/coltsfoot-node/src/http/pipeline/body_reader.rs
+++ b/crates/coltsfoot-node/src/http/pipeline/body_reader.rs
@@ -77,6 +77,11 @@
         Ok(reader)
     }
 
+    /// Bytes of the body that have come in.
+    pub(super) fn len(&self) -> usize {
+        self.body.len()
+    }
+
     /// Bytes that are held for the body.
     pub(super) fn held_bytes(&self) -> usize {
         self.hold.bytes()
--- a/crates/coltsfoot-node/src/http/pipeline/connection.rs
+++ b/crates/coltsfoot-node/src/http/pipeline/connection.rs
@@ -27,6 +27,10 @@
 const MAX_AHEAD: usize = 16;
 /// Bytes read at a time at least. Each connection holds so much.
 const READ_BYTES: usize = 4 * 1024;
+/// The same while a large body comes in.
+const LARGE_READ_BYTES: usize = 64 * 1024;
+/// Bytes of a body that have to come in for each second beyond the usual time of a request.
+const LARGE_BODY_PACE: usize = 1024 * 1024;
 /// Bytes of further requests that are held unread.
 const MAX_UNREAD_BYTES: usize = 64 * 1024;
 /// How long a closed connection still takes in what its client sends.
@@ -167,6 +171,9 @@
     }
 
     fn next_request(&mut self) -> Result<Option<ReadRequest>, FramingError> {
+        if let Some(limit) = &self.resources.body_limit {
+            self.limits.body_bytes = limit.get();
+        }
         self.buffer.next(&self.limits)
     }
 
@@ -188,7 +195,7 @@
     /// When to give up on a client from which nothing comes while no request of its is worked on.
     fn gives_up_at(&self) -> Instant {
         let (usual, hurried) = match self.buffer.has_begun() {
-            true => (self.since + self.limits.request_time, self.progressed + SCARCE_PATIENCE),
+            true => (self.request_until(), self.progressed + SCARCE_PATIENCE),
             false => (self.since + self.limits.idle_time, self.since + SCARCE_PATIENCE),
         };
         match self.is_hurried(self.buffer.holds_much()) {
@@ -197,6 +204,12 @@
         }
     }
 
+    /// Until when the request that has begun must have come in: large ones have longer, as long as they come in.
+    fn request_until(&self) -> Instant {
+        let seconds = self.buffer.body_bytes() / LARGE_BODY_PACE;
+        self.since + self.limits.request_time + Duration::from_secs(seconds as u64)
+    }
+
     /// Whether others wait for what the connection has without using it.
     fn is_hurried(&self, holds_much: bool) -> bool {
         let ListenerResources { memory, connections, .. } = &self.resources;
@@ -216,7 +229,11 @@
         }
         let was_empty = !self.buffer.has_begun();
         let can_read = self.buffer.bytes.len() < MAX_UNREAD_BYTES;
-        self.buffer.reserve(READ_BYTES);
+        self.buffer.reserve(if self.buffer.reads_large_body() {
+            LARGE_READ_BYTES
+        } else {
+            READ_BYTES
+        });
         let scarce_memory = self.resources.memory.scarce();
         let scarce_slots = self.resources.connections.scarce();
         let until = self.gives_up_at();
--- a/crates/coltsfoot-node/src/http/pipeline/listener_resources.rs
+++ b/crates/coltsfoot-node/src/http/pipeline/listener_resources.rs
@@ -1,6 +1,6 @@
 //! What the connections of a listener share with the rest of the process.
 
-use super::ConnectionSlots;
+use super::{BodyLimit, ConnectionSlots};
 use crate::{answers::AnswerTracker, memory::MemoryPool};
 
 /// What the connections of a listener share with the rest of the process.
@@ -12,4 +12,6 @@
     pub memory: MemoryPool,
     /// Bound on the connections of the listener.
     pub connections: ConnectionSlots,
+    /// Largest body of a request; `None`: that of the listener's limits.
+    pub body_limit: Option<BodyLimit>,
 }
--- a/crates/coltsfoot-node/src/http/pipeline/request_buffer.rs
+++ b/crates/coltsfoot-node/src/http/pipeline/request_buffer.rs
@@ -15,6 +15,9 @@
 /// Unparsed bytes that are part of what each connection takes; more are held.
 const UNHELD_BYTES: usize = 8 * 1024;
 
+/// Memory of a body in bytes beyond which it is large.
+const LARGE_BODY_BYTES: usize = 256 * 1024;
+
 /// What has come in on a connection and is no whole request yet.
 pub(super) struct RequestBuffer {
     /// Bytes that are not parsed.
@@ -66,9 +69,19 @@
         })
     }
 
+    /// Bytes of the present body that have come in.
+    pub fn body_bytes(&self) -> usize {
+        self.open.as_ref().map_or(0, |open| open.body.len())
+    }
+
+    /// Whether the present body is so large that more of it is read at a time.
+    pub fn reads_large_body(&self) -> bool {
+        self.open.as_ref().is_some_and(|open| open.body.held_bytes() > LARGE_BODY_BYTES)
+    }
+
     /// Makes room for `length` further bytes.
     pub fn reserve(&mut self, length: usize) {
-        if self.bytes.is_empty() && self.bytes.capacity() > UNHELD_BYTES {
+        if self.open.is_none() && self.bytes.is_empty() && self.bytes.capacity() > UNHELD_BYTES {
             self.bytes = BytesMut::new();
         }
         self.bytes.reserve(length);
