A status that is no final one of HTTP reaches no client

What callers saw: an answer with status 101, 600, 601, 700 or 999, with the backend's seal where it had one, directly and through another node, safe or not, and in the product's own interface.

Cause: whatever hyper gives as a response counted as the upstream's answer, and it takes 101 (a switch of protocols) and every number up to 999. A number from a peer that is no status at all became 502 beside the seal and the body of the answer (by reading).

Change: the guard takes 200 to 599 for an answer; any other ends the connection, and its caller gets 502 (may have run). A reply of another node whose status is no such one is lost in the same way, so nodes of earlier builds beside this one pass none on; the listeners check once more, as stored answers of earlier builds are read too.

Conclusion: mended for the whole class.

--- a/crates/coltsfoot-node/src/dispatch/guard/upstream_client.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard/upstream_client.rs
@@ -3,7 +3,7 @@
 use std::{cell::RefCell, net::SocketAddr};
 
 use bytes::Bytes;
-use coltsfoot_wire::peer::{HeaderLine, RequestHead};
+use coltsfoot_wire::peer::{HeaderLine, RequestHead, is_final_status};
 use coltsfootroute::{
     retry::{AnswerKind, ArrivalNumber, ConnectionTrust},
     time::SuspensionDetector,
@@ -42,6 +42,9 @@
     /// The first answer after the call was sent belongs to another one.
     #[error("the answer belongs to another call")]
     OtherCall,
+    /// What came is no final answer of HTTP.
+    #[error("the upstream sent no final answer")]
+    NoAnswer,
     /// The answer came, but there was no memory for it.
     #[error("no memory left for the answer")]
     Unheld,
@@ -166,6 +169,11 @@
         let response = client.request(request).await.map_err(|err| {
             if err.is_connect() { UpstreamError::Unreachable } else { UpstreamError::CutOff }
         })?;
+        if !is_final_status(response.status().as_u16()) {
+            // What follows on this connection may be anything.
+            arrival.poison_connection();
+            return Err(UpstreamError::NoAnswer);
+        }
         let kind = self.answer_kind(&response);
         if !self.dialect.is_answer_to(identity.as_ref(), response.headers()) {
             // Further answers on this connection could not be matched to their calls.
--- a/crates/coltsfoot-node/src/dispatch/guard/upstream_run.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard/upstream_run.rs
@@ -168,9 +168,12 @@
             }
             // An upstream that made nested calls has run the request in part, even if it reports that it shed the call.
             Err(UpstreamError::Shed) => (RefusalReason::Overload, span.may_have_nested()),
-            Err(UpstreamError::CutOff | UpstreamError::OtherCall | UpstreamError::Unheld) => {
-                (RefusalReason::UpstreamFailed, true)
-            }
+            Err(
+                UpstreamError::CutOff
+                | UpstreamError::OtherCall
+                | UpstreamError::NoAnswer
+                | UpstreamError::Unheld,
+            ) => (RefusalReason::UpstreamFailed, true),
         };
         let outcome = if ran { CallOutcome::Unknown } else { CallOutcome::NotRun };
         self.refusal(reason, outcome)
@@ -239,6 +242,7 @@
         Err(
             UpstreamError::CutOff
             | UpstreamError::OtherCall
+            | UpstreamError::NoAnswer
             | UpstreamError::Unheld
             | UpstreamError::Unreachable
             | UpstreamError::OtherInstance,
--- a/crates/coltsfoot-node/src/http/http_reply.rs
+++ b/crates/coltsfoot-node/src/http/http_reply.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use coltsfoot_wire::peer::{CallReply, ReplyBody, whole_seconds};
+use coltsfoot_wire::peer::{CallReply, ReplyBody, is_final_status, whole_seconds};
 use coltsfootroute::{
     constants::{OUTCOME_HEADER, RETRY_AFTER_HEADER},
     id::RequestId,
@@ -79,8 +79,17 @@
     pub fn from_call(request: RequestId, reply: CallReply) -> Self {
         match reply.body {
             ReplyBody::Answer { status, content_type, body, .. } => {
-                let status = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
-                Self::new(status, &content_type, body).with_outcome(reply.outcome)
+                match StatusCode::from_u16(status).ok().filter(|_| is_final_status(status)) {
+                    Some(status) => {
+                        Self::new(status, &content_type, body).with_outcome(reply.outcome)
+                    }
+                    None => Self::refusal(
+                        request,
+                        RefusalReason::UpstreamFailed,
+                        CallOutcome::Unknown,
+                        Duration::ZERO,
+                    ),
+                }
             }
             ReplyBody::Refusal { reason, retry_after } => {
                 Self::refusal(request, reason, reply.outcome, retry_after)
--- a/crates/coltsfoot-node/tests/integration/main.rs
+++ b/crates/coltsfoot-node/tests/integration/main.rs
@@ -10,6 +10,7 @@
 mod limits;
 mod links;
 mod metrics;
+mod odd_statuses;
 mod outgoing;
 mod pipeline;
 mod reload;
--- a/crates/coltsfoot-node/tests/integration/util/stub_upstream.rs
+++ b/crates/coltsfoot-node/tests/integration/util/stub_upstream.rs
@@ -33,6 +33,8 @@
     ShedNested,
     /// Does not answer until the caller closes the connection.
     Hang,
+    /// Answers with this status, whether or not it is one.
+    Status(&'static str),
 }
 
 impl StubMode {
@@ -166,6 +168,9 @@
             "HTTP/1.1 503 Shed\r\ncoltsfoot-outcome: not-run\r\ncontent-length: 0\r\n\r\n"
                 .to_owned()
         }
+        StubMode::Status(status) => {
+            format!("HTTP/1.1 {status} Odd\r\ncontent-length: 3\r\n\r\nodd")
+        }
         StubMode::Hang => {
             // Ends when the caller closes its side, which is how a call is cancelled.
             let _ = stream.set_read_timeout(Some(Duration::from_secs(60)));
--- a/crates/coltsfoot-wire/src/peer.rs
+++ b/crates/coltsfoot-wire/src/peer.rs
@@ -11,7 +11,7 @@
 mod take_answer;
 mod upstream_notice;
 
-pub use call_reply::{CallReply, ReplyBody, whole_seconds};
+pub use call_reply::{CallReply, ReplyBody, is_final_status, whole_seconds};
 pub use call_request::CallRequest;
 pub use claim_state::{ClaimState, read_claim_state, write_claim_state};
 pub use credit_grant::{read_credit_grant, write_credit_grant};
--- a/crates/coltsfoot-wire/src/peer/call_reply.rs
+++ b/crates/coltsfoot-wire/src/peer/call_reply.rs
@@ -1,6 +1,6 @@
 //! What a guard answers to a call.
 
-use std::time::Duration;
+use std::{ops::RangeInclusive, time::Duration};
 
 use bytes::Bytes;
 use coltsfootroute::{
@@ -68,6 +68,14 @@
     },
 }
 
+/// Statuses of the final answers of HTTP.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
+/// Whether `status` is one of a final answer of HTTP.
+pub fn is_final_status(status: u16) -> bool {
+    FINAL_STATUSES.contains(&status)
+}
+
 impl CallReply {
     /// A refusal without levels.
     pub fn refusal(reason: RefusalReason, outcome: CallOutcome, retry_after: Duration) -> Self {
@@ -140,7 +148,7 @@
         }
     }
 
-    /// Reads a reply.
+    /// Reads a reply. An answer whose status is no final one counts as none, as it does at a guard of this build.
     ///
     /// # Errors
     ///
@@ -181,7 +189,7 @@
             false => None,
         };
         let occupancy = UpstreamOccupancy::from_thousandths(reader.get_occupancy_milli());
-        Ok(Self {
+        let reply = Self {
             body,
             outcome,
             reached_upstream,
@@ -191,7 +199,23 @@
             notice,
             occupancy,
             stamp,
-        })
+        };
+        Ok(reply.with_final_status())
+    }
+
+    /// Replaces an answer whose status is no final one by the loss of the answer.
+    fn with_final_status(self) -> Self {
+        match self.body {
+            ReplyBody::Answer { status, .. } if !is_final_status(status) => Self {
+                body: ReplyBody::Refusal {
+                    reason: RefusalReason::UpstreamFailed,
+                    retry_after: Duration::ZERO,
+                },
+                outcome: CallOutcome::Unknown,
+                ..self
+            },
+            _ => self,
+        }
     }
 }
 
--- a/crates/coltsfoot-wire/tests/integration/peer.rs
+++ b/crates/coltsfoot-wire/tests/integration/peer.rs
@@ -4,7 +4,7 @@
 
 use capnp::{message::Builder, serialize_packed};
 use coltsfoot_wire::{
-    peer::{CallReply, LevelNote},
+    peer::{CallReply, LevelNote, ReplyBody},
     peer_capnp::call_reply,
 };
 use coltsfootroute::{
@@ -91,3 +91,31 @@
 
     assert!(with - without <= MAX_NOTICE_BYTES, "{with} and {without} bytes");
 }
+
+/// Guards against numbers of a peer, which may be of an earlier build, that are no status of an answer.
+#[rstest]
+#[case(0)]
+#[case(101)]
+#[case(199)]
+#[case(600)]
+#[case(u16::MAX)]
+fn an_answer_without_a_final_status_is_lost(#[case] status: u16) {
+    let body = ReplyBody::Answer {
+        status,
+        content_type: String::new(),
+        headers: Vec::new(),
+        body: "odd".into(),
+        replayed: false,
+    };
+    let refusal = refusal(RefusalReason::Overload, None);
+    let reply =
+        CallReply { body, outcome: CallOutcome::Completed, reached_upstream: true, ..refusal };
+
+    let message = written(&reply);
+    let reader = message.get_root_as_reader().expect("a reply");
+    let read = CallReply::read(reader).expect("a reply");
+
+    assert_eq!(read.reason(), Some(RefusalReason::UpstreamFailed));
+    assert_eq!((read.outcome, read.reached_upstream), (CallOutcome::Unknown, true));
+    assert_eq!(read.levels, reply.levels);
+}
