Requests that are held back are written again when the store has come back

Cause: a case was written once and then taken for kept; a store that comes back from an older copy lacks it, and after the kill no node knew of it. Ruled out: the reading at the start of a node, which found what was there.

Change: with each return of the store the nodes that have written cases look what it has, and write what it lacks, at once; the others do the same one after the other, 100 a second over all nodes, and find nothing to do if the first have done it. How a return is told from the first word of a store now stands in one place (EraWatch), for these rows and for the nodes' own.

Test: the case is in the store again after one return and after two; both failed before. A request that was let go stays so (passed before too).

--- a/crates/coltsfoot-node/src/dispatch/links/quarantine_service.rs
+++ b/crates/coltsfoot-node/src/dispatch/links/quarantine_service.rs
@@ -16,14 +16,14 @@
 };
 use indexmap::{IndexMap, IndexSet};
 use rand::seq::IteratorRandom as _;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
-use super::{PeerLinks, case_store::CaseStore};
+use super::{PeerLinks, case_store::CaseStore, row_renewal::return_pause};
 use crate::{
     dispatch::context::{NodeContext, WORD_BYTES},
     gossip::GossipCommand,
     metrics::ControlKind,
-    store::StoreHandle,
+    store::{EraCell, StoreHandle},
 };
 
 /// Number of nodes that the guard that has seen a crash notifies directly; enough to reach each node of a small
@@ -73,6 +73,7 @@
     context: Rc<NodeContext>,
     links: Rc<PeerLinks>,
     case_store: CaseStore,
+    eras: EraCell,
     register: RefCell<QuarantineRegister>,
     /// Alive or suspect members of the services that this node watches, without this node.
     peers: RefCell<IndexMap<ServiceName, Vec<NodeId>>>,
@@ -86,11 +87,13 @@
 impl QuarantineService {
     /// Creates a service without crashes or cases.
     pub fn new(context: Rc<NodeContext>, links: Rc<PeerLinks>, store: StoreHandle) -> Self {
+        let eras = store.eras().clone();
         let case_store = CaseStore::new(context.clone(), store);
         Self {
             context,
             links,
             case_store,
+            eras,
             register: RefCell::default(),
             peers: RefCell::default(),
             own_suspects: RefCell::default(),
@@ -228,6 +231,35 @@
         self.case_store.write_cases().await;
     }
 
+    /// Writes cases again whenever the store comes back from an older copy, which may lack them; never returns.
+    pub async fn watch_eras(self: Rc<Self>) {
+        let mut watch = self.eras.watch();
+        // The cell lives as long as this service, which holds it.
+        while watch.next_return().await.is_some() {
+            self.write_again().await;
+        }
+    }
+
+    /// Has the cases written that the store lacks: at once by a node that has written some before, as all nodes may be
+    /// restarted soon, and by the others one after the other, if it has not been done then.
+    async fn write_again(self: &Rc<Self>) {
+        if !self.register.borrow().has_cases() {
+            return;
+        }
+        if self.own_suspects.borrow().is_empty() {
+            sleep(return_pause(&self.context)).await;
+        }
+        let stored = self.case_store.read_cases().await;
+        self.receive(QuarantineUpdate { cases: stored.clone(), ..QuarantineUpdate::default() });
+        let stored: IndexMap<_, _> =
+            stored.iter().map(|case| (case.fingerprint, case.term)).collect();
+        for case in self.register.borrow().cases(self.context.now()) {
+            if stored.get(&case.fingerprint).is_none_or(|term| *term < case.term) {
+                self.case_store.queue_write(case.fingerprint, case.term);
+            }
+        }
+    }
+
     fn merge_news(self: &Rc<Self>, news: QuarantineUpdate, fanout: usize) {
         let now = self.context.now();
         let fresh = self.register.borrow_mut().merge(now, news);
--- a/crates/coltsfoot-node/src/dispatch/links/row_renewal.rs
+++ b/crates/coltsfoot-node/src/dispatch/links/row_renewal.rs
@@ -6,14 +6,23 @@
 use rand::RngExt;
 use tokio::time::{sleep, timeout};
 
+use crate::{dispatch::context::NodeContext, store::StoreReturn};
+
 use super::{
     IntroductionService, UpstreamRow, introduction_service::MAX_SETTLE_WAIT, own_rows::OwnRows,
 };
 
-/// Rows per second that all nodes together write again after the store has come back from an older copy: half of the writes
+/// Nodes per second that turn to the store, to read or to write rows again, after the store has come back from an older copy: half of the writes
 /// that they may make.
 const RETURN_WRITES_PER_S: f64 = 100.0;
 
+/// Draws the pause after which a node turns to the store once that has come back from an older copy.
+pub(super) fn return_pause(context: &NodeContext) -> Duration {
+    let nodes = context.freshness.node_count().max(1);
+    let spread = Duration::from_secs_f64(nodes as f64 / RETURN_WRITES_PER_S);
+    spread.mul_f64(context.rng.borrow_mut().random())
+}
+
 impl IntroductionService {
     /// Returns whether the store may have lost what the node's previous incarnation wrote after `row`; then an event says so.
     pub fn check_outdated(&self, row: &UpstreamRow) -> bool {
@@ -29,29 +38,21 @@
 
     /// Writes the rows again whenever the store comes back from an older copy; never returns.
     pub async fn watch_eras(self: Rc<Self>) {
-        let mut eras = self.eras.subscribe();
-        let mut known = *eras.borrow_and_update();
+        let mut watch = self.eras.watch();
         // The cell lives as long as this service, which holds it.
-        while eras.changed().await.is_ok() {
-            let latest = *eras.borrow_and_update();
-            if let (Some(previous), Some(latest)) = (known, latest) {
-                self.context
-                    .events
-                    .emit(EventKind::StoreReturned { previous_era: previous.0, era: latest.0 });
-                self.write_again().await;
-            }
-            known = latest;
+        while let Some(StoreReturn { previous, latest }) = watch.next_return().await {
+            self.context
+                .events
+                .emit(EventKind::StoreReturned { previous_era: previous.0, era: latest.0 });
+            self.write_again().await;
         }
     }
 
     /// Has the rows written again: a leave at once, since an upstream relies on it, all else spread over the nodes.
     async fn write_again(&self) {
         if !matches!(&*self.wanted.borrow(), OwnRows::Departed(_)) {
-            let nodes = self.context.freshness.node_count().max(1);
-            let spread = Duration::from_secs_f64(nodes as f64 / RETURN_WRITES_PER_S);
-            let pause = spread.mul_f64(self.context.rng.borrow_mut().random());
             // A leave in the meantime is written by itself, and may have been acknowledged.
-            sleep(pause).await;
+            sleep(return_pause(&self.context)).await;
         }
         self.forget_written();
     }
--- a/crates/coltsfoot-node/src/store.rs
+++ b/crates/coltsfoot-node/src/store.rs
@@ -4,6 +4,7 @@
 //! `Uncertain`, and this module never sends it again.
 
 mod era_cell;
+mod era_watch;
 mod http_client;
 mod http_sender;
 mod store_command;
@@ -16,6 +17,7 @@
 mod store_worker;
 
 pub use era_cell::EraCell;
+pub use era_watch::{EraWatch, StoreReturn};
 pub use http_client::HttpClient;
 pub use http_sender::HttpSender;
 pub use store_error::StoreError;
--- a/crates/coltsfoot-node/src/store/era_cell.rs
+++ b/crates/coltsfoot-node/src/store/era_cell.rs
@@ -5,6 +5,7 @@
 use coltsfootroute::table::StoreEra;
 use tokio::sync::watch;
 
+use super::EraWatch;
 use crate::journal::LOG_TARGET;
 
 /// Latest era that the store has stated in an answer, shared by all duties that talk to the store. It never falls.
@@ -40,6 +41,11 @@
         self.latest.subscribe()
     }
 
+    /// Returns a watch for the next return of the store.
+    pub fn watch(&self) -> EraWatch {
+        EraWatch::new(self.subscribe())
+    }
+
     /// Reads an era as the store states it; anything but a number changes nothing.
     pub fn record_text(&self, text: &str) {
         match text.trim().parse() {
