Reports of crashes that exceed the budget are sent later, and small ones cost less

Cause: a node told of 32 crashes and then of 0.4 a second; what came beyond was dropped, its own reports included, and never told later. The budget counted each report as the largest one (128 suspects, 8.4 KB to four nodes), though most name a few. From then on each guard counted alone. Ruled out: the digest in gossip, which covers cases only, as designed.

Change: reports wait in a queue of 128 and are sent, with their age, as the budget allows; the budget counts bytes: a burst of 16 of the largest reports and 435 bytes a second, for a node's own and for those that it forwards each, so four nodes told of both cost at most the 3.4 KB/s that they did before (worked out). A report with eight suspects costs an eighth of the largest.

Tests: 120 reports with eight suspects go out at once; what does not fit comes later with its age; the bytes over time are bounded.

--- a/crates/coltsfoot-node/src/dispatch/dispatch_thread.rs
+++ b/crates/coltsfoot-node/src/dispatch/dispatch_thread.rs
@@ -108,6 +108,7 @@
         spawn_local(self.introduction.clone().watch_eras());
         spawn_local(self.quarantine.clone().sync_cases());
         spawn_local(self.quarantine.clone().watch_eras());
+        spawn_local(self.quarantine.clone().send_waiting_reports());
         spawn_local(self.guard.clone().resume_upstream());
         spawn_local(self.ingress.clone().watch_callees());
         spawn_local(self.clone().find_nodes(start));
--- a/crates/coltsfoot-node/src/dispatch/links/quarantine_service.rs
+++ b/crates/coltsfoot-node/src/dispatch/links/quarantine_service.rs
@@ -10,13 +10,15 @@
     name::ServiceName,
     quarantine::{
         CrashId, CrashReport, QuarantineChange, QuarantineRegister, QuarantineUpdate,
-        QuarantineVerdict, RequestFingerprint, TrialClaim,
+        QuarantineVerdict, REPORT_PERIOD, ReportQueue, RequestFingerprint, TrialClaim,
     },
-    table::TokenBucket,
 };
 use indexmap::{IndexMap, IndexSet};
 use rand::seq::IteratorRandom as _;
-use tokio::time::{sleep, timeout};
+use tokio::{
+    sync::Notify,
+    time::{sleep, timeout},
+};
 
 use super::{PeerLinks, case_store::CaseStore, row_renewal::return_pause};
 use crate::{
@@ -32,13 +34,6 @@
 /// Number of nodes that a node notifies when it has received new information. Four reach 98 % of the nodes of a
 /// deployment of any size within a few steps; the others see from the digest in gossip messages that they lack a case.
 const NEXT_FANOUT: usize = 4;
-/// Number of crashes per second that a node reports or forwards: at 8.4 KB each they stay within a node's budget of
-/// 4 KB/s for control traffic.
-const CRASHES_PER_S: f64 = 0.4;
-/// Maximum burst of crashes that a node reports or forwards. More upstreams crash together when a failure domain
-/// is lost, which no request has caused. A request that arrives a few times per second crashes this many upstreams in
-/// about ten seconds, and is identified after three crashes.
-const CRASHES_BURST: f64 = 32.0;
 /// Timeout of an exchange with another node.
 const EXCHANGE_TIMEOUT: Duration = Duration::from_secs(1);
 /// Maximum number of requests suspected by this node itself whose cases it writes to the table service.
@@ -65,6 +60,25 @@
     NotStored,
 }
 
+/// Node where news comes from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum NewsOrigin {
+    /// This node.
+    Own,
+    /// Another node.
+    Other,
+}
+
+impl NewsOrigin {
+    /// Number of nodes that are told.
+    fn fanout(self) -> usize {
+        match self {
+            Self::Own => FIRST_FANOUT,
+            Self::Other => NEXT_FANOUT,
+        }
+    }
+}
+
 /// Tracks requests that crash their upstreams, spreads that information to other nodes, and stores it.
 ///
 /// Crashes of upstreams and cases are forwarded from node to node; cases are also stored in the table service, so that
@@ -80,8 +94,12 @@
     /// Requests that were in flight when this node's upstream crashed, and requests released here; oldest first.
     /// Invariant: at most [`MAX_OWN_SUSPECTS`].
     own_suspects: RefCell<IndexSet<RequestFingerprint>>,
-    /// Limits how many crashes are reported or forwarded.
-    crash_budget: RefCell<TokenBucket>,
+    /// Reports of crashes of this node's upstream that wait to be sent.
+    own_reports: RefCell<ReportQueue>,
+    /// Reports of other nodes that wait to be forwarded.
+    forwarded_reports: RefCell<ReportQueue>,
+    /// Notified when reports have to wait.
+    reports_wait: Notify,
 }
 
 impl QuarantineService {
@@ -97,7 +115,9 @@
             register: RefCell::default(),
             peers: RefCell::default(),
             own_suspects: RefCell::default(),
-            crash_budget: RefCell::new(TokenBucket::new(CRASHES_PER_S, CRASHES_BURST)),
+            own_reports: RefCell::default(),
+            forwarded_reports: RefCell::default(),
+            reports_wait: Notify::new(),
         }
     }
 
@@ -159,7 +179,7 @@
         drop(own);
         let report = CrashReport { crash, age: Duration::ZERO, suspects };
         let news = QuarantineUpdate { crashes: vec![report], ..QuarantineUpdate::default() };
-        self.merge_news(news, FIRST_FANOUT);
+        self.merge_news(news, NewsOrigin::Own);
     }
 
     /// Notes that this node's upstream has answered a call. `fingerprint` is evaluated only while there are suspects.
@@ -174,7 +194,7 @@
             self.publish_changes();
             self.send_news(
                 QuarantineUpdate { answers, ..QuarantineUpdate::default() },
-                FIRST_FANOUT,
+                NewsOrigin::Own,
             );
         }
     }
@@ -188,7 +208,7 @@
         self.own_suspects.borrow_mut().insert(fingerprint);
         self.publish_changes();
         let cases = self.register.borrow().cases(now);
-        self.send_news(QuarantineUpdate { cases, ..QuarantineUpdate::default() }, FIRST_FANOUT);
+        self.send_news(QuarantineUpdate { cases, ..QuarantineUpdate::default() }, NewsOrigin::Own);
         match self.case_store.await_written(fingerprint).await {
             true => ReleaseResult::Stored,
             false => ReleaseResult::NotStored,
@@ -202,7 +222,7 @@
 
     /// Merges an update from another node, and forwards what is new in it.
     pub fn receive(self: &Rc<Self>, news: QuarantineUpdate) {
-        self.merge_news(news, NEXT_FANOUT);
+        self.merge_news(news, NewsOrigin::Other);
     }
 
     /// Requests all crashes and cases from `peer`, whose cases differ from those of this node.
@@ -260,11 +280,11 @@
         }
     }
 
-    fn merge_news(self: &Rc<Self>, news: QuarantineUpdate, fanout: usize) {
+    fn merge_news(self: &Rc<Self>, news: QuarantineUpdate, origin: NewsOrigin) {
         let now = self.context.now();
         let fresh = self.register.borrow_mut().merge(now, news);
         self.publish_changes();
-        self.send_news(fresh, fanout);
+        self.send_news(fresh, origin);
     }
 
     /// Publishes changed cases to the event journal, the metrics and the gossip duty, and queues this node's own for
@@ -298,14 +318,40 @@
         });
     }
 
-    fn send_news(self: &Rc<Self>, mut news: QuarantineUpdate, fanout: usize) {
+    /// Sends reports that wait as the budget allows; never returns.
+    pub async fn send_waiting_reports(self: Rc<Self>) {
+        loop {
+            self.reports_wait.notified().await;
+            sleep(REPORT_PERIOD).await;
+            for origin in [NewsOrigin::Own, NewsOrigin::Other] {
+                self.send_news(QuarantineUpdate::default(), origin);
+            }
+        }
+    }
+
+    fn reports(&self, origin: NewsOrigin) -> &RefCell<ReportQueue> {
+        match origin {
+            NewsOrigin::Own => &self.own_reports,
+            NewsOrigin::Other => &self.forwarded_reports,
+        }
+    }
+
+    /// Sends news to other nodes: reports of crashes as far as the budget allows, the rest of them later.
+    fn send_news(self: &Rc<Self>, mut news: QuarantineUpdate, origin: NewsOrigin) {
         let now = self.context.now();
-        let mut budget = self.crash_budget.borrow_mut();
-        news.crashes.retain(|_| budget.acquire(now, 0.0, Duration::ZERO).is_some());
-        drop(budget);
+        let mut reports = self.reports(origin).borrow_mut();
+        for report in news.crashes.drain(..) {
+            reports.push(now, report);
+        }
+        news.crashes = reports.take_due(now);
+        if reports.has_waiting() {
+            self.reports_wait.notify_one();
+        }
+        drop(reports);
         if news.is_empty() {
             return;
         }
+        let fanout = origin.fanout();
         let known: IndexSet<_> = self.peers.borrow().values().flatten().copied().collect();
         let recipients = known.into_iter().sample(&mut *self.context.rng.borrow_mut(), fanout);
         let news = Rc::new(news);
--- a/crates/coltsfootroute/src/quarantine.rs
+++ b/crates/coltsfootroute/src/quarantine.rs
@@ -9,6 +9,7 @@
 mod quarantine_row;
 mod quarantine_update;
 mod quarantine_verdict;
+mod report_queue;
 mod request_fingerprint;
 mod suspect_record;
 
@@ -20,6 +21,7 @@
 pub use quarantine_row::{QuarantineRow, TrialClaim, trial_claim};
 pub use quarantine_update::{AnswerNote, QuarantineUpdate};
 pub use quarantine_verdict::QuarantineVerdict;
+pub use report_queue::{REPORT_PERIOD, ReportQueue};
 pub use request_fingerprint::{FingerprintParts, RequestFingerprint};
 
 use suspect_record::SuspectRecord;
--- a/crates/coltsfootroute/src/table/token_bucket.rs
+++ b/crates/coltsfootroute/src/table/token_bucket.rs
@@ -69,6 +69,16 @@
         acquired
     }
 
+    /// Acquires `wanted` tokens if all are available; returns whether they were.
+    pub fn try_acquire_all(&mut self, now: MonotonicTime, wanted: u32) -> bool {
+        self.refill(now);
+        let is_available = self.available() >= wanted;
+        if is_available {
+            self.level -= i64::from(wanted) * THOUSANDTHS_PER_TOKEN;
+        }
+        is_available
+    }
+
     /// Deducts tokens that have already been used. The level may become negative, down to minus the burst.
     pub fn charge(&mut self, now: MonotonicTime, used: u32) {
         self.refill(now);
--- a/crates/coltsfootroute/tests/integration/quarantine.rs
+++ b/crates/coltsfootroute/tests/integration/quarantine.rs
@@ -4,4 +4,5 @@
 mod fingerprint;
 mod innocent_reads;
 mod register;
+mod report_queue;
 mod spread;
