Uploads wait for an upstream that pauses while it reads

Cause: connections to the upstream are given up when data stays unacknowledged for 1.5 s (TCP_USER_TIMEOUT), and Linux counts the time in which a live peer keeps its window closed.

Change: requests with a body of more than 8 KiB, which the system may not take for an upstream that does not read, use connections of their own that are not given up for that; their deadline ends them. All others are as before, so a silent connection still costs them 1.5 s at most. A large request on a silent connection now costs its whole deadline (by reading).

--- a/crates/coltsfoot-node/src/dispatch/guard/upstream_client.rs
+++ b/crates/coltsfoot-node/src/dispatch/guard/upstream_client.rs
@@ -118,12 +118,12 @@
         }
     }
 
-    /// Returns the client for the arrival with `number`. All are replaced if the host was suspended since the last call.
-    fn client(&self, number: ArrivalNumber) -> OutgoingClient {
+    /// Returns the client for the arrival with `number` and a body of `body_bytes`. All are replaced if the host was suspended since the last call.
+    fn client(&self, number: ArrivalNumber, body_bytes: usize) -> OutgoingClient {
         if self.suspensions.borrow_mut().detect(self.clock.suspended()).is_some() {
             *self.clients.borrow_mut() = ArrivalClients::new(self.body_limit);
         }
-        self.clients.borrow().client(number).clone()
+        self.clients.borrow().client(number, body_bytes).clone()
     }
 
     /// Returns the context of a forwarded request; `None` if it has no identity.
@@ -161,11 +161,12 @@
         headers.append(&self.dialect.deadline, HeaderValue::from(call.remaining_ms));
         self.add_instance(headers, &call);
         self.set_team(headers, &call);
+        let body_bytes = call.body.len();
         *request.body_mut() = Full::new(call.body);
         arrival.set_connection(capture_connection(&mut request));
         let identity = self.dialect.identity(request.headers()).cloned();
         // Without identities, arrivals are not told apart.
-        let client = self.client(arrival.number().unwrap_or(ArrivalNumber::FIRST));
+        let client = self.client(arrival.number().unwrap_or(ArrivalNumber::FIRST), body_bytes);
         let response = client.request(request).await.map_err(|err| {
             if err.is_connect() { UpstreamError::Unreachable } else { UpstreamError::CutOff }
         })?;
--- a/crates/coltsfoot-standin/src/slow_reader.rs
+++ b/crates/coltsfoot-standin/src/slow_reader.rs
@@ -2,7 +2,7 @@
 
 use std::{
     io::{self, Read, Write},
-    net::{SocketAddr, TcpStream},
+    net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream},
     thread,
     time::Duration,
 };
@@ -14,6 +14,8 @@
 const SEGMENT_BYTES: u32 = 1_460;
 /// Receive buffer in bytes.
 const WINDOW_BYTES: usize = 4 * 1024;
+/// Connections that wait to be accepted.
+const BACKLOG: i32 = 16;
 /// Longest wait for the next bytes.
 const READ_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -55,6 +57,20 @@
     Ok(TcpStream::from(socket))
 }
 
+/// Listens on the loopback device; the kernel holds little of what comes in on its connections.
+///
+/// # Errors
+///
+/// If the address cannot be listened on.
+pub fn listen_with_small_window() -> io::Result<TcpListener> {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None)?;
+    socket.set_tcp_mss(SEGMENT_BYTES)?;
+    socket.set_recv_buffer_size(WINDOW_BYTES)?;
+    socket.bind(&SocketAddr::from((Ipv4Addr::LOCALHOST, 0)).into())?;
+    socket.listen(BACKLOG)?;
+    Ok(TcpListener::from(socket))
+}
+
 impl SlowReader {
     /// Connects with a small window.
     ///
