--- a/crates/coltsfoot-node/src/dispatch/ingress/call_routing.rs
+++ b/crates/coltsfoot-node/src/dispatch/ingress/call_routing.rs
@@ -232,7 +232,8 @@
         // Built after the link is open, so that the remaining time is the one at sending.
         let request = || self.request_of(node, call, is_retry);
         if call.body.len() > MAX_BODY_BYTES {
-            return self.links.call_large(node, request, is_sent).await;
+            // Boxed to keep the future small: most calls have small bodies.
+            return Box::pin(self.links.call_large(node, request, is_sent)).await;
         }
         let link = self.links.call_link(node).await?;
         is_sent.set(true);
--- a/crates/coltsfoot-node/src/dispatch/links/call_frame.rs
+++ b/crates/coltsfoot-node/src/dispatch/links/call_frame.rs
@@ -162,7 +162,8 @@
     reader: &mut (impl AsyncRead + Unpin),
     length: usize,
 ) -> Result<(), capnp::Error> {
-    let mut piece = [0; UNHELD_BYTES];
+    // On the heap, so that the futures of all links are small.
+    let mut piece = vec![0; UNHELD_BYTES];
     let mut left = length;
     while left > 0 {
         let next = left.min(piece.len());
--- a/crates/coltsfoot-node/src/dispatch/links/peer_server.rs
+++ b/crates/coltsfoot-node/src/dispatch/links/peer_server.rs
@@ -173,7 +173,7 @@
         return serve_calls(reader, writer, handler).await;
     }
     if first == LARGE_CALL_PREFACE {
-        return serve_large_call(reader, writer, handler).await;
+        return Box::pin(serve_large_call(reader, writer, handler)).await;
     }
     let reader = Cursor::new(first).chain(reader);
     let network = VatNetwork::new(reader, writer, Side::Server, Default::default());
--- a/crates/coltsfoot-node/src/http/pipeline/connection.rs
+++ b/crates/coltsfoot-node/src/http/pipeline/connection.rs
@@ -297,15 +297,15 @@
     /// Writes some of the bytes of an answer; returns whether the client has taken any by `until`, or in a short time while
     /// others wait for what the connection has.
     async fn write_some(&mut self, bytes: &mut impl Buf, until: Instant) -> bool {
-        let begun = Instant::now();
+        let mut hurried_until = None;
         let holds_much = bytes.remaining() > SMALL_HOLD_BYTES;
         loop {
             let scarce_memory = self.resources.memory.scarce();
             let scarce_slots = self.resources.connections.scarce();
-            let until = match self.is_hurried(holds_much) {
-                true => until.min(begun + SCARCE_PATIENCE),
-                false => until,
-            };
+            if self.is_hurried(holds_much) && hurried_until.is_none() {
+                hurried_until = Some(Instant::now() + SCARCE_PATIENCE);
+            }
+            let until = hurried_until.map_or(until, |hurried| until.min(hurried));
             tokio::select! {
                 written = self.writer.write_buf(bytes) => {
                     return matches!(written, Ok(length) if length > 0);
--- a/crates/coltsfoot-node/src/http/pipeline/connection_slots.rs
+++ b/crates/coltsfoot-node/src/http/pipeline/connection_slots.rs
@@ -1,7 +1,10 @@
 //! Bound on the connections of a listener.
 
 use std::{
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, Ordering},
+    },
     time::Duration,
 };
 
@@ -38,6 +41,8 @@
     /// Free slots.
     free: Arc<Semaphore>,
     shortage: Mutex<SlotsShortage>,
+    /// Whether slots may be scarce; saves connections the look at the clock while they are not.
+    may_be_scarce: AtomicBool,
     /// Notified when slots become scarce, and from time to time while they are.
     scarce: Notify,
 }
@@ -60,7 +65,9 @@
     pub fn new(listener: &'static str, most: usize, clock: MonotonicClock) -> Self {
         let free = Arc::new(Semaphore::new(most.clamp(1, Semaphore::MAX_PERMITS)));
         let (shortage, scarce) = (Mutex::default(), Notify::new());
-        Self { state: Arc::new(SlotsState { listener, clock, free, shortage, scarce }) }
+        let may_be_scarce = AtomicBool::new(false);
+        let state = SlotsState { listener, clock, free, shortage, may_be_scarce, scarce };
+        Self { state: Arc::new(state) }
     }
 
     /// Waits for a slot, and for the memory of a connection.
@@ -76,8 +83,13 @@
 
     /// Returns whether a connection had to wait a moment ago.
     pub fn is_scarce(&self) -> bool {
-        let now = self.state.clock.now();
-        self.lock().scarcity.lasts(now)
+        if !self.state.may_be_scarce.load(Ordering::Relaxed) {
+            return false;
+        }
+        let shortage = self.lock();
+        let is_scarce = shortage.scarcity.lasts(self.state.clock.now());
+        self.state.may_be_scarce.store(is_scarce, Ordering::Relaxed);
+        is_scarce
     }
 
     /// Waits until a connection has to wait.
@@ -95,6 +107,7 @@
     fn record_shortage(&self) {
         let now = self.state.clock.now();
         let mut shortage = self.lock();
+        self.state.may_be_scarce.store(true, Ordering::Relaxed);
         if shortage.scarcity.record(now) {
             self.state.scarce.notify_waiters();
         }
--- a/crates/coltsfoot-node/src/memory/memory_pool.rs
+++ b/crates/coltsfoot-node/src/memory/memory_pool.rs
@@ -1,7 +1,10 @@
 //! Memory of the process for requests and answers.
 
 use std::{
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, Ordering},
+    },
     time::Duration,
 };
 
@@ -31,6 +34,8 @@
 struct PoolState {
     clock: MonotonicClock,
     holds: Mutex<PoolHolds>,
+    /// Whether memory may be scarce; saves connections the look at the clock while it is not.
+    may_be_scarce: AtomicBool,
     /// Notified when memory becomes scarce, and from time to time while it is.
     scarce: Notify,
 }
@@ -48,7 +53,8 @@
     pub fn new(memory_bytes: usize, clock: MonotonicClock) -> Self {
         let budget = MemoryBudget::new(most_held(memory_bytes));
         let holds = Mutex::new(PoolHolds { budget, refused: 0, reported: None });
-        Self { state: Arc::new(PoolState { clock, holds, scarce: Notify::new() }) }
+        let (may_be_scarce, scarce) = (AtomicBool::new(false), Notify::new());
+        Self { state: Arc::new(PoolState { clock, holds, may_be_scarce, scarce }) }
     }
 
     /// Returns a hold of no bytes.
@@ -58,8 +64,13 @@
 
     /// Returns whether a hold was refused a moment ago.
     pub fn is_scarce(&self) -> bool {
-        let now = self.state.clock.now();
-        self.lock().budget.is_scarce(now)
+        if !self.state.may_be_scarce.load(Ordering::Relaxed) {
+            return false;
+        }
+        let holds = self.lock();
+        let is_scarce = holds.budget.is_scarce(self.state.clock.now());
+        self.state.may_be_scarce.store(is_scarce, Ordering::Relaxed);
+        is_scarce
     }
 
     /// Waits until a hold is refused.
@@ -92,6 +103,7 @@
     fn report_refusal(&self, mut holds: MutexGuard<'_, PoolHolds>, wanted: usize) {
         let now = self.state.clock.now();
         holds.refused += 1;
+        self.state.may_be_scarce.store(true, Ordering::Relaxed);
         if holds.budget.record_refusal(now) {
             self.state.scarce.notify_waiters();
         }
