--- a/crates/coltsfoot-node/src/http/pipeline/connection.rs
+++ b/crates/coltsfoot-node/src/http/pipeline/connection.rs
@@ -136,19 +136,19 @@
         let mut runs_alone = false;
         loop {
             while pending.is_empty() || !runs_alone && held.is_none() && pending.len() < MAX_AHEAD {
-                let request =
+                let read =
                     match held.take().map_or_else(|| self.next_request(), |held| Ok(Some(held))) {
-                        Ok(Some(request)) => request,
+                        Ok(Some(read)) => read,
                         Ok(None) => break,
                         Err(err) => return Box::pin(self.fail(pending, err)).await,
                     };
-                let is_alone = !request.request.method().is_safe();
+                let is_alone = !read.request.method().is_safe();
                 if is_alone && !pending.is_empty() {
-                    held = Some(request);
+                    held = Some(read);
                     break;
                 }
                 runs_alone = is_alone;
-                pending.push_back(self.begin(request, &handle));
+                pending.push_back(self.begin(read, &handle));
             }
             if let Err(err) = self.buffer.hold_unparsed() {
                 return Box::pin(self.fail(pending, err)).await;
--- a/crates/coltsfootroute/src/quarantine/report_queue.rs
+++ b/crates/coltsfootroute/src/quarantine/report_queue.rs
@@ -16,6 +16,8 @@
 const BYTES_PER_S: f64 = 435.0;
 /// Most bytes of reports in a burst: 16 of the largest, as when a failure domain is lost, which no request has caused.
 const BURST_BYTES: f64 = 16.0 * MAX_REPORT_BYTES as f64;
+/// Time between two looks at the reports that wait.
+pub const REPORT_PERIOD: Duration = Duration::from_millis(250);
 /// Most reports that wait: as many as a node keeps.
 const MAX_WAITING: usize = 128;
 
@@ -70,9 +72,6 @@
     }
 }
 
-/// Time between two looks at the reports that wait.
-pub const REPORT_PERIOD: Duration = Duration::from_millis(250);
-
 fn report_bytes(report: &CrashReport) -> u32 {
     let suspects = u32::try_from(report.suspects.len().min(MAX_SUSPECTS)).unwrap_or(u32::MAX);
     REPORT_BYTES + SUSPECT_BYTES * suspects
