A connection gives back the memory of a large head once its request has been answered

Found when the change was read once more. The branch that replaced a large empty buffer came behind the return for a buffer with room for 1 KiB, which such a buffer always has, so it was never reached; and the capacity that it looked at does not tell what parsed bytes have left behind. The memory that was held for the head was released, the buffer stayed.

Change: the buffer remembers that it has been large; once little is left in it and no body is coming in, what is left is copied to a small one, where its hold is released.

--- a/crates/coltsfoot-node/src/http/pipeline/request_buffer.rs
+++ b/crates/coltsfoot-node/src/http/pipeline/request_buffer.rs
@@ -29,6 +29,8 @@
     memory: MemoryPool,
     /// Memory held for unparsed bytes, if they are many.
     unparsed: MemoryHold,
+    /// Whether the buffer has been larger than what each connection takes; parsed bytes leave it as it is.
+    is_large: bool,
 }
 
 /// A request whose body is being read.
@@ -49,7 +51,7 @@
     /// An empty buffer.
     pub fn new(memory: MemoryPool) -> Self {
         let unparsed = memory.hold();
-        Self { bytes: BytesMut::new(), open: None, memory, unparsed }
+        Self { bytes: BytesMut::new(), open: None, memory, unparsed, is_large: false }
     }
 
     /// Whether a request has begun.
@@ -86,23 +88,25 @@
         if self.bytes.capacity() - self.bytes.len() >= MIN_READ_BYTES {
             return;
         }
-        if self.open.is_none() && self.bytes.is_empty() && self.bytes.capacity() > UNHELD_BYTES {
-            self.bytes = BytesMut::new();
-        }
         self.bytes.reserve(length);
+        self.is_large |= self.bytes.capacity() > UNHELD_BYTES;
     }
 
-    /// Holds memory for the bytes that have come in, if they are many.
+    /// Holds memory for the bytes that have come in, if they are many; gives back a large buffer once they are not.
     ///
     /// # Errors
     ///
     /// [`FramingError::NoMemory`].
     pub fn hold_unparsed(&mut self) -> Result<(), FramingError> {
-        if self.bytes.len() <= UNHELD_BYTES {
-            self.unparsed.lower_to(0);
-            return Ok(());
+        if self.bytes.len() > UNHELD_BYTES {
+            return Ok(self.unparsed.raise_to(self.bytes.capacity())?);
+        }
+        if self.is_large && self.open.is_none() {
+            self.bytes = BytesMut::from(&self.bytes[..]);
+            self.is_large = false;
         }
-        Ok(self.unparsed.raise_to(self.bytes.capacity())?)
+        self.unparsed.lower_to(0);
+        Ok(())
     }
 
     /// The next whole request, if there is one.
